--- /dev/null
+++ b/cmd/birchctl/main.go
@@ -0,0 +1,32 @@
+// Command birchctl is the operators' tool: it checks, compares, applies and
+// prints the configuration, and shows and explains the state of instances.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/birchdrift/birchdrift/core/code"
+	"github.com/birchdrift/birchdrift/internal/control"
+)
+
+// Exit statuses.
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+func main() {
+	err := control.Command().Run(context.Background(), os.Args)
+	if err == nil {
+		return
+	}
+	fmt.Fprintln(os.Stderr, "birchctl:", err)
+	var numbered *code.Error
+	if !errors.As(err, &numbered) || numbered.Code == code.BadUsage || numbered.Code == code.BadSetting {
+		os.Exit(exitUsage)
+	}
+	os.Exit(exitFailed)
+}
--- /dev/null
+++ b/cmd/birchdrift/main.go
@@ -0,0 +1,65 @@
+// Command birchdrift is an entry instance: it serves callers, exchanges state
+// with its peers, and plans for its availability zone while it holds that
+// zone's lease.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/birchdrift/birchdrift/internal/server"
+	"github.com/birchdrift/birchdrift/internal/settings"
+)
+
+// Exit statuses.
+const (
+	exitFailed = 1
+	exitUsage  = 2
+	exitCut    = 3
+)
+
+func main() {
+	cmd := &cli.Command{
+		Name:  "birchdrift",
+		Usage: "serve many models on fewer accelerators: one entry instance",
+		Description: "Every setting is a flag and an environment variable. A wrong one is\n" +
+			"reported with what is allowed, all of them at once, with status 2.\n" +
+			"SIGTERM begins a planned stop; a second one ends it at once (status 3 if calls were cut).",
+		Flags:  settings.Flags(),
+		Action: run,
+	}
+	if err := cmd.Run(context.Background(), os.Args); err != nil {
+		var coder cli.ExitCoder
+		if !errors.As(err, &coder) {
+			fmt.Fprintln(os.Stderr, "birchdrift: BD-502 bad_usage:", err)
+			os.Exit(exitUsage)
+		}
+		os.Exit(coder.ExitCode())
+	}
+}
+
+func run(_ context.Context, cmd *cli.Command) error {
+	set, faults := settings.Parse(cmd.String)
+	if len(faults) > 0 {
+		for _, f := range faults {
+			fmt.Fprintln(os.Stderr, "birchdrift:", f)
+		}
+		return cli.Exit("", exitUsage)
+	}
+	s, err := server.New(set, os.Stderr, os.Stdout)
+	if err != nil {
+		return cli.Exit(fmt.Sprintf("birchdrift: BD-501 bad_setting: %v", err), exitFailed)
+	}
+	cut, err := s.Run()
+	if err != nil {
+		return cli.Exit(fmt.Sprintf("birchdrift: BD-901 internal: %v", err), exitFailed)
+	}
+	if cut > 0 {
+		return cli.Exit(fmt.Sprintf("birchdrift: %d calls were cut off", cut), exitCut)
+	}
+	return nil
+}
--- /dev/null
+++ b/core/attempt/attempt.go
@@ -0,0 +1,123 @@
+// Package attempt provides the record of one call's attempts at upstreams, from
+// which the answers "did it run?" and "may it be sent again?" are derived.
+//
+// The idea: an error string never says whether a call ran. What does is how far
+// the bytes had come when the connection broke, so each attempt walks one small
+// state machine (NotSent, MaybeSent, Answered, Ended, or Refused) and everything
+// else is computed from it.
+//
+// Invariants: a phase never goes back; a call that may not be repeated is never
+// sent again once any attempt is past NotSent, unless the upstream itself said
+// that it did not run.
+package attempt
+
+import "github.com/birchdrift/birchdrift/core/code"
+
+// A Phase says how far one attempt has come.
+type Phase int
+
+// The phases of an attempt.
+const (
+	NotSent   Phase = iota // no byte has left
+	MaybeSent              // a byte may have left
+	Answered               // the upstream began to answer
+	Ended                  // the upstream's explicit end arrived
+	Refused                // the upstream said that it did not run the call
+)
+
+// Run returns what is known of an attempt that went no further than p.
+func (p Phase) Run() code.Run {
+	switch p {
+	case NotSent, Refused:
+		return code.NotRun
+	case MaybeSent:
+		return code.Unknown
+	default:
+		return code.Ran
+	}
+}
+
+// A Step is what to do after an attempt broke.
+type Step int
+
+// The steps.
+const (
+	Fail   Step = iota // give the call its final answer
+	Retry              // start anew, at any replica
+	Resume             // go on at the delivered offset, at the same replica
+)
+
+// MaxResumes bounds how often one attempt is resumed, so that a connection
+// that breaks after every piece cannot hold a call for ever.
+const MaxResumes = 16
+
+// A History is the immutable record of one call's attempts.
+type History struct {
+	Repeatable bool
+	run        code.Run // worst of the attempts that are over
+	Attempts   int      // attempts begun
+	Resumes    int      // resumes of the attempt in progress
+}
+
+// New returns the history of a call that was never sent.
+func New(repeatable bool) History {
+	return History{Repeatable: repeatable, run: code.NotRun}
+}
+
+// WithAttempt returns h after an attempt began.
+func (h History) WithAttempt() History {
+	h.Attempts++
+	h.Resumes = 0
+	return h
+}
+
+// WithResume returns h after the attempt in progress was resumed.
+func (h History) WithResume() History {
+	h.Resumes++
+	return h
+}
+
+// WithBroken returns h after an attempt broke in phase p.
+func (h History) WithBroken(p Phase) History {
+	h.run = worse(h.run, p.Run())
+	return h
+}
+
+// worse returns the statement that promises less: ran, unknown, not run.
+func worse(a, b code.Run) code.Run {
+	if a == code.Ran || b == code.Ran {
+		return code.Ran
+	}
+	if a == code.Unknown || b == code.Unknown {
+		return code.Unknown
+	}
+	return code.NotRun
+}
+
+// Run says whether the call ran, as far as its attempts tell.
+func (h History) Run() code.Run { return h.run }
+
+// A Break describes the end of an attempt that was not its proper end.
+type Break struct {
+	Phase     Phase
+	Delivered int  // tokens or bytes that reached the caller
+	SameBoot  bool // the replica is the same process and can resume
+}
+
+// Next returns the step after a break; h must already include it. Whether the
+// retry budget allows a Retry is the caller's matter.
+func (h History) Next(b Break) Step {
+	if b.Phase == Ended {
+		return Fail
+	}
+	if b.SameBoot && h.Resumes < MaxResumes && b.Phase != NotSent && b.Phase != Refused {
+		return Resume
+	}
+	if b.Delivered > 0 {
+		return Fail
+	}
+	if h.Repeatable || h.run == code.NotRun {
+		return Retry
+	}
+	return Fail
+}
--- /dev/null
+++ b/core/book/book.go
@@ -0,0 +1,367 @@
+// Package book provides the ledger by which the planner of an availability zone
+// never overcommits accelerator memory.
+//
+// The idea: memory is booked before an order is sent and freed only on the
+// engine's own word that the item is gone. An order whose answer is missing
+// counts as both done and not done: a load keeps its memory booked, an unload
+// keeps the item's memory taken.
+//
+// How an unanswered order is settled depends on the engine. One that checks
+// fences carries out orders in rising order only, so a state that shows a later
+// order settles every earlier one. One that does not check may carry out a late
+// order at any time, so an unanswered load stays booked until the engine shows
+// the item, and from then on the item is pinned: it is not unloaded under this
+// boot, because a late duplicate could load it again behind the ledger's back.
+//
+// Invariants: Free never exceeds what the engine has free under any outcome of
+// the outstanding orders; an engine whose state was not read since its fence
+// was raised has nothing free.
+package book
+
+import (
+	"sort"
+
+	"github.com/birchdrift/birchdrift/core/pool"
+)
+
+// An Op is what an order asks of an engine.
+type Op uint8
+
+// The operations.
+const (
+	Load   Op = iota + 1 // load an item
+	Unload               // drain an item, then drop it
+	Raise                // raise the fence; changes nothing else
+)
+
+// String returns the operation as it stands on the wire and in logs.
+func (o Op) String() string {
+	switch o {
+	case Load:
+		return "load"
+	case Unload:
+		return "unload"
+	default:
+		return "raise"
+	}
+}
+
+// An Order is one instruction to one engine.
+type Order struct {
+	Engine string
+	Fence  uint64
+	Seq    uint64 // rises with every order of one fence
+	Op     Op
+	Item   string
+	MiB    int64
+}
+
+// An outstanding order has no answer yet.
+type outstanding struct {
+	order  Order
+	unsure bool // the answer is lost; the order may arrive at any time
+}
+
+// An entry is one item's hold on an engine's memory.
+type entry struct {
+	mib    int64
+	phase  pool.ItemPhase // as the engine last said; 0 while only booked
+	pinned bool
+}
+
+// An Engine is the ledger of one engine's memory.
+type Engine struct {
+	name     string
+	capacity int64
+	checks   bool
+	boot     uint64
+	change   uint64 // of the newest state taken in under boot
+	read     bool   // state was read since the fence was raised
+	entries  map[string]entry
+	open     map[uint64]outstanding // by Seq
+}
+
+// NewEngine returns the ledger of an engine whose state is unknown; nothing is
+// free in it.
+func NewEngine(name string, capacityMiB int64, checksFence bool) *Engine {
+	return &Engine{
+		name:     name,
+		capacity: capacityMiB,
+		checks:   checksFence,
+		entries:  map[string]entry{},
+		open:     map[uint64]outstanding{},
+	}
+}
+
+// Known reports whether the engine's state was read since its fence was raised.
+func (e *Engine) Known() bool { return e.read }
+
+// Boot returns the boot under which the state was last read.
+func (e *Engine) Boot() uint64 { return e.boot }
+
+// Free returns the memory that no item holds or is booked for, in MiB.
+func (e *Engine) Free() int64 {
+	if !e.read {
+		return 0
+	}
+	return e.capacity - e.used()
+}
+
+func (e *Engine) used() int64 {
+	var sum int64
+	for _, en := range e.entries {
+		sum += en.mib
+	}
+	return sum
+}
+
+// Holds reports whether the item holds or is booked for memory.
+func (e *Engine) Holds(item string) bool {
+	_, ok := e.entries[item]
+	return ok
+}
+
+// Phase returns where the item stands; 0 while it is absent or only booked.
+func (e *Engine) Phase(item string) pool.ItemPhase { return e.entries[item].phase }
+
+// Pinned reports whether the item must not be unloaded under this boot.
+func (e *Engine) Pinned(item string) bool { return e.entries[item].pinned }
+
+// Items returns the items that hold or are booked for memory, sorted.
+func (e *Engine) Items() []string {
+	items := make([]string, 0, len(e.entries))
+	for item := range e.entries {
+		items = append(items, item)
+	}
+	sort.Strings(items)
+	return items
+}
+
+// Busy reports whether an order is without an answer or an item is on its way
+// in or out.
+func (e *Engine) Busy() bool {
+	if len(e.open) > 0 {
+		return true
+	}
+	for _, en := range e.entries {
+		if en.phase == pool.Loading || en.phase == pool.Unloading {
+			return true
+		}
+	}
+	return false
+}
+
+// Unsure returns the orders whose answers are lost, by rising Seq.
+func (e *Engine) Unsure() []Order {
+	var orders []Order
+	for _, o := range e.open {
+		if o.unsure {
+			orders = append(orders, o.order)
+		}
+	}
+	sort.Slice(orders, func(i, j int) bool { return orders[i].Seq < orders[j].Seq })
+	return orders
+}
+
+// Open returns every order without an answer, by rising Seq.
+func (e *Engine) Open() []Order {
+	orders := make([]Order, 0, len(e.open))
+	for _, o := range e.open {
+		orders = append(orders, o.order)
+	}
+	sort.Slice(orders, func(i, j int) bool { return orders[i].Seq < orders[j].Seq })
+	return orders
+}
+
+// Book books an order's memory. It reports false, and books nothing, when the
+// order could overcommit the engine or would unload what is pinned or absent.
+func (e *Engine) Book(o Order) bool {
+	switch o.Op {
+	case Load:
+		if !e.read || e.Holds(o.Item) || o.MiB > e.Free() {
+			return false
+		}
+		e.entries[o.Item] = entry{mib: o.MiB}
+	case Unload:
+		en, ok := e.entries[o.Item]
+		if !e.read || !ok || en.pinned || en.phase != pool.Ready {
+			return false
+		}
+	}
+	e.open[o.Seq] = outstanding{order: o}
+	return true
+}
+
+// Inherit counts an order of an earlier holder as outstanding and unsure, as a
+// new holder does for every intent that it finds.
+func (e *Engine) Inherit(o Order) {
+	if o.Op == Load && !e.Holds(o.Item) {
+		e.entries[o.Item] = entry{mib: o.MiB}
+	}
+	e.open[o.Seq] = outstanding{order: o, unsure: true}
+}
+
+// NotSent notes that an order certainly never left; its booking is undone.
+func (e *Engine) NotSent(seq uint64) {
+	o, ok := e.open[seq]
+	if !ok {
+		return
+	}
+	delete(e.open, seq)
+	if o.order.Op == Load && e.entries[o.order.Item].phase == 0 && !e.openLoad(o.order.Item) {
+		delete(e.entries, o.order.Item)
+	}
+}
+
+// Lost notes that an order's answer is lost.
+func (e *Engine) Lost(seq uint64) {
+	if o, ok := e.open[seq]; ok {
+		o.unsure = true
+		e.open[seq] = o
+	}
+}
+
+// Refused notes that the engine answered that it did not and will not carry
+// out an order.
+func (e *Engine) Refused(seq uint64) { e.NotSent(seq) }
+
+// Observe takes in a state that the engine gave under the holder's fence.
+// answered is the order that the state answers, 0 for a plain read. size gives
+// an item's memory in MiB.
+func (e *Engine) Observe(s pool.State, fence, answered uint64, size func(string) int64) {
+	if e.stale(s) {
+		delete(e.open, answered)
+		return
+	}
+	if s.Residency.Boot > e.boot {
+		e.rebooted(s.Residency.Boot)
+	}
+	e.change = s.Residency.Change
+	e.settle(s, fence, answered)
+	e.read = true
+	e.rebuild(s, size)
+}
+
+// stale reports whether the state is older than one taken in before. Such a
+// state may lack an item that an answered order has added since, and taking it
+// in would free memory that is in use. An answer that comes late still closes
+// its order, through Refused or a later state.
+func (e *Engine) stale(s pool.State) bool {
+	if !e.read {
+		return false
+	}
+	if s.Residency.Boot != e.boot {
+		return s.Residency.Boot < e.boot
+	}
+	return s.Residency.Change < e.change
+}
+
+// rebooted drops what only the former process could have done. Orders that are
+// still under way may reach the new process, so they stay open.
+func (e *Engine) rebooted(boot uint64) {
+	e.boot = boot
+	for item, en := range e.entries {
+		if !e.openLoad(item) {
+			delete(e.entries, item)
+			continue
+		}
+		e.entries[item] = entry{mib: en.mib}
+	}
+}
+
+// settle closes the orders whose outcome the state tells.
+func (e *Engine) settle(s pool.State, fence, answered uint64) {
+	shown := make(map[string]bool, len(s.Residency.Items))
+	for _, it := range s.Residency.Items {
+		shown[it.Name] = true
+	}
+	for seq, o := range e.open {
+		switch {
+		case seq == answered:
+			delete(e.open, seq)
+		case e.checks:
+			if s.Fence > o.order.Fence || (s.Fence == fence && o.order.Fence == fence && s.LastOrder >= seq) {
+				delete(e.open, seq)
+			}
+		case o.unsure && o.order.Op == Load && shown[o.order.Item]:
+			delete(e.open, seq)
+			en := e.entries[o.order.Item]
+			en.pinned = true
+			e.entries[o.order.Item] = en
+		case o.unsure && o.order.Op == Unload && !shown[o.order.Item]:
+			delete(e.open, seq)
+		}
+	}
+}
+
+// rebuild takes the state's items as the truth, plus what open loads may add.
+func (e *Engine) rebuild(s pool.State, size func(string) int64) {
+	next := make(map[string]entry, len(s.Residency.Items))
+	for _, it := range s.Residency.Items {
+		old := e.entries[it.Name]
+		mib := old.mib
+		if mib == 0 {
+			mib = size(it.Name)
+		}
+		next[it.Name] = entry{mib: mib, phase: it.Phase, pinned: old.pinned}
+	}
+	for item, old := range e.entries {
+		if _, shown := next[item]; shown {
+			continue
+		}
+		if e.openLoad(item) || old.pinned {
+			next[item] = entry{mib: old.mib, pinned: old.pinned}
+		}
+	}
+	e.entries = next
+}
+
+func (e *Engine) openLoad(item string) bool {
+	for _, o := range e.open {
+		if o.order.Op == Load && o.order.Item == item {
+			return true
+		}
+	}
+	return false
+}
+
+// Name returns the engine's name.
+func (e *Engine) Name() string { return e.name }
+
+// Op returns what the order asked for, while it is open.
+func (e *Engine) Op(seq uint64) (Op, bool) {
+	o, ok := e.open[seq]
+	return o.order.Op, ok
+}
+
+// IsOpen reports whether the order has no outcome yet.
+func (e *Engine) IsOpen(seq uint64) bool {
+	_, ok := e.open[seq]
+	return ok
+}
+
+// LoadsUnderWay counts the loads that take from the weight store now.
+func (e *Engine) LoadsUnderWay() int {
+	n := 0
+	for item, en := range e.entries {
+		if en.phase == pool.Loading || (en.phase == 0 && e.openLoad(item)) {
+			n++
+		}
+	}
+	return n
+}
+
+// Restarted returns the ledger to begin with after the engine restarted and
+// forgot its fence: nothing is free until the fence is raised again, and
+// orders that are still under way stay open.
+func (e *Engine) Restarted() *Engine {
+	next := NewEngine(e.name, e.capacity, e.checks)
+	for seq, o := range e.open {
+		if o.order.Op == Load {
+			next.entries[o.order.Item] = entry{mib: o.order.MiB}
+		}
+		o.unsure = true
+		next.open[seq] = o
+	}
+	return next
+}
--- /dev/null
+++ b/core/config/check.go
@@ -0,0 +1,236 @@
+package config
+
+import (
+	"encoding/hex"
+	"fmt"
+	"net/netip"
+	"regexp"
+
+	"github.com/birchdrift/birchdrift/core/code"
+	"github.com/birchdrift/birchdrift/core/policy"
+)
+
+// Limits that a configuration must keep.
+const (
+	maxName      = 128
+	maxShare     = 1_000_000
+	sha256HexLen = 64
+)
+
+var nameRE = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]*$`)
+
+// Check returns every fault of the file; none means it may be applied.
+func (f File) Check() []*code.Error {
+	c := checker{file: f, doc: f.Document.withDefaults()}
+	c.zones()
+	c.engines()
+	c.models()
+	c.policies()
+	c.services()
+	c.callers()
+	c.steering()
+	return c.faults
+}
+
+// A checker gathers the faults of one file.
+type checker struct {
+	file     File
+	doc      Document
+	faults   []*code.Error
+	zoneSet  map[string]bool
+	modelSet map[string]int64  // memory by model
+	adapters map[string]string // base model by adapter
+	policy   map[string]bool
+	largest  int64 // memory of the largest engine
+}
+
+func (c *checker) fault(num code.Code, detail string, path ...any) {
+	c.faults = append(c.faults, &code.Error{
+		Code:   num,
+		Path:   pathString(path...),
+		Line:   c.file.line(path...),
+		Detail: detail,
+	})
+}
+
+// name checks one name and that it is new in seen.
+func (c *checker) name(seen map[string]bool, name string, path ...any) {
+	path = append(append([]any(nil), path...), "name")
+	if len(name) > maxName || !nameRE.MatchString(name) {
+		c.fault(code.ConfigValue, fmt.Sprintf("%q is not a name: letters, digits, '.', '_' and '-', at most %d", name, maxName), path...)
+		return
+	}
+	if seen[name] {
+		c.fault(code.ConfigDuplicate, fmt.Sprintf("%q is defined twice", name), path...)
+	}
+	seen[name] = true
+}
+
+func (c *checker) positive(v int64, what string, path ...any) {
+	if v <= 0 {
+		c.fault(code.ConfigValue, fmt.Sprintf("%s is %d, at least 1 allowed", what, v), path...)
+	}
+}
+
+// place checks the address and the zone of an upstream.
+func (c *checker) place(address, zone string, path ...any) {
+	if _, err := netip.ParseAddrPort(address); err != nil {
+		c.fault(code.ConfigValue, fmt.Sprintf("%q is not IP:port", address), append(append([]any(nil), path...), "address")...)
+	}
+	if !c.zoneSet[zone] {
+		c.fault(code.ConfigDangling, fmt.Sprintf("no zone %q", zone), append(append([]any(nil), path...), "zone")...)
+	}
+}
+
+func (c *checker) zones() {
+	c.zoneSet = map[string]bool{}
+	for i, z := range c.doc.Zones {
+		c.name(c.zoneSet, z.Name, "zones", i)
+	}
+	if len(c.doc.Zones) == 0 {
+		c.fault(code.ConfigValue, "at least one zone is needed", "zones")
+	}
+}
+
+func (c *checker) engines() {
+	seen := map[string]bool{}
+	for i, e := range c.doc.Engines {
+		c.name(seen, e.Name, "engines", i)
+		c.place(e.Address, e.Zone, "engines", i)
+		c.positive(int64(e.Accelerators), "accelerators", "engines", i, "accelerators")
+		c.positive(e.MemoryMiB, "memory_mib", "engines", i, "memory_mib")
+		c.positive(int64(e.Sequences), "sequences", "engines", i, "sequences")
+		c.largest = max(c.largest, e.MemoryMiB)
+	}
+}
+
+// models checks models and adapters, which share one name space because an
+// engine's memory holds both as items.
+func (c *checker) models() {
+	c.modelSet = map[string]int64{}
+	c.adapters = map[string]string{}
+	seen := map[string]bool{}
+	for i, m := range c.doc.Models {
+		c.name(seen, m.Name, "models", i)
+		c.positive(m.MemoryMiB, "memory_mib", "models", i, "memory_mib")
+		c.fits(m.MemoryMiB, "models", i, "memory_mib")
+		c.modelSet[m.Name] = m.MemoryMiB
+	}
+	for i, a := range c.doc.Adapters {
+		c.name(seen, a.Name, "adapters", i)
+		c.positive(a.MemoryMiB, "memory_mib", "adapters", i, "memory_mib")
+		base, ok := c.modelSet[a.Model]
+		if !ok {
+			c.fault(code.ConfigDangling, fmt.Sprintf("no model %q", a.Model), "adapters", i, "model")
+			continue
+		}
+		c.adapters[a.Name] = a.Model
+		c.fits(base+a.MemoryMiB, "adapters", i, "memory_mib")
+	}
+}
+
+func (c *checker) fits(mib int64, path ...any) {
+	if mib > c.largest {
+		c.fault(code.ConfigSize, fmt.Sprintf("%d MiB with its model, the largest engine has %d MiB", mib, c.largest), path...)
+	}
+}
+
+func (c *checker) policies() {
+	c.policy = map[string]bool{}
+	for i, p := range c.doc.Policies {
+		c.name(c.policy, p.Name, "policies", i)
+		for _, e := range []struct {
+			field, text string
+			kind        policy.Kind
+		}{
+			{"priority", p.Priority, policy.Int},
+			{"refuse", p.Refuse, policy.Bool},
+			{"wait", p.Wait, policy.Duration},
+		} {
+			if err := policy.Validate(e.text, e.kind); err != nil {
+				c.fault(code.ConfigPolicy, err.Error(), "policies", i, e.field)
+			}
+		}
+		if p.Default.Priority < 0 || p.Default.Priority > policy.MaxPriority {
+			c.fault(code.ConfigValue, "0 to 100 allowed", "policies", i, "default", "priority")
+		}
+	}
+}
+
+func (c *checker) services() {
+	seen := map[string]bool{}
+	replicas := map[string]bool{}
+	for _, e := range c.doc.Engines {
+		replicas[e.Name] = true
+	}
+	for i, s := range c.doc.Services {
+		c.name(seen, s.Name, "services", i)
+		if (len(s.Versions) == 0) == (len(s.Replicas) == 0) {
+			c.fault(code.ConfigValue, "a service has either versions or replicas", "services", i)
+		}
+		if s.Policy != "" && !c.policy[s.Policy] {
+			c.fault(code.ConfigDangling, fmt.Sprintf("no policy %q", s.Policy), "services", i, "policy")
+		}
+		if s.Target.FirstToken < 0 || s.Target.BetweenTokens < 0 {
+			c.fault(code.ConfigValue, "targets are positive durations", "services", i, "target")
+		}
+		c.versions(i, s)
+		for j, r := range s.Replicas {
+			c.name(replicas, r.Name, "services", i, "replicas", j)
+			c.place(r.Address, r.Zone, "services", i, "replicas", j)
+			c.positive(int64(r.Concurrent), "concurrent", "services", i, "replicas", j, "concurrent")
+		}
+	}
+}
+
+func (c *checker) versions(i int, s Service) {
+	seen := map[string]bool{}
+	total := 0
+	for j, v := range s.Versions {
+		c.name(seen, v.Name, "services", i, "versions", j)
+		if _, ok := c.modelSet[v.Model]; !ok {
+			c.fault(code.ConfigDangling, fmt.Sprintf("no model %q", v.Model), "services", i, "versions", j, "model")
+		}
+		if base, ok := c.adapters[v.Adapter]; v.Adapter != "" && (!ok || base != v.Model) {
+			c.fault(code.ConfigDangling, fmt.Sprintf("no adapter %q on model %q", v.Adapter, v.Model), "services", i, "versions", j, "adapter")
+		}
+		if v.Share < 0 || v.Share > maxShare {
+			c.fault(code.ConfigValue, fmt.Sprintf("share is %d, 0 to %d allowed", v.Share, maxShare), "services", i, "versions", j, "share")
+		}
+		total += v.Share
+	}
+	if len(s.Versions) > 0 && total <= 0 {
+		c.fault(code.ConfigValue, "the shares of a service sum to 0", "services", i, "versions")
+	}
+}
+
+func (c *checker) callers() {
+	names := map[string]bool{}
+	services := map[string]bool{}
+	for _, s := range c.doc.Services {
+		services[s.Name] = true
+	}
+	for i, caller := range c.doc.Callers {
+		c.name(names, caller.Name, "callers", i)
+		if _, err := hex.DecodeString(caller.KeySHA256); err != nil || len(caller.KeySHA256) != sha256HexLen {
+			c.fault(code.ConfigValue, "not the hex of a SHA-256", "callers", i, "key_sha256")
+		}
+		for j, s := range caller.Services {
+			if !services[s] {
+				c.fault(code.ConfigDangling, fmt.Sprintf("no service %q", s), "callers", i, "services", j)
+			}
+		}
+	}
+}
+
+func (c *checker) steering() {
+	if c.doc.Residency.MoveCost < 0 {
+		c.fault(code.ConfigValue, "move_cost is negative", "residency", "move_cost")
+	}
+	if c.doc.Residency.MinimumStay < 0 {
+		c.fault(code.ConfigValue, "minimum_stay is negative", "residency", "minimum_stay")
+	}
+	if c.doc.Weights.LoadsPerSecond < 0 || c.doc.Weights.AtOnce < 0 {
+		c.fault(code.ConfigValue, "limits are positive", "weight_store")
+	}
+}
--- /dev/null
+++ b/core/config/parse.go
@@ -0,0 +1,171 @@
+package config
+
+import (
+	"bytes"
+	"compress/gzip"
+	"errors"
+	"fmt"
+	"io"
+	"regexp"
+	"strconv"
+	"strings"
+
+	"gopkg.in/yaml.v3"
+
+	"github.com/birchdrift/birchdrift/core/code"
+)
+
+// MaxEncoded is the largest value the platform's service holds, in bytes.
+const MaxEncoded = 1 << 20
+
+// maxDecoded bounds what Decode unpacks, so that a small hostile value cannot
+// fill an instance's memory.
+const maxDecoded = 16 << 20
+
+// A File is a document as an operator wrote it, with the places of its parts.
+type File struct {
+	Document Document
+	root     *yaml.Node
+}
+
+// Parse reads YAML, or JSON as its subset. Unknown fields and malformed values
+// are errors with their line.
+func Parse(data []byte) (File, []*code.Error) {
+	var root yaml.Node
+	if err := yaml.Unmarshal(data, &root); err != nil {
+		return File{}, []*code.Error{syntaxError(err.Error())}
+	}
+	dec := yaml.NewDecoder(bytes.NewReader(data))
+	dec.KnownFields(true)
+	var doc Document
+	err := dec.Decode(&doc)
+	if errors.Is(err, io.EOF) {
+		return File{}, []*code.Error{code.Errorf(code.ConfigSyntax, "the document is empty")}
+	}
+	var typeErr *yaml.TypeError
+	if errors.As(err, &typeErr) {
+		var faults []*code.Error
+		for _, msg := range typeErr.Errors {
+			faults = append(faults, syntaxError(msg))
+		}
+		return File{}, faults
+	}
+	if err != nil {
+		return File{}, []*code.Error{syntaxError(err.Error())}
+	}
+	return File{Document: doc, root: &root}, nil
+}
+
+var lineOf = regexp.MustCompile(`line (\d+): `)
+
+// syntaxError turns a message of the YAML library into a numbered error.
+func syntaxError(msg string) *code.Error {
+	e := &code.Error{Code: code.ConfigSyntax, Detail: strings.TrimPrefix(msg, "yaml: ")}
+	if m := lineOf.FindStringSubmatch(msg); m != nil {
+		e.Line, _ = strconv.Atoi(m[1])
+		e.Detail = strings.Replace(e.Detail, m[0], "", 1)
+	}
+	if strings.Contains(msg, "not found in type") {
+		e.Code = code.ConfigUnknown
+	}
+	return e
+}
+
+// line returns the line of the node at path, a mix of field names and indices,
+// or of its nearest ancestor that exists.
+func (f File) line(path ...any) int {
+	node := f.root
+	if node == nil {
+		return 0
+	}
+	if node.Kind == yaml.DocumentNode {
+		node = node.Content[0]
+	}
+	for _, step := range path {
+		next := child(node, step)
+		if next == nil {
+			break
+		}
+		node = next
+	}
+	return node.Line
+}
+
+func child(node *yaml.Node, step any) *yaml.Node {
+	switch s := step.(type) {
+	case int:
+		if node.Kind == yaml.SequenceNode && s < len(node.Content) {
+			return node.Content[s]
+		}
+	case string:
+		if node.Kind != yaml.MappingNode {
+			return nil
+		}
+		for i := 0; i+1 < len(node.Content); i += 2 {
+			if node.Content[i].Value == s {
+				return node.Content[i+1]
+			}
+		}
+	}
+	return nil
+}
+
+// pathString renders a path as "services[2].versions[0].model".
+func pathString(path ...any) string {
+	var b strings.Builder
+	for _, step := range path {
+		switch s := step.(type) {
+		case int:
+			fmt.Fprintf(&b, "[%d]", s)
+		case string:
+			if b.Len() > 0 {
+				b.WriteByte('.')
+			}
+			b.WriteString(s)
+		}
+	}
+	return b.String()
+}
+
+// Encode returns the document as the platform holds it: gzipped YAML. It fails
+// with ConfigTooLarge above MaxEncoded.
+func (d Document) Encode() ([]byte, error) {
+	text, err := yaml.Marshal(d)
+	if err != nil {
+		return nil, code.Errorf(code.Internal, "encoding the configuration: %v", err)
+	}
+	var buf bytes.Buffer
+	zip := gzip.NewWriter(&buf)
+	if _, err := zip.Write(text); err != nil {
+		return nil, code.Errorf(code.Internal, "compressing the configuration: %v", err)
+	}
+	if err := zip.Close(); err != nil {
+		return nil, code.Errorf(code.Internal, "compressing the configuration: %v", err)
+	}
+	if buf.Len() > MaxEncoded {
+		return nil, code.Errorf(code.ConfigTooLarge, "%d bytes encoded, at most %d allowed", buf.Len(), MaxEncoded)
+	}
+	return buf.Bytes(), nil
+}
+
+// Decode reads what Encode wrote. Unknown fields are kept out silently here,
+// unlike in Parse: an older instance must go on serving while a newer birchctl
+// writes fields that it does not know.
+func Decode(data []byte) (Document, error) {
+	zip, err := gzip.NewReader(bytes.NewReader(data))
+	if err != nil {
+		return Document{}, code.Errorf(code.ConfigSyntax, "not a stored configuration: %v", err)
+	}
+	text, err := io.ReadAll(io.LimitReader(zip, maxDecoded))
+	if err != nil {
+		return Document{}, code.Errorf(code.ConfigSyntax, "not a stored configuration: %v", err)
+	}
+	var doc Document
+	if err := yaml.Unmarshal(text, &doc); err != nil {
+		return Document{}, syntaxError(err.Error())
+	}
+	return doc, nil
+}
+
+// YAML returns the document as operators read it.
+func (d Document) YAML() ([]byte, error) { return yaml.Marshal(d) }
--- /dev/null
+++ b/core/config/snapshot.go
@@ -0,0 +1,202 @@
+package config
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"sort"
+	"strings"
+
+	"github.com/birchdrift/birchdrift/core/policy"
+)
+
+// A Snapshot is one accepted revision, indexed for decisions. It is immutable
+// and safe for concurrent use.
+type Snapshot struct {
+	doc      Document
+	services map[string]*Service
+	models   map[string]*Model
+	adapters map[string]*Adapter
+	engines  map[string]*Engine
+	policies map[string]*policy.Program
+	callers  map[string]*Caller // by hex hash of the key
+}
+
+// NewSnapshot indexes doc and compiles its policies. The document must have
+// passed Check; an error means that it did not.
+func NewSnapshot(doc Document) (*Snapshot, error) {
+	doc = doc.withDefaults()
+	s := &Snapshot{
+		doc:      doc,
+		services: make(map[string]*Service, len(doc.Services)),
+		models:   make(map[string]*Model, len(doc.Models)),
+		adapters: make(map[string]*Adapter, len(doc.Adapters)),
+		engines:  make(map[string]*Engine, len(doc.Engines)),
+		policies: make(map[string]*policy.Program, len(doc.Policies)),
+		callers:  make(map[string]*Caller, len(doc.Callers)),
+	}
+	for i := range doc.Services {
+		s.services[doc.Services[i].Name] = &doc.Services[i]
+	}
+	for i := range doc.Models {
+		s.models[doc.Models[i].Name] = &doc.Models[i]
+	}
+	for i := range doc.Adapters {
+		s.adapters[doc.Adapters[i].Name] = &doc.Adapters[i]
+	}
+	for i := range doc.Engines {
+		s.engines[doc.Engines[i].Name] = &doc.Engines[i]
+	}
+	for i := range doc.Callers {
+		s.callers[strings.ToLower(doc.Callers[i].KeySHA256)] = &doc.Callers[i]
+	}
+	for _, p := range doc.Policies {
+		program, err := policy.Compile(p.Priority, p.Refuse, p.Wait, policy.Verdict(p.Default))
+		if err != nil {
+			return nil, err
+		}
+		s.policies[p.Name] = program
+	}
+	return s, nil
+}
+
+// Revision returns the revision; a nil snapshot has revision 0.
+func (s *Snapshot) Revision() uint64 {
+	if s == nil {
+		return 0
+	}
+	return s.doc.Revision
+}
+
+// Document returns the document with its defaults filled in. The caller must
+// not change what its slices hold.
+func (s *Snapshot) Document() Document { return s.doc }
+
+// Service returns the service that a call names. A model's own name serves as
+// a service of that one model, with default targets and no policy.
+func (s *Snapshot) Service(name string) (Service, bool) {
+	if svc, ok := s.services[name]; ok {
+		return *svc, true
+	}
+	if m, ok := s.models[name]; ok {
+		return Service{
+			Name:     name,
+			Versions: []Version{{Name: name, Model: m.Name, Share: 1}},
+			Target:   Target{FirstToken: DefaultFirstToken, BetweenTokens: DefaultBetweenTokens},
+		}, true
+	}
+	return Service{}, false
+}
+
+// Model returns the model with this name.
+func (s *Snapshot) Model(name string) (Model, bool) {
+	if m, ok := s.models[name]; ok {
+		return *m, true
+	}
+	return Model{}, false
+}
+
+// Engine returns the engine with this name.
+func (s *Snapshot) Engine(name string) (Engine, bool) {
+	if e, ok := s.engines[name]; ok {
+		return *e, true
+	}
+	return Engine{}, false
+}
+
+// ItemMiB returns the accelerator memory of a model or adapter, 0 if unknown.
+func (s *Snapshot) ItemMiB(item string) int64 {
+	if m, ok := s.models[item]; ok {
+		return m.MemoryMiB
+	}
+	if a, ok := s.adapters[item]; ok {
+		return a.MemoryMiB
+	}
+	return 0
+}
+
+// Base returns the model under an adapter, or "" when item is no adapter.
+func (s *Snapshot) Base(item string) string {
+	if a, ok := s.adapters[item]; ok {
+		return a.Model
+	}
+	return ""
+}
+
+// Policy returns the program of a service, or nil when it has none.
+func (s *Snapshot) Policy(name string) *policy.Program { return s.policies[name] }
+
+// CallerByKey returns the caller that key belongs to. With no callers
+// configured everybody is let in as the caller "".
+func (s *Snapshot) CallerByKey(key string) (Caller, bool) {
+	if len(s.callers) == 0 {
+		return Caller{}, true
+	}
+	sum := sha256.Sum256([]byte(key))
+	digest := hex.EncodeToString(sum[:])
+	c, ok := s.callers[digest]
+	if !ok {
+		return Caller{}, false
+	}
+	// The map look-up compares hashes, which leak nothing of the key; the
+	// constant-time comparison keeps that true should the index change.
+	same := subtle.ConstantTimeCompare([]byte(strings.ToLower(c.KeySHA256)), []byte(digest)) == 1
+	return *c, same
+}
+
+// Admits reports whether the caller may call the service.
+func (c Caller) Admits(service string) bool {
+	if len(c.Services) == 0 {
+		return true
+	}
+	for _, s := range c.Services {
+		if s == service {
+			return true
+		}
+	}
+	return false
+}
+
+// PickVersion returns the version for a draw in [0,1), by the shares.
+func (s Service) PickVersion(draw float64) Version {
+	total := 0
+	for _, v := range s.Versions {
+		total += v.Share
+	}
+	at := int(draw * float64(total))
+	for _, v := range s.Versions {
+		if at < v.Share {
+			return v
+		}
+		at -= v.Share
+	}
+	return s.Versions[len(s.Versions)-1]
+}
+
+// Repeatable reports whether a call to path of the service may run twice.
+func (s Service) Repeatable(path string) bool {
+	best := -1
+	repeatable := !s.NotRepeatable
+	for _, r := range s.Routes {
+		if strings.HasPrefix(path, r.Prefix) && len(r.Prefix) > best {
+			best = len(r.Prefix)
+			repeatable = !r.NotRepeatable
+		}
+	}
+	return repeatable
+}
+
+// Names returns what callers may name, services before bare models, sorted.
+func (s *Snapshot) Names() []string {
+	var names []string
+	for name := range s.services {
+		names = append(names, name)
+	}
+	for name := range s.models {
+		if _, taken := s.services[name]; !taken {
+			names = append(names, name)
+		}
+	}
+	sort.Strings(names)
+	return names
+}
--- /dev/null
+++ b/core/instance/event.go
@@ -0,0 +1,337 @@
+package instance
+
+import (
+	"time"
+
+	"github.com/birchdrift/birchdrift/core/attempt"
+	"github.com/birchdrift/birchdrift/core/book"
+	"github.com/birchdrift/birchdrift/core/clock"
+	"github.com/birchdrift/birchdrift/core/code"
+	"github.com/birchdrift/birchdrift/core/config"
+	"github.com/birchdrift/birchdrift/core/pool"
+	"github.com/birchdrift/birchdrift/core/route"
+	"github.com/birchdrift/birchdrift/core/share"
+)
+
+// An Event is something that happened outside the machine.
+type Event interface{ event() }
+
+// A CallID names one call on one instance.
+type CallID uint64
+
+// A Call is what the machine needs to know of one caller's call.
+type Call struct {
+	ID             CallID
+	Service        string
+	Plain          bool   // under /services/, not a model call
+	Path           string // of a plain call, below the service
+	Key            string // the caller's key, "" if none was sent
+	IdempotencyKey string
+	NotRepeatable  bool // marked so by the call itself
+	Replayable     bool // its body can be sent a second time
+	PromptTokens   int
+	MaxTokens      int
+	Prefix         route.Prefix
+}
+
+// The events of calls.
+type (
+	// Arrive begins a call.
+	Arrive struct{ Call Call }
+	// First says that the first piece of the answer came.
+	First struct{ ID CallID }
+	// Done says that the answer's explicit end was delivered.
+	Done struct{ ID CallID }
+	// Broke says that an attempt ended otherwise.
+	Broke struct {
+		ID        CallID
+		Attempt   int
+		Phase     attempt.Phase
+		Delivered int  // pieces or bytes that reached the caller
+		Resumable bool // the replica may still hold the sequence
+		Leaving   bool // the replica said that it is leaving
+		Status    int  // the replica's HTTP status, 0 if none came
+		Detail    string
+	}
+	// Gone says that the caller closed its connection.
+	Gone struct{ ID CallID }
+	// ClaimReply answers a Claim or a ReadClaim.
+	ClaimReply struct {
+		ID      CallID
+		Outcome ClaimOutcome
+	}
+)
+
+// A ClaimOutcome is what came of a claim.
+type ClaimOutcome int
+
+// The outcomes of a claim.
+const (
+	ClaimWon     ClaimOutcome = iota + 1 // this call holds the claim
+	ClaimLost                            // another call holds it
+	ClaimAbsent                          // reading back found none
+	ClaimUnknown                         // the answer was lost
+	ClaimNotSent                         // the request certainly never left
+)
+
+// The events of the platform.
+type (
+	// ConfigReply answers a WatchConfig, or carries what a peer sent.
+	ConfigReply struct {
+		Snapshot *config.Snapshot // nil if there is nothing newer
+		Encoded  []byte           // of the snapshot, to pass on to peers
+		Source   string           // "platform" or the peer's name
+		Err      error
+	}
+	// ListReply answers a WatchList.
+	ListReply struct {
+		Entries []share.Listed
+		Version uint64
+		Err     error
+	}
+	// LeaseReply answers a SeekLease.
+	LeaseReply struct {
+		Sent    clock.Instant // when the request was sent
+		Granted bool
+		Fence   uint64
+		Holder  string // who holds it, if not granted
+		Err     error
+	}
+	// IntentsReply answers a ReadIntents or a WriteIntents.
+	IntentsReply struct {
+		Read     bool // it answers a ReadIntents
+		Intents  Intents
+		Revision uint64 // of the key, for the next compare-and-swap
+		Conflict bool
+		Err      error
+	}
+)
+
+// The events of upstreams and peers.
+type (
+	// StateReply answers a ReadState.
+	StateReply struct {
+		Engine string
+		State  pool.State
+		Err    error
+	}
+	// OrderReply answers an Order.
+	OrderReply struct {
+		Engine  string
+		Fence   uint64
+		Seq     uint64
+		Outcome OrderOutcome
+		State   pool.State // valid with OrderDone and OrderRefused
+		Detail  string
+	}
+	// ExchangeReply answers an Exchange.
+	ExchangeReply struct {
+		Peer    string
+		Address string
+		Message share.Message
+		Err     error
+	}
+	// ExchangeAsked says that a peer began an exchange; the machine answers
+	// with an Answer of the same Token.
+	ExchangeAsked struct {
+		Token   uint64
+		Message share.Message
+	}
+)
+
+// An OrderOutcome is what came of an order.
+type OrderOutcome int
+
+// The outcomes of an order.
+const (
+	OrderDone    OrderOutcome = iota + 1 // the engine carries it out
+	OrderRefused                         // the engine will not carry it out
+	OrderFenced                          // the engine has seen a later fence
+	OrderNotSent                         // it certainly never left
+	OrderLost                            // its answer is lost
+)
+
+// The events of the process.
+type (
+	// Tick says that the time asked for by NextWake has come.
+	Tick struct{}
+	// Stop begins a planned stop; a second one ends it at once.
+	Stop struct{}
+)
+
+// An Intent is one order written to the platform before it is sent, because
+// its engine does not check who orders it.
+type Intent struct {
+	Engine string `json:"engine"`
+	Op     uint8  `json:"op"`
+	Item   string `json:"item"`
+	MiB    int64  `json:"mib"`
+	Seq    uint64 `json:"seq"`
+	Fence  uint64 `json:"fence"`
+}
+
+// Intents is the platform's value that holds a zone's outstanding intents.
+type Intents struct {
+	Fence   uint64   `json:"fence"` // of the holder that wrote it
+	Intents []Intent `json:"intents,omitempty"`
+}
+
+func (Arrive) event()        {}
+func (First) event()         {}
+func (Done) event()          {}
+func (Broke) event()         {}
+func (Gone) event()          {}
+func (ClaimReply) event()    {}
+func (ConfigReply) event()   {}
+func (ListReply) event()     {}
+func (LeaseReply) event()    {}
+func (IntentsReply) event()  {}
+func (StateReply) event()    {}
+func (OrderReply) event()    {}
+func (ExchangeReply) event() {}
+func (ExchangeAsked) event() {}
+func (Tick) event()          {}
+func (Stop) event()          {}
+
+// An Action is something that the machine asks its driver to do.
+type Action interface{ action() }
+
+// The actions of calls.
+type (
+	// Dispatch sends a call to a replica, or resumes it there.
+	Dispatch struct {
+		ID       CallID
+		Attempt  int
+		Replica  string
+		Address  string
+		Zone     string
+		Plain    bool
+		Model    string
+		Adapter  string
+		Priority int
+		// Repeatable says that the transport may use a connection on which
+		// it could be led to repeat the call.
+		Repeatable bool
+		Resume     bool
+		After      time.Duration // wait before sending
+		Stall      time.Duration // silence that counts as broken
+		Reason     string        // why this replica, for the trace
+	}
+	// Finish gives a call its final answer without an upstream's.
+	Finish struct {
+		ID      CallID
+		Refusal code.Refusal
+	}
+	// Cancel tells a replica to drop a call's sequence.
+	Cancel struct {
+		ID      CallID
+		Attempt int
+		Replica string
+		Address string
+	}
+	// Claim claims an idempotency key.
+	Claim struct {
+		ID   CallID
+		Key  string
+		Life time.Duration
+	}
+	// ReadClaim reads back a claim whose answer was lost.
+	ReadClaim struct {
+		ID  CallID
+		Key string
+	}
+	// ReleaseClaim gives up a claim whose call certainly did not run.
+	ReleaseClaim struct {
+		ID  CallID
+		Key string
+	}
+)
+
+// The actions towards the platform.
+type (
+	// WatchConfig asks for a configuration newer than Have.
+	WatchConfig struct {
+		Have uint64
+		Wait time.Duration
+	}
+	// WatchList asks for what changed in the instance list since Since.
+	WatchList struct {
+		Since uint64
+		Wait  time.Duration
+	}
+	// SeekLease asks for, or renews, the planner's lease.
+	SeekLease struct {
+		Term  time.Duration
+		Renew uint64 // fence of the grant to renew, 0 to ask anew
+	}
+	// ReleaseLease gives the planner's lease back.
+	ReleaseLease struct{ Fence uint64 }
+	// ReadIntents reads the zone's outstanding intents.
+	ReadIntents struct{}
+	// WriteIntents replaces them if they are still at Revision.
+	WriteIntents struct {
+		Intents  Intents
+		Revision uint64
+	}
+)
+
+// The actions towards upstreams and peers.
+type (
+	// ReadState asks an engine for its state.
+	ReadState struct {
+		Engine  string
+		Address string
+	}
+	// SendOrder gives an engine an order.
+	SendOrder struct {
+		Address string
+		Order   book.Order
+	}
+	// Exchange begins an exchange with a peer.
+	Exchange struct {
+		Peer    string // "" when only the address is known
+		Address string
+		Message share.Message
+	}
+	// Answer ends an exchange that a peer began.
+	Answer struct {
+		Token   uint64
+		Message share.Message
+	}
+)
+
+// The actions of the process.
+type (
+	// Install says that a revision is in force from now on.
+	Install struct {
+		Snapshot *config.Snapshot
+		Source   string
+	}
+	// Note is a numbered log event.
+	Note struct {
+		Event  Number
+		Fields []any // alternating keys and values
+	}
+	// Exit says that a stop is complete; Cut counts the calls it cut off.
+	Exit struct{ Cut int }
+)
+
+func (Dispatch) action()     {}
+func (Finish) action()       {}
+func (Cancel) action()       {}
+func (Claim) action()        {}
+func (ReadClaim) action()    {}
+func (ReleaseClaim) action() {}
+func (WatchConfig) action()  {}
+func (WatchList) action()    {}
+func (SeekLease) action()    {}
+func (ReleaseLease) action() {}
+func (ReadIntents) action()  {}
+func (WriteIntents) action() {}
+func (ReadState) action()    {}
+func (SendOrder) action()    {}
+func (Exchange) action()     {}
+func (Answer) action()       {}
+func (Install) action()      {}
+func (Note) action()         {}
+func (Exit) action()         {}
--- /dev/null
+++ b/core/instance/exchange.go
@@ -0,0 +1,283 @@
+package instance
+
+import (
+	"github.com/birchdrift/birchdrift/core/clock"
+	"github.com/birchdrift/birchdrift/core/demand"
+	"github.com/birchdrift/birchdrift/core/member"
+	"github.com/birchdrift/birchdrift/core/share"
+)
+
+// Numbers of the exchanges.
+const (
+	// fanout is how many peers of the zone are told of a new revision at once;
+	// each tells as many in turn.
+	fanout = 3
+	// abroadEvery is every how manyth exchange goes to another zone.
+	abroadEvery = 4
+	// plannerEvery is every how manyth exchange goes to the zone's planner,
+	// which needs the demand.
+	plannerEvery = 2
+)
+
+// An exchangeView is what the machine knows of its exchanges.
+type exchangeView struct {
+	due    clock.Instant
+	count  int
+	acks   map[string]ack  // what each peer confirmed of ours
+	heard  map[string]ack  // what we have of each peer's
+	flying map[string]bool // by address
+	urgent int             // exchanges to begin without waiting
+	pullTo clock.Instant   // until then a newer revision is being asked for
+}
+
+// An ack is a position in one boot of an instance's store.
+type ack struct {
+	boot  uint64
+	stamp uint64
+}
+
+func newExchangeView() exchangeView {
+	return exchangeView{acks: map[string]ack{}, heard: map[string]ack{}, flying: map[string]bool{}}
+}
+
+// hurry has the next exchanges begin at once, to spread what is new.
+func (x *exchangeView) hurry(m *Machine) {
+	x.urgent = fanout
+	x.due = m.now
+}
+
+func (m *Machine) exchangeDue() {
+	x := &m.exchanges
+	if m.now.Before(x.due) {
+		return
+	}
+	x.due = m.now.Add(m.jitter(m.opt.ExchangeEvery))
+	if x.urgent > 0 {
+		m.exchangeBurst()
+		return
+	}
+	x.count++
+	m.exchangeWith(m.nextPeer())
+	m.contactSeeds()
+}
+
+// exchangeBurst tells several peers of the zone, and one of another, at once.
+func (m *Machine) exchangeBurst() {
+	m.exchanges.urgent = 0
+	near := m.members.InZone(true)
+	m.rng.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
+	for i := 0; i < min(fanout, len(near)); i++ {
+		m.exchangeWith(near[i])
+	}
+	m.exchangeWith(m.draw(m.members.InZone(false)))
+}
+
+// nextPeer draws whom to exchange with: the planner, another zone, or the own
+// zone, in a fixed rhythm.
+func (m *Machine) nextPeer() *member.Peer {
+	x := &m.exchanges
+	if x.count%abroadEvery == 0 {
+		if p := m.abroad(); p != nil {
+			return p
+		}
+	}
+	if x.count%plannerEvery == 1 {
+		if p := m.members.Get(m.store.Holder(m.self.Zone).Instance); p != nil && !p.Leaving {
+			return p
+		}
+	}
+	if p := m.draw(m.members.InZone(true)); p != nil {
+		return p
+	}
+	return m.draw(m.members.InZone(false))
+}
+
+// abroad draws a peer of another zone. A planner draws other zones' planners,
+// to tell them which of their models its zone lives on.
+func (m *Machine) abroad() *member.Peer {
+	if !m.planning() {
+		return m.draw(m.members.InZone(false))
+	}
+	var planners []*member.Peer
+	for _, p := range m.members.InZone(false) {
+		if m.store.Holder(p.Zone).Instance == p.Name {
+			planners = append(planners, p)
+		}
+	}
+	if len(planners) == 0 {
+		return m.draw(m.members.InZone(false))
+	}
+	return m.draw(planners)
+}
+
+func (m *Machine) draw(peers []*member.Peer) *member.Peer {
+	if len(peers) == 0 {
+		return nil
+	}
+	return peers[m.rng.IntN(len(peers))]
+}
+
+// contactSeeds tries one address from the settings while no peer was heard.
+func (m *Machine) contactSeeds() {
+	if len(m.self.Seeds) == 0 || m.members.HeardWithin(m.now, 5*m.opt.ExchangeEvery) > 0 {
+		return
+	}
+	address := m.self.Seeds[m.rng.IntN(len(m.self.Seeds))]
+	if address == m.self.Address || m.exchanges.flying[address] {
+		return
+	}
+	m.exchanges.flying[address] = true
+	m.do(Exchange{Address: address, Message: m.message("")})
+}
+
+func (m *Machine) exchangeWith(p *member.Peer) {
+	if p == nil || m.exchanges.flying[p.Address] {
+		return
+	}
+	m.exchanges.flying[p.Address] = true
+	m.do(Exchange{Peer: p.Name, Address: p.Address, Message: m.message(p.Name)})
+}
+
+// message composes one side of an exchange with the peer, "" if its name is
+// not known yet.
+func (m *Machine) message(peer string) share.Message {
+	x := &m.exchanges
+	known := x.acks[peer]
+	heard := x.heard[peer]
+	sameZone := false
+	if p := m.members.Get(peer); p != nil {
+		sameZone = p.Zone == m.self.Zone
+	}
+	msg := share.Message{
+		From:       m.self.Name,
+		Zone:       m.self.Zone,
+		Address:    m.self.Address,
+		Boot:       m.self.Boot,
+		Leaving:    m.stop.begun,
+		Revision:   m.cfg.Revision(),
+		Stamp:      m.store.Stamp(),
+		AckBoot:    heard.boot,
+		Ack:        heard.stamp,
+		Records:    m.store.Since(known.stamp, sameZone),
+		WantConfig: true,
+	}
+	msg.Demand = m.demandFor(peer)
+	return msg
+}
+
+// demandFor returns what the peer's planning needs to know: this instance's
+// demand if it plans for this zone; what this zone lives on elsewhere if both
+// are planners.
+func (m *Machine) demandFor(peer string) []demand.Item {
+	p := m.members.Get(peer)
+	if p == nil || m.store.Holder(p.Zone).Instance != peer {
+		return nil
+	}
+	if p.Zone == m.self.Zone {
+		return m.meter.Items(m.now)
+	}
+	if !m.planning() {
+		return nil
+	}
+	return m.borrowed(p.Zone)
+}
+
+// borrowed returns the zone's demand for items that the other zone has ready
+// and this one has not.
+func (m *Machine) borrowed(zone string) []demand.Item {
+	var items []demand.Item
+	for _, it := range m.board.Sum(m.now) {
+		here := false
+		there := false
+		for _, r := range m.pool.Ready(it.Name) {
+			here = here || r.Zone == m.self.Zone
+			there = there || r.Zone == zone
+		}
+		if there && !here {
+			it.Waiting = 0
+			it.Unmet = 0
+			items = append(items, it)
+		}
+	}
+	return items
+}
+
+func (m *Machine) exchangeAsked(e ExchangeAsked) {
+	m.take(e.Message)
+	reply := m.message(e.Message.From)
+	// The reply need not repeat what the message itself brought.
+	reply.Records = m.store.Since(m.exchanges.acks[e.Message.From].stamp, e.Message.Zone == m.self.Zone)
+	if e.Message.WantConfig && e.Message.Revision < m.cfg.Revision() {
+		reply.Config = m.encoded
+	}
+	m.do(Answer{Token: e.Token, Message: reply})
+}
+
+func (m *Machine) exchangeReply(e ExchangeReply) {
+	delete(m.exchanges.flying, e.Address)
+	if e.Err != nil {
+		if p := m.members.Get(e.Peer); p != nil && p.Live(m.now) {
+			m.note(NotePeerFailed, "peer", e.Peer, "error", e.Err.Error())
+		}
+		m.members.Failed(m.now, e.Peer)
+		return
+	}
+	m.take(e.Message)
+}
+
+// take takes in what a peer said.
+func (m *Machine) take(msg share.Message) {
+	if msg.From == "" || msg.From == m.self.Name {
+		return
+	}
+	m.members.Learn(msg.From, msg.Zone, msg.Address)
+	m.members.SetLeaving(msg.From, msg.Leaving)
+	m.members.Heard(m.now, msg.From)
+	x := &m.exchanges
+	if msg.AckBoot == m.self.Boot {
+		x.acks[msg.From] = ack{boot: msg.AckBoot, stamp: msg.Ack}
+	} else {
+		x.acks[msg.From] = ack{} // it has nothing of this boot
+	}
+	x.heard[msg.From] = ack{boot: msg.Boot, stamp: msg.Stamp}
+	m.takeRecords(msg.Records)
+	if len(msg.Demand) > 0 {
+		m.board.Report(m.now, msg.From, msg.Demand)
+	}
+	if msg.Revision > m.cfg.Revision() && len(msg.Config) == 0 && !m.now.Before(x.pullTo) {
+		// It is ahead: ask it for what it has, now. Only one peer is asked at
+		// a time, since the whole configuration comes back.
+		x.pullTo = m.now.Add(m.opt.ExchangeEvery)
+		m.exchangeWith(m.members.Get(msg.From))
+	}
+}
+
+func (m *Machine) takeRecords(r share.Records) {
+	for _, res := range r.Residencies {
+		if m.store.AddResidency(res) {
+			m.noticeLeaving(res)
+			m.pool.ObserveResidency(res.Engine, res.Residency)
+		}
+	}
+	for _, l := range r.Loads {
+		if m.store.AddLoad(l) {
+			m.pool.ObserveLoad(m.now, l.Engine, l.Load)
+		}
+	}
+	for _, l := range r.Listed {
+		if m.store.AddListed(l) {
+			m.applyListed(l)
+		}
+		m.platform.version = max(m.platform.version, l.Version)
+	}
+	for _, h := range r.Holders {
+		m.store.AddHolder(h)
+	}
+}
+
+func (m *Machine) noticeLeaving(res share.Residency) {
+	r := m.pool.Get(res.Engine)
+	if r != nil && res.Leaving && !r.Leaving() {
+		m.note(NoteLeaving, "upstream", res.Engine, "source", "itself")
+	}
+}
--- /dev/null
+++ b/core/instance/machine.go
@@ -0,0 +1,255 @@
+// Package instance provides the whole behaviour of one entry instance as a
+// deterministic state machine.
+//
+// The idea: Step takes the present time and one event and returns the actions
+// that its driver should carry out. The machine reads no clock, starts no
+// goroutine and does no input or output; its random draws come from a seed. A
+// process, a test or a replay drives it alike, and the same events at the same
+// times under the same seed yield the same actions.
+//
+// Invariants:
+//   - every Arrive is followed by exactly one of Finish, or a Dispatch whose
+//     Done ends the call, or Gone;
+//   - a call that may not be repeated is dispatched again only while no earlier
+//     attempt can have run;
+//   - the configuration in force only moves to higher revisions;
+//   - no order is sent whose memory is not booked.
+//
+// The machine is not safe for concurrent use: one goroutine owns it.
+package instance
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/birchdrift/birchdrift/core/backoff"
+	"github.com/birchdrift/birchdrift/core/clock"
+	"github.com/birchdrift/birchdrift/core/config"
+	"github.com/birchdrift/birchdrift/core/demand"
+	"github.com/birchdrift/birchdrift/core/lease"
+	"github.com/birchdrift/birchdrift/core/limit"
+	"github.com/birchdrift/birchdrift/core/member"
+	"github.com/birchdrift/birchdrift/core/pool"
+	"github.com/birchdrift/birchdrift/core/route"
+	"github.com/birchdrift/birchdrift/core/share"
+)
+
+// An Identity says who an instance is.
+type Identity struct {
+	Name    string // unique in the fleet
+	Zone    string
+	Address string // IP:port of its peers' listener
+	Boot    uint64 // rises with every start of the instance
+	// Seeds are peers' addresses known from settings.
+	Seeds []string
+}
+
+// prefixMemory is how many prefix blocks an instance remembers.
+const prefixMemory = 8192
+
+// Bounds of the spacing of platform calls after failures.
+const (
+	platformBase = 200 * time.Millisecond
+	platformMax  = 5 * time.Second
+)
+
+// A Machine is the state of one entry instance.
+type Machine struct {
+	self    Identity
+	opt     Options
+	rng     *rand.Rand
+	now     clock.Instant
+	out     []Action
+	cfg     *config.Snapshot
+	encoded []byte // of cfg, for peers
+
+	pool    *pool.Pool
+	chooser *route.Chooser
+	members *member.Table
+	store   *share.Store
+	meter   *demand.Meter
+	board   *demand.Board
+
+	calls   map[CallID]*call
+	line    []*call // calls that wait
+	drained uint64  // pool.Touched at the last drain
+	budget  limit.Budget
+	recent  *decisions
+
+	platform  platformView
+	exchanges exchangeView
+	readers   map[string]*reader
+	planner   plannerView
+	lease     lease.Lease
+	homes     homeView
+
+	stop stopView
+}
+
+// New returns the machine of an instance that knows nothing yet.
+func New(self Identity, opt Options, seed uint64) *Machine {
+	return &Machine{
+		self:      self,
+		opt:       opt,
+		rng:       rand.New(rand.NewPCG(seed, self.Boot)),
+		pool:      pool.New(),
+		chooser:   route.NewChooser(prefixMemory),
+		members:   member.New(self.Name, self.Zone),
+		store:     share.NewStore(),
+		meter:     demand.NewMeter(),
+		board:     demand.NewBoard(),
+		calls:     map[CallID]*call{},
+		budget:    limit.NewBudget(),
+		recent:    newDecisions(),
+		platform:  newPlatformView(),
+		exchanges: newExchangeView(),
+		readers:   map[string]*reader{},
+		planner:   newPlannerView(),
+		lease:     lease.New(opt.LeaseTerm),
+	}
+}
+
+// Step takes in one event at now and returns what to do, in order. The slice
+// is valid until the next Step.
+func (m *Machine) Step(now clock.Instant, ev Event) []Action {
+	m.now = now
+	m.out = m.out[:0]
+	m.handle(ev)
+	m.runDue()
+	if _, tick := ev.(Tick); tick || m.pool.Touched() != m.drained {
+		m.drain()
+	}
+	return m.out
+}
+
+func (m *Machine) handle(ev Event) {
+	switch e := ev.(type) {
+	case Arrive:
+		m.arrive(e.Call)
+	case First:
+		m.first(e)
+	case Done:
+		m.done(e)
+	case Broke:
+		m.broke(e)
+	case Gone:
+		m.gone(e)
+	case ClaimReply:
+		m.claimReply(e)
+	case ConfigReply:
+		m.configReply(e)
+	case ListReply:
+		m.listReply(e)
+	case LeaseReply:
+		m.leaseReply(e)
+	case IntentsReply:
+		m.intentsReply(e)
+	case StateReply:
+		m.stateReply(e)
+	case OrderReply:
+		m.orderReply(e)
+	case ExchangeReply:
+		m.exchangeReply(e)
+	case ExchangeAsked:
+		m.exchangeAsked(e)
+	case Stop:
+		m.beginStop()
+	case Tick:
+	}
+}
+
+// runDue begins whatever periodic work is due.
+func (m *Machine) runDue() {
+	m.watchDue()
+	m.exchangeDue()
+	m.readDue()
+	m.leaseDue()
+	m.planDue()
+	m.stopDue()
+}
+
+// wakeEvery bounds how long the machine may go without a Step: expiries of
+// waiting calls and duties that moved here are noticed within it.
+const (
+	wakeEvery     = 250 * time.Millisecond
+	wakeEveryBusy = 50 * time.Millisecond
+)
+
+// NextWake returns how long the driver may wait before the next Tick.
+func (m *Machine) NextWake() time.Duration {
+	if len(m.line) > 0 || m.stop.begun {
+		return wakeEveryBusy
+	}
+	return wakeEvery
+}
+
+func (m *Machine) do(a Action) { m.out = append(m.out, a) }
+
+func (m *Machine) note(n Number, fields ...any) { m.do(Note{Event: n, Fields: fields}) }
+
+// jitter draws a duration within a tenth of d, so that instances that started
+// together do not act together.
+func (m *Machine) jitter(d time.Duration) time.Duration {
+	return time.Duration((0.9 + 0.2*m.rng.Float64()) * float64(d))
+}
+
+// A job is periodic work with at most one request under way.
+type job struct {
+	due    clock.Instant
+	flying bool
+	since  clock.Instant // when the request under way was sent
+}
+
+// jobLost is how long a reply may be missing before the job is begun anew. A
+// driver always replies; this only guards against one that lost its reply.
+const jobLost = time.Minute
+
+func (j *job) ready(now clock.Instant) bool {
+	if j.flying && now.Since(j.since) < jobLost {
+		return false
+	}
+	return !now.Before(j.due)
+}
+
+func (j *job) begin(now clock.Instant) {
+	j.flying = true
+	j.since = now
+}
+
+func (j *job) end(due clock.Instant) {
+	j.flying = false
+	j.due = due
+}
+
+// A platformView is what the machine knows of the platform's service.
+type platformView struct {
+	config  job
+	list    job
+	backoff backoff.Backoff
+	version uint64 // of the instance list
+	downAt  clock.Instant
+	down    bool
+}
+
+func newPlatformView() platformView {
+	return platformView{backoff: backoff.New(platformBase, platformMax)}
+}
+
+// platformSays notes whether a platform call was answered.
+func (m *Machine) platformSays(err error) {
+	p := &m.platform
+	if err == nil {
+		if p.down {
+			m.note(NotePlatformBack, "after", m.now.Since(p.downAt).String())
+		}
+		p.down = false
+		p.backoff = p.backoff.WithSuccess()
+		return
+	}
+	if !p.down {
+		p.downAt = m.now
+		m.note(NotePlatformDown, "error", err.Error())
+	}
+	p.down = true
+	p.backoff = p.backoff.WithFailure()
+}
--- /dev/null
+++ b/core/instance/note.go
@@ -0,0 +1,70 @@
+package instance
+
+// A Number is the number of one log event.
+type Number int
+
+// The log events. Catalogue holds the meaning and the remedy of each.
+const (
+	NoteStarted         Number = 1001
+	NoteStopping        Number = 1002
+	NoteStopped         Number = 1003
+	NoteListening       Number = 1004
+	NoteInstalled       Number = 1101
+	NoteOlderIgnored    Number = 1102
+	NoteConfigFailed    Number = 1103
+	NotePlatformDown    Number = 1201
+	NotePlatformBack    Number = 1202
+	NoteLeaseGained     Number = 1301
+	NoteLeaseLost       Number = 1302
+	NoteLeaseDoubt      Number = 1303
+	NoteIntentsLost     Number = 1304
+	NoteOrder           Number = 1401
+	NoteOrderRefused    Number = 1402
+	NoteOrderLost       Number = 1403
+	NoteOrderFenced     Number = 1404
+	NoteOvercommitAvert Number = 1405
+	NoteLeaving         Number = 1501
+	NotePeerFailed      Number = 1601
+	NotePolicyFailed    Number = 1701
+	NoteCallFailed      Number = 1801
+	NoteCallRetried     Number = 1802
+	NoteCallResumed     Number = 1803
+	NoteBug             Number = 1901
+)
+
+// An Entry describes one log event for people.
+type Entry struct {
+	Number  Number
+	Name    string
+	Meaning string
+	Remedy  string
+}
+
+// Catalogue lists every log event in rising order.
+var Catalogue = []Entry{
+	{NoteStarted, "started", "The process started with the settings shown.", "None."},
+	{NoteStopping, "stopping", "A planned stop began.", "None."},
+	{NoteStopped, "stopped", "The stop is complete; `cut` counts the calls that it cut off.", "If `cut` is not 0, raise `--stop-limit`."},
+	{NoteListening, "listening", "A listener accepts connections.", "None."},
+	{NoteInstalled, "configuration_installed", "A configuration revision is in force on this instance.", "None."},
+	{NoteOlderIgnored, "older_configuration_ignored", "Somebody offered a revision that is not newer than the one in force.", "None; a burst after a zone heals is usual."},
+	{NoteConfigFailed, "configuration_failed", "A stored configuration could not be taken over; the one in force stays.", "Apply a good one with `birchctl apply`."},
+	{NotePlatformDown, "platform_down", "The platform's key-value service does not answer.", "Check the platform. Calls whose models are resident go on."},
+	{NotePlatformBack, "platform_back", "The platform's key-value service answers again.", "None."},
+	{NoteLeaseGained, "lease_gained", "This instance plans for its zone from now on.", "None."},
+	{NoteLeaseLost, "lease_lost", "Another instance plans for this zone.", "None."},
+	{NoteLeaseDoubt, "lease_in_doubt", "The lease may have lapsed; only engines that check fences are still ordered.", "Check the platform if it lasts."},
+	{NoteIntentsLost, "intents_conflict", "Another holder has written the zone's intents; this one stops ordering.", "None."},
+	{NoteOrder, "order", "An order was sent to an engine.", "None."},
+	{NoteOrderRefused, "order_refused", "An engine refused an order.", "Read the detail; an engine out of memory that the ledger thought free is a bug."},
+	{NoteOrderLost, "order_lost", "An order's answer is lost; its memory stays booked until the engine's state tells.", "Check the engine if it lasts."},
+	{NoteOrderFenced, "order_fenced", "An engine has seen a later fence than this instance's.", "None; another instance plans for the zone."},
+	{NoteOvercommitAvert, "overcommit_averted", "The plan asked for a step that the ledger refused.", "None; rare lines are usual when state changes under a plan."},
+	{NoteLeaving, "upstream_leaving", "An upstream is leaving and gets no new work.", "None."},
+	{NotePeerFailed, "peer_failed", "An exchange with a peer failed.", "Check the network between the instances if it lasts."},
+	{NotePolicyFailed, "policy_failed", "A policy expression failed at run time; its declared default was used.", "Mend the expression."},
+	{NoteCallFailed, "call_failed", "A call got a final answer that is not its upstream's.", "Look the code up in docs/codes.md."},
+	{NoteCallRetried, "call_retried", "A call was sent to another replica after an attempt broke.", "None; watch the rate."},
+	{NoteCallResumed, "call_resumed", "A broken stream goes on at its offset.", "None; watch the rate."},
+	{NoteBug, "bug", "The program met a state that it holds impossible.", "Report it with the line."},
+}
--- /dev/null
+++ b/core/instance/options.go
@@ -0,0 +1,65 @@
+package instance
+
+import "time"
+
+// Options are the tunables of a machine. The zero value is not usable; start
+// from DefaultOptions.
+type Options struct {
+	// LeaseTerm is the term of the planner's lease.
+	LeaseTerm time.Duration
+	// ExchangeEvery spaces the exchanges that this instance begins.
+	ExchangeEvery time.Duration
+	// ReadEvery spaces the reads of one engine's state; it grows with the
+	// number of engines that this instance reads.
+	ReadEvery time.Duration
+	// BusyReadEvery spaces the planner's reads of an engine that is loading or
+	// unloading.
+	BusyReadEvery time.Duration
+	// PlanEvery spaces the residency plans.
+	PlanEvery time.Duration
+	// WatchWait is how long one watch call waits at the platform.
+	WatchWait time.Duration
+	// Stall is how long an upstream may send nothing before its attempt counts
+	// as broken.
+	Stall time.Duration
+	// MaxWaiting bounds the calls that wait here for a replica.
+	MaxWaiting int
+	// DefaultWait is how late a first token may be when no policy says.
+	DefaultWait time.Duration
+	// ClaimLife is how long a claim of an idempotency key lives.
+	ClaimLife time.Duration
+	// StopDelay is how long a stopping instance goes on taking calls, so that
+	// the balancer has time to see that it is not ready.
+	StopDelay time.Duration
+	// StopLimit is how long a stopping instance waits for calls to end.
+	StopLimit time.Duration
+	// Disable switches mechanisms off, for tests that show what they prevent.
+	Disable Disabled
+}
+
+// Disabled names the mechanisms that a test may switch off.
+type Disabled struct {
+	Booking   bool // plan by what engines last reported, without the ledger
+	AtMost    bool // send a call again though it may have run
+	Leaving   bool // believe only the list about who is leaving
+	Monotonic bool // take over an older revision
+	LeaseTime bool // believe in a lease until told otherwise
+}
+
+// DefaultOptions returns the product's defaults.
+func DefaultOptions() Options {
+	return Options{
+		LeaseTerm:     10 * time.Second,
+		ExchangeEvery: 2 * time.Second,
+		ReadEvery:     time.Second,
+		BusyReadEvery: 300 * time.Millisecond,
+		PlanEvery:     time.Second,
+		WatchWait:     25 * time.Second,
+		Stall:         10 * time.Second,
+		MaxWaiting:    512,
+		DefaultWait:   10 * time.Second,
+		ClaimLife:     24 * time.Hour,
+		StopDelay:     3 * time.Second,
+		StopLimit:     10 * time.Minute,
+	}
+}
--- /dev/null
+++ b/core/instance/planinput.go
@@ -0,0 +1,170 @@
+package instance
+
+import (
+	"math"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/birchdrift/birchdrift/core/config"
+	"github.com/birchdrift/birchdrift/core/plan"
+	"github.com/birchdrift/birchdrift/core/pool"
+	"github.com/birchdrift/birchdrift/core/route"
+)
+
+// A homeView holds what a plan needs of a revision, worked out once.
+type homeView struct {
+	items map[string]plan.Item
+	home  map[string]bool // items that this zone holds though nobody asks
+	zones int
+}
+
+// newHomeView names each model's home zone by rendezvous hashing, so that
+// zones agree without a message which of them keeps a model that nobody asks
+// for. An adapter lives with its model.
+func newHomeView(s *config.Snapshot, zone string) homeView {
+	doc := s.Document()
+	h := homeView{items: map[string]plan.Item{}, home: map[string]bool{}, zones: len(doc.Zones)}
+	zones := engineZones(doc)
+	attached := map[string]bool{}
+	for _, svc := range doc.Services {
+		for _, v := range svc.Versions {
+			attached[v.Model] = true
+			attached[v.Adapter] = true
+		}
+	}
+	for _, model := range doc.Models {
+		h.items[model.Name] = plan.Item{Name: model.Name, MiB: model.MemoryMiB}
+		h.home[model.Name] = attached[model.Name] && homeZone(zones, model.Name) == zone
+	}
+	for _, a := range doc.Adapters {
+		h.items[a.Name] = plan.Item{Name: a.Name, Base: a.Model, MiB: a.MemoryMiB}
+		h.home[a.Name] = attached[a.Name] && homeZone(zones, a.Model) == zone
+	}
+	return h
+}
+
+// engineZones returns the zones that have engines, in the document's order.
+func engineZones(doc config.Document) []string {
+	has := map[string]bool{}
+	for _, e := range doc.Engines {
+		has[e.Zone] = true
+	}
+	var zones []string
+	for _, z := range doc.Zones {
+		if has[z.Name] {
+			zones = append(zones, z.Name)
+		}
+	}
+	return zones
+}
+
+func homeZone(zones []string, model string) string {
+	key := xxhash.Sum64String(model)
+	best := ""
+	var top uint64
+	for _, z := range zones {
+		if score := route.Score(key, z); best == "" || score > top {
+			best = z
+			top = score
+		}
+	}
+	return best
+}
+
+// planInput gathers what the plan depends on at this moment.
+func (m *Machine) planInput() plan.Input {
+	doc := m.cfg.Document()
+	in := plan.Input{
+		Items:       m.homes.items,
+		Demand:      m.board.Sum(m.now),
+		Home:        m.homes.home,
+		Elsewhere:   m.elsewhere(),
+		MoveCost:    doc.Residency.MoveCost,
+		MinimumStay: doc.Residency.MinimumStay,
+		Loads:       m.loadsAllowed(doc.Weights),
+	}
+	for _, r := range m.pool.All() {
+		if l := m.planner.ledgers[r.Name]; l != nil {
+			in.Engines = append(in.Engines, m.planEngine(r))
+		}
+	}
+	return in
+}
+
+func (m *Machine) planEngine(r *pool.Replica) plan.Engine {
+	l := m.planner.ledgers[r.Name]
+	e := plan.Engine{
+		Name:      r.Name,
+		Domain:    r.Domain,
+		Sequences: r.Concurrent,
+		Free:      l.Free(),
+		Capacity:  r.MemoryMiB,
+		Usable:    l.Known() && r.Usable() && m.mayOrder(r),
+	}
+	if m.opt.Disable.Booking {
+		e.Free = m.reportedFree(r)
+	}
+	for _, item := range l.Items() {
+		res := plan.Resident{Name: item, Settled: l.Phase(item) == pool.Ready && !l.Pinned(item)}
+		if since, ok := m.planner.since[placement{r.Name, item}]; ok {
+			res.Since = m.now.Since(since)
+		}
+		e.Residents = append(e.Residents, res)
+	}
+	return e
+}
+
+// reportedFree is what is free by the engine's last report alone. Only tests
+// that show why that is not enough use it.
+func (m *Machine) reportedFree(r *pool.Replica) int64 {
+	free := r.MemoryMiB
+	for _, it := range r.Residency.Items {
+		free -= m.cfg.ItemMiB(it.Name)
+	}
+	return free
+}
+
+// elsewhere returns the items ready in another zone that was heard lately.
+func (m *Machine) elsewhere() map[string]bool {
+	out := map[string]bool{}
+	for name := range m.homes.items {
+		for _, r := range m.pool.Ready(name) {
+			if r.Zone != m.self.Zone && r.Usable() && m.zoneReachable(r.Zone) && !r.Ejected(m.now) {
+				out[name] = true
+				break
+			}
+		}
+	}
+	return out
+}
+
+// zoneReachable reports whether any instance of the zone was heard lately.
+func (m *Machine) zoneReachable(zone string) bool {
+	for _, p := range m.members.Peers() {
+		if p.Zone == zone && p.HeardWithin(m.now, zoneSilence*m.opt.ExchangeEvery) {
+			return true
+		}
+	}
+	return false
+}
+
+// zoneSilence is how many exchange periods a zone may be silent before its
+// copies no longer count.
+const zoneSilence = 8
+
+// loadsAllowed returns how many loads may begin now by this zone's guaranteed
+// share of the weight store, in rate and in loads at once. The share needs no
+// word from anybody, so it holds while the zone is cut off.
+func (m *Machine) loadsAllowed(w config.WeightStore) int {
+	b := &m.planner.loads
+	share := 1 / float64(max(1, m.homes.zones))
+	rate := w.LoadsPerSecond * share
+	b.tokens = min(b.tokens+rate*m.now.Since(b.at).Seconds(), max(1, rate))
+	b.at = m.now
+	atOnce := max(1, int(math.Floor(float64(w.AtOnce)*share)))
+	loading := 0
+	for _, l := range m.planner.ledgers {
+		loading += l.LoadsUnderWay()
+	}
+	return max(0, min(int(b.tokens), atOnce-loading))
+}
--- /dev/null
+++ b/core/instance/watch.go
@@ -0,0 +1,120 @@
+package instance
+
+import (
+	"github.com/birchdrift/birchdrift/core/config"
+	"github.com/birchdrift/birchdrift/core/share"
+)
+
+// watchers is how many instances of a zone watch the platform. Two, so that
+// one that is replaced leaves no gap; the rest hear from their peers.
+const watchers = 2
+
+// watchDue begins the watches that are this instance's to keep. An instance
+// that hears of nobody watches whatever its rank, since it may be alone.
+func (m *Machine) watchDue() {
+	if m.stop.begun {
+		return
+	}
+	alone := m.members.HeardWithin(m.now, 5*m.opt.ExchangeEvery) == 0
+	if !alone && !m.members.OnDuty(m.now, "watch/"+m.self.Zone, watchers) {
+		return
+	}
+	p := &m.platform
+	if p.config.ready(m.now) {
+		p.config.begin(m.now)
+		m.do(WatchConfig{Have: m.cfg.Revision(), Wait: m.opt.WatchWait})
+	}
+	if p.list.ready(m.now) {
+		p.list.begin(m.now)
+		m.do(WatchList{Since: p.version, Wait: m.opt.WatchWait})
+	}
+}
+
+func (m *Machine) configReply(e ConfigReply) {
+	if e.Source == PlatformSource {
+		m.platformSays(e.Err)
+		m.platform.config.end(m.now.Add(m.platform.backoff.Wait(m.rng)))
+	}
+	if e.Err != nil {
+		if e.Snapshot == nil && e.Encoded != nil {
+			m.note(NoteConfigFailed, "source", e.Source, "error", e.Err.Error())
+		}
+		return
+	}
+	if e.Snapshot != nil {
+		m.install(e.Snapshot, e.Encoded, e.Source)
+	}
+}
+
+// PlatformSource is the Source of configurations that the platform sent.
+const PlatformSource = "platform"
+
+// install puts a newer revision in force; an older one changes nothing.
+func (m *Machine) install(s *config.Snapshot, encoded []byte, source string) {
+	if s.Revision() <= m.cfg.Revision() && !m.opt.Disable.Monotonic {
+		if s.Revision() < m.cfg.Revision() {
+			m.note(NoteOlderIgnored, "offered", s.Revision(), "in_force", m.cfg.Revision(), "source", source)
+		}
+		return
+	}
+	m.cfg = s
+	m.encoded = encoded
+	m.pool.Apply(s)
+	m.replayRecords()
+	m.homes = newHomeView(s, m.self.Zone)
+	m.planner.sync(m)
+	m.exchanges.hurry(m)
+	m.note(NoteInstalled, "revision", s.Revision(), "source", source)
+	m.do(Install{Snapshot: s, Source: source})
+}
+
+// replayRecords tells the pool what was heard of upstreams before the revision
+// that defines them.
+func (m *Machine) replayRecords() {
+	all := m.store.Since(0, true)
+	for _, r := range all.Residencies {
+		m.pool.ObserveResidency(r.Engine, r.Residency)
+	}
+	for _, l := range all.Listed {
+		m.applyListed(l)
+	}
+}
+
+func (m *Machine) listReply(e ListReply) {
+	m.platformSays(e.Err)
+	m.platform.list.end(m.now.Add(m.platform.backoff.Wait(m.rng)))
+	if e.Err != nil {
+		return
+	}
+	m.platform.version = e.Version
+	for _, l := range e.Entries {
+		if m.store.AddListed(l) {
+			m.applyListed(l)
+		}
+	}
+}
+
+// applyListed takes over one entry of the platform's list.
+func (m *Machine) applyListed(l share.Listed) {
+	if l.Kind == share.Entry {
+		m.applyPeer(l)
+		return
+	}
+	if !l.Leaving && !l.Gone {
+		return
+	}
+	r := m.pool.Get(l.Name)
+	if r != nil && !r.Leaving() {
+		m.note(NoteLeaving, "upstream", l.Name, "source", "list")
+	}
+	m.pool.ObserveListed(l.Name, true)
+}
+
+func (m *Machine) applyPeer(l share.Listed) {
+	if l.Gone {
+		m.members.Forget(l.Name)
+		return
+	}
+	m.members.Learn(l.Name, l.Zone, l.Address)
+	m.members.SetLeaving(l.Name, l.Leaving)
+}
--- /dev/null
+++ b/core/member/member.go
@@ -0,0 +1,149 @@
+// Package member provides an instance's view of its peers: the other entry
+// instances, learnt from settings, from the platform's list and from exchanges.
+//
+// Nobody votes and nothing is agreed on. Every instance computes duties, such
+// as who watches the platform or who reads an engine's state, by rendezvous
+// hashing over its own view. Views may differ for some seconds; then a duty is
+// done twice or by a neighbour, which costs calls and harms nothing.
+package member
+
+import (
+	"sort"
+	"time"
+
+	"github.com/birchdrift/birchdrift/core/clock"
+	"github.com/birchdrift/birchdrift/core/route"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// SilentAfter is how long a peer may fail every exchange before duties pass it
+// over, though the list still has it.
+const SilentAfter = 10 * time.Second
+
+// A Peer is another entry instance.
+type Peer struct {
+	Name    string
+	Zone    string
+	Address string // IP:port of its peers' listener
+	Leaving bool
+	heard   clock.Instant // last time anything came from it
+	failed  clock.Instant // first failure since then
+}
+
+// A Table is the view of one instance, which is itself a member.
+type Table struct {
+	self  string
+	zone  string
+	peers map[string]*Peer
+}
+
+// New returns a table that knows only the instance itself.
+func New(self, zone string) *Table {
+	return &Table{self: self, zone: zone, peers: map[string]*Peer{}}
+}
+
+// Learn adds a peer or moves it to another address. Itself is passed over.
+func (t *Table) Learn(name, zone, address string) {
+	if name == t.self || name == "" {
+		return
+	}
+	p := t.peers[name]
+	if p == nil || p.Address != address {
+		t.peers[name] = &Peer{Name: name, Zone: zone, Address: address}
+		return
+	}
+	p.Zone = zone
+}
+
+// Heard notes that something came from the peer at now.
+func (t *Table) Heard(now clock.Instant, name string) {
+	if p := t.peers[name]; p != nil {
+		p.heard = now
+		p.failed = clock.Instant{}
+	}
+}
+
+// Failed notes that an exchange with the peer failed at now.
+func (t *Table) Failed(now clock.Instant, name string) {
+	if p := t.peers[name]; p != nil && p.failed.IsZero() {
+		p.failed = now
+	}
+}
+
+// SetLeaving notes that the peer says, or the list says, that it is leaving.
+func (t *Table) SetLeaving(name string, leaving bool) {
+	if p := t.peers[name]; p != nil {
+		p.Leaving = leaving
+	}
+}
+
+// Forget drops a peer that the list no longer has.
+func (t *Table) Forget(name string) { delete(t.peers, name) }
+
+// Live reports whether the peer takes part in duties at now.
+func (p *Peer) Live(now clock.Instant) bool {
+	if p.Leaving {
+		return false
+	}
+	return p.failed.IsZero() || now.Since(p.failed) < SilentAfter
+}
+
+// Get returns the peer with this name, nil if unknown.
+func (t *Table) Get(name string) *Peer { return t.peers[name] }
+
+// Peers returns every peer that is not leaving, by name.
+func (t *Table) Peers() []*Peer {
+	out := make([]*Peer, 0, len(t.peers))
+	for _, p := range t.peers {
+		if !p.Leaving {
+			out = append(out, p)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
+	return out
+}
+
+// InZone returns the peers of the table's own zone, or those of other zones.
+func (t *Table) InZone(own bool) []*Peer {
+	var out []*Peer
+	for _, p := range t.Peers() {
+		if (p.Zone == t.zone) == own {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+// HeardWithin returns how many peers were heard within the span before now.
+func (t *Table) HeardWithin(now clock.Instant, span time.Duration) int {
+	n := 0
+	for _, p := range t.peers {
+		if p.HeardWithin(now, span) {
+			n++
+		}
+	}
+	return n
+}
+
+// OnDuty reports whether the instance is among the n that rendezvous hashing
+// names for duty, of itself and its zone's live peers.
+func (t *Table) OnDuty(now clock.Instant, duty string, n int) bool {
+	key := xxhash.Sum64String(duty)
+	own := route.Score(key, t.self)
+	ahead := 0
+	for _, p := range t.peers {
+		if p.Zone != t.zone || !p.Live(now) {
+			continue
+		}
+		if score := route.Score(key, p.Name); score > own || (score == own && p.Name < t.self) {
+			ahead++
+		}
+	}
+	return ahead < n
+}
+
+// HeardWithin reports whether the peer was heard within the span before now.
+func (p *Peer) HeardWithin(now clock.Instant, span time.Duration) bool {
+	return !p.heard.IsZero() && now.Since(p.heard) <= span
+}
--- /dev/null
+++ b/core/policy/policy.go
@@ -0,0 +1,169 @@
+// Package policy provides the operators' policy programs: three short CEL
+// expressions that give one call its priority, whether it is refused, and how
+// late its first token may be.
+//
+// A program is compiled once per configuration revision and evaluated once per
+// call under a cost limit. It can neither loop nor reach anything but its
+// variables. An expression that fails at run time yields the policy's declared
+// default and is counted; a call is never lost to a policy.
+package policy
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"cel.dev/cel-go/cel"
+	"cel.dev/cel-go/common/types"
+)
+
+// MaxPriority is the highest priority a policy can give.
+const MaxPriority = 100
+
+// costLimit bounds one evaluation, in CEL cost units.
+const costLimit = 10_000
+
+// A Kind is the type an expression must have.
+type Kind int
+
+// The kinds of expression.
+const (
+	Int Kind = iota
+	Bool
+	Duration
+)
+
+// An Input holds the variables an expression can read.
+type Input struct {
+	Service       string  // service: the service called
+	Model         string  // model: the model picked for it
+	Caller        string  // caller: the caller's name, "" if callers are not configured
+	PromptTokens  int     // prompt_tokens: estimated tokens of the prompt
+	MaxTokens     int     // max_tokens: tokens the answer may have
+	NotRepeatable bool    // not_repeatable
+	Load          float64 // load: share of the zone's running sequences in use, 0 to 1 and above
+	Hour          int     // hour: hour of the day in UTC, 0 to 23
+}
+
+// A Verdict is what a policy says of one call.
+type Verdict struct {
+	Priority int
+	Refuse   bool
+	Wait     time.Duration
+}
+
+var environment = sync.OnceValues(func() (*cel.Env, error) {
+	return cel.NewEnv(
+		cel.Variable("service", cel.StringType),
+		cel.Variable("model", cel.StringType),
+		cel.Variable("caller", cel.StringType),
+		cel.Variable("prompt_tokens", cel.IntType),
+		cel.Variable("max_tokens", cel.IntType),
+		cel.Variable("not_repeatable", cel.BoolType),
+		cel.Variable("load", cel.DoubleType),
+		cel.Variable("hour", cel.IntType),
+	)
+})
+
+func (k Kind) celType() *cel.Type {
+	switch k {
+	case Int:
+		return cel.IntType
+	case Bool:
+		return cel.BoolType
+	default:
+		return cel.DurationType
+	}
+}
+
+// Validate reports why text is not an expression of this kind; "" is valid.
+func Validate(text string, kind Kind) error {
+	_, err := compile(text, kind)
+	return err
+}
+
+// compile returns nil without error for an empty expression.
+func compile(text string, kind Kind) (cel.Program, error) {
+	if text == "" {
+		return nil, nil
+	}
+	env, err := environment()
+	if err != nil {
+		return nil, fmt.Errorf("building the policy environment: %w", err)
+	}
+	ast, issues := env.Compile(text)
+	if issues.Err() != nil {
+		return nil, issues.Err()
+	}
+	if want := kind.celType(); !ast.OutputType().IsExactType(want) {
+		return nil, fmt.Errorf("the expression has type %s, %s is needed", ast.OutputType(), want)
+	}
+	return env.Program(ast, cel.CostLimit(costLimit))
+}
+
+// A Program is a compiled policy, safe for concurrent use.
+type Program struct {
+	priority, refuse, wait cel.Program
+	fallback               Verdict
+}
+
+// Compile compiles the three expressions; an empty one always yields the
+// fallback's value.
+func Compile(priority, refuse, wait string, fallback Verdict) (*Program, error) {
+	p := &Program{fallback: fallback}
+	var err error
+	if p.priority, err = compile(priority, Int); err != nil {
+		return nil, err
+	}
+	if p.refuse, err = compile(refuse, Bool); err != nil {
+		return nil, err
+	}
+	if p.wait, err = compile(wait, Duration); err != nil {
+		return nil, err
+	}
+	return p, nil
+}
+
+// Eval returns the verdict and how many expressions failed at run time. A
+// priority outside 0 to MaxPriority is clamped.
+func (p *Program) Eval(in Input) (Verdict, int) {
+	vars := map[string]any{
+		"service":        in.Service,
+		"model":          in.Model,
+		"caller":         in.Caller,
+		"prompt_tokens":  in.PromptTokens,
+		"max_tokens":     in.MaxTokens,
+		"not_repeatable": in.NotRepeatable,
+		"load":           in.Load,
+		"hour":           in.Hour,
+	}
+	v := p.fallback
+	failed := 0
+	if out, ok := eval[types.Int](p.priority, vars, &failed); ok {
+		v.Priority = int(min(max(int64(out), 0), MaxPriority))
+	}
+	if out, ok := eval[types.Bool](p.refuse, vars, &failed); ok {
+		v.Refuse = bool(out)
+	}
+	if out, ok := eval[types.Duration](p.wait, vars, &failed); ok {
+		v.Wait = max(out.Duration, 0)
+	}
+	return v, failed
+}
+
+func eval[T any](program cel.Program, vars map[string]any, failed *int) (T, bool) {
+	var zero T
+	if program == nil {
+		return zero, false
+	}
+	out, _, err := program.Eval(vars)
+	if err != nil {
+		*failed++
+		return zero, false
+	}
+	v, ok := out.(T)
+	if !ok {
+		*failed++
+	}
+	return v, ok
+}
--- /dev/null
+++ b/core/pool/pool.go
@@ -0,0 +1,226 @@
+// Package pool provides an entry instance's view of every upstream: what the
+// configuration says of it, what it last said of itself, what the instance has
+// in flight there, and whether it may be given new work.
+//
+// Invariants: a replica's residency only moves forward in the engine's own
+// order (boot, then change), whichever way the news came; a replica that any
+// source called leaving stays so until it is seen under a later boot; the index
+// by item lists exactly the replicas that have the item ready.
+//
+// The pool has no locks. The goroutine that owns the state machine owns it.
+package pool
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"github.com/birchdrift/birchdrift/core/clock"
+	"github.com/birchdrift/birchdrift/core/config"
+)
+
+// A Pool holds the replicas of one configuration revision and what is known of
+// them, which outlives the revision.
+type Pool struct {
+	replicas map[string]*Replica
+	order    []*Replica            // by name
+	ready    map[string][]*Replica // by item, then by name
+	plain    map[string][]*Replica // by service
+	touched  uint64                // rises with every change that could free room
+}
+
+// New returns an empty pool.
+func New() *Pool {
+	return &Pool{
+		replicas: map[string]*Replica{},
+		ready:    map[string][]*Replica{},
+		plain:    map[string][]*Replica{},
+	}
+}
+
+// Apply takes over the upstreams of a revision. What is known of a replica is
+// kept while its address stays the same; another address is another process.
+func (p *Pool) Apply(s *config.Snapshot) {
+	doc := s.Document()
+	next := make(map[string]*Replica, len(doc.Engines))
+	for _, e := range doc.Engines {
+		p.keep(next, Facts{
+			Name: e.Name, Address: e.Address, Zone: e.Zone, Domain: e.Domain, Kind: Engine,
+			Concurrent: e.Sequences, Accelerators: e.Accelerators, MemoryMiB: e.MemoryMiB, ChecksFence: e.ChecksFence,
+		})
+	}
+	for _, svc := range doc.Services {
+		for _, r := range svc.Replicas {
+			p.keep(next, Facts{
+				Name: r.Name, Address: r.Address, Zone: r.Zone, Domain: r.Domain, Kind: Plain,
+				Service: svc.Name, Concurrent: r.Concurrent,
+			})
+		}
+	}
+	p.replicas = next
+	p.reindex()
+}
+
+func (p *Pool) keep(next map[string]*Replica, f Facts) {
+	old, ok := p.replicas[f.Name]
+	if !ok || old.Address != f.Address || old.Kind != f.Kind {
+		next[f.Name] = newReplica(f)
+		return
+	}
+	old.Facts = f
+	next[f.Name] = old
+}
+
+func (p *Pool) reindex() {
+	p.order = p.order[:0]
+	clear(p.ready)
+	clear(p.plain)
+	for _, r := range p.replicas {
+		p.order = append(p.order, r)
+	}
+	sort.Slice(p.order, func(i, j int) bool { return p.order[i].Name < p.order[j].Name })
+	for _, r := range p.order {
+		if r.Kind == Plain {
+			p.plain[r.Service] = append(p.plain[r.Service], r)
+		}
+		for item, phase := range r.items {
+			if phase == Ready {
+				p.ready[item] = append(p.ready[item], r)
+			}
+		}
+	}
+	p.touched++
+}
+
+// Get returns the replica with this name, nil if there is none.
+func (p *Pool) Get(name string) *Replica { return p.replicas[name] }
+
+// All returns the replicas by name. The caller must not change the slice.
+func (p *Pool) All() []*Replica { return p.order }
+
+// Ready returns the replicas that have item ready, whether usable or not.
+func (p *Pool) Ready(item string) []*Replica { return p.ready[item] }
+
+// Serving returns the replicas of a plain service, whether usable or not.
+func (p *Pool) Serving(service string) []*Replica { return p.plain[service] }
+
+// Touched rises with every change that could let a waiting call go on.
+func (p *Pool) Touched() uint64 { return p.touched }
+
+// Touch notes such a change that the pool cannot see itself.
+func (p *Pool) Touch() { p.touched++ }
+
+// ObserveResidency takes in what an engine said it holds, from whichever way it
+// came, and reports whether that was news.
+func (p *Pool) ObserveResidency(name string, res Residency) bool {
+	r := p.replicas[name]
+	if r == nil || !res.Newer(r.Residency) {
+		return false
+	}
+	r.rebooted(res.Boot)
+	if res.Leaving {
+		r.saidLeaving = true
+		r.leavingBoot = res.Boot
+	}
+	old := r.items
+	r.Residency = res
+	r.items = make(map[string]ItemPhase, len(res.Items))
+	for _, it := range res.Items {
+		r.items[it.Name] = it.Phase
+	}
+	p.reindexItems(r, old)
+	p.touched++
+	return true
+}
+
+// rebooted clears what a later boot takes back.
+func (r *Replica) rebooted(boot uint64) {
+	if boot <= r.Residency.Boot {
+		return
+	}
+	if boot > r.leavingBoot {
+		r.saidLeaving = false
+		r.listedLeaving = false
+	}
+	r.failures = 0
+	r.ejections = 0
+	r.ejectedTo = clock.Instant{}
+	r.load = Load{}
+	r.loadAt = clock.Instant{}
+}
+
+func (p *Pool) reindexItems(r *Replica, old map[string]ItemPhase) {
+	for item, phase := range old {
+		if phase == Ready && r.items[item] != Ready {
+			p.ready[item] = without(p.ready[item], r)
+		}
+	}
+	for item, phase := range r.items {
+		if phase == Ready && old[item] != Ready {
+			p.ready[item] = with(p.ready[item], r)
+		}
+	}
+}
+
+func without(list []*Replica, r *Replica) []*Replica {
+	out := make([]*Replica, 0, len(list))
+	for _, x := range list {
+		if x != r {
+			out = append(out, x)
+		}
+	}
+	return out
+}
+
+func with(list []*Replica, r *Replica) []*Replica {
+	out := append(without(list, r), r)
+	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
+	return out
+}
+
+// ObserveLoad takes in a reported load and reports whether it was news.
+func (p *Pool) ObserveLoad(now clock.Instant, name string, load Load) bool {
+	r := p.replicas[name]
+	if r == nil || !load.Newer(r.load) {
+		return false
+	}
+	r.load = load
+	r.loadAt = now
+	r.ownAtRep = r.inFlight
+	p.touched++
+	return true
+}
+
+// LastLoad returns the load that was last heard of the replica.
+func (r *Replica) LastLoad() Load { return r.load }
+
+// ObserveListed takes in what the platform's list says: leaving, or live. A
+// live entry takes nothing back, because the list lags.
+func (p *Pool) ObserveListed(name string, leaving bool) {
+	r := p.replicas[name]
+	if r == nil || !leaving || r.listedLeaving {
+		return
+	}
+	r.listedLeaving = true
+	r.leavingBoot = max(r.leavingBoot, r.Residency.Boot)
+	p.touched++
+}
+
+// ObserveLeaving takes in the word of somebody else, such as an answer's
+// header, that the replica is leaving.
+func (p *Pool) ObserveLeaving(name string) {
+	r := p.replicas[name]
+	if r == nil {
+		return
+	}
+	r.saidLeaving = true
+	r.leavingBoot = max(r.leavingBoot, r.Residency.Boot)
+}
+
+// decay returns the share left after age with the given half-life.
+func decay(age, half time.Duration) float64 {
+	if age <= 0 {
+		return 1
+	}
+	return math.Exp2(-float64(age) / float64(half))
+}
--- /dev/null
+++ b/core/pool/replica.go
@@ -0,0 +1,211 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/birchdrift/birchdrift/core/clock"
+	"github.com/birchdrift/birchdrift/core/limit"
+)
+
+// A Kind says what a replica runs.
+type Kind uint8
+
+// The kinds of replica.
+const (
+	Engine Kind = iota + 1
+	Plain
+)
+
+// Facts are what the configuration says of a replica.
+type Facts struct {
+	Name         string
+	Address      string // IP:port
+	Zone         string
+	Domain       string
+	Kind         Kind
+	Service      string // the service of a plain replica
+	Concurrent   int    // sequences or calls it runs at once
+	Accelerators int
+	MemoryMiB    int64
+	ChecksFence  bool
+}
+
+// Tunables of the health view.
+const (
+	ejectAfter    = 3               // failures in a row before a replica is ejected
+	ejectBase     = 2 * time.Second // first ejection; doubles with each
+	ejectMax      = 60 * time.Second
+	firstAlpha    = 0.2 // weight of a new sample that is below the average
+	holdAlpha     = 0.1
+	defaultFirst  = 50 * time.Millisecond
+	defaultHold   = time.Second
+	firstHalfLife = 5 * time.Second
+	loadHalfLife  = 4 * time.Second // after which half of what others had in flight is believed gone
+)
+
+// A Replica is this instance's view of one upstream. Only the goroutine that
+// owns the state machine touches it.
+type Replica struct {
+	Facts
+	Residency Residency
+	items     map[string]ItemPhase
+
+	load     Load
+	loadAt   clock.Instant
+	ownAtRep int // own calls in flight when load was heard
+
+	inFlight int
+	pending  []pendingCall // own calls whose first token has not come
+	first    time.Duration // peak EWMA of the time to first token
+	firstAt  clock.Instant
+	hold     time.Duration // EWMA of the time a call occupies the replica
+	Limit    limit.Concurrency
+
+	failures  int // in a row
+	ejections int // in a row
+	ejectedTo clock.Instant
+
+	listedLeaving bool
+	leavingBoot   uint64 // boot that was told to be leaving
+	saidLeaving   bool
+}
+
+// A pendingCall is one own call in flight without a first token.
+type pendingCall struct {
+	id    uint64
+	since clock.Instant
+}
+
+func newReplica(f Facts) *Replica {
+	return &Replica{
+		Facts: f,
+		items: map[string]ItemPhase{},
+		first: defaultFirst,
+		hold:  defaultHold,
+		Limit: limit.NewConcurrency(f.Concurrent),
+	}
+}
+
+// Phase returns where item stands on the replica, 0 if it is absent.
+func (r *Replica) Phase(item string) ItemPhase { return r.items[item] }
+
+// InFlight returns this instance's own calls in flight.
+func (r *Replica) InFlight() int { return r.inFlight }
+
+// Leaving reports whether any source said that the replica is leaving. The
+// first source that says so wins; only a later boot takes it back, because the
+// list lags behind the upstream's own word.
+func (r *Replica) Leaving() bool { return r.saidLeaving || r.listedLeaving }
+
+// Ejected reports whether failures keep the replica out of the choice at now.
+func (r *Replica) Ejected(now clock.Instant) bool { return now.Before(r.ejectedTo) }
+
+// Usable reports whether new work may be sent to the replica.
+func (r *Replica) Usable() bool { return !r.Leaving() }
+
+// Sequences estimates the calls that occupy the replica at now: own calls are
+// known exactly; those of others come from the last reported load, less what
+// was own then, and fade with the report's age.
+func (r *Replica) Sequences(now clock.Instant) float64 {
+	others := float64(max(0, r.load.Running+r.load.Waiting-r.ownAtRep))
+	if !r.loadAt.IsZero() {
+		age := now.Since(r.loadAt)
+		others *= decay(age, loadHalfLife)
+	}
+	return float64(r.inFlight) + others
+}
+
+// FirstToken returns the measured time to first token: the peak EWMA, or the
+// age of the oldest own call that still waits for one if that is longer. The
+// age is what makes a frozen replica look slow before it has answered at all.
+func (r *Replica) FirstToken(now clock.Instant) time.Duration {
+	first := r.first
+	if age := now.Since(r.firstAt); first > defaultFirst && age > 0 {
+		// A slow answer is believed less the older it is; without this, a sole
+		// replica that was slow once would never be tried again.
+		first = defaultFirst + time.Duration(float64(first-defaultFirst)*decay(age, firstHalfLife))
+	}
+	if len(r.pending) > 0 {
+		first = max(first, now.Since(r.pending[0].since))
+	}
+	return first
+}
+
+// Hold returns the measured time that a call occupies the replica.
+func (r *Replica) Hold() time.Duration { return r.hold }
+
+// Busy returns the replica's running share at now: 1 is full.
+func (r *Replica) Busy(now clock.Instant) float64 {
+	return r.Sequences(now) / float64(max(1, r.Concurrent))
+}
+
+// Start notes that this instance sent the call id to the replica.
+func (r *Replica) Start(now clock.Instant, id uint64) {
+	r.inFlight++
+	r.pending = append(r.pending, pendingCall{id: id, since: now})
+}
+
+// First notes that the call's first token came. late says that it came later
+// than the call's target for a reason that lies in the replica.
+func (r *Replica) First(now clock.Instant, id uint64, late bool) {
+	since, ok := r.settle(id)
+	if !ok {
+		return
+	}
+	took := now.Since(since)
+	if took > r.first {
+		r.first = took
+	} else {
+		r.first = mix(r.first, took, firstAlpha)
+	}
+	r.firstAt = now
+	r.failures = 0
+	r.ejections = 0
+	if late {
+		r.Limit = r.Limit.WithLate()
+		return
+	}
+	r.Limit = r.Limit.WithGood()
+}
+
+// End notes that the call no longer occupies the replica.
+func (r *Replica) End(now clock.Instant, id uint64, started clock.Instant, failed bool) {
+	r.inFlight = max(0, r.inFlight-1)
+	r.settle(id)
+	if !failed {
+		r.hold = mix(r.hold, now.Since(started), holdAlpha)
+		return
+	}
+	r.failures++
+	if r.failures >= ejectAfter {
+		r.eject(now)
+	}
+}
+
+// Forget notes that a call ended for a reason that says nothing of the replica.
+func (r *Replica) Forget(id uint64) {
+	r.inFlight = max(0, r.inFlight-1)
+	r.settle(id)
+}
+
+func (r *Replica) eject(now clock.Instant) {
+	span := min(ejectBase<<min(r.ejections, 5), ejectMax)
+	r.ejectedTo = now.Add(span)
+	r.ejections++
+	r.failures = 0
+}
+
+// settle takes the call out of the pending ones.
+func (r *Replica) settle(id uint64) (clock.Instant, bool) {
+	for i, p := range r.pending {
+		if p.id == id {
+			r.pending = append(r.pending[:i], r.pending[i+1:]...)
+			return p.since, true
+		}
+	}
+	return clock.Instant{}, false
+}
+
+func mix(old, sample time.Duration, alpha float64) time.Duration {
+	return time.Duration((1-alpha)*float64(old) + alpha*float64(sample))
+}
--- /dev/null
+++ b/core/route/prefix.go
@@ -0,0 +1,94 @@
+package route
+
+import (
+	"container/list"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Sizes of a prefix.
+const (
+	blockBytes  = 1024 // bytes of prompt in one block
+	blockTokens = blockBytes / BytesPerToken
+	maxBlocks   = 16
+	// BytesPerToken is the rule of thumb by which prompts are sized before
+	// any tokenizer has seen them.
+	BytesPerToken = 4
+)
+
+// A Prefix is the chain of hashes of a prompt's leading blocks: block i's hash
+// covers blocks 0 to i, so that equal hashes mean equal prompts up to there.
+type Prefix struct{ blocks []uint64 }
+
+// NewPrefix returns the prefix of a prompt for the given model; a prompt
+// shorter than one block has none.
+func NewPrefix(model, prompt string) Prefix {
+	var p Prefix
+	h := xxhash.New()
+	_, _ = h.WriteString(model) // never fails
+	for i := 0; i < maxBlocks && (i+1)*blockBytes <= len(prompt); i++ {
+		_, _ = h.WriteString(prompt[i*blockBytes : (i+1)*blockBytes])
+		p.blocks = append(p.blocks, h.Sum64())
+	}
+	return p
+}
+
+// Tokens returns the tokens that the prefix covers.
+func (p Prefix) Tokens() int { return len(p.blocks) * blockTokens }
+
+// A Memory is a bounded, least-recently-used memory of where blocks were sent.
+type Memory struct {
+	size   int
+	recent *list.List // of memoryEntry, most recent first
+	byHash map[uint64]*list.Element
+}
+
+type memoryEntry struct {
+	hash    uint64
+	replica string
+}
+
+// NewMemory returns a memory of up to size blocks.
+func NewMemory(size int) *Memory {
+	return &Memory{size: size, recent: list.New(), byHash: map[uint64]*list.Element{}}
+}
+
+// Add notes that the blocks of p are on the replica now.
+func (m *Memory) Add(p Prefix, replica string) {
+	for _, h := range p.blocks {
+		if el, ok := m.byHash[h]; ok {
+			el.Value = memoryEntry{hash: h, replica: replica}
+			m.recent.MoveToFront(el)
+			continue
+		}
+		m.byHash[h] = m.recent.PushFront(memoryEntry{hash: h, replica: replica})
+		if m.recent.Len() > m.size {
+			last := m.recent.Back()
+			delete(m.byHash, last.Value.(memoryEntry).hash)
+			m.recent.Remove(last)
+		}
+	}
+}
+
+// Find returns the replica that holds the longest known part of p, and the
+// tokens of that part.
+func (m *Memory) Find(p Prefix) (replica string, tokens int) {
+	for i := len(p.blocks) - 1; i >= 0; i-- {
+		if el, ok := m.byHash[p.blocks[i]]; ok {
+			return el.Value.(memoryEntry).replica, (i + 1) * blockTokens
+		}
+	}
+	return "", 0
+}
+
+// Drop forgets blocks believed to be on the replica, after it restarted.
+func (m *Memory) Drop(replica string) {
+	for el := m.recent.Front(); el != nil; {
+		next := el.Next()
+		if entry := el.Value.(memoryEntry); entry.replica == replica {
+			delete(m.byHash, entry.hash)
+			m.recent.Remove(el)
+		}
+		el = next
+	}
+}
--- /dev/null
+++ b/core/route/route.go
@@ -0,0 +1,204 @@
+// Package route provides the choice of the replica that a call is sent to.
+//
+// The idea: each candidate gets an expected time to first token, made of the
+// wait behind the sequences ahead, the prefill of the prompt tokens that are
+// not in its prefix cache, the way there, and how slow it has lately been; the
+// lowest wins. Prefix affinity therefore needs no rule of its own: a cached
+// prefix makes a replica cheaper by exactly the prefill that it saves, and a
+// queue makes it dearer.
+//
+// Invariants: a replica that is leaving is never chosen; ejected replicas are
+// passed over unless more than a third of the candidates are ejected, since
+// then the cause is likelier to be on this side.
+package route
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/birchdrift/birchdrift/core/clock"
+	"github.com/birchdrift/birchdrift/core/pool"
+)
+
+// Tunables of the choice.
+const (
+	sameRegion = 2 * time.Millisecond // way to another zone and back
+	// crowd is what one sequence that runs beside a call costs it, as a share
+	// of the measured hold time at a full replica: batches slow each other.
+	crowd = 0.15
+	// queueSlack is the share of a replica's sequences that may wait inside it
+	// before calls wait here instead, where a better place can still be found.
+	queueSlack = 0.25
+	// ejectedShare is the share of candidates that may be passed over for
+	// their failures.
+	ejectedShare = 1.0 / 3
+	// affinityBonus is the share of a prefix's prefill that the replica which
+	// rendezvous hashing names is trusted to save, when this instance has no
+	// memory of the prefix itself.
+	affinityBonus = 0.25
+)
+
+// A Query is what the choice needs to know of one call.
+type Query struct {
+	Zone         string // zone of this instance
+	PromptTokens int
+	PrefillRate  int // tokens a second
+	Prefix       Prefix
+	Exclude      string // replica that just failed the call, passed over if another can serve
+}
+
+// An Estimate is the expected time to first token on one replica, in parts.
+type Estimate struct {
+	Replica *pool.Replica
+	Queue   time.Duration
+	Prefill time.Duration
+	Network time.Duration
+	Slow    time.Duration // how much longer than expected it lately took
+	Cached  int           // prompt tokens believed to be in its prefix cache
+	Room    bool          // it may be sent another call now
+}
+
+// Total returns the expected time to first token.
+func (e Estimate) Total() time.Duration { return e.Queue + e.Prefill + e.Network + e.Slow }
+
+// A Chooser remembers where prefixes were sent and makes choices.
+type Chooser struct {
+	memory *Memory
+	// Cost replaces the estimate's total as what is minimised; nil in the
+	// product. Baselines for measurements set it.
+	Cost func(now clock.Instant, e Estimate) float64
+}
+
+// NewChooser returns a chooser that remembers up to size prefix blocks.
+func NewChooser(size int) *Chooser { return &Chooser{memory: NewMemory(size)} }
+
+// Sent notes that a call with this prefix was sent to the replica.
+func (c *Chooser) Sent(p Prefix, replica string) { c.memory.Add(p, replica) }
+
+// Choose returns the best estimate among the candidates. ok is false when none
+// may be sent new work. An estimate without Room is returned when every
+// candidate is full: the call has to wait, and the estimate says about how long.
+func (c *Chooser) Choose(now clock.Instant, q Query, candidates []*pool.Replica) (best Estimate, ok bool) {
+	spare := c.mayEject(now, candidates)
+	preferred := prefer(q.Prefix, candidates)
+	cachedOn, cached := c.memory.Find(q.Prefix)
+	for _, r := range candidates {
+		if !r.Usable() {
+			continue
+		}
+		if spare && r.Ejected(now) {
+			continue
+		}
+		e := estimate(now, q, r)
+		e.applyCache(q, r == preferred, cachedOn == r.Name, cached)
+		if !ok || c.better(now, q, e, best) {
+			best = e
+			ok = true
+		}
+	}
+	return best, ok
+}
+
+// better orders estimates: another replica than the one that just failed,
+// then room, then cost.
+func (c *Chooser) better(now clock.Instant, q Query, a, b Estimate) bool {
+	if q.Exclude != "" && (a.Replica.Name == q.Exclude) != (b.Replica.Name == q.Exclude) {
+		return b.Replica.Name == q.Exclude
+	}
+	if a.Room != b.Room {
+		return a.Room
+	}
+	if c.Cost != nil {
+		return c.Cost(now, a) < c.Cost(now, b)
+	}
+	return a.Total() < b.Total()
+}
+
+// mayEject reports whether few enough candidates are ejected to pass them over.
+func (c *Chooser) mayEject(now clock.Instant, candidates []*pool.Replica) bool {
+	ejected := 0
+	usable := 0
+	for _, r := range candidates {
+		if !r.Usable() {
+			continue
+		}
+		usable++
+		if r.Ejected(now) {
+			ejected++
+		}
+	}
+	// One ejected of two candidates is over a third, yet leaves a healthy one.
+	return ejected > 0 && ejected < usable && (ejected == 1 || float64(ejected) <= ejectedShare*float64(usable))
+}
+
+func estimate(now clock.Instant, q Query, r *pool.Replica) Estimate {
+	n := r.Sequences(now)
+	slots := float64(max(1, r.Concurrent))
+	e := Estimate{Replica: r}
+	if n >= slots {
+		e.Queue = time.Duration((n - slots + 1) / slots * float64(r.Hold()))
+	}
+	e.Queue += time.Duration(crowd * min(n/slots, 1) * float64(min(r.Hold(), time.Second)))
+	if q.PrefillRate > 0 {
+		e.Prefill = time.Duration(float64(q.PromptTokens) / float64(q.PrefillRate) * float64(time.Second))
+	}
+	if r.Zone != q.Zone {
+		e.Network = sameRegion
+	}
+	if first := r.FirstToken(now); first > e.Queue+e.Prefill {
+		e.Slow = first - e.Queue - e.Prefill
+	}
+	e.Room = n < slots*(1+queueSlack) && r.InFlight() < r.Limit.Limit()
+	return e
+}
+
+func (e *Estimate) applyCache(q Query, preferred, remembered bool, tokens int) {
+	if q.PromptTokens <= 0 || q.PrefillRate <= 0 {
+		return
+	}
+	perToken := float64(time.Second) / float64(q.PrefillRate)
+	switch {
+	case remembered:
+		e.Cached = min(tokens, q.PromptTokens)
+	case preferred && tokens == 0:
+		e.Cached = int(affinityBonus * float64(min(q.Prefix.Tokens(), q.PromptTokens)))
+	}
+	e.Prefill -= time.Duration(float64(e.Cached) * perToken)
+}
+
+// prefer returns the usable replica that rendezvous hashing names for a prefix,
+// so that instances which never met agree on where a new prefix goes.
+func prefer(p Prefix, candidates []*pool.Replica) *pool.Replica {
+	if len(p.blocks) == 0 {
+		return nil
+	}
+	var best *pool.Replica
+	var top uint64
+	for _, r := range candidates {
+		if !r.Usable() {
+			continue
+		}
+		if score := Score(p.blocks[0], r.Name); best == nil || score > top {
+			best = r
+			top = score
+		}
+	}
+	return best
+}
+
+// Score is the rendezvous weight of name for key.
+func Score(key uint64, name string) uint64 {
+	h := key ^ xxhash.Sum64String(name)
+	// One round of a 64-bit finaliser spreads the combination; without it,
+	// keys that differ in few bits would rank names alike.
+	h ^= h >> 33
+	h *= 0xff51afd7ed558ccd
+	h ^= h >> 33
+	h *= 0xc4ceb9fe1a85ec53
+	h ^= h >> 33
+	return h
+}
+
+// Restarted notes that the replica restarted and its prefix cache is empty.
+func (c *Chooser) Restarted(replica string) { c.memory.Drop(replica) }
--- /dev/null
+++ b/core/share/share.go
@@ -0,0 +1,192 @@
+// Package share provides what entry instances tell each other: versioned
+// records, the deltas in which they travel, and the store that holds the newest
+// of each.
+//
+// The idea: every record is ordered by its origin's own counters, an engine's
+// boot and change or the list's version, so it does not matter which way or how
+// often it arrives. Each peer is sent only what became new here since it last
+// confirmed; a message that is lost is covered by the next one.
+//
+// What travels where: what engines hold and who is leaving goes everywhere,
+// for it changes rarely and calls are sent across zones by it; loads stay in
+// their zone, for they change all the time and are stale by the time they
+// would have crossed.
+package share
+
+import (
+	"sort"
+
+	"github.com/birchdrift/birchdrift/core/demand"
+	"github.com/birchdrift/birchdrift/core/pool"
+)
+
+// A Residency tells what an engine holds.
+type Residency struct {
+	Engine string
+	pool.Residency
+}
+
+// A Load tells how busy an engine is.
+type Load struct {
+	Engine string
+	pool.Load
+}
+
+// A ListedKind says what a listed instance runs.
+type ListedKind uint8
+
+// The kinds of listed instance.
+const (
+	Entry ListedKind = iota + 1
+	Upstream
+)
+
+// A Listed tells what the platform's list says of one instance.
+type Listed struct {
+	Name    string
+	Kind    ListedKind
+	Zone    string
+	Address string // of an entry instance's peers' listener
+	Leaving bool
+	Gone    bool   // the list no longer has it
+	Version uint64 // of the list, when this was last changed
+}
+
+// A Holder tells who plans for a zone.
+type Holder struct {
+	Zone     string
+	Instance string
+	Fence    uint64
+}
+
+// A Records is a set of records, as a delta or as a whole.
+type Records struct {
+	Residencies []Residency
+	Loads       []Load
+	Listed      []Listed
+	Holders     []Holder
+}
+
+// Empty reports whether there is nothing in it.
+func (r Records) Empty() bool {
+	return len(r.Residencies)+len(r.Loads)+len(r.Listed)+len(r.Holders) == 0
+}
+
+// A Message is one side of an exchange.
+type Message struct {
+	From     string
+	Zone     string
+	Address  string // where the sender takes exchanges
+	Boot     uint64 // of the sender
+	Leaving  bool   // the sender is stopping
+	Revision uint64 // of the configuration in force at the sender
+	Stamp    uint64 // the sender's store at the time of sending
+	// AckBoot and Ack confirm what the receiver sent: everything up to Ack of
+	// its boot AckBoot is here.
+	AckBoot uint64
+	Ack     uint64
+	Records Records
+	// Demand is sent to the planner of the sender's zone only.
+	Demand []demand.Item
+	// WantConfig asks for the configuration if the receiver's is newer.
+	WantConfig bool
+	// Config is the encoded configuration of Revision, if it was asked for.
+	Config []byte
+}
+
+// A Store holds the newest record of each kind and name, and when it became
+// new here.
+type Store struct {
+	stamp       uint64
+	residencies map[string]stamped[Residency]
+	loads       map[string]stamped[Load]
+	listed      map[string]stamped[Listed]
+	holders     map[string]stamped[Holder]
+}
+
+type stamped[T any] struct {
+	record T
+	stamp  uint64
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{
+		residencies: map[string]stamped[Residency]{},
+		loads:       map[string]stamped[Load]{},
+		listed:      map[string]stamped[Listed]{},
+		holders:     map[string]stamped[Holder]{},
+	}
+}
+
+// Stamp rises with every record that became new here.
+func (s *Store) Stamp() uint64 { return s.stamp }
+
+// put stores the record if fresh says so.
+func put[T any](s *Store, into map[string]stamped[T], name string, rec T, newer func(old T) bool) bool {
+	old, ok := into[name]
+	if ok && !newer(old.record) {
+		return false
+	}
+	s.stamp++
+	into[name] = stamped[T]{record: rec, stamp: s.stamp}
+	return true
+}
+
+// AddResidency stores the record and reports whether it was news.
+func (s *Store) AddResidency(r Residency) bool {
+	return put(s, s.residencies, r.Engine, r, func(old Residency) bool { return r.Newer(old.Residency) })
+}
+
+// AddLoad stores the record and reports whether it was news.
+func (s *Store) AddLoad(l Load) bool {
+	return put(s, s.loads, l.Engine, l, func(old Load) bool { return l.Newer(old.Load) })
+}
+
+// AddListed stores the record and reports whether it was news.
+func (s *Store) AddListed(l Listed) bool {
+	return put(s, s.listed, l.Name, l, func(old Listed) bool { return l.Version > old.Version })
+}
+
+// AddHolder stores the record and reports whether it was news.
+func (s *Store) AddHolder(h Holder) bool {
+	return put(s, s.holders, h.Zone, h, func(old Holder) bool {
+		return h.Fence > old.Fence || (h.Fence == old.Fence && h.Instance == "" && old.Instance != "")
+	})
+}
+
+// Holder returns who plans for the zone, "" if nobody is known to.
+func (s *Store) Holder(zone string) Holder { return s.holders[zone].record }
+
+// Load returns the newest load known of an engine.
+func (s *Store) Load(engine string) (Load, bool) {
+	l, ok := s.loads[engine]
+	return l.record, ok
+}
+
+// Since returns the records that became new after stamp; loads only if withLoads.
+func (s *Store) Since(stamp uint64, withLoads bool) Records {
+	var r Records
+	r.Residencies = after(s.residencies, stamp)
+	r.Listed = after(s.listed, stamp)
+	r.Holders = after(s.holders, stamp)
+	if withLoads {
+		r.Loads = after(s.loads, stamp)
+	}
+	return r
+}
+
+func after[T any](from map[string]stamped[T], stamp uint64) []T {
+	var news []stamped[T]
+	for _, x := range from {
+		if x.stamp > stamp {
+			news = append(news, x)
+		}
+	}
+	sort.Slice(news, func(i, j int) bool { return news[i].stamp < news[j].stamp })
+	out := make([]T, 0, len(news))
+	for _, x := range news {
+		out = append(out, x.record)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/control/command.go
@@ -0,0 +1,217 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/birchdrift/birchdrift/core/code"
+	"github.com/birchdrift/birchdrift/core/config"
+	"github.com/birchdrift/birchdrift/core/instance"
+	"github.com/birchdrift/birchdrift/internal/platform"
+	"github.com/birchdrift/birchdrift/internal/settings"
+	"github.com/birchdrift/birchdrift/internal/upstream"
+)
+
+// askTimeout bounds one question to one instance.
+const askTimeout = 3 * time.Second
+
+// Command returns birchctl's command line.
+func Command() *cli.Command {
+	platformFlag := &cli.StringFlag{
+		Name: "platform", Usage: "the platform's key-value service (IP:port)",
+		Sources: cli.EnvVars(settings.EnvPrefix + "PLATFORM"), Validator: checkAddress,
+	}
+	operationsFlag := &cli.StringFlag{
+		Name: "operations", Usage: "operations listeners of instances (IP:port, separated by commas)",
+		Sources: cli.EnvVars(settings.EnvPrefix + "OPERATIONS"), Validator: checkAddresses,
+	}
+	return &cli.Command{
+		Name:  "birchctl",
+		Usage: "check, apply and inspect birchdrift's configuration and state",
+		Commands: []*cli.Command{
+			{Name: "validate", Usage: "check a configuration file", ArgsUsage: "FILE", Action: runValidate},
+			{Name: "diff", Usage: "show what applying a file would change", ArgsUsage: "FILE", Flags: []cli.Flag{platformFlag}, Action: runDiff},
+			{Name: "apply", Usage: "put a configuration file in force", ArgsUsage: "FILE", Flags: []cli.Flag{platformFlag}, Action: runApply},
+			{Name: "get", Usage: "print the configuration in force", Flags: []cli.Flag{platformFlag}, Action: runGet},
+			{Name: "status", Usage: "show the state of instances", Flags: []cli.Flag{operationsFlag}, Action: runStatus},
+			{
+				Name: "explain", Usage: "say why a model is resident or not, or why calls went where they went",
+				Commands: []*cli.Command{
+					{Name: "model", Usage: "where a model or adapter is and why", ArgsUsage: "NAME", Flags: []cli.Flag{operationsFlag}, Action: runExplain(ExplainItem)},
+					{Name: "calls", Usage: "the latest choices for a service or model", ArgsUsage: "NAME", Flags: []cli.Flag{operationsFlag}, Action: runExplain(ExplainService)},
+				},
+			},
+		},
+	}
+}
+
+func checkAddress(v string) error {
+	if _, err := netip.ParseAddrPort(v); err != nil {
+		return code.Errorf(code.BadSetting, "%q is not IP:port", v)
+	}
+	return nil
+}
+
+func checkAddresses(v string) error {
+	for _, a := range strings.Split(v, ",") {
+		if err := checkAddress(a); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// readFile reads and checks the file that the command names.
+func readFile(cmd *cli.Command) (config.Document, error) {
+	if cmd.Args().Len() != 1 {
+		return config.Document{}, code.Errorf(code.BadUsage, "one FILE is needed")
+	}
+	name := cmd.Args().First()
+	data, err := os.ReadFile(name)
+	if err != nil {
+		return config.Document{}, code.Errorf(code.BadUsage, "%v", err)
+	}
+	doc, faults := Validate(data)
+	if len(faults) == 0 {
+		return doc, nil
+	}
+	errs := make([]error, 0, len(faults))
+	for _, f := range faults {
+		errs = append(errs, fmt.Errorf("%s: %w", name, f))
+	}
+	return config.Document{}, errors.Join(errs...)
+}
+
+func client(cmd *cli.Command) (*platform.Client, error) {
+	address := cmd.String("platform")
+	if address == "" {
+		return nil, code.Errorf(code.BadSetting, "--platform (%sPLATFORM) is missing; allowed: IP:port", settings.EnvPrefix)
+	}
+	return platform.NewClient(address, upstream.NewTransports()), nil
+}
+
+func runValidate(_ context.Context, cmd *cli.Command) error {
+	doc, err := readFile(cmd)
+	if err != nil {
+		return err
+	}
+	data, err := doc.Encode()
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(cmd.Root().Writer, "valid: %d services, %d models, %d adapters, %d engines; %d bytes stored\n",
+		len(doc.Services), len(doc.Models), len(doc.Adapters), len(doc.Engines), len(data))
+	return nil
+}
+
+func runDiff(ctx context.Context, cmd *cli.Command) error {
+	doc, err := readFile(cmd)
+	if err != nil {
+		return err
+	}
+	p, err := client(cmd)
+	if err != nil {
+		return err
+	}
+	stored, err := Get(ctx, p)
+	if err != nil {
+		return err
+	}
+	diff, err := Diff(stored.Document, doc)
+	if err != nil {
+		return err
+	}
+	fmt.Fprint(cmd.Root().Writer, diff)
+	return nil
+}
+
+func runApply(ctx context.Context, cmd *cli.Command) error {
+	doc, err := readFile(cmd)
+	if err != nil {
+		return err
+	}
+	p, err := client(cmd)
+	if err != nil {
+		return err
+	}
+	revision, err := Apply(ctx, p, doc)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(cmd.Root().Writer, "revision %d accepted\n", revision)
+	return nil
+}
+
+func runGet(ctx context.Context, cmd *cli.Command) error {
+	p, err := client(cmd)
+	if err != nil {
+		return err
+	}
+	stored, err := Get(ctx, p)
+	if err != nil {
+		return err
+	}
+	if stored.Revision == 0 {
+		return code.Errorf(code.NoConfiguration, "none was applied yet")
+	}
+	data, err := stored.Document.YAML()
+	if err != nil {
+		return err
+	}
+	_, err = cmd.Root().Writer.Write(data)
+	return err
+}
+
+// askAll reads the states of the instances that the command names. One that
+// does not answer is reported and left out.
+func askAll(ctx context.Context, cmd *cli.Command) ([]instance.Status, error) {
+	list := cmd.String("operations")
+	if list == "" {
+		return nil, code.Errorf(code.BadSetting, "--operations (%sOPERATIONS) is missing; allowed: IP:port, separated by commas", settings.EnvPrefix)
+	}
+	httpClient := &http.Client{Timeout: askTimeout}
+	var states []instance.Status
+	for _, address := range strings.Split(list, ",") {
+		st, err := Ask(ctx, httpClient, address)
+		if err != nil {
+			fmt.Fprintf(cmd.Root().ErrWriter, "birchctl: %s does not answer: %v\n", address, err)
+			continue
+		}
+		states = append(states, st)
+	}
+	if len(states) == 0 {
+		return nil, code.Errorf(code.NoReplica, "no instance answered")
+	}
+	return states, nil
+}
+
+func runStatus(ctx context.Context, cmd *cli.Command) error {
+	states, err := askAll(ctx, cmd)
+	if err != nil {
+		return err
+	}
+	return PrintStatus(cmd.Root().Writer, states)
+}
+
+func runExplain(explain func(io.Writer, string, []instance.Status)) cli.ActionFunc {
+	return func(ctx context.Context, cmd *cli.Command) error {
+		if cmd.Args().Len() != 1 {
+			return code.Errorf(code.BadUsage, "one NAME is needed")
+		}
+		states, err := askAll(ctx, cmd)
+		if err != nil {
+			return err
+		}
+		explain(cmd.Root().Writer, cmd.Args().First(), states)
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/engine/engine.go
@@ -0,0 +1,263 @@
+// Package engine provides the adapter for model engines: streams of tokens,
+// cancel and resume, fenced orders, and the engine's own state.
+//
+// The idea: a stream's pieces carry the identity of their call and their
+// position, and the last one says that it is the last. A Stream hands out the
+// pieces of its own call, each once and in order, and nothing else, whatever
+// the connection delivers; only an explicit end is an end.
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/gravitational/trace"
+
+	"github.com/birchdrift/birchdrift/core/attempt"
+	"github.com/birchdrift/birchdrift/core/book"
+	"github.com/birchdrift/birchdrift/core/instance"
+	"github.com/birchdrift/birchdrift/core/pool"
+	"github.com/birchdrift/birchdrift/internal/upstream"
+)
+
+// maxReply bounds replies that are read whole, in bytes.
+const maxReply = 1 << 20
+
+// Errors of a stream.
+var (
+	// ErrCut says that the stream stopped without its explicit end.
+	ErrCut = errors.New("the stream stopped without its end")
+	// ErrGap says that a piece is missing.
+	ErrGap = errors.New("a piece of the stream is missing")
+)
+
+// A StatusError is an answer that is not a stream.
+type StatusError struct {
+	Status  int
+	NotRun  bool // the engine's own word that it did not and will not run it
+	Unknown bool // a resume found no such sequence
+	Leaving bool
+	Detail  string
+}
+
+// Error implements error.
+func (e *StatusError) Error() string { return fmt.Sprintf("status %d: %s", e.Status, e.Detail) }
+
+// A Client speaks to engines by address.
+type Client struct {
+	transports upstream.Transports
+	control    *http.Client
+}
+
+// NewClient returns a client over the transports.
+func NewClient(t upstream.Transports) *Client {
+	return &Client{transports: t, control: &http.Client{Transport: t.Reused}}
+}
+
+// A Stream is the answer to one call.
+type Stream struct {
+	id   string
+	next int
+	body io.ReadCloser
+	dec  *json.Decoder
+}
+
+// Generate begins a call; progress notes how far it came, also on error.
+func (c *Client) Generate(ctx context.Context, address string, req GenerateRequest, repeatable bool, header http.Header, progress *upstream.Progress) (*Stream, error) {
+	return c.open(ctx, address, PathGenerate, req, req.ID, 0, c.transports.For(repeatable), header, progress)
+}
+
+// Resume goes on with a call after the pieces already had.
+func (c *Client) Resume(ctx context.Context, address string, req ResumeRequest, header http.Header, progress *upstream.Progress) (*Stream, error) {
+	return c.open(ctx, address, PathResume, req, req.ID, req.Offset, c.transports.Reused, header, progress)
+}
+
+func (c *Client) open(ctx context.Context, address, path string, body any, id string, offset int, rt http.RoundTripper, header http.Header, progress *upstream.Progress) (*Stream, error) {
+	req, err := newRequest(progress.Watch(ctx), address, path, body)
+	if err != nil {
+		return nil, err
+	}
+	for name, values := range header {
+		req.Header[name] = values
+	}
+	// Without GetBody net/http cannot send the body a second time by itself.
+	req.GetBody = nil
+	resp, err := rt.RoundTrip(req)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, statusError(resp, progress)
+	}
+	progress.Reach(attempt.Answered)
+	return &Stream{id: id, next: offset, body: resp.Body, dec: json.NewDecoder(resp.Body)}, nil
+}
+
+func statusError(resp *http.Response, progress *upstream.Progress) error {
+	defer resp.Body.Close()
+	detail, _ := io.ReadAll(io.LimitReader(resp.Body, 1024)) // best effort: it only explains
+	e := &StatusError{
+		Status:  resp.StatusCode,
+		NotRun:  resp.Header.Get(upstream.HeaderRun) == "not_run",
+		Unknown: resp.StatusCode == http.StatusNotFound,
+		Leaving: resp.Header.Get(upstream.HeaderLeaving) == "true",
+		Detail:  string(bytes.TrimSpace(detail)),
+	}
+	if e.NotRun {
+		progress.Reach(attempt.Refused)
+		return e
+	}
+	progress.Reach(attempt.Answered)
+	return e
+}
+
+// Next returns the next piece of the call. Pieces of other calls and pieces
+// had before are dropped. After the piece with End set it must not be called.
+func (s *Stream) Next() (Piece, error) {
+	for {
+		var p Piece
+		if err := s.dec.Decode(&p); err != nil {
+			return Piece{}, ErrCut
+		}
+		if p.ID != s.id || p.Offset < s.next {
+			continue
+		}
+		if p.Offset > s.next {
+			return Piece{}, ErrGap
+		}
+		s.next++
+		return p, nil
+	}
+}
+
+// Close ends the stream early or after its end.
+func (s *Stream) Close() { _ = s.body.Close() } // nothing is left to lose
+
+// Cancel tells the engine to drop a call's sequence.
+func (c *Client) Cancel(ctx context.Context, address, id string) error {
+	return c.post(ctx, address, PathCancel, CancelRequest{ID: id}, nil)
+}
+
+// State asks the engine for its state.
+func (c *Client) State(ctx context.Context, address string) (pool.State, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+PathState, nil)
+	if err != nil {
+		return pool.State{}, trace.Wrap(err)
+	}
+	resp, err := c.control.Do(req)
+	if err != nil {
+		return pool.State{}, trace.Wrap(err)
+	}
+	defer resp.Body.Close()
+	var s State
+	if err := decodeReply(resp, &s); err != nil {
+		return pool.State{}, err
+	}
+	return s.decode(), nil
+}
+
+// Order gives the engine an order. base is the model of an adapter. The order
+// goes over a fresh connection, so that it cannot be repeated underneath.
+func (c *Client) Order(ctx context.Context, address string, o book.Order, base string) instance.OrderReply {
+	out := instance.OrderReply{Engine: o.Engine, Fence: o.Fence, Seq: o.Seq}
+	var progress upstream.Progress
+	wire := OrderRequest{Fence: o.Fence, Seq: o.Seq, Op: o.Op.String(), Item: o.Item, Base: base, MiB: o.MiB}
+	req, err := newRequest(progress.Watch(ctx), address, PathOrders, wire)
+	if err != nil {
+		out.Outcome = instance.OrderNotSent
+		out.Detail = err.Error()
+		return out
+	}
+	req.GetBody = nil
+	resp, err := c.transports.Fresh.RoundTrip(req)
+	if err != nil {
+		out.Outcome = instance.OrderLost
+		if progress.Phase() == attempt.NotSent {
+			out.Outcome = instance.OrderNotSent
+		}
+		out.Detail = err.Error()
+		return out
+	}
+	defer resp.Body.Close()
+	var reply OrderReply
+	if err := decodeReply(resp, &reply); err != nil {
+		out.Outcome = instance.OrderLost
+		out.Detail = err.Error()
+		return out
+	}
+	out.State = reply.State.decode()
+	out.Detail = reply.Detail
+	out.Outcome = map[string]instance.OrderOutcome{
+		ResultDone:    instance.OrderDone,
+		ResultRefused: instance.OrderRefused,
+		ResultFenced:  instance.OrderFenced,
+	}[reply.Result]
+	if out.Outcome == 0 {
+		out.Outcome = instance.OrderLost
+	}
+	return out
+}
+
+func (c *Client) post(ctx context.Context, address, path string, body, reply any) error {
+	req, err := newRequest(ctx, address, path, body)
+	if err != nil {
+		return err
+	}
+	resp, err := c.control.Do(req)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	defer resp.Body.Close()
+	return decodeReply(resp, reply)
+}
+
+func newRequest(ctx context.Context, address, path string, body any) (*http.Request, error) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(data))
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	return req, nil
+}
+
+func decodeReply(resp *http.Response, into any) error {
+	if resp.StatusCode != http.StatusOK {
+		return trace.Errorf("status %d", resp.StatusCode)
+	}
+	if into == nil {
+		return nil
+	}
+	return trace.Wrap(json.NewDecoder(io.LimitReader(resp.Body, maxReply)).Decode(into))
+}
+
+var phases = map[string]pool.ItemPhase{
+	"loading":   pool.Loading,
+	"ready":     pool.Ready,
+	"unloading": pool.Unloading,
+}
+
+func (s State) decode() pool.State {
+	out := pool.State{
+		Residency: pool.Residency{Boot: s.Boot, Change: s.Change, Leaving: s.Leaving},
+		Load:      pool.Load{Boot: s.Boot, Seq: s.Seq, Running: s.Running, Waiting: s.Waiting},
+		Fence:     s.Fence,
+		LastOrder: s.LastOrder,
+	}
+	for _, it := range s.Items {
+		phase, ok := phases[it.Phase]
+		if !ok {
+			phase = pool.Loading // unknown to us, yet it takes memory and serves nothing
+		}
+		out.Residency.Items = append(out.Residency.Items, pool.Item{Name: it.Name, Phase: phase})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/engine/wire.go
@@ -0,0 +1,84 @@
+package engine
+
+// Paths of an engine's interface.
+const (
+	PathGenerate = "/engine/generate"
+	PathResume   = "/engine/resume"
+	PathCancel   = "/engine/cancel"
+	PathState    = "/engine/state"
+	PathOrders   = "/engine/orders"
+)
+
+// A GenerateRequest asks for tokens.
+type GenerateRequest struct {
+	ID        string `json:"id"` // of the attempt, unique in the fleet
+	Model     string `json:"model"`
+	Adapter   string `json:"adapter,omitempty"`
+	Prompt    string `json:"prompt"`
+	MaxTokens int    `json:"max_tokens"`
+	Priority  int    `json:"priority"`
+}
+
+// A ResumeRequest asks for the rest of a stream.
+type ResumeRequest struct {
+	ID     string `json:"id"`
+	Offset int    `json:"offset"` // pieces already had
+}
+
+// A CancelRequest gives up a sequence.
+type CancelRequest struct {
+	ID string `json:"id"`
+}
+
+// A Piece is one line of a stream. The last one has End set; a stream that
+// stops without it was cut.
+type Piece struct {
+	ID     string `json:"id"`
+	Offset int    `json:"o"` // position of this piece, from 0
+	Text   string `json:"t,omitempty"`
+	End    bool   `json:"end,omitempty"`
+	Reason string `json:"reason,omitempty"` // why it ended: stop, length
+}
+
+// An OrderRequest is an order on the wire.
+type OrderRequest struct {
+	Fence uint64 `json:"fence"`
+	Seq   uint64 `json:"seq"`
+	Op    string `json:"op"` // load, unload, raise
+	Item  string `json:"item,omitempty"`
+	Base  string `json:"base,omitempty"` // model of an adapter
+	MiB   int64  `json:"mib,omitempty"`
+}
+
+// Results of an order.
+const (
+	ResultDone    = "done"
+	ResultRefused = "refused"
+	ResultFenced  = "fenced"
+)
+
+// An OrderReply answers an order with the state after it.
+type OrderReply struct {
+	Result string `json:"result"`
+	Detail string `json:"detail,omitempty"`
+	State  State  `json:"state"`
+}
+
+// A State is what an engine says of itself.
+type State struct {
+	Boot      uint64 `json:"boot"`
+	Change    uint64 `json:"change"`
+	Seq       uint64 `json:"seq"` // of the load report
+	Leaving   bool   `json:"leaving,omitempty"`
+	Fence     uint64 `json:"fence"`
+	LastOrder uint64 `json:"last_order"`
+	Running   int    `json:"running"`
+	Waiting   int    `json:"waiting"`
+	Items     []Item `json:"items"`
+}
+
+// An Item is one model or adapter in memory.
+type Item struct {
+	Name  string `json:"name"`
+	Phase string `json:"phase"` // loading, ready, unloading
+}
--- /dev/null
+++ b/internal/entry/model.go
@@ -0,0 +1,250 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strings"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	oteltrace "go.opentelemetry.io/otel/trace"
+
+	"github.com/birchdrift/birchdrift/core/code"
+	"github.com/birchdrift/birchdrift/core/instance"
+	"github.com/birchdrift/birchdrift/internal/engine"
+	"github.com/birchdrift/birchdrift/internal/shell"
+	"github.com/birchdrift/birchdrift/internal/upstream"
+)
+
+// A modelCall is one chat or completion call in progress.
+type modelCall struct {
+	handler *Handler
+	w       http.ResponseWriter
+	req     modelRequest
+	prompt  string
+	begun   time.Time
+	call    instance.Call
+	form    form
+
+	text      strings.Builder // of the attempt in progress, for whole answers
+	pieces    int             // had of the attempt in progress
+	delivered int             // that reached the caller
+	started   bool            // the answer's header was written
+	lastPiece time.Time
+}
+
+// run does what the machine says until the call has its final answer.
+func (m *modelCall) run(ctx context.Context, s shell.Session) {
+	queueCtx, queue := m.handler.Tracer.Start(ctx, "queue")
+	for {
+		a, ok := waitAction(queueCtx, s)
+		queue.End()
+		if !ok {
+			s.Gone()
+			m.handler.Metrics.Answered(int(code.CallerGone), time.Since(m.begun))
+			return
+		}
+		switch act := a.(type) {
+		case instance.Finish:
+			m.finish(act.Refusal)
+			return
+		case instance.Dispatch:
+			if m.attempt(ctx, s, act) {
+				return
+			}
+		}
+	}
+}
+
+// finish gives the caller the machine's final word.
+func (m *modelCall) finish(r code.Refusal) {
+	if !m.started {
+		m.handler.refuse(m.w, r, m.begun)
+		return
+	}
+	m.handler.Metrics.Answered(int(r.Code), time.Since(m.begun))
+	data, err := json.Marshal(errorOf(r))
+	if err == nil {
+		m.event(data)
+	}
+	// A normal return would end the body properly; the caller must see a cut.
+	panic(http.ErrAbortHandler)
+}
+
+// attempt carries out one Dispatch and reports whether the call is over.
+func (m *modelCall) attempt(ctx context.Context, s shell.Session, d instance.Dispatch) bool {
+	if d.Attempt == 1 && !d.Resume {
+		m.handler.Metrics.Queued(time.Since(m.begun))
+	}
+	if !d.Resume {
+		m.text.Reset()
+		m.pieces = 0
+	}
+	if !pause(ctx, d.After) {
+		s.Gone()
+		return true
+	}
+	name := "attempt"
+	if d.Resume {
+		name = "resume"
+	}
+	ctx, span := m.handler.Tracer.Start(ctx, name, oteltrace.WithSpanKind(oteltrace.SpanKindClient))
+	defer span.End()
+	span.SetAttributes(attribute.String("upstream", d.Replica), attribute.Int("attempt", d.Attempt))
+	var progress upstream.Progress
+	broke, over := m.stream(ctx, s, d, &progress)
+	if over {
+		return true
+	}
+	span.SetAttributes(attribute.String("broke", broke.Detail))
+	if ctx.Err() != nil {
+		s.Gone()
+		m.handler.Metrics.Answered(int(code.CallerGone), time.Since(m.begun))
+		return true
+	}
+	s.Broke(broke)
+	return false
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return true
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// stream sends the attempt and passes its pieces on. It returns over when the
+// answer is whole, else how the attempt broke.
+func (m *modelCall) stream(ctx context.Context, s shell.Session, d instance.Dispatch, progress *upstream.Progress) (instance.Broke, bool) {
+	// The watchdog turns an upstream's silence into a broken attempt.
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	watchdog := time.AfterFunc(d.Stall, cancel)
+	defer watchdog.Stop()
+	stream, err := m.open(ctx, d, progress)
+	if err != nil {
+		return m.broke(d, progress, err), false
+	}
+	defer stream.Close()
+	for {
+		p, err := stream.Next()
+		if err != nil {
+			return m.broke(d, progress, err), false
+		}
+		watchdog.Reset(d.Stall)
+		if m.pieces == 0 {
+			s.First()
+			m.handler.Metrics.First(time.Since(m.begun))
+		}
+		m.pieces++
+		if p.End {
+			return m.end(s, d, p)
+		}
+		m.pass(d, p)
+	}
+}
+
+func (m *modelCall) open(ctx context.Context, d instance.Dispatch, progress *upstream.Progress) (*engine.Stream, error) {
+	header := http.Header{}
+	m.handler.Tracer.Inject(ctx, header)
+	id := m.handler.Shell.CallName(m.call.ID, d.Attempt)
+	if d.Resume {
+		return m.handler.Engine.Resume(ctx, d.Address, engine.ResumeRequest{ID: id, Offset: m.pieces}, header, progress)
+	}
+	req := engine.GenerateRequest{
+		ID: id, Model: d.Model, Adapter: d.Adapter, Prompt: m.prompt, MaxTokens: m.req.MaxTokens, Priority: d.Priority,
+	}
+	return m.handler.Engine.Generate(ctx, d.Address, req, d.Repeatable, header, progress)
+}
+
+// broke words how an attempt broke. Only facts go in; what follows is the
+// machine's to say.
+func (m *modelCall) broke(d instance.Dispatch, progress *upstream.Progress, err error) instance.Broke {
+	b := instance.Broke{
+		Attempt:   d.Attempt,
+		Phase:     progress.Phase(),
+		Delivered: m.delivered,
+		Resumable: true,
+		Detail:    err.Error(),
+	}
+	var status *engine.StatusError
+	if errors.As(err, &status) {
+		b.Status = status.Status
+		b.Leaving = status.Leaving
+		b.Resumable = false
+	}
+	return b
+}
+
+// pass hands one piece on: to the caller of a stream at once, else to the text.
+func (m *modelCall) pass(d instance.Dispatch, p engine.Piece) {
+	if !m.lastPiece.IsZero() {
+		m.handler.Metrics.Between(time.Since(m.lastPiece))
+	}
+	m.lastPiece = time.Now()
+	if !m.req.Stream {
+		m.text.WriteString(p.Text)
+		return
+	}
+	m.begin(d)
+	m.chunk(m.form.chunk(p.Text, nil))
+	m.delivered++
+}
+
+// begin writes the header of an event stream.
+func (m *modelCall) begin(d instance.Dispatch) {
+	if m.started {
+		return
+	}
+	m.started = true
+	m.mark(d)
+	m.w.Header().Set("Content-Type", "text/event-stream")
+	m.w.Header().Set("Cache-Control", "no-cache")
+	m.w.WriteHeader(http.StatusOK)
+}
+
+func (m *modelCall) mark(d instance.Dispatch) {
+	m.w.Header().Set(HeaderInstance, m.handler.Instance)
+	m.w.Header().Set(HeaderUpstream, d.Replica)
+}
+
+// end ends the answer properly.
+func (m *modelCall) end(s shell.Session, d instance.Dispatch, p engine.Piece) (instance.Broke, bool) {
+	if m.req.Stream {
+		m.begin(d)
+		m.chunk(m.form.chunk("", &p.Reason))
+		m.event([]byte("[DONE]"))
+	} else {
+		m.mark(d)
+		writeJSON(m.w, http.StatusOK, m.form.whole(m.text.String(), p.Reason, m.call.PromptTokens, m.pieces-1))
+	}
+	s.Done()
+	m.handler.Metrics.Answered(int(code.OK), time.Since(m.begun))
+	return instance.Broke{}, true
+}
+
+func (m *modelCall) chunk(a answer) {
+	data, err := json.Marshal(a)
+	if err != nil {
+		panic(http.ErrAbortHandler) // impossible for these types; never a proper end
+	}
+	m.event(data)
+}
+
+// event writes one server-sent event. A write error means that the caller is
+// gone, which the request's context tells as well.
+func (m *modelCall) event(data []byte) {
+	_, _ = m.w.Write([]byte("data: "))
+	_, _ = m.w.Write(data)
+	_, _ = m.w.Write([]byte("\n\n"))
+	_ = http.NewResponseController(m.w).Flush()
+}
--- /dev/null
+++ b/internal/entry/plain.go
@@ -0,0 +1,184 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	oteltrace "go.opentelemetry.io/otel/trace"
+
+	"github.com/birchdrift/birchdrift/core/attempt"
+	"github.com/birchdrift/birchdrift/core/code"
+	"github.com/birchdrift/birchdrift/core/instance"
+	"github.com/birchdrift/birchdrift/internal/service"
+	"github.com/birchdrift/birchdrift/internal/shell"
+	"github.com/birchdrift/birchdrift/internal/upstream"
+)
+
+// plain serves a call to a plain service.
+func (h *Handler) plain(w http.ResponseWriter, r *http.Request) {
+	begun := time.Now()
+	ctx, span := h.Tracer.Start(h.Tracer.Extract(r.Context(), r.Header), "entry")
+	defer span.End()
+	call := instance.Call{
+		ID:             h.nextID(),
+		Service:        r.PathValue("name"),
+		Plain:          true,
+		Path:           "/" + r.PathValue("path"),
+		Key:            key(r),
+		IdempotencyKey: r.Header.Get(HeaderIdempotency),
+		NotRepeatable:  notRepeatable(r),
+		// A body that is streamed through cannot be sent a second time.
+		Replayable: r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0,
+	}
+	span.SetAttributes(attribute.String("service", call.Service), attribute.Int64("call", int64(call.ID)))
+	p := &plainCall{handler: h, w: w, r: r, call: call, begun: begun}
+	p.run(ctx, h.Shell.Begin(call))
+}
+
+// A plainCall is one call to a plain service in progress.
+type plainCall struct {
+	handler *Handler
+	w       http.ResponseWriter
+	r       *http.Request
+	call    instance.Call
+	begun   time.Time
+}
+
+func (p *plainCall) run(ctx context.Context, s shell.Session) {
+	for {
+		a, ok := waitAction(ctx, s)
+		if !ok {
+			s.Gone()
+			p.handler.Metrics.Answered(int(code.CallerGone), time.Since(p.begun))
+			return
+		}
+		switch act := a.(type) {
+		case instance.Finish:
+			p.handler.refuse(p.w, act.Refusal, p.begun)
+			return
+		case instance.Dispatch:
+			if p.attempt(ctx, s, act) {
+				return
+			}
+		}
+	}
+}
+
+// attempt carries out one Dispatch and reports whether the call is over.
+func (p *plainCall) attempt(ctx context.Context, s shell.Session, d instance.Dispatch) bool {
+	p.handler.Metrics.Queued(time.Since(p.begun))
+	ctx, span := p.handler.Tracer.Start(ctx, "attempt", oteltrace.WithSpanKind(oteltrace.SpanKindClient))
+	defer span.End()
+	span.SetAttributes(attribute.String("upstream", d.Replica), attribute.Int("attempt", d.Attempt))
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	watchdog := time.AfterFunc(d.Stall, cancel)
+	defer watchdog.Stop()
+	var progress upstream.Progress
+	resp, err := p.handler.Service.Send(ctx, p.outgoing(d, watchdog), &progress)
+	if err != nil {
+		return p.broke(s, d, &progress, err)
+	}
+	defer resp.Body.Close()
+	s.First()
+	return p.pass(s, d, resp, watchdog)
+}
+
+// outgoing words the call for the upstream.
+func (p *plainCall) outgoing(d instance.Dispatch, watchdog *time.Timer) service.Call {
+	header := service.EndToEnd(p.r.Header)
+	header.Del("Authorization") // the key is this system's, not the upstream's
+	header.Set(upstream.HeaderCall, p.handler.Shell.CallName(p.call.ID, d.Attempt))
+	p.handler.Tracer.Inject(p.r.Context(), header)
+	return service.Call{
+		Address:    d.Address,
+		Method:     p.r.Method,
+		Path:       p.call.Path,
+		Query:      p.r.URL.RawQuery,
+		Header:     header,
+		Body:       &watched{ReadCloser: p.r.Body, timer: watchdog, every: d.Stall},
+		Length:     p.r.ContentLength,
+		Repeatable: d.Repeatable,
+	}
+}
+
+// A watched body puts the watchdog off while the caller is still sending.
+type watched struct {
+	io.ReadCloser
+	timer *time.Timer
+	every time.Duration
+}
+
+// Read implements io.Reader.
+func (b *watched) Read(data []byte) (int, error) {
+	n, err := b.ReadCloser.Read(data)
+	b.timer.Reset(b.every)
+	return n, err
+}
+
+func (p *plainCall) broke(s shell.Session, d instance.Dispatch, progress *upstream.Progress, err error) bool {
+	if p.r.Context().Err() != nil {
+		s.Gone()
+		p.handler.Metrics.Answered(int(code.CallerGone), time.Since(p.begun))
+		return true
+	}
+	b := instance.Broke{Attempt: d.Attempt, Phase: progress.Phase(), Detail: err.Error()}
+	var refused *service.RefusedError
+	if errors.As(err, &refused) {
+		b.Status = refused.Status
+		b.Leaving = refused.Leaving
+	}
+	s.Broke(b)
+	return false
+}
+
+// pass streams the upstream's answer to the caller.
+func (p *plainCall) pass(s shell.Session, d instance.Dispatch, resp *http.Response, watchdog *time.Timer) bool {
+	for name, values := range service.EndToEnd(resp.Header) {
+		p.w.Header()[name] = values
+	}
+	p.w.Header().Set(HeaderInstance, p.handler.Instance)
+	p.w.Header().Set(HeaderUpstream, d.Replica)
+	p.w.WriteHeader(resp.StatusCode)
+	delivered, err := p.copy(resp.Body, watchdog, d.Stall)
+	if err == nil {
+		s.Done()
+		p.handler.Metrics.Answered(int(code.OK), time.Since(p.begun))
+		return true
+	}
+	// The header is out, so no answer of our own can follow: tell the machine,
+	// take its final word for the books, and cut the connection.
+	s.Broke(instance.Broke{Attempt: d.Attempt, Phase: attempt.Answered, Delivered: max(1, delivered), Detail: err.Error()})
+	p.handler.Metrics.Answered(int(code.StreamCut), time.Since(p.begun))
+	panic(http.ErrAbortHandler)
+}
+
+const copyBuffer = 32 << 10
+
+// copy passes the body on, each part as it comes.
+func (p *plainCall) copy(body io.Reader, watchdog *time.Timer, stall time.Duration) (int, error) {
+	flush := http.NewResponseController(p.w)
+	buf := make([]byte, copyBuffer)
+	total := 0
+	for {
+		n, err := body.Read(buf)
+		watchdog.Reset(stall)
+		if n > 0 {
+			if _, werr := p.w.Write(buf[:n]); werr != nil {
+				return total, werr
+			}
+			total += n
+			_ = flush.Flush() // a caller that is gone shows at the next write
+		}
+		if errors.Is(err, io.EOF) {
+			return total, nil
+		}
+		if err != nil {
+			return total, err
+		}
+	}
+}
--- /dev/null
+++ b/internal/peer/convert.go
@@ -0,0 +1,114 @@
+package peer
+
+import (
+	"time"
+
+	"github.com/birchdrift/birchdrift/core/demand"
+	"github.com/birchdrift/birchdrift/core/pool"
+	"github.com/birchdrift/birchdrift/core/share"
+	"github.com/birchdrift/birchdrift/internal/peer/peerpb"
+)
+
+// encode turns the core's message into the wire's.
+func encode(m share.Message) *peerpb.Message {
+	out := &peerpb.Message{
+		From:       m.From,
+		Zone:       m.Zone,
+		Address:    m.Address,
+		Boot:       m.Boot,
+		Leaving:    m.Leaving,
+		Revision:   m.Revision,
+		Stamp:      m.Stamp,
+		AckBoot:    m.AckBoot,
+		Ack:        m.Ack,
+		WantConfig: m.WantConfig,
+		Config:     m.Config,
+	}
+	for _, r := range m.Records.Residencies {
+		out.Residencies = append(out.Residencies, encodeResidency(r))
+	}
+	for _, l := range m.Records.Loads {
+		out.Loads = append(out.Loads, &peerpb.Load{
+			Engine: l.Engine, Boot: l.Boot, Seq: l.Seq, Running: uint32(l.Running), Waiting: uint32(l.Waiting),
+		})
+	}
+	for _, l := range m.Records.Listed {
+		out.Listed = append(out.Listed, &peerpb.Listed{
+			Name: l.Name, Kind: uint32(l.Kind), Zone: l.Zone, Address: l.Address,
+			Leaving: l.Leaving, Gone: l.Gone, Version: l.Version,
+		})
+	}
+	for _, h := range m.Records.Holders {
+		out.Holders = append(out.Holders, &peerpb.Holder{Zone: h.Zone, Instance: h.Instance, Fence: h.Fence})
+	}
+	for _, d := range m.Demand {
+		out.Demand = append(out.Demand, &peerpb.Demand{
+			Name: d.Name, Rate: float32(d.Rate), Concurrent: float32(d.Concurrent), Weight: float32(d.Weight),
+			Waiting: uint32(d.Waiting), UnmetMs: uint32(d.Unmet.Milliseconds()),
+		})
+	}
+	return out
+}
+
+func encodeResidency(r share.Residency) *peerpb.Residency {
+	out := &peerpb.Residency{Engine: r.Engine, Boot: r.Boot, Change: r.Change, Leaving: r.Leaving}
+	for _, it := range r.Items {
+		out.Items = append(out.Items, &peerpb.Item{Name: it.Name, Phase: uint32(it.Phase)})
+	}
+	return out
+}
+
+// decode turns the wire's message into the core's.
+func decode(m *peerpb.Message) share.Message {
+	out := share.Message{
+		From:       m.GetFrom(),
+		Zone:       m.GetZone(),
+		Address:    m.GetAddress(),
+		Boot:       m.GetBoot(),
+		Leaving:    m.GetLeaving(),
+		Revision:   m.GetRevision(),
+		Stamp:      m.GetStamp(),
+		AckBoot:    m.GetAckBoot(),
+		Ack:        m.GetAck(),
+		WantConfig: m.GetWantConfig(),
+		Config:     m.GetConfig(),
+	}
+	for _, r := range m.GetResidencies() {
+		out.Records.Residencies = append(out.Records.Residencies, decodeResidency(r))
+	}
+	for _, l := range m.GetLoads() {
+		out.Records.Loads = append(out.Records.Loads, share.Load{Engine: l.GetEngine(), Load: pool.Load{
+			Boot: l.GetBoot(), Seq: l.GetSeq(), Running: int(l.GetRunning()), Waiting: int(l.GetWaiting()),
+		}})
+	}
+	for _, l := range m.GetListed() {
+		out.Records.Listed = append(out.Records.Listed, share.Listed{
+			Name: l.GetName(), Kind: share.ListedKind(l.GetKind()), Zone: l.GetZone(), Address: l.GetAddress(),
+			Leaving: l.GetLeaving(), Gone: l.GetGone(), Version: l.GetVersion(),
+		})
+	}
+	for _, h := range m.GetHolders() {
+		out.Records.Holders = append(out.Records.Holders, share.Holder{
+			Zone: h.GetZone(), Instance: h.GetInstance(), Fence: h.GetFence(),
+		})
+	}
+	for _, d := range m.GetDemand() {
+		out.Demand = append(out.Demand, demand.Item{
+			Name: d.GetName(), Rate: float64(d.GetRate()), Concurrent: float64(d.GetConcurrent()),
+			Weight: float64(d.GetWeight()), Waiting: int(d.GetWaiting()),
+			Unmet: time.Duration(d.GetUnmetMs()) * time.Millisecond,
+		})
+	}
+	return out
+}
+
+func decodeResidency(r *peerpb.Residency) share.Residency {
+	out := share.Residency{Engine: r.GetEngine()}
+	out.Boot = r.GetBoot()
+	out.Change = r.GetChange()
+	out.Leaving = r.GetLeaving()
+	for _, it := range r.GetItems() {
+		out.Items = append(out.Items, pool.Item{Name: it.GetName(), Phase: pool.ItemPhase(it.GetPhase())})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/platform/platform.go
@@ -0,0 +1,186 @@
+// Package platform provides the adapter for the platform's small key-value
+// service: compare-and-swap, leases, watches and the list of instances.
+//
+// Every method is one call and counts as one against the platform's rates; a
+// watch that waits counts as one too. An error says whether the request
+// certainly never left (ErrNotSent), was refused for its expectation
+// (ErrConflict), or may have taken effect (anything else): after the last the
+// caller reads back before it goes on.
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/birchdrift/birchdrift/core/attempt"
+	"github.com/birchdrift/birchdrift/core/config"
+	"github.com/birchdrift/birchdrift/core/share"
+	"github.com/birchdrift/birchdrift/internal/upstream"
+)
+
+// Errors that say for certain what became of a request.
+var (
+	// ErrConflict says that the value was not at the expected revision.
+	ErrConflict = errors.New("the value is not at the expected revision")
+	// ErrNotSent says that the request certainly never left.
+	ErrNotSent = errors.New("the request was not sent")
+)
+
+// callTimeout bounds one call beyond what it asks the platform to wait.
+const callTimeout = 2 * time.Second
+
+// A Client calls the platform at one address.
+type Client struct {
+	base   string
+	http   *http.Client
+	Called func() // counts calls; may be nil
+}
+
+// NewClient returns a client of the platform at address (IP:port). It keeps no
+// connection for writes, since net/http may repeat those on a reused one.
+func NewClient(address string, t upstream.Transports) *Client {
+	return &Client{base: "http://" + address, http: &http.Client{Transport: t.Reused}}
+}
+
+// A Value is a value with its revision; revision 0 means there is none.
+type Value struct {
+	Data     []byte
+	Revision uint64
+}
+
+// Get returns a value. With wait set it returns as soon as the revision is
+// above after, or when the wait is over, with whatever is there then.
+func (c *Client) Get(ctx context.Context, key string, after uint64, wait time.Duration) (Value, error) {
+	query := url.Values{}
+	if wait > 0 {
+		query.Set("after", strconv.FormatUint(after, 10))
+		query.Set("wait", wait.String())
+	}
+	return c.call(ctx, http.MethodGet, PathValue+key, query, nil, wait)
+}
+
+// Swap writes a value if its revision is still expect (0: if there is none)
+// and returns the new revision. ttl drops the value after that time; 0 keeps it.
+func (c *Client) Swap(ctx context.Context, key string, data []byte, expect uint64, ttl time.Duration) (uint64, error) {
+	query := url.Values{"expect": {strconv.FormatUint(expect, 10)}}
+	if ttl > 0 {
+		query.Set("ttl", ttl.String())
+	}
+	v, err := c.call(ctx, http.MethodPut, PathValue+key, query, data, 0)
+	return v.Revision, err
+}
+
+// Delete drops a value if its revision is still expect.
+func (c *Client) Delete(ctx context.Context, key string, expect uint64) error {
+	query := url.Values{"expect": {strconv.FormatUint(expect, 10)}}
+	_, err := c.call(ctx, http.MethodDelete, PathValue+key, query, nil, 0)
+	return err
+}
+
+// Lease asks for a lease or renews it.
+func (c *Client) Lease(ctx context.Context, name string, req LeaseRequest) (LeaseReply, error) {
+	data, err := json.Marshal(req)
+	if err != nil {
+		return LeaseReply{}, trace.Wrap(err)
+	}
+	v, err := c.call(ctx, http.MethodPost, PathLease+name, nil, data, 0)
+	if err != nil {
+		return LeaseReply{}, err
+	}
+	var reply LeaseReply
+	if err := json.Unmarshal(v.Data, &reply); err != nil {
+		return LeaseReply{}, trace.Wrap(err)
+	}
+	return reply, nil
+}
+
+// Release gives a lease back if fence is still its grant.
+func (c *Client) Release(ctx context.Context, name string, fence uint64) error {
+	query := url.Values{"fence": {strconv.FormatUint(fence, 10)}}
+	_, err := c.call(ctx, http.MethodDelete, PathLease+name, query, nil, 0)
+	return err
+}
+
+// Instances returns what changed in the list since a version, waiting for a
+// change if there is none.
+func (c *Client) Instances(ctx context.Context, since uint64, wait time.Duration) ([]share.Listed, uint64, error) {
+	query := url.Values{"since": {strconv.FormatUint(since, 10)}, "wait": {wait.String()}}
+	v, err := c.call(ctx, http.MethodGet, PathInstances, query, nil, wait)
+	if err != nil {
+		return nil, 0, err
+	}
+	var list InstanceList
+	if err := json.Unmarshal(v.Data, &list); err != nil {
+		return nil, 0, trace.Wrap(err)
+	}
+	entries := make([]share.Listed, 0, len(list.Instances))
+	for _, i := range list.Instances {
+		entries = append(entries, i.decode())
+	}
+	return entries, list.Version, nil
+}
+
+// call makes one request and reads its answer whole.
+func (c *Client) call(ctx context.Context, method, path string, query url.Values, body []byte, wait time.Duration) (Value, error) {
+	if c.Called != nil {
+		c.Called()
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	defer cancel()
+	var progress upstream.Progress
+	target := c.base + path
+	if len(query) > 0 {
+		target += "?" + query.Encode()
+	}
+	req, err := http.NewRequestWithContext(progress.Watch(ctx), method, target, bytes.NewReader(body))
+	if err != nil {
+		return Value{}, trace.Wrap(err)
+	}
+	req.GetBody = nil
+	resp, err := c.http.Do(req)
+	if err != nil {
+		if progress.Phase() == attempt.NotSent {
+			return Value{}, trace.Wrap(ErrNotSent, err.Error())
+		}
+		return Value{}, trace.Wrap(err)
+	}
+	defer resp.Body.Close()
+	return readAnswer(resp)
+}
+
+func readAnswer(resp *http.Response) (Value, error) {
+	data, err := io.ReadAll(io.LimitReader(resp.Body, 4*config.MaxEncoded))
+	if err != nil {
+		return Value{}, trace.Wrap(err)
+	}
+	switch resp.StatusCode {
+	case http.StatusOK, http.StatusNotFound:
+	case http.StatusConflict:
+		return Value{}, trace.Wrap(ErrConflict)
+	default:
+		return Value{}, trace.Errorf("the platform answered %d", resp.StatusCode)
+	}
+	revision, _ := strconv.ParseUint(resp.Header.Get(HeaderRevision), 10, 64) // absent means 0
+	if revision == 0 && resp.StatusCode == http.StatusNotFound {
+		data = nil
+	}
+	return Value{Data: data, Revision: revision}, nil
+}
+
+// ConfigKey is the key of the operators' configuration.
+const ConfigKey = "config"
+
+// IntentsKey is the key of a zone's outstanding intents.
+func IntentsKey(zone string) string { return "intents/" + zone }
+
+// LeaseName is the name of a zone's planner lease.
+func LeaseName(zone string) string { return "planner/" + zone }
--- /dev/null
+++ b/internal/platform/wire.go
@@ -0,0 +1,71 @@
+package platform
+
+import "github.com/birchdrift/birchdrift/core/share"
+
+// Paths of the platform's interface.
+const (
+	PathValue     = "/v1/kv/"       // + key: GET (with after, wait), PUT (with expect, ttl), DELETE (with expect)
+	PathLease     = "/v1/leases/"   // + name: POST, DELETE
+	PathInstances = "/v1/instances" // GET (with since, wait)
+)
+
+// Headers of the platform's answers.
+const (
+	// HeaderRevision carries the revision of a value: 0 where there is none.
+	HeaderRevision = "Platform-Revision"
+)
+
+// A LeaseRequest asks for a lease, or renews it.
+type LeaseRequest struct {
+	Holder string `json:"holder"`
+	TermMS int64  `json:"term_ms"`
+	Renew  uint64 `json:"renew,omitempty"` // fence of the grant to renew
+}
+
+// A LeaseReply answers a LeaseRequest.
+type LeaseReply struct {
+	Granted bool   `json:"granted"`
+	Fence   uint64 `json:"fence"`
+	Holder  string `json:"holder"`
+}
+
+// An Instance is one entry of the platform's list.
+type Instance struct {
+	Name    string `json:"name"`
+	Kind    string `json:"kind"` // entry, upstream
+	Zone    string `json:"zone"`
+	Address string `json:"address"`
+	State   string `json:"state"` // live, leaving, gone
+	Version uint64 `json:"version"`
+}
+
+// An InstanceList is what changed in the list since a version.
+type InstanceList struct {
+	Version   uint64     `json:"version"`
+	Instances []Instance `json:"instances"`
+}
+
+// Kinds and states of an Instance.
+const (
+	KindEntry    = "entry"
+	KindUpstream = "upstream"
+	StateLive    = "live"
+	StateLeaving = "leaving"
+	StateGone    = "gone"
+)
+
+func (i Instance) decode() share.Listed {
+	kind := share.Upstream
+	if i.Kind == KindEntry {
+		kind = share.Entry
+	}
+	return share.Listed{
+		Name:    i.Name,
+		Kind:    kind,
+		Zone:    i.Zone,
+		Address: i.Address,
+		Leaving: i.State == StateLeaving,
+		Gone:    i.State == StateGone,
+		Version: i.Version,
+	}
+}
--- /dev/null
+++ b/internal/server/server.go
@@ -0,0 +1,179 @@
+// Package server provides one entry instance as a process: it wires the
+// adapters, the shell and the three listeners together and takes them down
+// again in order.
+package server
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/gravitational/trace"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/birchdrift/birchdrift/core/instance"
+	"github.com/birchdrift/birchdrift/internal/engine"
+	"github.com/birchdrift/birchdrift/internal/entry"
+	"github.com/birchdrift/birchdrift/internal/ops"
+	"github.com/birchdrift/birchdrift/internal/peer"
+	"github.com/birchdrift/birchdrift/internal/platform"
+	"github.com/birchdrift/birchdrift/internal/service"
+	"github.com/birchdrift/birchdrift/internal/settings"
+	"github.com/birchdrift/birchdrift/internal/shell"
+	"github.com/birchdrift/birchdrift/internal/telemetry"
+	"github.com/birchdrift/birchdrift/internal/upstream"
+)
+
+// maxHeader bounds a request's header, in bytes.
+const maxHeader = 64 << 10
+
+// closeTime bounds how long listeners may take to close after the last call.
+const closeTime = 5 * time.Second
+
+// A Server is one entry instance.
+type Server struct {
+	set       settings.Settings
+	log       logr.Logger
+	tracer    *telemetry.Tracer
+	shell     *shell.Shell
+	listeners []*listener
+	cancel    context.CancelFunc
+}
+
+// A listener is one bound listener with its server.
+type listener struct {
+	name string
+	net  net.Listener
+	http *http.Server
+}
+
+// New binds the listeners and wires the instance; Run starts it. Logs go to
+// logs, spans to spans.
+func New(set settings.Settings, logs, spans io.Writer) (*Server, error) {
+	log := telemetry.NewLogger(logs, set.LogLevel, set.Name, set.Zone)
+	tracer, err := telemetry.NewTracer(spans, set.Name, set.Zone, set.TraceShare)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	s := &Server{set: set, log: log, tracer: tracer}
+	if err := s.bind(); err != nil {
+		return nil, err
+	}
+	s.wire()
+	return s, nil
+}
+
+func (s *Server) bind() error {
+	for _, l := range []struct{ name, address string }{
+		{"callers", s.set.Callers}, {"peers", s.set.Peers}, {"operations", s.set.Operations},
+	} {
+		bound, err := net.Listen("tcp", l.address)
+		if err != nil {
+			for _, open := range s.listeners {
+				_ = open.net.Close() // the process ends anyhow
+			}
+			return trace.Wrap(err, "listening for %s", l.name)
+		}
+		s.listeners = append(s.listeners, &listener{name: l.name, net: bound})
+	}
+	if s.set.Advertise == "" {
+		s.set.Advertise = s.listeners[1].net.Addr().String()
+	}
+	return nil
+}
+
+func (s *Server) wire() {
+	metrics := telemetry.NewMetrics()
+	transports := upstream.NewTransports()
+	self := instance.Identity{
+		Name: s.set.Name, Zone: s.set.Zone, Address: s.set.Advertise,
+		Boot: uint64(time.Now().UnixNano()), Seeds: s.set.Seeds,
+	}
+	adapters := shell.Adapters{
+		Platform: platform.NewClient(s.set.Platform, transports),
+		Engine:   engine.NewClient(transports),
+		Peer:     peer.NewClient(&http.Client{Transport: transports.Reused}, s.set.PeerKey),
+	}
+	adapters.Platform.Called = metrics.PlatformCall
+	ctx, cancel := context.WithCancel(context.Background())
+	s.cancel = cancel
+	s.shell = shell.New(ctx, self, instance.New(self, s.set.Options(), self.Boot), adapters, s.log, metrics)
+	callers := &entry.Handler{
+		Shell: s.shell, Engine: adapters.Engine, Service: service.NewClient(transports),
+		Metrics: metrics, Tracer: s.tracer, Log: s.log, Instance: s.set.Name, MaxBody: s.set.MaxBody,
+	}
+	handlers := []http.Handler{
+		callers.Routes(),
+		peer.Server{Take: s.shell.Take}.Handler(s.set.PeerKey),
+		ops.Handler{Shell: s.shell, Metrics: metrics, Key: s.set.OpsKey}.Routes(),
+	}
+	for i, l := range s.listeners {
+		l.http = &http.Server{
+			Handler:           handlers[i],
+			ReadHeaderTimeout: s.set.HeaderTime,
+			IdleTimeout:       s.set.IdleTime,
+			MaxHeaderBytes:    maxHeader,
+		}
+	}
+}
+
+// Addresses returns the bound addresses of the callers', peers' and
+// operations listeners.
+func (s *Server) Addresses() (callers, peers, operations string) {
+	return s.listeners[0].net.Addr().String(), s.listeners[1].net.Addr().String(), s.listeners[2].net.Addr().String()
+}
+
+// Run serves until a planned stop is complete. SIGTERM or SIGINT begins the
+// stop, a second one ends it at once. It returns how many calls were cut off.
+func (s *Server) Run() (int, error) {
+	var group errgroup.Group
+	group.Go(s.shell.Run)
+	callers, peers, operations := s.Addresses()
+	s.log.Info("listening", "event", int(instance.NoteListening), "callers", callers, "peers", peers, "operations", operations)
+	for _, l := range s.listeners {
+		group.Go(func() error {
+			if err := l.http.Serve(l.net); !errors.Is(err, http.ErrServerClosed) {
+				return trace.Wrap(err)
+			}
+			return nil
+		})
+	}
+	exit := s.awaitExit()
+	s.close()
+	return exit.Cut, group.Wait()
+}
+
+func (s *Server) awaitExit() instance.Exit {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(signals)
+	for {
+		select {
+		case <-signals:
+			s.shell.Stop()
+		case exit := <-s.shell.Exited():
+			return exit
+		}
+	}
+}
+
+// close takes the listeners down. Handlers whose calls were cut still have
+// their final word to write, so connections get a moment.
+func (s *Server) close() {
+	ctx, done := context.WithTimeout(context.Background(), closeTime)
+	defer done()
+	for _, l := range s.listeners {
+		if err := l.http.Shutdown(ctx); err != nil {
+			_ = l.http.Close() // what is left had its moment
+		}
+	}
+	s.cancel()
+	_ = s.tracer.Stop(ctx) // spans that cannot be written are lost with the process
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,227 @@
+// Package settings provides the process settings of an entry instance: one
+// typed table from which the flags, the environment variables, the checks and
+// docs/settings.md all come.
+//
+// Every fault is reported at once, with the setting's name, its value and what
+// is allowed, so that an operator mends a start-up in one go. Secrets are never
+// shown.
+package settings
+
+import (
+	"fmt"
+	"log/slog"
+	"net/netip"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/birchdrift/birchdrift/core/code"
+	"github.com/birchdrift/birchdrift/core/instance"
+)
+
+// EnvPrefix begins every environment variable.
+const EnvPrefix = "BIRCHDRIFT_"
+
+// Settings are the checked settings of one process.
+type Settings struct {
+	Name        string
+	Zone        string
+	Callers     string // IP:port of the callers' listener
+	Peers       string // IP:port of the peers' listener
+	Operations  string // IP:port of the operations listener
+	Advertise   string // IP:port at which peers reach the peers' listener
+	Platform    string // IP:port
+	Seeds       []string
+	PeerKey     string
+	OpsKey      string
+	LogLevel    slog.Level
+	TraceShare  float64
+	MaxBody     int64
+	HeaderTime  time.Duration
+	IdleTime    time.Duration
+	Stall       time.Duration
+	MaxWaiting  int
+	DefaultWait time.Duration
+	StopDelay   time.Duration
+	StopLimit   time.Duration
+	LeaseTerm   time.Duration
+	Exchange    time.Duration
+	ReadEvery   time.Duration
+}
+
+// A Setting is one row of the table.
+type Setting struct {
+	Name    string // of the flag; the variable is derived from it
+	Default string
+	Allowed string // in words
+	Meaning string
+	Secret  bool
+	set     func(s *Settings, value string) bool // false if the value is not allowed
+}
+
+// Env returns the setting's environment variable.
+func (s Setting) Env() string {
+	return EnvPrefix + strings.ToUpper(strings.ReplaceAll(s.Name, "-", "_"))
+}
+
+const (
+	allowedAddress = "IP:port, no hostname"
+	maxDuration    = 24 * time.Hour
+)
+
+// Table lists every setting.
+var Table = []Setting{
+	{"name", "", "letters, digits, '.', '_', '-'", "Name of this instance, unique in the fleet.", false, name(func(s *Settings) *string { return &s.Name })},
+	{"zone", "", "letters, digits, '.', '_', '-'", "Availability zone of this instance, as the configuration names it.", false, name(func(s *Settings) *string { return &s.Zone })},
+	{"listen-callers", "127.0.0.1:8080", allowedAddress, "Listener for callers.", false, address(func(s *Settings) *string { return &s.Callers })},
+	{"listen-peers", "127.0.0.1:8081", allowedAddress, "Listener for the other entry instances.", false, address(func(s *Settings) *string { return &s.Peers })},
+	{"listen-operations", "127.0.0.1:8082", allowedAddress, "Listener for health, readiness, metrics and status.", false, address(func(s *Settings) *string { return &s.Operations })},
+	{"advertise-peers", "", allowedAddress + "; empty: the address that was bound", "Address at which other entry instances reach the peers' listener.", false, optional(address(func(s *Settings) *string { return &s.Advertise }))},
+	{"platform", "", allowedAddress, "The platform's key-value service.", false, address(func(s *Settings) *string { return &s.Platform })},
+	{"seed-peers", "", "IP:port, separated by commas", "Peers to ask while the platform's list is not known.", false, seeds},
+	{"peer-key", "", "any text", "Key that entry instances show each other.", true, text(func(s *Settings) *string { return &s.PeerKey })},
+	{"operations-key", "", "any text", "Key that changing calls on the operations listener must show; empty switches those calls off.", true, text(func(s *Settings) *string { return &s.OpsKey })},
+	{"log-level", "info", "debug, info, warn or error", "Least level of log lines.", false, level},
+	{"trace-share", "0", "0 to 1", "Share of calls whose spans are written to standard output.", false, share},
+	{"max-body", "4194304", "1024 to 1073741824", "Largest body of a model call, in bytes.", false, integer(func(s *Settings) *int64 { return &s.MaxBody }, 1024, 1<<30)},
+	{"header-time", "10s", "100ms to 24h", "Time a caller may take to send a request's header.", false, duration(func(s *Settings) *time.Duration { return &s.HeaderTime }, 100*time.Millisecond)},
+	{"idle-time", "2m", "100ms to 24h", "Time a caller's connection may be idle.", false, duration(func(s *Settings) *time.Duration { return &s.IdleTime }, 100*time.Millisecond)},
+	{"stall", "10s", "100ms to 24h", "Silence of an upstream after which an attempt counts as broken.", false, duration(func(s *Settings) *time.Duration { return &s.Stall }, 100*time.Millisecond)},
+	{"max-waiting", "512", "1 to 100000", "Calls that may wait here for a replica.", false, count(func(s *Settings) *int { return &s.MaxWaiting }, 1, 100000)},
+	{"default-wait", "10s", "0s to 24h", "How late a first token may be where no policy says.", false, duration(func(s *Settings) *time.Duration { return &s.DefaultWait }, 0)},
+	{"stop-delay", "3s", "0s to 24h", "Time a stopping instance goes on taking calls, for the balancer to notice.", false, duration(func(s *Settings) *time.Duration { return &s.StopDelay }, 0)},
+	{"stop-limit", "10m", "0s to 24h", "Time after which a stop cuts off the calls that are left.", false, duration(func(s *Settings) *time.Duration { return &s.StopLimit }, 0)},
+	{"lease-term", "10s", "500ms to 24h", "Term of the zone planner's lease.", false, duration(func(s *Settings) *time.Duration { return &s.LeaseTerm }, 500*time.Millisecond)},
+	{"exchange-every", "2s", "50ms to 24h", "Spacing of the exchanges with peers.", false, duration(func(s *Settings) *time.Duration { return &s.Exchange }, 50*time.Millisecond)},
+	{"read-every", "1s", "50ms to 24h", "Spacing of the reads of one engine's state.", false, duration(func(s *Settings) *time.Duration { return &s.ReadEvery }, 50*time.Millisecond)},
+}
+
+// Flags returns the command-line flags of the table.
+func Flags() []cli.Flag {
+	flags := make([]cli.Flag, 0, len(Table))
+	for _, s := range Table {
+		flags = append(flags, &cli.StringFlag{
+			Name:        s.Name,
+			Value:       s.Default,
+			Usage:       s.Meaning + " (" + s.Allowed + ")",
+			Sources:     cli.EnvVars(s.Env()),
+			HideDefault: s.Default == "",
+		})
+	}
+	return flags
+}
+
+// Parse checks every setting and returns all faults.
+func Parse(value func(name string) string) (Settings, []*code.Error) {
+	var s Settings
+	var faults []*code.Error
+	for _, row := range Table {
+		v := value(row.Name)
+		if row.set(&s, v) {
+			continue
+		}
+		shown := strconv.Quote(v)
+		if row.Secret {
+			shown = "(secret)"
+		}
+		faults = append(faults, code.Errorf(code.BadSetting, "--%s (%s) is %s; allowed: %s", row.Name, row.Env(), shown, row.Allowed))
+	}
+	return s, faults
+}
+
+// Options returns the machine's tunables.
+func (s Settings) Options() instance.Options {
+	opt := instance.DefaultOptions()
+	opt.Stall = s.Stall
+	opt.MaxWaiting = s.MaxWaiting
+	opt.DefaultWait = s.DefaultWait
+	opt.StopDelay = s.StopDelay
+	opt.StopLimit = s.StopLimit
+	opt.LeaseTerm = s.LeaseTerm
+	opt.ExchangeEvery = s.Exchange
+	opt.ReadEvery = s.ReadEvery
+	return opt
+}
+
+type setter = func(s *Settings, value string) bool
+
+func text(field func(*Settings) *string) setter {
+	return func(s *Settings, v string) bool {
+		*field(s) = v
+		return true
+	}
+}
+
+var nameRE = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$`)
+
+func name(field func(*Settings) *string) setter {
+	return func(s *Settings, v string) bool {
+		*field(s) = v
+		return nameRE.MatchString(v)
+	}
+}
+
+func address(field func(*Settings) *string) setter {
+	return func(s *Settings, v string) bool {
+		*field(s) = v
+		_, err := netip.ParseAddrPort(v)
+		return err == nil
+	}
+}
+
+func optional(set setter) setter {
+	return func(s *Settings, v string) bool { return v == "" || set(s, v) }
+}
+
+func seeds(s *Settings, v string) bool {
+	for _, a := range strings.Split(v, ",") {
+		if a = strings.TrimSpace(a); a == "" {
+			continue
+		}
+		if _, err := netip.ParseAddrPort(a); err != nil {
+			return false
+		}
+		s.Seeds = append(s.Seeds, a)
+	}
+	return true
+}
+
+func level(s *Settings, v string) bool { return s.LogLevel.UnmarshalText([]byte(v)) == nil }
+
+func share(s *Settings, v string) bool {
+	f, err := strconv.ParseFloat(v, 64)
+	s.TraceShare = f
+	return err == nil && f >= 0 && f <= 1
+}
+
+func integer(field func(*Settings) *int64, least, most int64) setter {
+	return func(s *Settings, v string) bool {
+		n, err := strconv.ParseInt(v, 10, 64)
+		*field(s) = n
+		return err == nil && n >= least && n <= most
+	}
+}
+
+func count(field func(*Settings) *int, least, most int) setter {
+	return func(s *Settings, v string) bool {
+		n, err := strconv.Atoi(v)
+		*field(s) = n
+		return err == nil && n >= least && n <= most
+	}
+}
+
+func duration(field func(*Settings) *time.Duration, least time.Duration) setter {
+	return func(s *Settings, v string) bool {
+		d, err := time.ParseDuration(v)
+		*field(s) = d
+		return err == nil && d >= least && d <= maxDuration
+	}
+}
+
+// String returns the settings as they are logged, without secrets.
+func (s Settings) String() string {
+	return fmt.Sprintf("callers=%s peers=%s operations=%s platform=%s", s.Callers, s.Peers, s.Operations, s.Platform)
+}
--- /dev/null
+++ b/internal/shell/actions.go
@@ -0,0 +1,282 @@
+package shell
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/birchdrift/birchdrift/core/config"
+	"github.com/birchdrift/birchdrift/core/instance"
+	"github.com/birchdrift/birchdrift/core/share"
+	"github.com/birchdrift/birchdrift/internal/platform"
+)
+
+// Time limits of single requests.
+const (
+	engineTimeout   = 2 * time.Second
+	exchangeTimeout = 2 * time.Second
+	claimTimeout    = time.Second
+)
+
+// carryOut does what the machine asked for. Whatever can wait on the outside
+// runs in a worker and posts its reply.
+func (s *Shell) carryOut(a instance.Action) {
+	s.metrics.Action(a)
+	switch act := a.(type) {
+	case instance.Dispatch:
+		s.deliver(act.ID, act)
+	case instance.Finish:
+		s.deliver(act.ID, act)
+		delete(s.calls, act.ID)
+	case instance.Cancel:
+		s.work(func(ctx context.Context) { s.cancel(ctx, act) })
+	case instance.Claim:
+		s.work(func(ctx context.Context) { s.claim(ctx, act) })
+	case instance.ReadClaim:
+		s.work(func(ctx context.Context) { s.readClaim(ctx, act) })
+	case instance.ReleaseClaim:
+		s.work(func(ctx context.Context) { s.releaseClaim(ctx, act) })
+	case instance.WatchConfig:
+		s.work(func(ctx context.Context) { s.watchConfig(ctx, act) })
+	case instance.WatchList:
+		s.work(func(ctx context.Context) { s.watchList(ctx, act) })
+	case instance.SeekLease:
+		s.work(func(ctx context.Context) { s.seekLease(ctx, act) })
+	case instance.ReleaseLease:
+		s.work(func(ctx context.Context) { s.releaseLease(ctx, act) })
+	case instance.ReadIntents:
+		s.work(s.readIntents)
+	case instance.WriteIntents:
+		s.work(func(ctx context.Context) { s.writeIntents(ctx, act) })
+	case instance.ReadState:
+		s.work(func(ctx context.Context) { s.readState(ctx, act) })
+	case instance.SendOrder:
+		s.work(func(ctx context.Context) { s.sendOrder(ctx, act) })
+	case instance.Exchange:
+		s.work(func(ctx context.Context) { s.exchange(ctx, act) })
+	case instance.Answer:
+		if reply, ok := s.asks[act.Token]; ok {
+			reply <- act.Message
+			delete(s.asks, act.Token)
+		}
+	case instance.Install:
+		s.snapshot.install = act.Snapshot
+	case instance.Note:
+		s.log.Info(noteName(act.Event), append([]any{"event", int(act.Event)}, act.Fields...)...)
+	case instance.Exit:
+		s.exited <- act
+	}
+}
+
+// noteName looks a log event up in the catalogue.
+func noteName(n instance.Number) string {
+	for _, e := range instance.Catalogue {
+		if e.Number == n {
+			return e.Name
+		}
+	}
+	return fmt.Sprintf("event_%d", n)
+}
+
+func (s *Shell) work(f func(ctx context.Context)) {
+	s.workers.Go(func() { f(s.ctx) })
+}
+
+func (s *Shell) deliver(id instance.CallID, a instance.Action) {
+	actions, ok := s.calls[id]
+	if !ok {
+		return // its handler has ended
+	}
+	select {
+	case actions <- a:
+	default:
+		s.log.Error(nil, "bug", "event", int(instance.NoteBug), "detail", "a call's mailbox is full", "call", uint64(id))
+	}
+}
+
+// CallName is a call's identity outside this instance.
+func (s *Shell) CallName(id instance.CallID, attempt int) string {
+	return fmt.Sprintf("%s-%x-%d-%d", s.self.Name, s.self.Boot, id, attempt)
+}
+
+func (s *Shell) cancel(ctx context.Context, a instance.Cancel) {
+	ctx, done := context.WithTimeout(ctx, engineTimeout)
+	defer done()
+	// Closing the stream cancels as well; this word only frees the sequence
+	// sooner, so a failure needs no second try.
+	_ = s.adapters.Engine.Cancel(ctx, a.Address, s.CallName(a.ID, a.Attempt))
+}
+
+func (s *Shell) claimValue(id instance.CallID) []byte {
+	return fmt.Appendf(nil, "%s/%x/%d", s.self.Name, s.self.Boot, id)
+}
+
+func (s *Shell) claim(ctx context.Context, a instance.Claim) {
+	ctx, done := context.WithTimeout(ctx, claimTimeout)
+	defer done()
+	_, err := s.adapters.Platform.Swap(ctx, a.Key, s.claimValue(a.ID), 0, a.Life)
+	s.post(instance.ClaimReply{ID: a.ID, Outcome: claimOutcome(err)})
+}
+
+func claimOutcome(err error) instance.ClaimOutcome {
+	switch {
+	case err == nil:
+		return instance.ClaimWon
+	case errors.Is(err, platform.ErrConflict):
+		// The first of two requests whose answer was lost conflicts with the
+		// second, so a conflict alone does not say that another won.
+		return instance.ClaimUnknown
+	case errors.Is(err, platform.ErrNotSent):
+		return instance.ClaimNotSent
+	default:
+		return instance.ClaimUnknown
+	}
+}
+
+func (s *Shell) readClaim(ctx context.Context, a instance.ReadClaim) {
+	ctx, done := context.WithTimeout(ctx, claimTimeout)
+	defer done()
+	v, err := s.adapters.Platform.Get(ctx, a.Key, 0, 0)
+	outcome := instance.ClaimLost
+	switch {
+	case err != nil:
+		outcome = instance.ClaimUnknown
+	case v.Revision == 0:
+		outcome = instance.ClaimAbsent
+	case string(v.Data) == string(s.claimValue(a.ID)):
+		outcome = instance.ClaimWon
+	}
+	s.post(instance.ClaimReply{ID: a.ID, Outcome: outcome})
+}
+
+// releaseClaim drops the claim if it is this call's. It is best effort: a claim
+// that stays refuses its key until it expires, and runs nothing.
+func (s *Shell) releaseClaim(ctx context.Context, a instance.ReleaseClaim) {
+	ctx, done := context.WithTimeout(ctx, claimTimeout)
+	defer done()
+	v, err := s.adapters.Platform.Get(ctx, a.Key, 0, 0)
+	if err != nil || string(v.Data) != string(s.claimValue(a.ID)) {
+		return
+	}
+	_ = s.adapters.Platform.Delete(ctx, a.Key, v.Revision)
+}
+
+// watchConfig waits for a configuration newer than the one had. The platform
+// orders values by its own revisions, which this shell remembers; the document
+// carries the revision that decides.
+func (s *Shell) watchConfig(ctx context.Context, a instance.WatchConfig) {
+	after := s.configSeen.Load()
+	if a.Have == 0 {
+		after = 0
+	}
+	v, err := s.adapters.Platform.Get(ctx, platform.ConfigKey, after, a.Wait)
+	if err != nil {
+		s.post(instance.ConfigReply{Source: instance.PlatformSource, Err: err})
+		return
+	}
+	if v.Revision == 0 || v.Revision == after {
+		s.post(instance.ConfigReply{Source: instance.PlatformSource})
+		return
+	}
+	s.configSeen.Store(v.Revision)
+	s.postConfig(v.Data, instance.PlatformSource)
+}
+
+// postConfig indexes a configuration off the machine's goroutine, which would
+// stand still for it, and posts it.
+func (s *Shell) postConfig(data []byte, source string) {
+	snapshot, err := loadConfig(data)
+	if err != nil {
+		s.log.Info(noteName(instance.NoteConfigFailed), "event", int(instance.NoteConfigFailed), "source", source, "error", err.Error())
+		s.post(instance.ConfigReply{Source: source})
+		return
+	}
+	s.post(instance.ConfigReply{Snapshot: snapshot, Encoded: data, Source: source})
+}
+
+func loadConfig(data []byte) (*config.Snapshot, error) {
+	doc, err := config.Decode(data)
+	if err != nil {
+		return nil, err
+	}
+	return config.NewSnapshot(doc)
+}
+
+// decodeConfig takes in the configuration that a peer's message carries.
+func (s *Shell) decodeConfig(msg share.Message) {
+	if len(msg.Config) == 0 || msg.Revision <= s.Config().Revision() {
+		return
+	}
+	s.work(func(context.Context) { s.postConfig(msg.Config, msg.From) })
+}
+
+func (s *Shell) watchList(ctx context.Context, a instance.WatchList) {
+	entries, version, err := s.adapters.Platform.Instances(ctx, a.Since, a.Wait)
+	s.post(instance.ListReply{Entries: entries, Version: version, Err: err})
+}
+
+func (s *Shell) holder() string { return fmt.Sprintf("%s/%x", s.self.Name, s.self.Boot) }
+
+func (s *Shell) seekLease(ctx context.Context, a instance.SeekLease) {
+	sent := s.Now()
+	reply, err := s.adapters.Platform.Lease(ctx, platform.LeaseName(s.self.Zone), platform.LeaseRequest{
+		Holder: s.holder(), TermMS: a.Term.Milliseconds(), Renew: a.Renew,
+	})
+	s.post(instance.LeaseReply{Sent: sent, Granted: reply.Granted, Fence: reply.Fence, Holder: reply.Holder, Err: err})
+}
+
+func (s *Shell) releaseLease(ctx context.Context, a instance.ReleaseLease) {
+	// Best effort: a lease that is not released lapses.
+	_ = s.adapters.Platform.Release(ctx, platform.LeaseName(s.self.Zone), a.Fence)
+}
+
+func (s *Shell) readIntents(ctx context.Context) {
+	v, err := s.adapters.Platform.Get(ctx, platform.IntentsKey(s.self.Zone), 0, 0)
+	reply := instance.IntentsReply{Read: true, Revision: v.Revision, Err: err}
+	if err == nil && len(v.Data) > 0 {
+		reply.Err = json.Unmarshal(v.Data, &reply.Intents)
+	}
+	s.post(reply)
+}
+
+func (s *Shell) writeIntents(ctx context.Context, a instance.WriteIntents) {
+	reply := instance.IntentsReply{Intents: a.Intents}
+	data, err := json.Marshal(a.Intents)
+	if err == nil {
+		reply.Revision, err = s.adapters.Platform.Swap(ctx, platform.IntentsKey(s.self.Zone), data, a.Revision, 0)
+	}
+	reply.Conflict = errors.Is(err, platform.ErrConflict)
+	if !reply.Conflict {
+		reply.Err = err
+	}
+	s.post(reply)
+}
+
+func (s *Shell) readState(ctx context.Context, a instance.ReadState) {
+	ctx, done := context.WithTimeout(ctx, engineTimeout)
+	defer done()
+	state, err := s.adapters.Engine.State(ctx, a.Address)
+	s.post(instance.StateReply{Engine: a.Engine, State: state, Err: err})
+}
+
+func (s *Shell) sendOrder(ctx context.Context, a instance.SendOrder) {
+	ctx, done := context.WithTimeout(ctx, engineTimeout)
+	defer done()
+	base := ""
+	if cfg := s.Config(); cfg != nil {
+		base = cfg.Base(a.Order.Item)
+	}
+	s.post(s.adapters.Engine.Order(ctx, a.Address, a.Order, base))
+}
+
+func (s *Shell) exchange(ctx context.Context, a instance.Exchange) {
+	ctx, done := context.WithTimeout(ctx, exchangeTimeout)
+	defer done()
+	reply, err := s.adapters.Peer.Exchange(ctx, a.Address, a.Message)
+	if err == nil {
+		s.decodeConfig(reply)
+	}
+	s.post(instance.ExchangeReply{Peer: a.Peer, Address: a.Address, Message: reply, Err: err})
+}
--- /dev/null
+++ b/internal/shell/shell.go
@@ -0,0 +1,210 @@
+// Package shell provides the process round the state machine of core/instance:
+// the goroutine that owns it, the clock, and the workers that carry out its
+// actions. It decides nothing.
+//
+// Invariants: only Run's goroutine touches the machine; every action that has
+// a reply gets exactly one, also on error; a call's actions reach its handler
+// in the order in which the machine gave them.
+package shell
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/birchdrift/birchdrift/core/clock"
+	"github.com/birchdrift/birchdrift/core/config"
+	"github.com/birchdrift/birchdrift/core/instance"
+	"github.com/birchdrift/birchdrift/core/share"
+	"github.com/birchdrift/birchdrift/internal/engine"
+	"github.com/birchdrift/birchdrift/internal/peer"
+	"github.com/birchdrift/birchdrift/internal/platform"
+	"github.com/birchdrift/birchdrift/internal/telemetry"
+)
+
+// eventQueue is how many events may wait for the machine.
+const eventQueue = 4096
+
+// mailbox is how many actions may wait for one call's handler. The machine
+// gives a call one action at a time and waits for its outcome.
+const mailbox = 4
+
+// Adapters are the ways to the outside that actions are carried out over.
+type Adapters struct {
+	Platform *platform.Client
+	Engine   *engine.Client
+	Peer     *peer.Client
+}
+
+// A Shell runs one machine.
+type Shell struct {
+	machine  *instance.Machine
+	self     instance.Identity
+	adapters Adapters
+	log      logr.Logger
+	metrics  *telemetry.Metrics
+	start    time.Time
+
+	events   chan func(*Shell) instance.Event
+	calls    map[instance.CallID]chan instance.Action
+	asks     map[uint64]chan share.Message
+	nextAsk  uint64
+	workers  sync.WaitGroup
+	exited   chan instance.Exit
+	ctx      context.Context
+	snapshot snapshotCell
+	// configSeen is the platform's revision of the configuration last read.
+	configSeen atomic.Uint64
+}
+
+// New returns a shell that lives as long as ctx; Run starts it.
+func New(ctx context.Context, self instance.Identity, m *instance.Machine, a Adapters, log logr.Logger, metrics *telemetry.Metrics) *Shell {
+	return &Shell{
+		machine:  m,
+		self:     self,
+		adapters: a,
+		log:      log,
+		metrics:  metrics,
+		start:    time.Now(),
+		events:   make(chan func(*Shell) instance.Event, eventQueue),
+		calls:    map[instance.CallID]chan instance.Action{},
+		asks:     map[uint64]chan share.Message{},
+		exited:   make(chan instance.Exit, 1),
+		ctx:      ctx,
+	}
+}
+
+// Now reads both clocks. The wall reading is stripped of Go's own monotonic
+// one, or the two could never differ.
+func (s *Shell) Now() clock.Instant {
+	t := time.Now()
+	return clock.Instant{Mono: t.Sub(s.start) + time.Second, Wall: t.Round(0)}
+}
+
+// Run owns the machine until the shell's context ends, then waits for the
+// workers.
+func (s *Shell) Run() error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	defer s.workers.Wait()
+	for {
+		select {
+		case <-s.ctx.Done():
+			return nil
+		case do := <-s.events:
+			if ev := do(s); ev != nil {
+				s.step(ev)
+			}
+		case <-timer.C:
+			s.step(instance.Tick{})
+		}
+		timer.Reset(s.machine.NextWake())
+	}
+}
+
+func (s *Shell) step(ev instance.Event) {
+	for _, a := range s.machine.Step(s.Now(), ev) {
+		s.carryOut(a)
+	}
+	s.snapshot.publish(s.machine)
+}
+
+// post hands an event to the machine's goroutine.
+func (s *Shell) post(ev instance.Event) {
+	s.do(func(*Shell) instance.Event { return ev })
+}
+
+// do runs f on the machine's goroutine; the event it returns, if any, is
+// stepped. Nothing happens once the shell has ended.
+func (s *Shell) do(f func(*Shell) instance.Event) {
+	select {
+	case s.events <- f:
+	case <-s.ctx.Done():
+	}
+}
+
+// Exited delivers the machine's Exit after a stop.
+func (s *Shell) Exited() <-chan instance.Exit { return s.exited }
+
+// Stop begins a planned stop, or ends one that is under way.
+func (s *Shell) Stop() { s.post(instance.Stop{}) }
+
+// Config returns the configuration in force, nil if there is none.
+func (s *Shell) Config() *config.Snapshot { return s.snapshot.config() }
+
+// Ready reports whether the balancer should send calls here, and if not, why.
+func (s *Shell) Ready() (bool, string) { return s.snapshot.ready() }
+
+// Status asks the machine for its state.
+func (s *Shell) Status(ctx context.Context) (instance.Status, error) {
+	reply := make(chan instance.Status, 1)
+	s.do(func(s *Shell) instance.Event {
+		reply <- s.machine.Status(s.Now())
+		return nil
+	})
+	select {
+	case st := <-reply:
+		return st, nil
+	case <-ctx.Done():
+		return instance.Status{}, ctx.Err()
+	}
+}
+
+// A Session is the handler's side of one call.
+type Session struct {
+	ID      instance.CallID
+	Actions <-chan instance.Action // Dispatch or Finish
+	shell   *Shell
+}
+
+// Begin brings a call to the machine.
+func (s *Shell) Begin(call instance.Call) Session {
+	actions := make(chan instance.Action, mailbox)
+	s.do(func(s *Shell) instance.Event {
+		s.calls[call.ID] = actions
+		return instance.Arrive{Call: call}
+	})
+	return Session{ID: call.ID, Actions: actions, shell: s}
+}
+
+// First tells the machine that the first piece came.
+func (c Session) First() { c.shell.post(instance.First{ID: c.ID}) }
+
+// Done tells the machine that the answer is whole.
+func (c Session) Done() { c.end(instance.Done{ID: c.ID}) }
+
+// Gone tells the machine that the caller is gone.
+func (c Session) Gone() { c.end(instance.Gone{ID: c.ID}) }
+
+// Broke tells the machine that an attempt broke.
+func (c Session) Broke(b instance.Broke) {
+	b.ID = c.ID
+	c.shell.post(b)
+}
+
+func (c Session) end(ev instance.Event) {
+	c.shell.do(func(s *Shell) instance.Event {
+		delete(s.calls, c.ID)
+		return ev
+	})
+}
+
+// Take answers an exchange that a peer began.
+func (s *Shell) Take(ctx context.Context, msg share.Message) (share.Message, error) {
+	reply := make(chan share.Message, 1)
+	s.do(func(s *Shell) instance.Event {
+		s.nextAsk++
+		s.asks[s.nextAsk] = reply
+		return instance.ExchangeAsked{Token: s.nextAsk, Message: msg}
+	})
+	s.decodeConfig(msg)
+	select {
+	case out := <-reply:
+		return out, nil
+	case <-ctx.Done():
+		return share.Message{}, ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/shell/snapshot.go
@@ -0,0 +1,44 @@
+package shell
+
+import (
+	"sync/atomic"
+
+	"github.com/birchdrift/birchdrift/core/config"
+	"github.com/birchdrift/birchdrift/core/instance"
+)
+
+// A view is what handlers may read without asking the machine. It is immutable.
+type view struct {
+	config *config.Snapshot
+	ready  bool
+	reason string
+}
+
+// A snapshotCell holds the latest view.
+type snapshotCell struct {
+	current atomic.Pointer[view]
+	install *config.Snapshot // written on the machine's goroutine only
+}
+
+func (c *snapshotCell) publish(m *instance.Machine) {
+	ready, reason := m.Ready()
+	old := c.current.Load()
+	if old != nil && old.ready == ready && old.reason == reason && old.config == c.install {
+		return
+	}
+	c.current.Store(&view{config: c.install, ready: ready, reason: reason})
+}
+
+func (c *snapshotCell) config() *config.Snapshot {
+	if v := c.current.Load(); v != nil {
+		return v.config
+	}
+	return nil
+}
+
+func (c *snapshotCell) ready() (bool, string) {
+	if v := c.current.Load(); v != nil {
+		return v.ready, v.reason
+	}
+	return false, "starting"
+}
--- /dev/null
+++ b/internal/telemetry/metrics.go
@@ -0,0 +1,106 @@
+// Package telemetry provides what an instance shows of itself: metrics, traces
+// with a span for each hop, and structured logs of numbered events.
+package telemetry
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/birchdrift/birchdrift/core/instance"
+)
+
+// Metrics are the measures of one instance. They are safe for concurrent use.
+type Metrics struct {
+	set           *metrics.Set
+	platformCalls *metrics.Counter
+	queueTime     *metrics.Histogram
+	firstToken    *metrics.Histogram
+	betweenTokens *metrics.Histogram
+	callTime      *metrics.Histogram
+	retries       *metrics.Counter
+	resumes       *metrics.Counter
+	policyFails   *metrics.Counter
+}
+
+// NewMetrics returns measures that have counted nothing.
+func NewMetrics() *Metrics {
+	set := metrics.NewSet()
+	return &Metrics{
+		set:           set,
+		platformCalls: set.NewCounter("birchdrift_platform_calls_total"),
+		queueTime:     set.NewHistogram("birchdrift_queue_seconds"),
+		firstToken:    set.NewHistogram("birchdrift_first_token_seconds"),
+		betweenTokens: set.NewHistogram("birchdrift_between_tokens_seconds"),
+		callTime:      set.NewHistogram("birchdrift_call_seconds"),
+		retries:       set.NewCounter("birchdrift_retries_total"),
+		resumes:       set.NewCounter("birchdrift_resumes_total"),
+		policyFails:   set.NewCounter("birchdrift_policy_failures_total"),
+	}
+}
+
+// A Row describes one metric for docs/metrics.md.
+type Row struct{ Name, Meaning, Action string }
+
+// Rows lists the metrics with what to do about them.
+var Rows = []Row{
+	{"birchdrift_queue_seconds", "Time a call waited here before it was sent.", "Rising: the zone lacks sequences; see `birchctl status`."},
+	{"birchdrift_first_token_seconds", "Time from a call's arrival to its first piece.", "Above the target for more than 5 in 100: add accelerators or change policies."},
+	{"birchdrift_between_tokens_seconds", "Time between two pieces of one stream.", "Above the target: engines run too many sequences at once."},
+	{"birchdrift_call_seconds", "Time from a call's arrival to its end.", "None by itself."},
+	{"birchdrift_answers_total{code}", "Final answers by numbered code; 0 is success.", "Look the code up in docs/codes.md."},
+	{"birchdrift_retries_total", "Attempts repeated at another replica.", "More than a few in 100 calls: an upstream is failing."},
+	{"birchdrift_resumes_total", "Streams resumed at their offset.", "Rising: connections to upstreams break."},
+	{"birchdrift_policy_failures_total", "Calls for which a policy expression failed.", "Mend the policy; event 1701 names it."},
+	{"birchdrift_platform_calls_total", "Calls made to the platform's key-value service.", "Compare with its rates."},
+	{"birchdrift_orders_total{op}", "Orders sent to engines.", "Loads and unloads are the moves."},
+	{"birchdrift_notes_total{event}", "Log events by number.", "Look the number up in docs/events.md."},
+}
+
+// PlatformCall counts a call to the platform.
+func (m *Metrics) PlatformCall() { m.platformCalls.Inc() }
+
+// Queued notes how long a call waited here.
+func (m *Metrics) Queued(d time.Duration) { m.queueTime.Update(d.Seconds()) }
+
+// First notes the time to a call's first piece.
+func (m *Metrics) First(d time.Duration) { m.firstToken.Update(d.Seconds()) }
+
+// Between notes the time between two pieces.
+func (m *Metrics) Between(d time.Duration) { m.betweenTokens.Update(d.Seconds()) }
+
+// Answered notes a call's end with its numbered code.
+func (m *Metrics) Answered(code int, d time.Duration) {
+	m.callTime.Update(d.Seconds())
+	m.set.GetOrCreateCounter(fmt.Sprintf(`birchdrift_answers_total{code="%d"}`, code)).Inc()
+}
+
+// Action counts what the machine asked for, where that is worth a metric.
+func (m *Metrics) Action(a instance.Action) {
+	switch act := a.(type) {
+	case instance.SendOrder:
+		m.set.GetOrCreateCounter(fmt.Sprintf(`birchdrift_orders_total{op="%s"}`, act.Order.Op)).Inc()
+	case instance.Note:
+		m.note(act.Event)
+	}
+}
+
+func (m *Metrics) note(n instance.Number) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`birchdrift_notes_total{event="%d"}`, n)).Inc()
+	switch n {
+	case instance.NoteCallRetried:
+		m.retries.Inc()
+	case instance.NoteCallResumed:
+		m.resumes.Inc()
+	case instance.NotePolicyFailed:
+		m.policyFails.Inc()
+	}
+}
+
+// Write writes every metric in Prometheus text form.
+func (m *Metrics) Write(w io.Writer) {
+	m.set.WritePrometheus(w)
+	metrics.WriteProcessMetrics(w)
+}
--- /dev/null
+++ b/internal/telemetry/trace.go
@@ -0,0 +1,63 @@
+package telemetry
+
+import (
+	"context"
+	"io"
+	"net/http"
+
+	"github.com/gravitational/trace"
+	"go.opentelemetry.io/otel/exporters/stdout/stdouttrace"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/sdk/resource"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	oteltrace "go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
+
+	"go.opentelemetry.io/otel/attribute"
+)
+
+// A Tracer makes the spans of one instance and carries their context in W3C
+// headers.
+type Tracer struct {
+	oteltrace.Tracer
+	propagator propagation.TraceContext
+	stop       func(context.Context) error
+}
+
+// NewTracer returns a tracer that writes the given share of traces to out as
+// JSON lines, or one that makes no spans when out is nil or the share is 0.
+func NewTracer(out io.Writer, instance, zone string, share float64) (*Tracer, error) {
+	if out == nil || share <= 0 {
+		return &Tracer{
+			Tracer: noop.NewTracerProvider().Tracer("birchdrift"),
+			stop:   func(context.Context) error { return nil },
+		}, nil
+	}
+	exporter, err := stdouttrace.New(stdouttrace.WithWriter(out))
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	provider := sdktrace.NewTracerProvider(
+		sdktrace.WithBatcher(exporter),
+		sdktrace.WithSampler(sdktrace.ParentBased(sdktrace.TraceIDRatioBased(share))),
+		sdktrace.WithResource(resource.NewSchemaless(
+			attribute.String("service.name", "birchdrift"),
+			attribute.String("service.instance.id", instance),
+			attribute.String("cloud.availability_zone", zone),
+		)),
+	)
+	return &Tracer{Tracer: provider.Tracer("birchdrift"), stop: provider.Shutdown}, nil
+}
+
+// Extract returns ctx with the span context that the headers carry.
+func (t *Tracer) Extract(ctx context.Context, h http.Header) context.Context {
+	return t.propagator.Extract(ctx, propagation.HeaderCarrier(h))
+}
+
+// Inject puts the span context of ctx into the headers.
+func (t *Tracer) Inject(ctx context.Context, h http.Header) {
+	t.propagator.Inject(ctx, propagation.HeaderCarrier(h))
+}
+
+// Stop writes out the spans that are left.
+func (t *Tracer) Stop(ctx context.Context) error { return t.stop(ctx) }
