--- /dev/null
+++ b/internal/upstream/upstream.go
@@ -0,0 +1,97 @@
+// Package upstream provides what the adapters for engines and plain services
+// share: HTTP transports that never send a call twice on their own, and the
+// knowledge of how far an attempt's bytes had come when it broke.
+//
+// The subtle case: net/http repeats a request by itself when a reused
+// connection turns out to be closed, and takes an Idempotency-Key header for
+// leave to do so with any method. A call that must not run twice therefore
+// goes over a connection that was never used before, where net/http never
+// repeats. HTTP/2 has repeats of its own and is switched off.
+package upstream
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	"github.com/birchdrift/birchdrift/core/attempt"
+)
+
+// Bounds of connections to upstreams.
+const (
+	dialTimeout = 2 * time.Second
+	idleTimeout = 60 * time.Second
+	idlePerHost = 64
+)
+
+// Transports are the two ways to an upstream.
+type Transports struct {
+	Reused http.RoundTripper // keeps connections; for calls that may be repeated
+	Fresh  http.RoundTripper // a connection for each call; for those that may not
+}
+
+// NewTransports returns transports that speak HTTP/1.1 only.
+func NewTransports() Transports {
+	return Transports{Reused: newTransport(false), Fresh: newTransport(true)}
+}
+
+func newTransport(fresh bool) *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: 15 * time.Second}
+	return &http.Transport{
+		DialContext:         dialer.DialContext,
+		DisableKeepAlives:   fresh,
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: idlePerHost,
+		IdleConnTimeout:     idleTimeout,
+		// A non-nil empty map is how net/http is told to leave HTTP/2 off.
+		TLSNextProto: map[string]func(string, *tls.Conn) http.RoundTripper{},
+	}
+}
+
+// For returns the transport for a call.
+func (t Transports) For(repeatable bool) http.RoundTripper {
+	if repeatable {
+		return t.Reused
+	}
+	return t.Fresh
+}
+
+// A Progress says how far one attempt has come. It is safe for concurrent use.
+type Progress struct{ phase atomic.Int32 }
+
+// Watch returns a context under which a request notes its progress in p. From
+// the moment a connection is handed to the request a byte may leave at any
+// time, so that is where NotSent ends.
+func (p *Progress) Watch(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { p.Reach(attempt.MaybeSent) },
+	})
+}
+
+// Reach notes that the attempt has come as far as phase; it never goes back.
+func (p *Progress) Reach(phase attempt.Phase) {
+	for {
+		old := p.phase.Load()
+		if int32(phase) <= old || p.phase.CompareAndSwap(old, int32(phase)) {
+			return
+		}
+	}
+}
+
+// Phase returns how far the attempt has come.
+func (p *Progress) Phase() attempt.Phase { return attempt.Phase(p.phase.Load()) }
+
+// Headers by which upstreams speak about themselves and their answers.
+const (
+	// HeaderRun is "not_run" on an answer of an upstream that did not run the
+	// call and never will.
+	HeaderRun = "Birchdrift-Run"
+	// HeaderLeaving is "true" on answers of an upstream that is leaving.
+	HeaderLeaving = "Birchdrift-Leaving"
+	// HeaderCall carries the call's identity to the upstream.
+	HeaderCall = "Birchdrift-Call"
+)
--- /dev/null
+++ b/standin/cmd/demo/main.go
@@ -0,0 +1,212 @@
+// Command demo shows the whole path on one machine: a platform, engines, a
+// plain service and three entry instances in two availability zones, each a
+// process of its own. It applies a configuration in the shape of Scirè, sends
+// a plain call, a stream and one that must not be repeated, shows the state,
+// and stops everything that it started.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/birchdrift/birchdrift/internal/control"
+	"github.com/birchdrift/birchdrift/internal/platform"
+	"github.com/birchdrift/birchdrift/internal/upstream"
+	"github.com/birchdrift/birchdrift/standin/fleet"
+	"github.com/birchdrift/birchdrift/standin/shape"
+)
+
+func main() {
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "demo:", err)
+		os.Exit(1)
+	}
+	fmt.Println("demo: everything answered as it should")
+}
+
+// A demo is the processes under way.
+type demo struct {
+	bin       string
+	platform  string
+	addresses map[string]string
+	processes []*fleet.Process
+	instances []*fleet.Instance
+}
+
+// engines is how many engines run; models enough for twice as many are configured.
+const engines = 6
+
+func run() error {
+	root, err := fleet.Root()
+	if err != nil {
+		return err
+	}
+	d := &demo{bin: filepath.Join(root, "bin"), addresses: map[string]string{}}
+	defer d.stop()
+	for _, step := range []func() error{d.startStandins, d.startInstances, d.apply, d.calls, d.status, d.plannedStop} {
+		if err := step(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *demo) stop() {
+	for _, p := range d.processes {
+		p.Kill()
+	}
+}
+
+func (d *demo) standin(name string, args ...string) error {
+	p, address, err := fleet.StartStandin(d.bin, name, args...)
+	if err != nil {
+		return err
+	}
+	d.processes = append(d.processes, p)
+	d.addresses[name] = address
+	return nil
+}
+
+// size is the shape of Scirè on six engines in two zones.
+func size() shape.Size {
+	s := shape.Scire
+	s.Zones = 2
+	s.Engines = engines
+	s.Fits = 4
+	s.Plain = 2
+	return s
+}
+
+func (d *demo) startStandins() error {
+	if err := d.standin("platform", "platform"); err != nil {
+		return err
+	}
+	d.platform = d.addresses["platform"]
+	for i := range engines {
+		name := shape.Engine(i)
+		err := d.standin(name, "engine", "--name", name, "--memory-mib", fmt.Sprint(size().EngineMiB()), "--weight-store", d.platform)
+		if err != nil {
+			return err
+		}
+	}
+	for i := range size().Plain {
+		name := fmt.Sprintf("stock-%d", i+1)
+		if err := d.standin(name, "service", "--name", name); err != nil {
+			return err
+		}
+	}
+	fmt.Printf("demo: %d stand-ins are up\n", len(d.processes))
+	return nil
+}
+
+func (d *demo) startInstances() error {
+	var list []platform.Instance
+	for i, zone := range []string{shape.Zone(0), shape.Zone(0), shape.Zone(1)} {
+		name := fmt.Sprintf("entry-%d", i+1)
+		in, err := fleet.StartInstance(d.bin, fleet.Spec{Name: name, Zone: zone, Platform: d.platform})
+		if err != nil {
+			return err
+		}
+		d.processes = append(d.processes, in.Process)
+		d.instances = append(d.instances, in)
+		list = append(list, platform.Instance{Name: name, Kind: platform.KindEntry, Zone: zone, Address: in.Peers, State: platform.StateLive})
+	}
+	return d.announce(list)
+}
+
+// announce puts the instances into the platform's list, as the platform does
+// by itself for instances that it starts.
+func (d *demo) announce(list []platform.Instance) error {
+	body := &strings.Builder{}
+	if err := writeJSON(body, list); err != nil {
+		return err
+	}
+	req, err := http.NewRequest(http.MethodPut, "http://"+d.platform+platform.PathInstances, strings.NewReader(body.String()))
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	return resp.Body.Close()
+}
+
+func (d *demo) apply() error {
+	doc := size().Document(func(name string) string { return d.addresses[name] })
+	p := platform.NewClient(d.platform, upstream.NewTransports())
+	revision, err := control.Apply(context.Background(), p, doc)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("demo: revision %d accepted: %d models, %d adapters, %d engines\n", revision, len(doc.Models), len(doc.Adapters), len(doc.Engines))
+	begun := time.Now()
+	for _, in := range d.instances {
+		if err := fleet.Await(in.Name+" is ready", in.Ready); err != nil {
+			return errors.Join(err, errors.New(in.Log()))
+		}
+	}
+	fmt.Printf("demo: in force on %d instances after %d ms\n", len(d.instances), time.Since(begun).Milliseconds())
+	return nil
+}
+
+func (d *demo) calls() error {
+	service := shape.Service(0)
+	plain := fmt.Sprintf(`{"model":%q,"max_tokens":8,"messages":[{"role":"user","content":"Which crates go to the parish?"}]}`, service)
+	if err := d.show("plain call", d.instances[0], "/v1/chat/completions", plain, nil); err != nil {
+		return err
+	}
+	stream := strings.Replace(plain, `{"model"`, `{"stream":true,"model"`, 1)
+	if err := d.show("stream", d.instances[2], "/v1/chat/completions", stream, nil); err != nil {
+		return err
+	}
+	once := http.Header{"Idempotency-Key": {"allocation-17"}}
+	if err := d.show("not repeatable", d.instances[1], "/services/stock/allocations", `{"crates":3}`, once); err != nil {
+		return err
+	}
+	again, err := d.instances[2].Post("/services/stock/allocations", `{"crates":3}`, once)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("demo: the same key through %s: %d %s\n", again.Instance, again.Status, strings.TrimSpace(again.Body))
+	if again.Status != http.StatusConflict {
+		return fmt.Errorf("the second call with one key got %d", again.Status)
+	}
+	return nil
+}
+
+func (d *demo) show(what string, in *fleet.Instance, path, body string, header http.Header) error {
+	begun := time.Now()
+	a, err := in.Post(path, body, header)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("demo: %s: %d by %s from %s after %d ms\n%s\n", what, a.Status, a.Instance, a.Upstream, time.Since(begun).Milliseconds(), strings.TrimSpace(a.Body))
+	if a.Status != http.StatusOK || a.Err != nil {
+		return fmt.Errorf("%s: status %d, %v\n%s", what, a.Status, a.Err, in.Log())
+	}
+	return nil
+}
+
+func (d *demo) status() error {
+	var list []string
+	for _, in := range d.instances {
+		list = append(list, in.Operations)
+	}
+	ctl, err := fleet.Start("birchctl", filepath.Join(d.bin, "birchctl"), "status", "--operations", strings.Join(list, ","))
+	if err != nil {
+		return err
+	}
+	code, err := ctl.Wait()
+	fmt.Println(ctl.Log())
+	if err == nil && code != 0 {
+		err = fmt.Errorf("birchctl status ended with %d", code)
+	}
+	return err
+}
--- /dev/null
+++ b/standin/engine/orders.go
@@ -0,0 +1,181 @@
+package engine
+
+import (
+	"encoding/json"
+	"fmt"
+	"log"
+	"net/http"
+	"net/url"
+	"time"
+
+	wire "github.com/birchdrift/birchdrift/internal/engine"
+	"github.com/birchdrift/birchdrift/standin/fault"
+)
+
+// orders takes one order, or misbehaves with it as told.
+func (e *Engine) orders(w http.ResponseWriter, r *http.Request) {
+	var o wire.OrderRequest
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	lost, late := false, time.Duration(0)
+	e.Faults.Update(func(f *Faults) {
+		switch {
+		case f.OrderLost > 0:
+			f.OrderLost--
+			lost = true
+		case f.OrderLate > 0:
+			f.OrderLate--
+			late = time.Duration(f.LateBy)
+		}
+	})
+	if late > 0 {
+		fault.Drop(w)
+		time.AfterFunc(late, func() { e.carryOut(o) })
+		return
+	}
+	reply := e.carryOut(o)
+	if lost {
+		fault.Drop(w)
+		return
+	}
+	writeJSON(w, reply)
+}
+
+// carryOut does what an order says, unless it may not.
+func (e *Engine) carryOut(o wire.OrderRequest) wire.OrderReply {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	result, detail := e.check(o)
+	if result == wire.ResultDone {
+		result, detail = e.apply(o)
+	}
+	return wire.OrderReply{Result: result, Detail: detail, State: e.stateLocked()}
+}
+
+// check compares fence and sequence, if this engine does.
+func (e *Engine) check(o wire.OrderRequest) (string, string) {
+	if !e.opt.ChecksFence {
+		return wire.ResultDone, ""
+	}
+	if o.Fence < e.fence {
+		return wire.ResultFenced, fmt.Sprintf("fence %d, %d was seen", o.Fence, e.fence)
+	}
+	if o.Fence == e.fence && o.Seq <= e.lastOrder {
+		return wire.ResultRefused, fmt.Sprintf("order %d comes after %d", o.Seq, e.lastOrder)
+	}
+	e.fence = o.Fence
+	e.lastOrder = o.Seq
+	return wire.ResultDone, ""
+}
+
+func (e *Engine) apply(o wire.OrderRequest) (string, string) {
+	switch o.Op {
+	case "raise":
+		return wire.ResultDone, ""
+	case "load":
+		return e.load(o)
+	case "unload":
+		return e.unload(o)
+	}
+	return wire.ResultRefused, "no such operation"
+}
+
+func (e *Engine) load(o wire.OrderRequest) (string, string) {
+	if e.items[o.Item] != nil {
+		return wire.ResultDone, "already there"
+	}
+	if e.used()+o.MiB > e.opt.MemoryMiB {
+		// The promise that matters most was nearly broken: say so loudly.
+		e.counts.Overcommits++
+		log.Printf("engine %s: OVERCOMMIT: %d MiB used, %d MiB asked for, %d MiB there are", e.opt.Name, e.used(), o.MiB, e.opt.MemoryMiB)
+		return wire.ResultRefused, "out of memory"
+	}
+	it := &item{phase: "loading", base: o.Base, mib: o.MiB}
+	e.items[o.Item] = it
+	e.change++
+	e.counts.Loads++
+	e.notePeak()
+	go e.finishLoad(o.Item, it)
+	return wire.ResultDone, ""
+}
+
+// finishLoad takes the time that loading takes.
+func (e *Engine) finishLoad(name string, it *item) {
+	var d time.Duration
+	if e.opt.MiBPerSecond > 0 {
+		d = time.Duration(float64(it.mib) / float64(e.opt.MiBPerSecond) * float64(time.Second))
+	}
+	e.fetch(d)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.items[name] == it && it.phase == "loading" {
+		it.phase = "ready"
+		e.change++
+	}
+}
+
+// fetch waits for the weight store, or for as long as it would take.
+func (e *Engine) fetch(d time.Duration) {
+	if e.opt.WeightStore != "" {
+		target := "http://" + e.opt.WeightStore + "/weights/load?time=" + url.QueryEscape(d.String())
+		resp, err := http.Post(target, "", nil)
+		if err == nil {
+			_ = resp.Body.Close()
+			return
+		}
+	}
+	select {
+	case <-time.After(d):
+	case <-e.closed:
+	}
+}
+
+func (e *Engine) unload(o wire.OrderRequest) (string, string) {
+	it := e.items[o.Item]
+	if it == nil {
+		return wire.ResultDone, "not there"
+	}
+	for name, other := range e.items {
+		if other.base == o.Item && other.phase != "unloading" {
+			return wire.ResultRefused, fmt.Sprintf("adapter %q is on it", name)
+		}
+	}
+	if it.phase == "unloading" {
+		return wire.ResultDone, ""
+	}
+	it.phase = "unloading"
+	e.change++
+	e.counts.Unloads++
+	go e.drain(o.Item, it)
+	return wire.ResultDone, ""
+}
+
+// drainPoll is how often a draining item's sequences are counted.
+const drainPoll = 10 * time.Millisecond
+
+// drain drops the item when its last sequence has ended.
+func (e *Engine) drain(name string, it *item) {
+	for {
+		e.mu.Lock()
+		free := it.refs <= 0
+		for _, other := range e.items {
+			free = free && other.base != name
+		}
+		if free {
+			if e.items[name] == it {
+				delete(e.items, name)
+				e.change++
+			}
+			e.mu.Unlock()
+			return
+		}
+		e.mu.Unlock()
+		select {
+		case <-time.After(drainPoll):
+		case <-e.closed:
+			return
+		}
+	}
+}
--- /dev/null
+++ b/standin/fault/fault.go
@@ -0,0 +1,76 @@
+// Package fault provides what the stand-ins share for misbehaving on request:
+// a JSON body posted to /fault replaces the faults in force.
+package fault
+
+import (
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// A Duration is a time.Duration in JSON as "150ms".
+type Duration time.Duration
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (d *Duration) UnmarshalJSON(data []byte) error {
+	var s string
+	if err := json.Unmarshal(data, &s); err != nil {
+		return err
+	}
+	v, err := time.ParseDuration(s)
+	*d = Duration(v)
+	return err
+}
+
+// MarshalJSON implements json.Marshaler.
+func (d Duration) MarshalJSON() ([]byte, error) { return json.Marshal(time.Duration(d).String()) }
+
+// A Switch holds the faults in force of type T. It is safe for concurrent use.
+type Switch[T any] struct {
+	mu     sync.Mutex
+	faults T
+}
+
+// Get returns the faults in force.
+func (s *Switch[T]) Get() T {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
+// Set replaces the faults in force.
+func (s *Switch[T]) Set(f T) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// Update changes the faults in force.
+func (s *Switch[T]) Update(f func(*T)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f(&s.faults)
+}
+
+// Handler serves POST /fault.
+func (s *Switch[T]) Handler() http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var f T
+		if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		s.Set(f)
+	}
+}
+
+// Drop closes the request's connection without an answer, after whatever
+// effect the request had.
+func Drop(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	_ = conn.Close()
+}
--- /dev/null
+++ b/standin/fleet/fleet.go
@@ -0,0 +1,280 @@
+// Package fleet provides entry instances as separate processes round the
+// stand-ins, for the demonstration, the integration tests and the load
+// program. It is a launcher, not a model of anything.
+package fleet
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/birchdrift/birchdrift/core/instance"
+	"github.com/birchdrift/birchdrift/internal/control"
+)
+
+// Patience bounds every wait for a condition.
+const Patience = 30 * time.Second
+
+// poll spaces the looks at a condition.
+const poll = 10 * time.Millisecond
+
+// Build compiles the programs into dir. module is the repository's root.
+func Build(module, dir string) error {
+	for _, b := range []struct{ in, pkg string }{{module, "./cmd/..."}, {filepath.Join(module, "standin"), "./cmd/standin"}} {
+		cmd := exec.Command("go", "build", "-o", dir+string(filepath.Separator), b.pkg)
+		cmd.Dir = b.in
+		if out, err := cmd.CombinedOutput(); err != nil {
+			return fmt.Errorf("go build %s: %w\n%s", b.pkg, err, out)
+		}
+	}
+	return nil
+}
+
+// A Process is one program under way.
+type Process struct {
+	Name   string
+	cmd    *exec.Cmd
+	log    *lines
+	exited chan struct{}
+	status int
+}
+
+// lines gathers a program's output and lets others wait for a line.
+type lines struct {
+	mu      sync.Mutex
+	all     []string
+	changed chan struct{}
+}
+
+func (l *lines) add(line string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.all = append(l.all, line)
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+func (l *lines) snapshot() ([]string, chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]string(nil), l.all...), l.changed
+}
+
+// Start starts a program; its output is kept line by line.
+func Start(name, path string, args ...string) (*Process, error) {
+	p := &Process{Name: name, cmd: exec.Command(path, args...), exited: make(chan struct{})}
+	p.log = &lines{changed: make(chan struct{})}
+	reader, writer := io.Pipe()
+	p.cmd.Stdout = writer
+	p.cmd.Stderr = writer
+	if err := p.cmd.Start(); err != nil {
+		return nil, err
+	}
+	go func() {
+		scanner := bufio.NewScanner(reader)
+		scanner.Buffer(nil, 4<<20)
+		for scanner.Scan() {
+			p.log.add(scanner.Text())
+		}
+	}()
+	go func() {
+		_ = p.cmd.Wait() // the status says what the error would
+		_ = writer.Close()
+		p.status = p.cmd.ProcessState.ExitCode()
+		close(p.exited)
+	}()
+	return p, nil
+}
+
+// AwaitLine returns the first line that holds text.
+func (p *Process) AwaitLine(text string) (string, error) {
+	deadline := time.NewTimer(Patience)
+	defer deadline.Stop()
+	for {
+		all, changed := p.log.snapshot()
+		for _, line := range all {
+			if strings.Contains(line, text) {
+				return line, nil
+			}
+		}
+		select {
+		case <-changed:
+		case <-p.exited:
+			return "", fmt.Errorf("%s exited with %d:\n%s", p.Name, p.status, p.Log())
+		case <-deadline.C:
+			return "", fmt.Errorf("%s: no line with %q:\n%s", p.Name, text, p.Log())
+		}
+	}
+}
+
+// Log returns what the program has written.
+func (p *Process) Log() string {
+	all, _ := p.log.snapshot()
+	return strings.Join(all, "\n")
+}
+
+// Signal sends a signal to this very process.
+func (p *Process) Signal(s syscall.Signal) error { return p.cmd.Process.Signal(s) }
+
+// PID returns the process's id.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
+// Wait waits for the program's end and returns its exit status.
+func (p *Process) Wait() (int, error) {
+	select {
+	case <-p.exited:
+		return p.status, nil
+	case <-time.After(Patience):
+		return 0, fmt.Errorf("%s does not end:\n%s", p.Name, p.Log())
+	}
+}
+
+// Kill ends the program at once and waits for it.
+func (p *Process) Kill() {
+	_ = p.cmd.Process.Kill() // it may have ended already
+	<-p.exited
+}
+
+// An Instance is an entry instance under way.
+type Instance struct {
+	*Process
+	Zone       string
+	Callers    string // IP:port
+	Peers      string
+	Operations string
+}
+
+// A Spec says how to start an entry instance.
+type Spec struct {
+	Name     string
+	Zone     string
+	Platform string
+	Extra    []string // further flags
+}
+
+// StartInstance starts an entry instance on ports that the kernel chooses.
+func StartInstance(bin string, s Spec) (*Instance, error) {
+	args := append([]string{
+		"--name", s.Name, "--zone", s.Zone, "--platform", s.Platform,
+		"--listen-callers", "127.0.0.1:0", "--listen-peers", "127.0.0.1:0", "--listen-operations", "127.0.0.1:0",
+	}, s.Extra...)
+	p, err := Start(s.Name, filepath.Join(bin, "birchdrift"), args...)
+	if err != nil {
+		return nil, err
+	}
+	line, err := p.AwaitLine(`"msg":"listening"`)
+	if err != nil {
+		p.Kill()
+		return nil, err
+	}
+	var where struct{ Callers, Peers, Operations string }
+	if err := json.Unmarshal([]byte(line), &where); err != nil {
+		p.Kill()
+		return nil, err
+	}
+	return &Instance{Process: p, Zone: s.Zone, Callers: where.Callers, Peers: where.Peers, Operations: where.Operations}, nil
+}
+
+// StartStandin starts a stand-in process and returns its address.
+func StartStandin(bin, name string, args ...string) (*Process, string, error) {
+	p, err := Start(name, filepath.Join(bin, "standin"), args...)
+	if err != nil {
+		return nil, "", err
+	}
+	line, err := p.AwaitLine("listening on ")
+	if err != nil {
+		p.Kill()
+		return nil, "", err
+	}
+	return p, line[strings.LastIndex(line, " ")+1:], nil
+}
+
+// Await looks at a condition until it holds.
+func Await(what string, holds func() bool) error {
+	deadline := time.Now().Add(Patience)
+	for !holds() {
+		if time.Now().After(deadline) {
+			return fmt.Errorf("waited %s in vain: %s", Patience, what)
+		}
+		time.Sleep(poll)
+	}
+	return nil
+}
+
+// Status reads the instance's state.
+func (i *Instance) Status() (instance.Status, error) {
+	ctx, done := context.WithTimeout(context.Background(), 5*time.Second)
+	defer done()
+	return control.Ask(ctx, http.DefaultClient, i.Operations)
+}
+
+// Ready reports whether the instance says that it is ready.
+func (i *Instance) Ready() bool {
+	resp, err := http.Get("http://" + i.Operations + "/readyz")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// An Answer is what came back from a call.
+type Answer struct {
+	Status   int
+	Body     string
+	Instance string
+	Upstream string
+	Header   http.Header
+	Err      error // the body was cut
+}
+
+// Post calls an instance's callers' listener.
+func (i *Instance) Post(path, body string, header http.Header) (Answer, error) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+i.Callers+path, bytes.NewBufferString(body))
+	if err != nil {
+		return Answer{}, err
+	}
+	for name, values := range header {
+		req.Header[name] = values
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return Answer{}, err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return Answer{
+		Status: resp.StatusCode, Body: string(data), Header: resp.Header, Err: err,
+		Instance: resp.Header.Get("Birchdrift-Instance"), Upstream: resp.Header.Get("Birchdrift-Upstream"),
+	}, nil
+}
+
+// Root finds the repository's root from the working directory upwards.
+func Root() (string, error) {
+	dir, err := os.Getwd()
+	if err != nil {
+		return "", err
+	}
+	for {
+		if _, err := os.Stat(filepath.Join(dir, "go.work")); err == nil {
+			return dir, nil
+		}
+		parent := filepath.Dir(dir)
+		if parent == dir {
+			return "", fmt.Errorf("no go.work above %s", dir)
+		}
+		dir = parent
+	}
+}
--- /dev/null
+++ b/standin/platform/weights.go
@@ -0,0 +1,59 @@
+package platform
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// weights is the weight store: so many loads begun a second, and so many at
+// once at full speed; more share that speed.
+type weights struct {
+	begin  *rate.Limiter
+	atOnce int
+
+	mu     sync.Mutex
+	active int
+}
+
+func newWeights(l Limits) *weights {
+	return &weights{begin: rate.NewLimiter(rate.Limit(l.LoadsPerSecond), 1), atOnce: l.LoadsAtOnce}
+}
+
+// slice is how often the speed of a load is looked at anew.
+const slice = 20 * time.Millisecond
+
+// load answers when a load that takes `time` at full speed is through.
+func (s *weights) load(_ http.ResponseWriter, r *http.Request) {
+	if s.begin.Wait(r.Context()) != nil {
+		return
+	}
+	left := durationParam(r, "time")
+	s.add(1)
+	defer s.add(-1)
+	for left > 0 {
+		select {
+		case <-time.After(min(slice, left)):
+			left -= time.Duration(float64(min(slice, left)) * s.speed())
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (s *weights) add(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.active += n
+}
+
+func (s *weights) speed() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.active <= s.atOnce {
+		return 1
+	}
+	return float64(s.atOnce) / float64(s.active)
+}
--- /dev/null
+++ b/standin/service/service.go
@@ -0,0 +1,115 @@
+// Package service provides a small stand-in for a plain service, with a ledger
+// of the calls that it executed.
+package service
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/birchdrift/birchdrift/internal/upstream"
+	"github.com/birchdrift/birchdrift/standin/fault"
+)
+
+// Faults are the ways in which the stand-in misbehaves.
+type Faults struct {
+	DropBefore int            `json:"drop_before"` // drop the connection of the next n calls before they run
+	DropAfter  int            `json:"drop_after"`  // drop it after they ran
+	CutBody    int            `json:"cut_body"`    // cut the answers of the next n calls halfway
+	Slow       fault.Duration `json:"slow"`        // added to every call
+	Refuse     int            `json:"refuse"`      // refuse the next n calls as not run
+	Leaving    bool           `json:"leaving"`     // refuse every call as not run, leaving
+}
+
+// An Execution is one call that ran.
+type Execution struct {
+	Method string `json:"method"`
+	Path   string `json:"path"`
+	Body   string `json:"body"`
+	Call   string `json:"call"` // identity given by the entry instance
+}
+
+// A Service is the stand-in. It is safe for concurrent use.
+type Service struct {
+	Faults fault.Switch[Faults]
+	name   string
+
+	mu     sync.Mutex
+	ledger []Execution
+}
+
+// New returns a service with an empty ledger.
+func New(name string) *Service { return &Service{name: name} }
+
+// Ledger returns the calls that ran, in order.
+func (s *Service) Ledger() []Execution {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Execution(nil), s.ledger...)
+}
+
+// Handler returns the service's HTTP interface: every path echoes the body,
+// but /ledger and /fault.
+func (s *Service) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("/", s.serve)
+	mux.HandleFunc("GET /ledger", func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(s.Ledger()) })
+	mux.HandleFunc("POST /fault", s.Faults.Handler())
+	return mux
+}
+
+// spend takes one of n if there is one.
+func spend(n *int) bool {
+	if *n <= 0 {
+		return false
+	}
+	*n--
+	return true
+}
+
+func (s *Service) serve(w http.ResponseWriter, r *http.Request) {
+	var before, after, cut, refuse, leaving bool
+	var slow time.Duration
+	s.Faults.Update(func(f *Faults) {
+		leaving = f.Leaving
+		refuse = leaving || spend(&f.Refuse)
+		before = !refuse && spend(&f.DropBefore)
+		after = !refuse && !before && spend(&f.DropAfter)
+		cut = !refuse && !before && !after && spend(&f.CutBody)
+		slow = time.Duration(f.Slow)
+	})
+	if refuse {
+		w.Header().Set(upstream.HeaderRun, "not_run")
+		if leaving {
+			w.Header().Set(upstream.HeaderLeaving, "true")
+		}
+		http.Error(w, "refused", http.StatusServiceUnavailable)
+		return
+	}
+	if before {
+		fault.Drop(w)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return // the call never was whole
+	}
+	s.mu.Lock()
+	s.ledger = append(s.ledger, Execution{Method: r.Method, Path: r.URL.Path, Body: string(body), Call: r.Header.Get(upstream.HeaderCall)})
+	s.mu.Unlock()
+	time.Sleep(slow)
+	if after {
+		fault.Drop(w)
+		return
+	}
+	w.Header().Set("Served-By", s.name)
+	answer := append([]byte(r.Method+" "+r.URL.Path+" "), body...)
+	if cut {
+		_, _ = w.Write(answer[:len(answer)/2])
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = w.Write(answer) // the caller's connection tells of a failure
+}
