--- a/core/instance/planner.go
+++ b/core/instance/planner.go
@@ -1,8 +1,6 @@
 package instance
 
 import (
-	"time"
-
 	"github.com/birchdrift/birchdrift/core/backoff"
 	"github.com/birchdrift/birchdrift/core/book"
 	"github.com/birchdrift/birchdrift/core/clock"
