Integration tests that drive the real program, and what they found

Cause, each found by a test that failed first: - questions to the state page reset the machine's timer, so a page polled every 10 ms put off every tick for as long as it was polled: no lease was renewed and no engine read for 25 s, until a watch came back; - a call with a body that was refused as not run by one replica was sent to the next with its body already consumed: 502, run unknown, though it never ran; - calls held by a frozen engine were resumed there 16 times, 0.5 s each; - a fresh instance had two retries for its whole life until calls earned more: of 8 calls on an engine that restarted one failed; - a call cut by a stop could end as if whole, since its handler did not hear of it while it streamed.

Ruled out: a blocked loop (goroutine dump shows it in select), the stand-in.

Change: only steps reset the timer; bodies up to 256 KiB are kept and sent again after an attempt that certainly did not run, larger ones streamed once; a silent replica is left when the call can start anew; the budget starts at 10; a Finish interrupts the attempt under way; a handler whose answer has begun never returns normally without its end.

--- a/core/attempt/attempt.go
+++ b/core/attempt/attempt.go
@@ -102,6 +102,8 @@
 	Phase     Phase
 	Delivered int  // tokens or bytes that reached the caller
 	SameBoot  bool // the replica is the same process and can resume
+	Stalled   bool // the replica fell silent, rather than the connection broke
+	Spent     bool // the call's body is gone and cannot be sent again
 }
 
 // Next returns the step after a break; h must already include it. Whether the
@@ -110,14 +112,25 @@
 	if b.Phase == Ended {
 		return Fail
 	}
-	if b.SameBoot && h.Resumes < MaxResumes && b.Phase != NotSent && b.Phase != Refused {
+	anew := h.mayStartAnew(b)
+	// A silent replica is likelier to stay silent than a broken connection is
+	// to break again: leave it if the call can start anew elsewhere.
+	if h.mayResume(b) && !(b.Stalled && anew) {
 		return Resume
 	}
-	if b.Delivered > 0 {
-		return Fail
-	}
-	if h.Repeatable || h.run == code.NotRun {
+	if anew {
 		return Retry
 	}
 	return Fail
 }
+
+func (h History) mayResume(b Break) bool {
+	return b.SameBoot && h.Resumes < MaxResumes && b.Phase != NotSent && b.Phase != Refused
+}
+
+func (h History) mayStartAnew(b Break) bool {
+	if b.Delivered > 0 || b.Spent {
+		return false
+	}
+	return h.Repeatable || h.run == code.NotRun
+}
--- a/core/instance/calls.go
+++ b/core/instance/calls.go
@@ -411,7 +411,9 @@
 	}
 	m.blame(c, e)
 	c.history = c.history.WithBroken(e.Phase)
-	step := c.history.Next(attempt.Break{Phase: e.Phase, Delivered: e.Delivered, SameBoot: e.Resumable})
+	step := c.history.Next(attempt.Break{
+		Phase: e.Phase, Delivered: e.Delivered, SameBoot: e.Resumable, Stalled: e.Stalled, Spent: e.Spent,
+	})
 	if m.opt.Disable.AtMost && step == attempt.Fail && e.Delivered == 0 {
 		step = attempt.Retry
 	}
@@ -471,6 +473,7 @@
 		}
 	}
 	m.note(NoteCallRetried, "call", uint64(c.ID), "replica", c.replica, "detail", e.Detail)
+	m.abandon(c, e)
 	c.failedOn = c.replica
 	c.replica = ""
 	c.answered = false
@@ -484,6 +487,15 @@
 	m.place(c)
 }
 
+// abandon frees the sequence that a broken attempt may have left behind.
+func (m *Machine) abandon(c *call, e Broke) {
+	r := m.pool.Get(c.replica)
+	if c.Plain || r == nil || e.Phase == attempt.NotSent || e.Phase == attempt.Refused {
+		return
+	}
+	m.do(Cancel{ID: c.ID, Attempt: c.history.Attempts, Replica: r.Name, Address: r.Address})
+}
+
 // maxRefusals bounds how often a call follows refusals from replica to replica.
 const maxRefusals = 6
 
--- a/core/instance/event.go
+++ b/core/instance/event.go
@@ -49,6 +49,8 @@
 		Phase     attempt.Phase
 		Delivered int  // pieces or bytes that reached the caller
 		Resumable bool // the replica may still hold the sequence
+		Stalled   bool // the replica fell silent
+		Spent     bool // the call's body cannot be sent again
 		Leaving   bool // the replica said that it is leaving
 		Status    int  // the replica's HTTP status, 0 if none came
 		Detail    string
--- a/core/instance/world_test.go
+++ b/core/instance/world_test.go
@@ -52,14 +52,13 @@
 
 // A node is one machine with its own clocks.
 type node struct {
-	m        *Machine
-	id       Identity
-	dead     bool
-	paused   bool
-	monoLag  time.Duration // by how much its monotonic clock is behind
-	pausedAt time.Duration
-	held     []func()
-	incarn   int
+	m       *Machine
+	id      Identity
+	dead    bool
+	paused  bool
+	monoLag time.Duration // by how much its monotonic clock is behind
+	held    []func()
+	incarn  int
 }
 
 // A worldCall is one caller's call and what became of it.
--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -6,7 +6,7 @@
 // Shares and bounds of the retry budget.
 const (
 	retryShare   = 0.2 // retries allowed for each call
-	budgetStart  = 2   // retries a fresh instance may make before any call
+	budgetStart  = 10  // retries a fresh instance may make before any call
 	budgetCap    = 100
 	growth       = 1.0 // added to a concurrency limit for each full turn of good answers
 	shrink       = 0.85
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -42,8 +42,7 @@
 		a, ok := waitAction(queueCtx, s)
 		queue.End()
 		if !ok {
-			s.Gone()
-			m.handler.Metrics.Answered(int(code.CallerGone), time.Since(m.begun))
+			m.gone(s)
 			return
 		}
 		switch act := a.(type) {
@@ -83,7 +82,7 @@
 		m.pieces = 0
 	}
 	if !pause(ctx, d.After) {
-		s.Gone()
+		m.gone(s)
 		return true
 	}
 	name := "attempt"
@@ -100,14 +99,23 @@
 	}
 	span.SetAttributes(attribute.String("broke", broke.Detail))
 	if ctx.Err() != nil {
-		s.Gone()
-		m.handler.Metrics.Answered(int(code.CallerGone), time.Since(m.begun))
+		m.gone(s)
 		return true
 	}
 	s.Broke(broke)
 	return false
 }
 
+// gone deals with a caller that closed its connection. Should the connection
+// be there after all, it must not see a proper end of what was begun.
+func (m *modelCall) gone(s shell.Session) {
+	s.Gone()
+	m.handler.Metrics.Answered(int(code.CallerGone), time.Since(m.begun))
+	if m.started {
+		panic(http.ErrAbortHandler)
+	}
+}
+
 func pause(ctx context.Context, d time.Duration) bool {
 	if d <= 0 {
 		return true
@@ -125,22 +133,22 @@
 // stream sends the attempt and passes its pieces on. It returns over when the
 // answer is whole, else how the attempt broke.
 func (m *modelCall) stream(ctx context.Context, s shell.Session, d instance.Dispatch, progress *upstream.Progress) (instance.Broke, bool) {
-	// The watchdog turns an upstream's silence into a broken attempt.
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	watchdog := time.AfterFunc(d.Stall, cancel)
-	defer watchdog.Stop()
+	s.Interrupt(cancel)
+	watch := newWatchdog(d.Stall, cancel)
+	defer watch.stop()
 	stream, err := m.open(ctx, d, progress)
 	if err != nil {
-		return m.broke(d, progress, err), false
+		return m.broke(d, progress, watch, err), false
 	}
 	defer stream.Close()
 	for {
 		p, err := stream.Next()
 		if err != nil {
-			return m.broke(d, progress, err), false
+			return m.broke(d, progress, watch, err), false
 		}
-		watchdog.Reset(d.Stall)
+		watch.alive()
 		if m.pieces == 0 {
 			s.First()
 			m.handler.Metrics.First(time.Since(m.begun))
@@ -168,12 +176,13 @@
 
 // broke words how an attempt broke. Only facts go in; what follows is the
 // machine's to say.
-func (m *modelCall) broke(d instance.Dispatch, progress *upstream.Progress, err error) instance.Broke {
+func (m *modelCall) broke(d instance.Dispatch, progress *upstream.Progress, watch *watchdog, err error) instance.Broke {
 	b := instance.Broke{
 		Attempt:   d.Attempt,
 		Phase:     progress.Phase(),
 		Delivered: m.delivered,
 		Resumable: true,
+		Stalled:   watch.barked(),
 		Detail:    err.Error(),
 	}
 	var status *engine.StatusError
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -23,6 +23,11 @@
 	begun := time.Now()
 	ctx, span := h.Tracer.Start(h.Tracer.Extract(r.Context(), r.Header), "entry")
 	defer span.End()
+	body, err := readBody(r)
+	if err != nil {
+		h.refuse(w, code.Refusal{Code: code.BadRequest, Run: code.NotRun, Detail: err.Error()}, begun)
+		return
+	}
 	call := instance.Call{
 		ID:             h.nextID(),
 		Service:        r.PathValue("name"),
@@ -31,11 +36,10 @@
 		Key:            key(r),
 		IdempotencyKey: r.Header.Get(HeaderIdempotency),
 		NotRepeatable:  notRepeatable(r),
-		// A body that is streamed through cannot be sent a second time.
-		Replayable: r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0,
+		Replayable:     !body.streamed,
 	}
 	span.SetAttributes(attribute.String("service", call.Service), attribute.Int64("call", int64(call.ID)))
-	p := &plainCall{handler: h, w: w, r: r, call: call, begun: begun}
+	p := &plainCall{handler: h, w: w, r: r, body: body, call: call, begun: begun}
 	p.run(ctx, h.Shell.Begin(call))
 }
 
@@ -44,6 +48,7 @@
 	handler *Handler
 	w       http.ResponseWriter
 	r       *http.Request
+	body    *callBody
 	call    instance.Call
 	begun   time.Time
 }
@@ -52,8 +57,7 @@
 	for {
 		a, ok := waitAction(ctx, s)
 		if !ok {
-			s.Gone()
-			p.handler.Metrics.Answered(int(code.CallerGone), time.Since(p.begun))
+			p.gone(s)
 			return
 		}
 		switch act := a.(type) {
@@ -76,20 +80,21 @@
 	span.SetAttributes(attribute.String("upstream", d.Replica), attribute.Int("attempt", d.Attempt))
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	watchdog := time.AfterFunc(d.Stall, cancel)
-	defer watchdog.Stop()
+	s.Interrupt(cancel)
+	watch := newWatchdog(d.Stall, cancel)
+	defer watch.stop()
 	var progress upstream.Progress
-	resp, err := p.handler.Service.Send(ctx, p.outgoing(d, watchdog), &progress)
+	resp, err := p.handler.Service.Send(ctx, p.outgoing(d, watch), &progress)
 	if err != nil {
-		return p.broke(s, d, &progress, err)
+		return p.broke(s, d, &progress, watch, err)
 	}
 	defer resp.Body.Close()
 	s.First()
-	return p.pass(s, d, resp, watchdog)
+	return p.pass(s, d, resp, watch)
 }
 
 // outgoing words the call for the upstream.
-func (p *plainCall) outgoing(d instance.Dispatch, watchdog *time.Timer) service.Call {
+func (p *plainCall) outgoing(d instance.Dispatch, watch *watchdog) service.Call {
 	header := service.EndToEnd(p.r.Header)
 	header.Del("Authorization") // the key is this system's, not the upstream's
 	header.Set(upstream.HeaderCall, p.handler.Shell.CallName(p.call.ID, d.Attempt))
@@ -100,33 +105,25 @@
 		Path:       p.call.Path,
 		Query:      p.r.URL.RawQuery,
 		Header:     header,
-		Body:       &watched{ReadCloser: p.r.Body, timer: watchdog, every: d.Stall},
+		Body:       p.body.next(watch),
 		Length:     p.r.ContentLength,
 		Repeatable: d.Repeatable,
 	}
 }
 
-// A watched body puts the watchdog off while the caller is still sending.
-type watched struct {
-	io.ReadCloser
-	timer *time.Timer
-	every time.Duration
+func (p *plainCall) gone(s shell.Session) {
+	s.Gone()
+	p.handler.Metrics.Answered(int(code.CallerGone), time.Since(p.begun))
 }
 
-// Read implements io.Reader.
-func (b *watched) Read(data []byte) (int, error) {
-	n, err := b.ReadCloser.Read(data)
-	b.timer.Reset(b.every)
-	return n, err
-}
-
-func (p *plainCall) broke(s shell.Session, d instance.Dispatch, progress *upstream.Progress, err error) bool {
+func (p *plainCall) broke(s shell.Session, d instance.Dispatch, progress *upstream.Progress, watch *watchdog, err error) bool {
 	if p.r.Context().Err() != nil {
-		s.Gone()
-		p.handler.Metrics.Answered(int(code.CallerGone), time.Since(p.begun))
+		p.gone(s)
 		return true
 	}
-	b := instance.Broke{Attempt: d.Attempt, Phase: progress.Phase(), Detail: err.Error()}
+	b := instance.Broke{
+		Attempt: d.Attempt, Phase: progress.Phase(), Stalled: watch.barked(), Spent: p.body.spent(), Detail: err.Error(),
+	}
 	var refused *service.RefusedError
 	if errors.As(err, &refused) {
 		b.Status = refused.Status
@@ -137,14 +134,14 @@
 }
 
 // pass streams the upstream's answer to the caller.
-func (p *plainCall) pass(s shell.Session, d instance.Dispatch, resp *http.Response, watchdog *time.Timer) bool {
+func (p *plainCall) pass(s shell.Session, d instance.Dispatch, resp *http.Response, watch *watchdog) bool {
 	for name, values := range service.EndToEnd(resp.Header) {
 		p.w.Header()[name] = values
 	}
 	p.w.Header().Set(HeaderInstance, p.handler.Instance)
 	p.w.Header().Set(HeaderUpstream, d.Replica)
 	p.w.WriteHeader(resp.StatusCode)
-	delivered, err := p.copy(resp.Body, watchdog, d.Stall)
+	delivered, err := p.copy(resp.Body, watch)
 	if err == nil {
 		s.Done()
 		p.handler.Metrics.Answered(int(code.OK), time.Since(p.begun))
@@ -160,13 +157,13 @@
 const copyBuffer = 32 << 10
 
 // copy passes the body on, each part as it comes.
-func (p *plainCall) copy(body io.Reader, watchdog *time.Timer, stall time.Duration) (int, error) {
+func (p *plainCall) copy(body io.Reader, watch *watchdog) (int, error) {
 	flush := http.NewResponseController(p.w)
 	buf := make([]byte, copyBuffer)
 	total := 0
 	for {
 		n, err := body.Read(buf)
-		watchdog.Reset(stall)
+		watch.alive()
 		if n > 0 {
 			if _, werr := p.w.Write(buf[:n]); werr != nil {
 				return total, werr
--- a/internal/shell/actions.go
+++ b/internal/shell/actions.go
@@ -29,6 +29,7 @@
 		s.deliver(act.ID, act)
 	case instance.Finish:
 		s.deliver(act.ID, act)
+		s.interrupt(act.ID)
 		delete(s.calls, act.ID)
 	case instance.Cancel:
 		s.work(func(ctx context.Context) { s.cancel(ctx, act) })
@@ -85,17 +86,26 @@
 }
 
 func (s *Shell) deliver(id instance.CallID, a instance.Action) {
-	actions, ok := s.calls[id]
+	box, ok := s.calls[id]
 	if !ok {
 		return // its handler has ended
 	}
 	select {
-	case actions <- a:
+	case box.actions <- a:
 	default:
 		s.log.Error(nil, "bug", "event", int(instance.NoteBug), "detail", "a call's mailbox is full", "call", uint64(id))
 	}
 }
 
+// interrupt ends the attempt that the call may have under way.
+func (s *Shell) interrupt(id instance.CallID) {
+	if box, ok := s.calls[id]; ok {
+		if cancel := box.interrupt.Load(); cancel != nil {
+			(*cancel)()
+		}
+	}
+}
+
 // CallName is a call's identity outside this instance.
 func (s *Shell) CallName(id instance.CallID, attempt int) string {
 	return fmt.Sprintf("%s-%x-%d-%d", s.self.Name, s.self.Boot, id, attempt)
--- a/internal/shell/shell.go
+++ b/internal/shell/shell.go
@@ -49,7 +49,7 @@
 	start    time.Time
 
 	events   chan func(*Shell) instance.Event
-	calls    map[instance.CallID]chan instance.Action
+	calls    map[instance.CallID]*callBox
 	asks     map[uint64]chan share.Message
 	nextAsk  uint64
 	workers  sync.WaitGroup
@@ -70,7 +70,7 @@
 		metrics:  metrics,
 		start:    time.Now(),
 		events:   make(chan func(*Shell) instance.Event, eventQueue),
-		calls:    map[instance.CallID]chan instance.Action{},
+		calls:    map[instance.CallID]*callBox{},
 		asks:     map[uint64]chan share.Message{},
 		exited:   make(chan instance.Exit, 1),
 		ctx:      ctx,
@@ -95,9 +95,13 @@
 		case <-s.ctx.Done():
 			return nil
 		case do := <-s.events:
-			if ev := do(s); ev != nil {
-				s.step(ev)
+			ev := do(s)
+			if ev == nil {
+				// Not a step: the timer must run on, or frequent questions
+				// would put off every tick.
+				continue
 			}
+			s.step(ev)
 		case <-timer.C:
 			s.step(instance.Tick{})
 		}
@@ -153,23 +157,34 @@
 	}
 }
 
+// A callBox is the shell's side of one call.
+type callBox struct {
+	actions   chan instance.Action
+	interrupt atomic.Pointer[context.CancelFunc]
+}
+
 // A Session is the handler's side of one call.
 type Session struct {
 	ID      instance.CallID
 	Actions <-chan instance.Action // Dispatch or Finish
+	box     *callBox
 	shell   *Shell
 }
 
 // Begin brings a call to the machine.
 func (s *Shell) Begin(call instance.Call) Session {
-	actions := make(chan instance.Action, mailbox)
+	box := &callBox{actions: make(chan instance.Action, mailbox)}
 	s.do(func(s *Shell) instance.Event {
-		s.calls[call.ID] = actions
+		s.calls[call.ID] = box
 		return instance.Arrive{Call: call}
 	})
-	return Session{ID: call.ID, Actions: actions, shell: s}
+	return Session{ID: call.ID, Actions: box.actions, box: box, shell: s}
 }
 
+// Interrupt sets what is called when the call is finished while an attempt is
+// under way, as a stop does to calls that it cuts off.
+func (c Session) Interrupt(cancel context.CancelFunc) { c.box.interrupt.Store(&cancel) }
+
 // First tells the machine that the first piece came.
 func (c Session) First() { c.shell.post(instance.First{ID: c.ID}) }
 
--- /dev/null
+++ b/standin/integration/answers_test.go
@@ -0,0 +1,230 @@
+package integration
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/birchdrift/birchdrift/standin/engine"
+	"github.com/birchdrift/birchdrift/standin/fleet"
+)
+
+// A chunk is what a test needs of one event of a stream.
+type chunk struct {
+	Choices []struct {
+		Text         string  `json:"text"`
+		FinishReason *string `json:"finish_reason"`
+	} `json:"choices"`
+	Error *struct {
+		Code int    `json:"code"`
+		Run  string `json:"run"`
+	} `json:"error"`
+}
+
+// A streamed answer as its caller can tell it.
+type streamed struct {
+	text   string
+	ended  bool // "[DONE]" came
+	failed int  // code of the error event, 0 if none came
+	cut    bool // the connection was cut rather than ended
+}
+
+func readStream(body string, err error) (streamed, error) {
+	var s streamed
+	s.cut = err != nil
+	scanner := bufio.NewScanner(strings.NewReader(body))
+	for scanner.Scan() {
+		data, ok := strings.CutPrefix(scanner.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			s.ended = true
+			continue
+		}
+		var c chunk
+		if err := json.Unmarshal([]byte(data), &c); err != nil {
+			return s, err
+		}
+		if c.Error != nil {
+			s.failed = c.Error.Code
+			continue
+		}
+		s.text += c.Choices[0].Text
+	}
+	return s, nil
+}
+
+// oneEngine is a world with one model on one engine and one instance.
+func oneEngine(t *testing.T, change func(*engine.Options)) (*world, *fleet.Instance, *engine.Engine) {
+	w := newWorld(t)
+	w.zone("z1")
+	e := w.engine("e1", "z1", change)
+	w.model("m1", 1000)
+	in := w.start("entry-1", "z1")
+	w.apply()
+	w.resident("e1", "m1")
+	w.seen(in, "e1", "m1")
+	return w, in, e
+}
+
+func TestPlainAnswerIsWhole(t *testing.T) {
+	is := is.New(t)
+	_, in, _ := oneEngine(t, nil)
+	a, err := chat(in, "svc-m1", "which crates", 20, false)
+	is.NoErr(err)
+	is.Equal(a.Status, http.StatusOK)
+	is.Equal(a.Instance, "entry-1")
+	is.Equal(a.Upstream, "e1")
+	is.True(strings.Contains(a.Body, want("which crates", 20)))
+}
+
+// TestInterleavedStreamsAreWhole: hundreds of streams of distinct content at
+// once, each cut at the engine again and again, with late, doubled and foreign
+// pieces between; every caller gets all of its own answer and nothing else.
+func TestInterleavedStreamsAreWhole(t *testing.T) {
+	_, in, e := oneEngine(t, func(o *engine.Options) { o.Sequences = 400 })
+	const streams, tokens = 300, 40
+	e.Faults.Set(engine.Faults{CutEvery: 13, Duplicates: true})
+	var group errgroup.Group
+	for i := range streams {
+		group.Go(func() error {
+			prompt := fmt.Sprintf("contract %d", i)
+			a, err := chat(in, "svc-m1", prompt, tokens, true)
+			if err != nil {
+				return err
+			}
+			s, err := readStream(a.Body, a.Err)
+			if err != nil {
+				return err
+			}
+			if !s.ended || s.cut || s.failed != 0 || s.text != want(prompt, tokens) {
+				return fmt.Errorf("stream %d: %+v", i, s)
+			}
+			return nil
+		})
+	}
+	if err := group.Wait(); err != nil {
+		t.Fatal(err)
+	}
+	for call, n := range e.Counts().Executed {
+		if n != 1 {
+			t.Fatalf("call %s was begun %d times: a resume must not run it again", call, n)
+		}
+	}
+	st, err := in.Status()
+	if err != nil || st.Calls != 0 {
+		t.Fatalf("%d calls left, %v", st.Calls, err)
+	}
+}
+
+// TestCutThatCannotResumeIsSeenAsCut: when the engine's process is lost after
+// a part was delivered, the caller sees an error event and a cut connection,
+// never an end.
+func TestCutThatCannotResumeIsSeenAsCut(t *testing.T) {
+	is := is.New(t)
+	_, in, e := oneEngine(t, func(o *engine.Options) { o.TokenTime = 20 * time.Millisecond })
+	body := `{"model":"svc-m1","prompt":"long","max_tokens":400,"stream":true}`
+	resp, err := http.Post("http://"+in.Callers+"/v1/completions", "application/json", strings.NewReader(body))
+	is.NoErr(err)
+	defer resp.Body.Close()
+	head := make([]byte, 400)
+	_, err = io.ReadFull(resp.Body, head) // a part is delivered
+	is.NoErr(err)
+	e.Restart()
+	rest, err := io.ReadAll(resp.Body)
+	is.True(err != nil) // the chunked body must not end properly
+	s, perr := readStream(string(head)+string(rest), err)
+	is.NoErr(perr)
+	is.True(!s.ended)
+	is.Equal(s.failed, 303) // stream_cut
+}
+
+// TestNothingDeliveredStartsAnew: when nothing was delivered yet, a repeatable
+// call starts again elsewhere and is whole.
+func TestNothingDeliveredStartsAnew(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	w.zone("z1")
+	slow := func(o *engine.Options) { o.TokenTime = 10 * time.Millisecond }
+	w.engine("e1", "z1", slow)
+	w.engine("e2", "z1", slow)
+	w.model("m1", 1000)
+	for _, e := range w.engines {
+		e.Preload("m1", "", 1000)
+	}
+	in := w.start("entry-1", "z1")
+	w.apply()
+	w.seen(in, "e1", "m1")
+	w.seen(in, "e2", "m1")
+	var group errgroup.Group
+	for i := range 8 {
+		group.Go(func() error {
+			prompt := fmt.Sprintf("note %d", i)
+			a, err := chat(in, "svc-m1", prompt, 60, false)
+			if err != nil {
+				return err
+			}
+			if a.Status != http.StatusOK || !strings.Contains(a.Body, want(prompt, 60)) {
+				return fmt.Errorf("call %d: %d %s", i, a.Status, a.Body)
+			}
+			return nil
+		})
+	}
+	w.await("calls run on e1", func() bool { return w.engines["e1"].State().Running > 0 })
+	w.engines["e1"].Restart()
+	is.NoErr(group.Wait())
+}
+
+// TestCallerThatGoesAwayFreesItsSequence: the engine drops the sequence of a
+// caller that closed its connection.
+func TestCallerThatGoesAwayFreesItsSequence(t *testing.T) {
+	is := is.New(t)
+	w, in, e := oneEngine(t, func(o *engine.Options) { o.TokenTime = 20 * time.Millisecond; o.Linger = time.Hour })
+	body := `{"model":"svc-m1","prompt":"long","max_tokens":100000,"stream":true}`
+	resp, err := http.Post("http://"+in.Callers+"/v1/completions", "application/json", strings.NewReader(body))
+	is.NoErr(err)
+	_, err = io.ReadFull(resp.Body, make([]byte, 100))
+	is.NoErr(err)
+	is.NoErr(resp.Body.Close())
+	w.await("the sequence is freed", func() bool { return e.Counts().Cancelled == 1 && e.State().Running == 0 })
+}
+
+// TestFrozenEngineIsLeft: calls that a frozen engine holds go on elsewhere,
+// and no caller is left waiting for ever.
+func TestFrozenEngineIsLeft(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	w.zone("z1")
+	w.engine("e1", "z1", nil)
+	w.engine("e2", "z1", nil)
+	w.model("m1", 1000)
+	for _, e := range w.engines {
+		e.Preload("m1", "", 1000)
+	}
+	in := w.start("entry-1", "z1", "--stall", "500ms")
+	w.apply()
+	w.seen(in, "e1", "m1")
+	w.seen(in, "e2", "m1")
+	w.engines["e1"].Faults.Set(engine.Faults{Freeze: true})
+	var group errgroup.Group
+	for i := range 20 {
+		group.Go(func() error {
+			a, err := chat(in, "svc-m1", fmt.Sprint(i), 5, false)
+			if err == nil && a.Status != http.StatusOK {
+				err = fmt.Errorf("call %d: %d %s", i, a.Status, a.Body)
+			}
+			return err
+		})
+	}
+	is.NoErr(group.Wait())
+	w.engines["e1"].Faults.Set(engine.Faults{})
+}
--- /dev/null
+++ b/standin/integration/fleet_test.go
@@ -0,0 +1,336 @@
+package integration
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/birchdrift/birchdrift/core/code"
+	"github.com/birchdrift/birchdrift/internal/control"
+	wire "github.com/birchdrift/birchdrift/internal/platform"
+	"github.com/birchdrift/birchdrift/standin/engine"
+	"github.com/birchdrift/birchdrift/standin/fleet"
+	"github.com/birchdrift/birchdrift/standin/platform"
+	"github.com/birchdrift/birchdrift/standin/service"
+)
+
+// TestPlannedStopCutsNothing: calls in progress when SIGTERM comes are served
+// whole, those that come before the balancer noticed too, and the status is 0.
+func TestPlannedStopCutsNothing(t *testing.T) {
+	is := is.New(t)
+	w, in, e := oneEngine(t, func(o *engine.Options) { o.TokenTime = 10 * time.Millisecond; o.Sequences = 100 })
+	var group errgroup.Group
+	call := func(i int) func() error {
+		return func() error {
+			prompt := fmt.Sprintf("lease %d", i)
+			a, err := chat(in, "svc-m1", prompt, 100, i%2 == 0)
+			if err != nil || a.Err != nil || a.Status != http.StatusOK {
+				return fmt.Errorf("call %d: %d, %v, %v", i, a.Status, err, a.Err)
+			}
+			return nil
+		}
+	}
+	for i := range 20 {
+		group.Go(call(i))
+	}
+	w.await("the calls run", func() bool { return e.State().Running == 20 })
+	is.NoErr(in.Signal(syscall.SIGTERM))
+	w.await("readiness falls", func() bool { return !in.Ready() })
+	group.Go(call(20)) // the balancer has not noticed yet
+	is.NoErr(group.Wait())
+	status, err := in.Wait()
+	is.NoErr(err)
+	is.Equal(status, 0)
+	is.True(strings.Contains(in.Log(), `"cut":0`))
+}
+
+// TestSecondSignalSaysWhatWasCut: a second signal ends the stop at once, with
+// a status of its own and the number of calls.
+func TestSecondSignalSaysWhatWasCut(t *testing.T) {
+	is := is.New(t)
+	w, in, e := oneEngine(t, func(o *engine.Options) { o.TokenTime = 50 * time.Millisecond })
+	cut := make(chan error, 1)
+	go func() {
+		a, err := chat(in, "svc-m1", "long", 10000, true)
+		if a.Status != http.StatusOK {
+			err = errors.Join(err, fmt.Errorf("status %d", a.Status)) // cut before its first token
+		}
+		cut <- errors.Join(err, a.Err)
+	}()
+	w.await("the call runs", func() bool { return e.State().Running == 1 })
+	is.NoErr(in.Signal(syscall.SIGTERM))
+	w.await("readiness falls", func() bool { return !in.Ready() })
+	is.NoErr(in.Signal(syscall.SIGTERM))
+	status, err := in.Wait()
+	is.NoErr(err)
+	is.Equal(status, 3)
+	is.True(strings.Contains(in.Log(), `"cut":1`))
+	is.True(<-cut != nil) // the caller saw a cut, not an end
+}
+
+// TestLeavingServiceGetsNoNewWork: one that says that it is leaving, in a
+// refusal, gets nothing after that, and no call is lost.
+func TestLeavingServiceGetsNoNewWork(t *testing.T) {
+	is := is.New(t)
+	w, ins := twoReplicas(t)
+	w.services["s1"].Faults.Set(service.Faults{Leaving: true})
+	for i := range 20 {
+		a, err := ins[0].Post("/services/stock/x", fmt.Sprint(i), once)
+		is.NoErr(err)
+		is.Equal(a.Status, http.StatusOK)
+		is.Equal(a.Upstream, "s2")
+	}
+	is.Equal(len(w.services["s1"].Ledger()), 0)
+}
+
+// TestListedLeavingGetsNoNewWork: the list alone says so, and both instances
+// hear of it within seconds.
+func TestListedLeavingGetsNoNewWork(t *testing.T) {
+	is := is.New(t)
+	w, ins := twoReplicas(t)
+	w.platform.SetInstance(wire.Instance{Name: "s1", Kind: wire.KindUpstream, Zone: "z1", State: wire.StateLeaving})
+	begun := time.Now()
+	for _, in := range ins {
+		w.await(in.Name+" knows", func() bool {
+			st, err := in.Status()
+			return err == nil && st.Upstreams[0].Name == "s1" && st.Upstreams[0].Leaving
+		})
+	}
+	is.True(time.Since(begun) < 4*time.Second)
+	before := len(w.services["s1"].Ledger())
+	for i := range 20 {
+		a, err := ins[i%2].Post("/services/stock/x", fmt.Sprint(i), nil)
+		is.NoErr(err)
+		is.Equal(a.Upstream, "s2")
+	}
+	is.Equal(len(w.services["s1"].Ledger()), before)
+}
+
+// manyModels is a world of two zones, each with one engine that holds two of
+// the six models, and two instances.
+func manyModels(t *testing.T, checks bool) *world {
+	w := newWorld(t)
+	w.zone("z1", "z2")
+	for i := range 2 {
+		w.engine(fmt.Sprintf("e%d", i+1), fmt.Sprintf("z%d", i+1), func(o *engine.Options) {
+			o.MemoryMiB = 2500
+			o.ChecksFence = checks
+			o.MiBPerSecond = 5000
+		})
+	}
+	for i := range 6 {
+		w.model(fmt.Sprintf("m%d", i+1), 1000)
+	}
+	w.doc.Residency.MinimumStay = 300 * time.Millisecond
+	w.doc.Residency.MoveCost = 0.01
+	w.doc.Weights.LoadsPerSecond = 40
+	w.doc.Weights.AtOnce = 40
+	return w
+}
+
+// mustNotOvercommit checks each engine's own count.
+func (w *world) mustNotOvercommit() {
+	w.t.Helper()
+	for name, e := range w.engines {
+		if c := e.Counts(); c.Overcommits > 0 {
+			w.t.Fatalf("%s was overcommitted %d times", name, c.Overcommits)
+		}
+	}
+}
+
+// churn asks for one model after the other until the time is up.
+func (w *world) churn(d time.Duration, ins ...*fleet.Instance) (served, failed int) {
+	deadline := time.Now().Add(d)
+	for i := 0; time.Now().Before(deadline); i++ {
+		a, err := chat(ins[i%len(ins)], fmt.Sprintf("svc-m%d", i/10%6+1), "x", 2, false)
+		if err == nil && a.Status == http.StatusOK {
+			served++
+		} else {
+			failed++
+		}
+	}
+	return served, failed
+}
+
+// TestMemoryHoldsWhilePlannersDie kills and freezes planners, loses and delays
+// orders and takes the platform down while models change all the time. Engines
+// refuse overcommitment loudly, and none must have had to.
+func TestMemoryHoldsWhilePlannersDie(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		t.Run(fmt.Sprintf("checks=%v", checks), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			w := manyModels(t, checks)
+			ins := []*fleet.Instance{
+				w.start("entry-1", "z1"), w.start("entry-2", "z1"),
+				w.start("entry-3", "z2"), w.start("entry-4", "z2"),
+			}
+			w.apply()
+			var group errgroup.Group
+			group.Go(func() error {
+				w.churn(14*time.Second, ins[1], ins[3])
+				return nil
+			})
+			for _, e := range w.engines {
+				e.Faults.Set(engine.Faults{OrderLost: 2, OrderLate: 2, LateBy: 200_000_000})
+			}
+			is.NoErr(ins[0].Signal(syscall.SIGSTOP))
+			is.NoErr(ins[2].Signal(syscall.SIGSTOP))
+			w.await("a successor plans", func() bool { return planner(ins[1]) && planner(ins[3]) })
+			w.platform.Faults.Set(platform.Faults{Down: true})
+			is.NoErr(ins[0].Signal(syscall.SIGCONT))
+			is.NoErr(ins[2].Signal(syscall.SIGCONT))
+			for _, e := range w.engines {
+				e.Faults.Set(engine.Faults{OrderLost: 2, OrderLate: 2, LateBy: 200_000_000})
+			}
+			w.await("the outage is noticed", func() bool {
+				st, err := ins[1].Status()
+				return err == nil && st.PlatformDown
+			})
+			w.platform.Faults.Set(platform.Faults{})
+			ins[0].Kill()
+			is.NoErr(group.Wait())
+			w.mustNotOvercommit()
+			if w.engines["e1"].Counts().Loads+w.engines["e2"].Counts().Loads < 6 {
+				t.Fatalf("too little was loaded for this to prove anything: %+v, %+v", w.engines["e1"].Counts(), w.engines["e2"].Counts())
+			}
+		})
+	}
+}
+
+func planner(in *fleet.Instance) bool {
+	st, err := in.Status()
+	return err == nil && st.Planning
+}
+
+// TestColdModelsAreReached: six models are asked for where four fit; each is
+// served within the stated bound, and a caller is never left hanging.
+func TestColdModelsAreReached(t *testing.T) {
+	is := is.New(t)
+	w := manyModels(t, true)
+	in := w.start("entry-1", "z1")
+	w.start("entry-2", "z2")
+	w.apply()
+	var group errgroup.Group
+	for i := range 6 {
+		group.Go(func() error {
+			model := fmt.Sprintf("svc-m%d", i+1)
+			return fleet.Await(model+" is served", func() bool {
+				a, err := chat(in, model, "x", 2, false)
+				return err == nil && a.Status == http.StatusOK
+			})
+		})
+	}
+	is.NoErr(group.Wait())
+	w.mustNotOvercommit()
+}
+
+// TestPlatformOutageCostsNoCall: with the platform down, resident models are
+// served through every instance, also one that was replaced meanwhile.
+func TestPlatformOutageCostsNoCall(t *testing.T) {
+	is := is.New(t)
+	w, in, _ := oneEngine(t, nil)
+	in2 := w.start("entry-2", "z1")
+	w.seen(in2, "e1", "m1")
+	w.platform.Faults.Set(platform.Faults{Down: true})
+	fresh := w.start("entry-3", "z1", "--seed-peers", in.Peers)
+	w.await("the new instance starts from its peers", fresh.Ready)
+	w.seen(fresh, "e1", "m1")
+	for i := range 60 {
+		a, err := chat([]*fleet.Instance{in, in2, fresh}[i%3], "svc-m1", "x", 2, false)
+		is.NoErr(err)
+		is.Equal(a.Status, http.StatusOK)
+	}
+}
+
+// TestUnreadyWithoutPlatformSaysWhy: nobody to ask, so not ready, with the reason.
+func TestUnreadyWithoutPlatformSaysWhy(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	w.platform.Faults.Set(platform.Faults{Down: true})
+	in := w.start("entry-1", "z1")
+	resp, err := http.Get("http://" + in.Operations + "/readyz")
+	is.NoErr(err)
+	data, err := io.ReadAll(resp.Body)
+	is.NoErr(err)
+	is.NoErr(resp.Body.Close())
+	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+	is.True(strings.Contains(string(data), "no configuration"))
+	a, err := chat(in, "svc-m1", "x", 2, false)
+	is.NoErr(err)
+	is.Equal(refusalOf(t, a).Error.Code, 402)
+}
+
+// TestRacingOperators: of ten who apply on the same revision exactly one wins;
+// the others get the numbered conflict with the difference.
+func TestRacingOperators(t *testing.T) {
+	is := is.New(t)
+	w, _ := twoReplicas(t)
+	stored, err := control.Get(context.Background(), w.client())
+	is.NoErr(err)
+	var group errgroup.Group
+	results := make([]error, 10)
+	for i := range results {
+		group.Go(func() error {
+			doc := stored.Document
+			doc.Residency.MoveCost = float64(i + 1)
+			_, results[i] = control.Apply(context.Background(), w.client(), doc)
+			return nil
+		})
+	}
+	is.NoErr(group.Wait())
+	won := 0
+	for _, err := range results {
+		var numbered *code.Error
+		switch {
+		case err == nil:
+			won++
+		case errors.As(err, &numbered):
+			is.Equal(numbered.Code, code.ConfigConflict)
+			is.True(strings.Contains(numbered.Detail, "move_cost"))
+		default:
+			t.Fatal(err)
+		}
+	}
+	is.Equal(won, 1)
+}
+
+// TestApplyWhoseAnswerIsLost finds out that its own change took effect.
+func TestApplyWhoseAnswerIsLost(t *testing.T) {
+	is := is.New(t)
+	w, _ := twoReplicas(t)
+	w.platform.Faults.Set(platform.Faults{Lost: 1})
+	doc := w.doc
+	doc.Residency.MoveCost = 7
+	revision, err := control.Apply(context.Background(), w.client(), doc)
+	is.NoErr(err)
+	is.Equal(revision, uint64(2))
+	stored, err := control.Get(context.Background(), w.client())
+	is.NoErr(err)
+	is.Equal(stored.Document.Residency.MoveCost, 7.0)
+}
+
+// TestConfigurationSurvivesRestartAndOutage: an instance that restarts while
+// the platform is down never falls behind what its peers have.
+func TestConfigurationSurvivesRestartAndOutage(t *testing.T) {
+	is := is.New(t)
+	w, ins := twoReplicas(t)
+	revision := w.apply()
+	w.platform.Faults.Set(platform.Faults{Down: true})
+	ins[1].Kill()
+	again := w.start("entry-2", "z1", "--seed-peers", ins[0].Peers)
+	w.await("it has the revision", func() bool {
+		st, err := again.Status()
+		return err == nil && st.Revision == revision
+	})
+	is.True(again.Ready())
+}
--- /dev/null
+++ b/standin/integration/world_test.go
@@ -0,0 +1,244 @@
+// Package integration drives the real program, as separate processes, against
+// the stand-ins.
+package integration
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/birchdrift/birchdrift/core/config"
+	"github.com/birchdrift/birchdrift/internal/control"
+	wire "github.com/birchdrift/birchdrift/internal/platform"
+	"github.com/birchdrift/birchdrift/internal/upstream"
+	"github.com/birchdrift/birchdrift/standin/engine"
+	"github.com/birchdrift/birchdrift/standin/fleet"
+	"github.com/birchdrift/birchdrift/standin/platform"
+	"github.com/birchdrift/birchdrift/standin/service"
+)
+
+// bin holds the programs, built once.
+var bin string
+
+func TestMain(m *testing.M) {
+	os.Exit(func() int {
+		dir, err := os.MkdirTemp("", "birchdrift-test")
+		if err != nil {
+			panic(err)
+		}
+		defer os.RemoveAll(dir)
+		root, err := fleet.Root()
+		if err != nil {
+			panic(err)
+		}
+		if err := fleet.Build(root, dir); err != nil {
+			panic(err)
+		}
+		bin = dir
+		return m.Run()
+	}())
+}
+
+// A world is the stand-ins, in this process, and the instances, in their own.
+type world struct {
+	t         *testing.T
+	platform  *platform.Platform
+	address   string // of the platform
+	engines   map[string]*engine.Engine
+	services  map[string]*service.Service
+	servers   map[string]*httptest.Server
+	instances map[string]*fleet.Instance
+	doc       config.Document
+}
+
+func newWorld(t *testing.T) *world {
+	t.Helper()
+	w := &world{
+		t: t, platform: platform.New(platform.DefaultLimits()),
+		engines: map[string]*engine.Engine{}, services: map[string]*service.Service{},
+		servers: map[string]*httptest.Server{}, instances: map[string]*fleet.Instance{},
+	}
+	server := httptest.NewServer(w.platform.Handler())
+	w.address = server.Listener.Addr().String()
+	w.doc.Residency = config.Residency{MinimumStay: config.DefaultMinimumStay}
+	t.Cleanup(func() {
+		for _, in := range w.instances {
+			in.Kill()
+		}
+		for _, e := range w.engines {
+			e.Close()
+		}
+		for _, s := range w.servers {
+			s.CloseClientConnections()
+			s.Close()
+		}
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return w
+}
+
+// zone adds an availability zone.
+func (w *world) zone(names ...string) {
+	for _, name := range names {
+		w.doc.Zones = append(w.doc.Zones, config.Zone{Name: name})
+	}
+}
+
+// engine adds an engine; change may alter its options.
+func (w *world) engine(name, zone string, change func(*engine.Options)) *engine.Engine {
+	opt := engine.DefaultOptions(name)
+	opt.TokenTime = 0
+	opt.MiBPerSecond = 0
+	if change != nil {
+		change(&opt)
+	}
+	e := engine.New(opt)
+	w.engines[name] = e
+	w.servers[name] = httptest.NewServer(e.Handler())
+	w.doc.Engines = append(w.doc.Engines, config.Engine{
+		Name: name, Address: w.servers[name].Listener.Addr().String(), Zone: zone,
+		Accelerators: 1, MemoryMiB: opt.MemoryMiB, Sequences: opt.Sequences, ChecksFence: opt.ChecksFence,
+	})
+	return e
+}
+
+// model adds a model with a service of its own, "svc-" before the name.
+func (w *world) model(name string, mib int64) {
+	w.doc.Models = append(w.doc.Models, config.Model{Name: name, MemoryMiB: mib, PrefillPerSecond: 100000, Load: 100_000_000})
+	w.doc.Services = append(w.doc.Services, config.Service{
+		Name: "svc-" + name, Versions: []config.Version{{Name: "v1", Model: name, Share: 1}},
+	})
+}
+
+// plain adds a replica to a plain service.
+func (w *world) plain(svc, name, zone string) *service.Service {
+	s := service.New(name)
+	w.services[name] = s
+	w.servers[name] = httptest.NewServer(s.Handler())
+	r := config.Replica{Name: name, Address: w.servers[name].Listener.Addr().String(), Zone: zone}
+	for i := range w.doc.Services {
+		if w.doc.Services[i].Name == svc {
+			w.doc.Services[i].Replicas = append(w.doc.Services[i].Replicas, r)
+			return s
+		}
+	}
+	w.doc.Services = append(w.doc.Services, config.Service{
+		Name: svc, Replicas: []config.Replica{r}, Routes: []config.Route{{Prefix: "/once", NotRepeatable: true}},
+	})
+	return s
+}
+
+// quick are settings under which what takes seconds takes tenths of them.
+var quick = []string{"--lease-term", "2s", "--exchange-every", "200ms", "--read-every", "100ms", "--stall", "3s", "--stop-delay", "200ms"}
+
+// start starts an entry instance and puts it into the platform's list.
+func (w *world) start(name, zone string, extra ...string) *fleet.Instance {
+	w.t.Helper()
+	in, err := fleet.StartInstance(bin, fleet.Spec{Name: name, Zone: zone, Platform: w.address, Extra: append(append([]string(nil), quick...), extra...)})
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.instances[name] = in
+	w.platform.SetInstance(wire.Instance{Name: name, Kind: wire.KindEntry, Zone: zone, Address: in.Peers, State: wire.StateLive})
+	w.t.Cleanup(func() {
+		if w.t.Failed() {
+			w.t.Logf("%s:\n%s", name, in.Log())
+		}
+	})
+	return in
+}
+
+func (w *world) client() *wire.Client { return wire.NewClient(w.address, upstream.NewTransports()) }
+
+// apply puts the document in force and waits until every instance has it.
+func (w *world) apply() uint64 {
+	w.t.Helper()
+	revision, err := control.Apply(context.Background(), w.client(), w.doc)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	for _, in := range w.instances {
+		w.await(in.Name+" has the revision", func() bool {
+			st, err := in.Status()
+			return err == nil && st.Revision >= revision
+		})
+	}
+	return revision
+}
+
+func (w *world) await(what string, holds func() bool) {
+	w.t.Helper()
+	if err := fleet.Await(what, holds); err != nil {
+		w.t.Fatal(err)
+	}
+}
+
+// resident waits until a model is ready on an engine.
+func (w *world) resident(engineName, item string) {
+	w.t.Helper()
+	w.await(item+" is ready on "+engineName, func() bool { return w.engines[engineName].Holds(item) == "ready" })
+}
+
+// seen waits until an instance knows that a model is ready on an engine.
+func (w *world) seen(in *fleet.Instance, engineName, item string) {
+	w.t.Helper()
+	w.await(in.Name+" sees "+item, func() bool {
+		st, err := in.Status()
+		if err != nil {
+			return false
+		}
+		for _, u := range st.Upstreams {
+			if u.Name == engineName && u.Items[item] == "ready" {
+				return true
+			}
+		}
+		return false
+	})
+}
+
+// chat calls a model service.
+func chat(in *fleet.Instance, model, prompt string, tokens int, stream bool) (fleet.Answer, error) {
+	body := fmt.Sprintf(`{"model":%q,"prompt":%q,"max_tokens":%d,"stream":%v}`, model, prompt, tokens, stream)
+	return in.Post("/v1/completions", body, nil)
+}
+
+// want is the text that the stand-in engine answers with.
+func want(prompt string, tokens int) string {
+	var b strings.Builder
+	for i := range tokens {
+		b.WriteString(engine.Text(prompt, i))
+	}
+	return b.String()
+}
+
+// ctl runs birchctl and returns its status and output.
+func (w *world) ctl(args ...string) (int, string) {
+	w.t.Helper()
+	p, err := fleet.Start("birchctl", filepath.Join(bin, "birchctl"), args...)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	status, err := p.Wait()
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	return status, p.Log()
+}
+
+// write puts text into a file of the test's own.
+func (w *world) write(name, text string) string {
+	w.t.Helper()
+	path := filepath.Join(w.t.TempDir(), name)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		w.t.Fatal(err)
+	}
+	return path
+}
+
+var once = http.Header{"Birchdrift-Not-Repeatable": {"true"}}
