--- /dev/null
+++ b/core/attempt/attempt_test.go
@@ -0,0 +1,82 @@
+package attempt
+
+import (
+	"flag"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/birchdrift/birchdrift/core/code"
+)
+
+// The draws are the same on every run; -rapid.seed=0 draws others.
+func init() { _ = flag.Set("rapid.seed", "1") }
+
+func TestRunFollowsThePhases(t *testing.T) {
+	cases := []struct {
+		phases []Phase
+		want   code.Run
+	}{
+		{nil, code.NotRun},
+		{[]Phase{NotSent}, code.NotRun},
+		{[]Phase{Refused, NotSent}, code.NotRun},
+		{[]Phase{MaybeSent}, code.Unknown},
+		{[]Phase{MaybeSent, Refused}, code.Unknown},
+		{[]Phase{Answered}, code.Ran},
+		{[]Phase{Answered, MaybeSent}, code.Ran},
+		{[]Phase{Ended}, code.Ran},
+	}
+	for _, c := range cases {
+		h := New(true)
+		for _, p := range c.phases {
+			h = h.WithAttempt().WithBroken(p)
+		}
+		is.New(t).Equal(h.Run(), c.want)
+	}
+}
+
+// TestNotRepeatableIsNeverSentTwice draws every history of breaks: once an
+// attempt may have run, no step starts a call that may not be repeated anew.
+func TestNotRepeatableIsNeverSentTwice(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := New(false).WithAttempt()
+		mayHaveRun := false
+		for range rapid.IntRange(1, 20).Draw(t, "breaks") {
+			phase := Phase(rapid.IntRange(int(NotSent), int(Refused)).Draw(t, "phase"))
+			h = h.WithBroken(phase)
+			mayHaveRun = mayHaveRun || phase.Run() != code.NotRun
+			step := h.Next(Break{
+				Phase:     phase,
+				Delivered: rapid.IntRange(0, 1).Draw(t, "delivered"),
+				SameBoot:  rapid.Bool().Draw(t, "same boot"),
+				Stalled:   rapid.Bool().Draw(t, "stalled"),
+				Spent:     rapid.Bool().Draw(t, "spent"),
+			})
+			if step == Retry && mayHaveRun {
+				t.Fatal("sent anew though it may have run")
+			}
+			switch step {
+			case Fail:
+				return
+			case Retry:
+				h = h.WithAttempt()
+			case Resume:
+				h = h.WithResume()
+			}
+		}
+	})
+}
+
+func TestNothingStartsAnewAfterAByteWasDelivered(t *testing.T) {
+	h := New(true).WithAttempt().WithBroken(Answered)
+	is.New(t).Equal(h.Next(Break{Phase: Answered, Delivered: 1}), Fail)
+}
+
+func TestResumesAreBounded(t *testing.T) {
+	h := New(false).WithAttempt().WithBroken(Answered)
+	for range MaxResumes {
+		h = h.WithResume()
+	}
+	is.New(t).Equal(h.Next(Break{Phase: Answered, Delivered: 1, SameBoot: true}), Fail)
+}
--- /dev/null
+++ b/core/book/book_test.go
@@ -0,0 +1,220 @@
+package book
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/birchdrift/birchdrift/core/pool"
+)
+
+// The draws are the same on every run; -rapid.seed=0 draws others.
+func init() { _ = flag.Set("rapid.seed", "1") }
+
+func size(string) int64 { return 400 }
+
+func state(boot, change, fence, last uint64, items ...pool.Item) pool.State {
+	return pool.State{
+		Residency: pool.Residency{Boot: boot, Change: change, Items: items},
+		Fence:     fence, LastOrder: last,
+	}
+}
+
+// TestNothingIsFreeBeforeTheStateIsRead: a new holder knows nothing yet.
+func TestNothingIsFreeBeforeTheStateIsRead(t *testing.T) {
+	is := is.New(t)
+	e := NewEngine("e", 1000, true)
+	is.Equal(e.Free(), int64(0))
+	is.True(!e.Book(Order{Seq: 1, Op: Load, Item: "a", MiB: 400}))
+}
+
+// TestStaleStateFreesNothing: a state read before an order, and delivered after
+// its answer, does not show the item; taking it in would free booked memory.
+func TestStaleStateFreesNothing(t *testing.T) {
+	is := is.New(t)
+	e := NewEngine("e", 1000, true)
+	e.Observe(state(1, 5, 7, 1), 7, 0, size)
+	is.True(e.Book(Order{Fence: 7, Seq: 2, Op: Load, Item: "a", MiB: 400}))
+	e.Observe(state(1, 6, 7, 2, pool.Item{Name: "a", Phase: pool.Loading}), 7, 2, size)
+	e.Observe(state(1, 5, 7, 1), 7, 0, size) // the late one
+	is.Equal(e.Free(), int64(600))
+}
+
+// TestLostLoadStaysBooked until the engine's state settles it.
+func TestLostLoadStaysBooked(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		t.Run(fmt.Sprint(checks), func(t *testing.T) {
+			is := is.New(t)
+			e := NewEngine("e", 1000, checks)
+			e.Observe(state(1, 1, 7, 1), 7, 0, size)
+			is.True(e.Book(Order{Fence: 7, Seq: 2, Op: Load, Item: "a", MiB: 400}))
+			e.Lost(2)
+			e.Observe(state(1, 1, 7, 1), 7, 0, size) // does not tell
+			is.Equal(e.Free(), int64(600))
+			// A later order was carried out: an engine that checks refuses
+			// the lost one from now on; one that does not may still take it.
+			e.Observe(state(1, 2, 7, 3), 7, 0, size)
+			if checks {
+				is.Equal(e.Free(), int64(1000))
+			} else {
+				is.Equal(e.Free(), int64(600))
+			}
+		})
+	}
+}
+
+// TestDuplicateLoadPinsItsItem: where nothing is checked, an item whose load
+// may arrive twice is not unloaded under this boot.
+func TestDuplicateLoadPinsItsItem(t *testing.T) {
+	is := is.New(t)
+	e := NewEngine("e", 1000, false)
+	e.Observe(state(1, 1, 0, 0), 7, 0, size)
+	is.True(e.Book(Order{Fence: 7, Seq: 1, Op: Load, Item: "a", MiB: 400}))
+	e.Lost(1)
+	e.Observe(state(1, 2, 0, 0, pool.Item{Name: "a", Phase: pool.Ready}), 7, 0, size)
+	is.True(e.Pinned("a"))
+	is.True(!e.Book(Order{Fence: 7, Seq: 2, Op: Unload, Item: "a"}))
+	e.Observe(state(2, 0, 0, 0), 7, 0, size) // it restarted
+	is.Equal(e.Free(), int64(1000))
+}
+
+// TestFreeIsNeverMoreThanAnyOutcomeLeaves draws orders, losses, late arrivals,
+// restarts and reads against an engine that really carries orders out, and
+// checks that what the ledger calls free always is.
+func TestFreeIsNeverMoreThanAnyOutcomeLeaves(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(rapid.Bool().Draw(t, "checks"))
+		steps := rapid.IntRange(1, 60).Draw(t, "steps")
+		for range steps {
+			m.act(t)
+			if free, real := m.ledger.Free(), m.capacity-m.used()-m.pending(); free > real {
+				t.Fatalf("the ledger says %d free, %d may be", free, real)
+			}
+		}
+	})
+}
+
+// A model is a real engine's memory with orders still on their way to it.
+type model struct {
+	ledger   *Engine
+	checks   bool
+	capacity int64
+	boot     uint64
+	change   uint64
+	last     uint64
+	seq      uint64
+	items    map[string]pool.ItemPhase
+	onTheWay []Order
+	old      []pool.State // states read and not yet delivered
+}
+
+func newModel(checks bool) *model {
+	m := &model{checks: checks, capacity: 1000, boot: 1, items: map[string]pool.ItemPhase{}}
+	m.ledger = NewEngine("e", m.capacity, checks)
+	m.ledger.Observe(m.state(), 7, 0, size)
+	return m
+}
+
+func (m *model) used() int64 { return int64(len(m.items)) * 400 }
+
+// pending is what loads on their way would still take: each item once, and
+// none that the engine would refuse for its sequence.
+func (m *model) pending() int64 {
+	seen := map[string]bool{}
+	var sum int64
+	for _, o := range m.onTheWay {
+		if _, here := m.items[o.Item]; o.Op != Load || here || seen[o.Item] || (m.checks && o.Seq <= m.last) {
+			continue
+		}
+		seen[o.Item] = true
+		sum += 400
+	}
+	return sum
+}
+
+func (m *model) state() pool.State {
+	s := state(m.boot, m.change, 7, m.last)
+	for name, phase := range m.items {
+		s.Residency.Items = append(s.Residency.Items, pool.Item{Name: name, Phase: phase})
+	}
+	return s
+}
+
+func (m *model) act(t *rapid.T) {
+	item := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "item")
+	switch rapid.SampledFrom([]string{"load", "unload", "arrive", "read", "deliver", "drained", "raise", "lose"}).Draw(t, "act") {
+	case "load":
+		m.send(Order{Op: Load, Item: item, MiB: 400})
+	case "unload":
+		m.send(Order{Op: Unload, Item: item})
+	case "raise":
+		m.send(Order{Op: Raise})
+	case "arrive":
+		if len(m.onTheWay) > 0 {
+			i := rapid.IntRange(0, len(m.onTheWay)-1).Draw(t, "which")
+			m.arrive(i, rapid.Bool().Draw(t, "answered"))
+		}
+	case "lose":
+		for _, o := range m.onTheWay {
+			m.ledger.Lost(o.Seq)
+		}
+	case "read":
+		m.old = append(m.old, m.state())
+	case "deliver":
+		if len(m.old) > 0 {
+			i := rapid.IntRange(0, len(m.old)-1).Draw(t, "which")
+			m.ledger.Observe(m.old[i], 7, 0, size)
+			m.old = append(m.old[:i], m.old[i+1:]...)
+		}
+	case "drained":
+		if m.items[item] == pool.Unloading {
+			delete(m.items, item)
+			m.change++
+		}
+	}
+}
+
+func (m *model) send(o Order) {
+	m.seq++
+	o.Fence, o.Seq = 7, m.seq
+	if m.ledger.Book(o) {
+		m.onTheWay = append(m.onTheWay, o)
+	}
+}
+
+// arrive has an order take effect; without an answer it stays open and, where
+// nothing is checked, may arrive once more.
+func (m *model) arrive(i int, answered bool) {
+	o := m.onTheWay[i]
+	if answered || m.checks {
+		m.onTheWay = append(m.onTheWay[:i], m.onTheWay[i+1:]...)
+	}
+	if m.checks && o.Seq <= m.last {
+		if answered {
+			m.ledger.Refused(o.Seq)
+		}
+		return
+	}
+	m.last = max(m.last, o.Seq)
+	m.apply(o)
+	if answered {
+		m.ledger.Observe(m.state(), 7, o.Seq, size)
+		return
+	}
+	m.ledger.Lost(o.Seq)
+}
+
+func (m *model) apply(o Order) {
+	phase := m.items[o.Item]
+	switch {
+	case o.Op == Load && phase == 0:
+		m.items[o.Item] = pool.Ready
+		m.change++
+	case o.Op == Unload && phase == pool.Ready:
+		m.items[o.Item] = pool.Unloading
+		m.change++
+	}
+}
--- /dev/null
+++ b/standin/integration/errors_test.go
@@ -0,0 +1,126 @@
+package integration
+
+import (
+	"net/http"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/birchdrift/birchdrift/standin/fleet"
+	"github.com/birchdrift/birchdrift/standin/platform"
+)
+
+const sample = `
+zones: [{name: z1}]
+services:
+  - name: stock
+    replicas: [{name: s1, address: "127.0.0.1:1", zone: z1}]
+`
+
+// TestWrongSettingsGiveNumberedErrors: every fault at once, status 2.
+func TestWrongSettingsGiveNumberedErrors(t *testing.T) {
+	is := is.New(t)
+	p, err := fleet.Start("birchdrift", filepath.Join(bin, "birchdrift"), "--name", "x", "--zone", "z1", "--platform", "platform:1", "--stall", "never")
+	is.NoErr(err)
+	status, err := p.Wait()
+	is.NoErr(err)
+	is.Equal(status, 2)
+	is.True(strings.Contains(p.Log(), `BD-501 bad_setting: --platform (BIRCHDRIFT_PLATFORM) is "platform:1"; allowed: IP:port`))
+	is.True(strings.Contains(p.Log(), `BD-501 bad_setting: --stall`))
+	p, err = fleet.Start("birchdrift", filepath.Join(bin, "birchdrift"), "--no-such-flag")
+	is.NoErr(err)
+	status, err = p.Wait()
+	is.NoErr(err)
+	is.Equal(status, 2)
+	is.True(strings.Contains(p.Log(), "BD-502 bad_usage"))
+}
+
+// TestWrongConfigurationChangesNothing: the fault has its code, path and line,
+// and the revision in force stays.
+func TestWrongConfigurationChangesNothing(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	good := w.write("good.yaml", sample)
+	status, out := w.ctl("apply", "--platform", w.address, good)
+	is.Equal(status, 0)
+	is.Equal(strings.TrimSpace(out), "revision 1 accepted")
+	bad := w.write("bad.yaml", strings.Replace(sample, "zone: z1}]\n", "zone: z7}]\n", 1))
+	status, out = w.ctl("apply", "--platform", w.address, bad)
+	is.Equal(status, 1)
+	is.True(strings.Contains(out, `BD-413 config_dangling_name: line 5: services[0].replicas[0].zone: no zone "z7"`))
+	status, out = w.ctl("get", "--platform", w.address)
+	is.Equal(status, 0)
+	is.True(strings.Contains(out, "revision: 1"))
+	is.True(!strings.Contains(out, "z7"))
+	status, out = w.ctl("validate", good)
+	is.Equal(status, 0)
+	is.True(strings.HasPrefix(out, "valid: 1 services"))
+	changed := w.write("changed.yaml", strings.Replace(sample, "127.0.0.1:1", "127.0.0.1:2", 1))
+	status, out = w.ctl("diff", "--platform", w.address, changed)
+	is.Equal(status, 0)
+	is.True(strings.Contains(out, "-          address: 127.0.0.1:1") && strings.Contains(out, "+          address: 127.0.0.1:2"))
+}
+
+// TestPlatformDownGivesOneNumberedError to the operator.
+func TestPlatformDownGivesOneNumberedError(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	w.platform.Faults.Set(platform.Faults{Down: true})
+	status, out := w.ctl("apply", "--platform", w.address, w.write("good.yaml", sample))
+	is.Equal(status, 1)
+	is.Equal(strings.Count(out, "BD-"), 1)
+	is.True(strings.Contains(out, "BD-401 platform_down"))
+}
+
+// TestDeadUpstreamGivesOneNumberedError to the caller, at once.
+func TestDeadUpstreamGivesOneNumberedError(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	in := w.start("entry-1", "z1")
+	status, _ := w.ctl("apply", "--platform", w.address, w.write("good.yaml", sample))
+	is.Equal(status, 0)
+	w.await("ready", in.Ready)
+	a, err := in.Post("/services/stock/x", "", nil)
+	is.NoErr(err)
+	is.Equal(a.Status, http.StatusBadGateway)
+	r := refusalOf(t, a)
+	is.Equal(r.Error.Code, 302)
+	is.Equal(r.Error.Run, "not_run")
+}
+
+// TestStatusAndExplainSayWhy shows an operator where things are.
+func TestStatusAndExplainSayWhy(t *testing.T) {
+	is := is.New(t)
+	w, in, _ := oneEngine(t, nil)
+	a, err := chat(in, "svc-m1", "x", 2, false)
+	is.NoErr(err)
+	is.Equal(a.Status, http.StatusOK)
+	status, out := w.ctl("status", "--operations", in.Operations)
+	is.Equal(status, 0)
+	is.True(strings.Contains(out, "entry-1"))
+	status, out = w.ctl("explain", "model", "--operations", in.Operations, "m1")
+	is.Equal(status, 0)
+	is.True(strings.Contains(out, "ready on e1 in z1 (live)"))
+	status, out = w.ctl("explain", "calls", "--operations", in.Operations, "svc-m1")
+	is.Equal(status, 0)
+	is.True(strings.Contains(out, "e1, attempt 1"))
+}
+
+// TestCallersAreLetInByKey: only configured keys, only to their services.
+func TestCallersAreLetInByKey(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	in := w.start("entry-1", "z1")
+	// The hash is that of the key "foo".
+	text := sample + "callers:\n  - {name: desk, key_sha256: 2c26b46b68ffc68ff99b453c1d30413413422d706483bfa0f98a5e886266e7ae, services: [stock]}\n"
+	status, _ := w.ctl("apply", "--platform", w.address, w.write("keys.yaml", text))
+	is.Equal(status, 0)
+	w.await("ready", in.Ready)
+	for key, want := range map[string]int{"": 401, "bar": 401, "foo": 502} {
+		a, err := in.Post("/services/stock/x", "", http.Header{"Authorization": {"Bearer " + key}})
+		is.NoErr(err)
+		is.Equal(a.Status, want)
+	}
+}
