--- a/cmd/birchdrift/main.go
+++ b/cmd/birchdrift/main.go
@@ -50,7 +50,7 @@
 		}
 		return cli.Exit("", exitUsage)
 	}
-	s, err := server.New(set, os.Stderr, os.Stdout)
+	s, err := server.New(set, set.Options(), os.Stderr, os.Stdout)
 	if err != nil {
 		return cli.Exit(fmt.Sprintf("birchdrift: BD-501 bad_setting: %v", err), exitFailed)
 	}
--- a/core/demand/demand.go
+++ b/core/demand/demand.go
@@ -33,6 +33,7 @@
 	Weight     float64       // mean weight of its calls by policy; 1 is an ordinary call
 	Waiting    int           // calls that wait for it to become resident
 	Unmet      time.Duration // how long calls have found it not resident, 0 if they do not
+	Idle       time.Duration // since its last call
 }
 
 // A Meter measures the calls of one instance.
@@ -41,10 +42,11 @@
 }
 
 type meterItem struct {
-	short, long float64 // decayed counts
-	weight      float64 // EWMA
-	hold        float64 // EWMA, seconds
-	at          clock.Instant
+	short, long float64       // decayed counts
+	weight      float64       // EWMA
+	hold        float64       // EWMA, seconds
+	at          clock.Instant // of the last decay
+	last        clock.Instant // of the last call
 	waiting     int
 	unmet       clock.Instant // zero while met
 	lastUnmet   clock.Instant
@@ -67,6 +69,7 @@
 		m.items[item] = it
 	}
 	it.decay(now)
+	it.last = now
 	it.short++
 	it.long++
 	it.weight += ewma * (weight - it.weight)
@@ -125,7 +128,7 @@
 			delete(m.items, name)
 			continue
 		}
-		out := Item{Name: name, Rate: rate, Concurrent: rate * it.hold, Weight: it.weight, Waiting: it.waiting}
+		out := Item{Name: name, Rate: rate, Concurrent: rate * it.hold, Weight: it.weight, Waiting: it.waiting, Idle: now.Since(it.last)}
 		if !it.unmet.IsZero() && now.Since(it.lastUnmet) < unmetMemory {
 			out.Unmet = max(now.Since(it.unmet), 1)
 		}
@@ -177,6 +180,10 @@
 func add(a, b Item) Item {
 	total := a.Rate + b.Rate
 	weight := b.Weight
+	idle := b.Idle
+	if a.Name != "" {
+		idle = min(a.Idle, b.Idle)
+	}
 	if total > 0 {
 		weight = (a.Weight*a.Rate + b.Weight*b.Rate) / total
 	}
@@ -187,5 +194,6 @@
 		Weight:     weight,
 		Waiting:    a.Waiting + b.Waiting,
 		Unmet:      max(a.Unmet, b.Unmet),
+		Idle:       idle,
 	}
 }
--- a/core/instance/machine.go
+++ b/core/instance/machine.go
@@ -88,12 +88,14 @@
 
 // New returns the machine of an instance that knows nothing yet.
 func New(self Identity, opt Options, seed uint64) *Machine {
+	chooser := route.NewChooser(prefixMemory)
+	chooser.Pick = opt.Pick
 	return &Machine{
 		self:      self,
 		opt:       opt,
 		rng:       rand.New(rand.NewPCG(seed, self.Boot)),
 		pool:      pool.New(),
-		chooser:   route.NewChooser(prefixMemory),
+		chooser:   chooser,
 		members:   member.New(self.Name, self.Zone),
 		store:     share.NewStore(),
 		meter:     demand.NewMeter(),
--- a/core/instance/options.go
+++ b/core/instance/options.go
@@ -1,6 +1,11 @@
 package instance
 
-import "time"
+import (
+	"time"
+
+	"github.com/birchdrift/birchdrift/core/plan"
+	"github.com/birchdrift/birchdrift/core/route"
+)
 
 // Options are the tunables of a machine. The zero value is not usable; start
 // from DefaultOptions.
@@ -33,6 +38,10 @@
 	StopDelay time.Duration
 	// StopLimit is how long a stopping instance waits for calls to end.
 	StopLimit time.Duration
+	// Pick and Plan replace the routing choice and the residency plan; nil in
+	// the product. Baselines for measurements set them.
+	Pick func(estimates []route.Estimate) int
+	Plan func(in plan.Input) []plan.Step
 	// Disable switches mechanisms off, for tests that show what they prevent.
 	Disable Disabled
 }
--- a/core/instance/planner.go
+++ b/core/instance/planner.go
@@ -253,7 +253,11 @@
 	m.rereadDue()
 	m.raiseFences()
 	m.resendUnsure()
-	for _, s := range plan.Steps(m.planInput()) {
+	steps := plan.Steps
+	if m.opt.Plan != nil {
+		steps = m.opt.Plan
+	}
+	for _, s := range steps(m.planInput()) {
 		m.order(s)
 	}
 	m.flushIntents()
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -66,9 +66,9 @@
 // A Chooser remembers where prefixes were sent and makes choices.
 type Chooser struct {
 	memory *Memory
-	// Cost replaces the estimate's total as what is minimised; nil in the
-	// product. Baselines for measurements set it.
-	Cost func(now clock.Instant, e Estimate) float64
+	// Pick replaces the choice among the estimates of usable candidates, by
+	// index; nil in the product. Baselines for measurements set it.
+	Pick func(estimates []Estimate) int
 }
 
 // NewChooser returns a chooser that remembers up to size prefix blocks.
@@ -84,6 +84,7 @@
 	spare := c.mayEject(now, candidates)
 	preferred := prefer(q.Prefix, candidates)
 	cachedOn, cached := c.memory.Find(q.Prefix)
+	var all []Estimate // gathered for Pick only
 	for _, r := range candidates {
 		if !r.Usable() {
 			continue
@@ -95,26 +96,29 @@
 		}
 		e := estimate(now, q, r)
 		e.applyCache(q, r == preferred, cachedOn == r.Name, cached)
-		if !ok || c.better(now, q, e, best) {
+		if c.Pick != nil {
+			all = append(all, e)
+		}
+		if !ok || better(q, e, best) {
 			best = e
 			ok = true
 		}
 	}
+	if c.Pick != nil && ok {
+		best = all[c.Pick(all)]
+	}
 	return best, ok
 }
 
 // better orders estimates: another replica than the one that just failed,
-// then room, then cost.
-func (c *Chooser) better(now clock.Instant, q Query, a, b Estimate) bool {
+// then room, then the expected time to first token.
+func better(q Query, a, b Estimate) bool {
 	if q.Exclude != "" && (a.Replica.Name == q.Exclude) != (b.Replica.Name == q.Exclude) {
 		return b.Replica.Name == q.Exclude
 	}
 	if a.Room != b.Room {
 		return a.Room
 	}
-	if c.Cost != nil {
-		return c.Cost(now, a) < c.Cost(now, b)
-	}
 	return a.Total() < b.Total()
 }
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -40,6 +40,7 @@
 // A Server is one entry instance.
 type Server struct {
 	set       settings.Settings
+	opt       instance.Options
 	log       logr.Logger
 	tracer    *telemetry.Tracer
 	shell     *shell.Shell
@@ -54,15 +55,15 @@
 	http *http.Server
 }
 
-// New binds the listeners and wires the instance; Run starts it. Logs go to
-// logs, spans to spans.
-func New(set settings.Settings, logs, spans io.Writer) (*Server, error) {
+// New binds the listeners and wires the instance, whose tunables are opt; Run
+// starts it. Logs go to logs, spans to spans.
+func New(set settings.Settings, opt instance.Options, logs, spans io.Writer) (*Server, error) {
 	log := telemetry.NewLogger(logs, set.LogLevel, set.Name, set.Zone)
 	tracer, err := telemetry.NewTracer(spans, set.Name, set.Zone, set.TraceShare)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	s := &Server{set: set, log: log, tracer: tracer}
+	s := &Server{set: set, opt: opt, log: log, tracer: tracer}
 	if err := s.bind(); err != nil {
 		return nil, err
 	}
@@ -104,7 +105,7 @@
 	adapters.Platform.Called = metrics.PlatformCall
 	ctx, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
-	s.shell = shell.New(ctx, self, instance.New(self, s.set.Options(), self.Boot), adapters, s.log, metrics)
+	s.shell = shell.New(ctx, self, instance.New(self, s.opt, self.Boot), adapters, s.log, metrics)
 	callers := &entry.Handler{
 		Shell: s.shell, Engine: adapters.Engine, Service: service.NewClient(transports),
 		Metrics: metrics, Tracer: s.tracer, Log: s.log, Instance: s.set.Name, MaxBody: s.set.MaxBody,
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -31,7 +31,7 @@
 
 // Build compiles the programs into dir. module is the repository's root.
 func Build(module, dir string) error {
-	for _, b := range []struct{ in, pkg string }{{module, "./cmd/..."}, {filepath.Join(module, "standin"), "./cmd/standin"}} {
+	for _, b := range []struct{ in, pkg string }{{module, "./cmd/..."}, {filepath.Join(module, "standin"), "./cmd/..."}} {
 		cmd := exec.Command("go", "build", "-o", dir+string(filepath.Separator), b.pkg)
 		cmd.Dir = b.in
 		if out, err := cmd.CombinedOutput(); err != nil {
@@ -161,6 +161,7 @@
 	Zone     string
 	Platform string
 	Extra    []string // further flags
+	Program  string   // another program with the product's flags; "" is the product
 }
 
 // StartInstance starts an entry instance on ports that the kernel chooses.
@@ -169,7 +170,11 @@
 		"--name", s.Name, "--zone", s.Zone, "--platform", s.Platform,
 		"--listen-callers", "127.0.0.1:0", "--listen-peers", "127.0.0.1:0", "--listen-operations", "127.0.0.1:0",
 	}, s.Extra...)
-	p, err := Start(s.Name, filepath.Join(bin, "birchdrift"), args...)
+	program := s.Program
+	if program == "" {
+		program = "birchdrift"
+	}
+	p, err := Start(s.Name, filepath.Join(bin, program), args...)
 	if err != nil {
 		return nil, err
 	}
