Planner: fewer moves, more attainment

Every item that few ask for starved after 6 s and took a place from a popular one; noise in 10 s rates did the same; zones each loaded their own copy of what the other already had.

Change: the long rate counts until the short one differs by more than chance explains; one zone, by rendezvous, places an item's first copy on the demand of all that reach it; copies elsewhere count against the need for more, and of two zones with a copy only one may rely on the other's; room is made for one starving item a zone every 15 s times the move cost; spare copies only where there is room; a planner hears of unmet demand within half a second.

--- a/core/demand/demand.go
+++ b/core/demand/demand.go
@@ -2,9 +2,9 @@
 // asked for: by this instance's callers, and, at the planner of an availability
 // zone, by those of every instance in it.
 //
-// Rates are exponentially weighted over a short and a long window. The higher
-// of the two is what counts, so that a burst is seen within seconds and a pause
-// is not taken for an end.
+// Rates are exponentially weighted over a short and a long window. The long one
+// counts, for it is steady, until the short one differs from it by more than
+// chance explains: then demand has moved, and the short one counts.
 package demand
 
 import (
@@ -45,6 +45,7 @@
 	short, long float64       // decayed counts
 	weight      float64       // EWMA
 	hold        float64       // EWMA, seconds
+	begun       clock.Instant // of the first call
 	at          clock.Instant // of the last decay
 	last        clock.Instant // of the last call
 	waiting     int
@@ -65,7 +66,7 @@
 func (m *Meter) Call(now clock.Instant, item string, weight float64) {
 	it := m.items[item]
 	if it == nil {
-		it = &meterItem{weight: weight, hold: defaultHold, at: now}
+		it = &meterItem{weight: weight, hold: defaultHold, at: now, begun: now}
 		m.items[item] = it
 	}
 	it.decay(now)
@@ -118,12 +119,36 @@
 	it.at = now
 }
 
+// chance is how many standard deviations of a Poisson count the short rate may
+// differ from the long one before demand is held to have moved.
+const chance = 2.5
+
+// leastAge keeps the first call of an item from counting as a flood.
+const leastAge = 5 * time.Second
+
+// rate returns the calls a second, corrected for how short a time the item has
+// been known.
+func (it *meterItem) rate(now clock.Instant) float64 {
+	age := max(now.Since(it.begun), leastAge)
+	steady := it.long / window(long, age)
+	recent := it.short / window(short, age)
+	if math.Abs(recent-steady) > chance*math.Sqrt(max(recent, steady)/short.Seconds()) {
+		return recent
+	}
+	return steady
+}
+
+// window returns the seconds that a decayed count stands for at an age.
+func window(w, age time.Duration) float64 {
+	return w.Seconds() * (1 - math.Exp(-float64(age)/float64(w)))
+}
+
 // Items returns the demand at now by name, and drops what is no longer asked for.
 func (m *Meter) Items(now clock.Instant) []Item {
 	var items []Item
 	for name, it := range m.items {
 		it.decay(now)
-		rate := max(it.short/short.Seconds(), it.long/long.Seconds())
+		rate := it.rate(now)
 		if rate < forget && it.waiting == 0 {
 			delete(m.items, name)
 			continue
@@ -156,15 +181,23 @@
 	b.reports[instance] = report{at: now, items: items}
 }
 
-// Sum returns the demand of the zone by name; reports that are too old are
+// Sum returns the demand of all reports by name; reports that are too old are
 // dropped.
 func (b *Board) Sum(now clock.Instant) []Item {
+	return b.SumOf(now, func(string) bool { return true })
+}
+
+// SumOf returns the demand that the instances for which keep is true reported.
+func (b *Board) SumOf(now clock.Instant, keep func(instance string) bool) []Item {
 	sums := map[string]Item{}
 	for name, r := range b.reports {
 		if now.Since(r.at) > stale {
 			delete(b.reports, name)
 			continue
 		}
+		if !keep(name) {
+			continue
+		}
 		for _, it := range r.items {
 			sums[it.Name] = add(sums[it.Name], it)
 		}
--- a/core/instance/calls.go
+++ b/core/instance/calls.go
@@ -216,6 +216,7 @@
 		return
 	}
 	m.meter.Unmet(m.now, c.item)
+	m.tellPlanner()
 	if c.load > m.allowance(c)+m.now.Since(c.arrived) || m.allowance(c) <= 0 {
 		m.refuse(c, notRun(code.NotResident, fmt.Sprintf("%q is not resident", c.item), m.comeBack(c.load)))
 		return
--- a/core/instance/exchange.go
+++ b/core/instance/exchange.go
@@ -1,6 +1,8 @@
 package instance
 
 import (
+	"time"
+
 	"github.com/birchdrift/birchdrift/core/clock"
 	"github.com/birchdrift/birchdrift/core/demand"
 	"github.com/birchdrift/birchdrift/core/member"
@@ -28,6 +30,7 @@
 	flying map[string]bool // by address
 	urgent int             // exchanges to begin without waiting
 	pullTo clock.Instant   // until then a newer revision is being asked for
+	toldAt clock.Instant   // when the planner was last told of an unmet demand
 }
 
 // An ack is a position in one boot of an instance's store.
@@ -61,6 +64,24 @@
 	m.contactSeeds()
 }
 
+// tellEvery spaces the words to the planner about unmet demand. Without them a
+// call for a cold model would wait for the planner's turn in the rhythm.
+const tellEvery = 500 * time.Millisecond
+
+// tellPlanner lets the zone's planner know of an unmet demand soon.
+func (m *Machine) tellPlanner() {
+	x := &m.exchanges
+	if !x.toldAt.IsZero() && m.now.Since(x.toldAt) < tellEvery {
+		return
+	}
+	x.toldAt = m.now
+	if m.planning() {
+		m.planner.planDue = m.now
+		return
+	}
+	m.exchangeWith(m.members.Get(m.store.Holder(m.self.Zone).Instance))
+}
+
 // exchangeBurst tells several peers of the zone, and one of another, at once.
 func (m *Machine) exchangeBurst() {
 	m.exchanges.urgent = 0
@@ -182,20 +203,25 @@
 	return m.borrowed(p.Zone)
 }
 
-// borrowed returns the zone's demand for items that the other zone has ready
-// and this one has not.
+// borrowed returns the zone's demand for items that it has not and that the
+// other zone has ready, or is to place.
 func (m *Machine) borrowed(zone string) []demand.Item {
 	var items []demand.Item
-	for _, it := range m.board.Sum(m.now) {
+	zones := m.planningZones()
+	// Only what this zone's own callers ask for: what other planners reported
+	// here must not come back to them as more demand.
+	own := m.board.SumOf(m.now, func(name string) bool {
+		p := m.members.Get(name)
+		return name == m.self.Name || p != nil && p.Zone == m.self.Zone
+	})
+	for _, it := range own {
 		here := false
 		there := false
 		for _, r := range m.pool.Ready(it.Name) {
 			here = here || r.Zone == m.self.Zone
 			there = there || r.Zone == zone
 		}
-		if there && !here {
-			it.Waiting = 0
-			it.Unmet = 0
+		if !here && (there || m.leader(zones, it.Name) == zone) {
 			items = append(items, it)
 		}
 	}
@@ -243,6 +269,7 @@
 	m.takeRecords(msg.Records)
 	if len(msg.Demand) > 0 {
 		m.board.Report(m.now, msg.From, msg.Demand)
+		m.planSoon(msg.Demand)
 	}
 	if msg.Revision > m.cfg.Revision() && len(msg.Config) == 0 && !m.now.Before(x.pullTo) {
 		// It is ahead: ask it for what it has, now. Only one peer is asked at
@@ -252,6 +279,16 @@
 	}
 }
 
+// planSoon has the next plan made at once if a peer's callers wait.
+func (m *Machine) planSoon(items []demand.Item) {
+	for _, it := range items {
+		if it.Unmet > 0 && m.planning() {
+			m.planner.planDue = m.now
+			return
+		}
+	}
+}
+
 func (m *Machine) takeRecords(r share.Records) {
 	for _, res := range r.Residencies {
 		if m.store.AddResidency(res) {
--- a/core/instance/planinput.go
+++ b/core/instance/planinput.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -15,7 +16,7 @@
 type homeView struct {
 	items map[string]plan.Item
 	home  map[string]bool // items that this zone holds though nobody asks
-	zones int
+	zones []string        // those with engines
 }
 
 // newHomeView names each model's home zone by rendezvous hashing, so that
@@ -23,8 +24,8 @@
 // for. An adapter lives with its model.
 func newHomeView(s *config.Snapshot, zone string) homeView {
 	doc := s.Document()
-	h := homeView{items: map[string]plan.Item{}, home: map[string]bool{}, zones: len(doc.Zones)}
 	zones := engineZones(doc)
+	h := homeView{items: map[string]plan.Item{}, home: map[string]bool{}, zones: zones}
 	attached := map[string]bool{}
 	for _, svc := range doc.Services {
 		for _, v := range svc.Versions {
@@ -78,11 +79,15 @@
 		Items:       m.homes.items,
 		Demand:      m.board.Sum(m.now),
 		Home:        m.homes.home,
-		Elsewhere:   m.elsewhere(),
 		MoveCost:    doc.Residency.MoveCost,
 		MinimumStay: doc.Residency.MinimumStay,
 		Loads:       m.loadsAllowed(doc.Weights),
 	}
+	in.Elsewhere, in.Covered = m.elsewhere()
+	zones := m.planningZones()
+	in.Leads = func(item string) bool { return m.leader(zones, item) == m.self.Zone }
+	period := time.Duration(doc.Residency.MoveCost * float64(starvePeriod))
+	in.Starve = m.planner.starvedAt.IsZero() || m.now.Since(m.planner.starvedAt) >= period
 	for _, r := range m.pool.All() {
 		if l := m.planner.ledgers[r.Name]; l != nil {
 			in.Engines = append(in.Engines, m.planEngine(r))
@@ -124,18 +129,54 @@
 	return free
 }
 
-// elsewhere returns the items ready in another zone that was heard lately.
-func (m *Machine) elsewhere() map[string]bool {
-	out := map[string]bool{}
+// starvePeriod is how often, at a move cost of 1, a zone makes room for an item
+// that nobody would make room for on its worth.
+const starvePeriod = 15 * time.Second
+
+// planningZones returns the zones with engines that somebody is known to plan
+// for, this one included.
+func (m *Machine) planningZones() []string {
+	var zones []string
+	for _, z := range m.homes.zones {
+		if z == m.self.Zone || m.store.Holder(z).Instance != "" && m.zoneReachable(z) {
+			zones = append(zones, z)
+		}
+	}
+	return zones
+}
+
+// leader returns the zone that places the first copy of an item. An adapter
+// goes where its model does.
+func (m *Machine) leader(zones []string, item string) string {
+	if base := m.homes.items[item].Base; base != "" {
+		item = base
+	}
+	return homeZone(zones, item)
+}
+
+// elsewhere counts the copies ready in other zones that were heard lately, and
+// those of them in zones that rendezvous hashing puts before this one.
+func (m *Machine) elsewhere() (all, covered map[string]int) {
+	all = map[string]int{}
+	covered = map[string]int{}
+	reachable := map[string]bool{}
+	for _, z := range m.cfg.Document().Zones {
+		reachable[z.Name] = m.zoneReachable(z.Name)
+	}
 	for name := range m.homes.items {
+		key := xxhash.Sum64String(name)
+		own := route.Score(key, m.self.Zone)
 		for _, r := range m.pool.Ready(name) {
-			if r.Zone != m.self.Zone && r.Usable() && m.zoneReachable(r.Zone) && !r.Ejected(m.now) {
-				out[name] = true
-				break
+			if r.Zone == m.self.Zone || !r.Usable() || !reachable[r.Zone] || r.Ejected(m.now) {
+				continue
+			}
+			all[name]++
+			if route.Score(key, r.Zone) > own {
+				covered[name]++
 			}
 		}
 	}
-	return out
+	return all, covered
 }
 
 // zoneReachable reports whether any instance of the zone was heard lately.
@@ -157,7 +198,7 @@
 // word from anybody, so it holds while the zone is cut off.
 func (m *Machine) loadsAllowed(w config.WeightStore) int {
 	b := &m.planner.loads
-	share := 1 / float64(max(1, m.homes.zones))
+	share := 1 / float64(max(1, len(m.homes.zones)))
 	rate := w.LoadsPerSecond * share
 	b.tokens = min(b.tokens+rate*m.now.Since(b.at).Seconds(), max(1, rate))
 	b.at = m.now
--- a/core/instance/planner.go
+++ b/core/instance/planner.go
@@ -23,6 +23,7 @@
 	since      map[placement]clock.Instant // when a placement was first seen
 	intents    intentView
 	loads      budgetView
+	starvedAt  clock.Instant // when room was last made for a starving item
 	doubtNoted bool
 	moves      Moves
 }
@@ -300,6 +301,9 @@
 	if s.Op == book.Load {
 		p.loads.tokens--
 	}
+	if s.Starving {
+		p.starvedAt = m.now
+	}
 	if r.ChecksFence || m.opt.Disable.Intents {
 		m.send(o, r)
 		return
--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -9,7 +9,7 @@
 //
 // Invariants: Steps never asks for more memory than an engine has free; it
 // drops an adapter before its model; it drops no item within its minimum stay,
-// unless an item has been unmet for longer than Starving.
+// or a shorter one when another has been unmet for longer than Starving.
 package plan
 
 import (
@@ -33,8 +33,12 @@
 	fill = 0.7
 	// spareWorth is the worth left to a copy beyond those that demand needs.
 	spareWorth = 0.02
-	// remoteWorth is the share of worth left when another zone has a copy.
-	remoteWorth = 0.1
+	// remoteWorth is the share of worth left when another zone has a copy: the
+	// way there costs a millisecond or two of a target of hundreds.
+	remoteWorth = 0.02
+	// starvingStay is how long even an item dropped for a starving one stays,
+	// so that the calls that waited for it are served.
+	starvingStay = 4 * time.Second
 	// homeWorth is the worth of an item nobody asks for, in its home zone.
 	homeWorth = 0.05
 	// unmetWorth is added for each second that calls have found it absent.
@@ -71,10 +75,19 @@
 	Engines []Engine
 	Items   map[string]Item
 	Demand  []demand.Item
-	// Elsewhere holds the items ready in another zone that can be reached.
-	Elsewhere map[string]bool
+	// Elsewhere counts the copies ready in other zones that can be reached.
+	Elsewhere map[string]int
+	// Covered counts those of them in zones that come before this one for the
+	// item. A copy here may be dropped on the strength of these only: of two
+	// zones that each have a copy, at most one may rely on the other's.
+	Covered map[string]int
 	// Home holds the items that this zone should hold though nobody asks.
-	Home        map[string]bool
+	Home map[string]bool
+	// Leads reports whether a first copy of the item is this zone's to place,
+	// of all zones that can be reached. nil means every item is.
+	Leads func(item string) bool
+	// Starve says that room may be made for one starving item now.
+	Starve      bool
 	MoveCost    float64
 	MinimumStay time.Duration
 	Loads       int // loads that may be begun now
@@ -87,6 +100,9 @@
 	Item   string
 	MiB    int64
 	Worth  float64 // of what the step is for
+	// Starving says that the step makes room for a starving item, whatever
+	// that costs.
+	Starving bool
 }
 
 // Steps returns the orders to give now. A load that needs room yields the
@@ -107,6 +123,7 @@
 	item     string
 	worth    float64
 	starving bool
+	spare    bool // a second copy against the loss of the first, where there is room
 }
 
 // A planner holds one plan in the making.
@@ -117,6 +134,7 @@
 	engines []*engine
 	steps   []Step
 	loads   int
+	starved bool // room is being made for a starving item
 }
 
 // An engine is an Engine as the plan has changed it so far.
@@ -159,25 +177,30 @@
 	return out
 }
 
-// worth returns what the copy number n of an item (1 for the first) gains.
-func (p *planner) worth(item string, n int) float64 {
+// worth returns what the copy number n of an item (1 for the first) gains in
+// this zone when so many copies elsewhere can be relied on.
+func (p *planner) worth(item string, n, remote int) float64 {
 	d, asked := p.demand[item]
 	if !asked {
+		if remote > 0 {
+			return 0
+		}
 		return p.idleWorth(item, n)
 	}
 	calls := d.Weight * (d.Rate*Horizon.Seconds() + float64(d.Waiting))
-	if n == 1 {
-		if p.in.Elsewhere[item] {
-			calls *= remoteWorth
-		}
+	if n == 1 && remote == 0 {
 		return calls + unmetWorth*d.Unmet.Seconds()
 	}
+	others := float64(n - 1 + remote)
 	needed := p.needed(item)
-	if float64(n-1) >= needed {
-		return spareWorth * calls
+	if others < needed {
+		// The share of the demand that the other copies cannot carry.
+		return calls * min(1, (needed-others)/needed)
+	}
+	if n == 1 {
+		return remoteWorth * calls
 	}
-	// The share of the demand that the first n-1 copies cannot carry.
-	return calls * min(1, (needed-float64(n-1))/needed)
+	return spareWorth * calls
 }
 
 func (p *planner) idleWorth(item string, n int) float64 {
@@ -205,13 +228,21 @@
 			continue
 		}
 		have := p.copies[name]
+		remote := p.in.Elsewhere[name]
 		d := p.demand[name]
+		if have == 0 && remote == 0 && !p.leads(name) {
+			continue
+		}
 		if have == 0 && (d.Rate > 0 || p.in.Home[name]) {
-			wants = append(wants, want{item: name, worth: p.worth(name, 1), starving: d.Unmet > Starving})
+			wants = append(wants, want{item: name, worth: p.worth(name, 1, remote), starving: d.Unmet > Starving && remote == 0})
 			continue
 		}
-		if have > 0 && float64(have) < math.Ceil(p.needed(name)) {
-			wants = append(wants, want{item: name, worth: p.worth(name, have+1)})
+		if have > 0 && float64(have+remote) < math.Ceil(p.needed(name)) {
+			wants = append(wants, want{item: name, worth: p.worth(name, have+1, remote)})
+			continue
+		}
+		if worth := p.worth(name, have+1, remote); have == 1 && remote == 0 && worth > p.in.MoveCost {
+			wants = append(wants, want{item: name, worth: worth, spare: true})
 		}
 	}
 	sort.Slice(wants, func(i, j int) bool {
@@ -219,6 +250,9 @@
 		if a.starving != b.starving {
 			return a.starving
 		}
+		if a.spare != b.spare {
+			return b.spare
+		}
 		if a.worth != b.worth {
 			return a.worth > b.worth
 		}
@@ -227,6 +261,8 @@
 	return wants
 }
 
+func (p *planner) leads(item string) bool { return p.in.Leads == nil || p.in.Leads(item) }
+
 // An option is one way to place a want.
 type option struct {
 	engine  *engine
@@ -243,6 +279,17 @@
 		return
 	}
 	moves := float64(len(best.load) + len(best.victims))
+	if w.spare && len(best.victims) > 0 {
+		return
+	}
+	if w.starving && len(best.victims) > 0 {
+		// One at a time: what starves is what few ask for, and it may take
+		// the place of one popular item, not of many.
+		if p.starved || !p.in.Starve {
+			return
+		}
+		p.starved = true
+	}
 	if !w.starving && len(best.victims) > 0 && w.worth <= hysteresis*best.cost+p.in.MoveCost*moves {
 		return
 	}
@@ -280,7 +327,7 @@
 		if it.Base != "" {
 			o.engine.children[it.Base]--
 		}
-		p.steps = append(p.steps, Step{Op: book.Unload, Engine: o.engine.Name, Item: v.Name, MiB: it.MiB, Worth: w.worth})
+		p.steps = append(p.steps, Step{Op: book.Unload, Engine: o.engine.Name, Item: v.Name, MiB: it.MiB, Worth: w.worth, Starving: w.starving})
 	}
 	p.loads-- // the load this makes room for
 	for _, it := range o.load {
@@ -385,9 +432,9 @@
 		c := candidate{group: group}
 		droppable := true
 		for _, g := range group {
-			droppable = droppable && g.Settled && (w.starving || g.Since >= p.in.MinimumStay)
+			droppable = droppable && g.Settled && g.Since >= p.stay(w)
 			c.mib += p.in.Items[g.Name].MiB
-			c.worth += p.worth(g.Name, p.copies[g.Name])
+			c.worth += p.worth(g.Name, p.copies[g.Name], p.in.Covered[g.Name])
 		}
 		if droppable {
 			candidates = append(candidates, c)
@@ -412,6 +459,14 @@
 	return o, need <= 0
 }
 
+// stay returns how long an item must have been there to be dropped for w.
+func (p *planner) stay(w want) time.Duration {
+	if w.starving {
+		return min(starvingStay, p.in.MinimumStay)
+	}
+	return p.in.MinimumStay
+}
+
 // group returns the adapters of a model on the engine, then the model.
 func (p *planner) group(e *engine, r *Resident) []Resident {
 	var group []Resident
--- a/standin/baseline/baseline.go
+++ b/standin/baseline/baseline.go
@@ -103,7 +103,7 @@
 	}
 	var steps []plan.Step
 	for _, d := range in.Demand {
-		if held[d.Name] || in.Elsewhere[d.Name] || (d.Waiting == 0 && d.Unmet == 0) {
+		if held[d.Name] || in.Elsewhere[d.Name] > 0 || (d.Waiting == 0 && d.Unmet == 0) {
 			continue
 		}
 		if s := fill(in, d.Name); len(s) > 0 {
