Stand-in: loads beyond the store's limit come to an end

Cause: above 8 loads at once the weight store slows down, and a last slice shorter than its speed could measure was never through: every load stood still and every call of a run was refused (2,342 of 2,342). Ruled out: the planner (its orders were carried out) and the rates. Change: time is counted in whole slices.

--- a/standin/cmd/birchload/run.go
+++ b/standin/cmd/birchload/run.go
@@ -145,7 +145,7 @@
 	// what each system would have resident after hours, not with loading.
 	doc := s.document(c)
 	measured := doc.Weights
-	doc.Weights = config.WeightStore{LoadsPerSecond: warmLoads, AtOnce: warmLoads}
+	doc.Weights = config.WeightStore{LoadsPerSecond: warmLoads, AtOnce: config.DefaultLoadsAtOnce}
 	s.platform.SetLoadRate(warmLoads)
 	if err := s.apply(doc); err != nil {
 		return load.Report{}, err
--- a/standin/platform/weights.go
+++ b/standin/platform/weights.go
@@ -38,8 +38,8 @@
 	defer s.add(-1)
 	for left > 0 {
 		select {
-		case <-time.After(min(slice, left)):
-			left -= time.Duration(float64(min(slice, left)) * s.speed())
+		case <-time.After(slice):
+			left -= time.Duration(float64(slice) * s.speed())
 		case <-r.Context().Done():
 			return
 		}
