--- a/core/instance/machine.go
+++ b/core/instance/machine.go
@@ -79,6 +79,7 @@
 	platform  platformView
 	exchanges exchangeView
 	readers   map[string]*reader
+	scanDue   clock.Instant // when to look for reads that are due
 	planner   plannerView
 	lease     lease.Lease
 	homes     homeView
--- a/core/instance/read.go
+++ b/core/instance/read.go
@@ -28,11 +28,16 @@
 	backoff backoff.Backoff
 }
 
+// scanEvery spaces the looks over all engines for reads that are due. Every
+// call steps the machine, and a look costs in proportion to the engines.
+const scanEvery = 50 * time.Millisecond
+
 // readDue asks the engines whose state is this instance's to read.
 func (m *Machine) readDue() {
-	if m.cfg == nil {
+	if m.cfg == nil || m.now.Before(m.scanDue) {
 		return
 	}
+	m.scanDue = m.now.Add(scanEvery)
 	var mine []*pool.Replica
 	for _, r := range m.pool.All() {
 		if r.Kind == pool.Engine && r.Zone == m.self.Zone && m.reads(r) {
