Contract tests of each interface, and tests of the shell, the wire and parsing

Change: the platform's contract with lost answers, outage, rates, lag; an engine's orders by what it may answer; streams by what a connection may bring, as a table and as a fuzz target; questions that once put off every tick; what the wire between instances carries; keys between instances.

--- /dev/null
+++ b/internal/engine/engine_test.go
@@ -0,0 +1,129 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/birchdrift/birchdrift/core/attempt"
+	"github.com/birchdrift/birchdrift/core/book"
+	"github.com/birchdrift/birchdrift/core/instance"
+	"github.com/birchdrift/birchdrift/internal/upstream"
+)
+
+func streamOf(id string, next int, body []byte) *Stream {
+	return &Stream{id: id, next: next, body: io.NopCloser(nil), dec: json.NewDecoder(bytes.NewReader(body))}
+}
+
+// TestStreamHandsOutItsOwnPiecesOnceInOrder tables what a connection may bring.
+func TestStreamHandsOutItsOwnPiecesOnceInOrder(t *testing.T) {
+	cases := []struct {
+		name  string
+		from  int
+		lines string
+		want  string
+		err   error
+	}{
+		{"whole", 0, `{"id":"a","o":0,"t":"x"}{"id":"a","o":1,"t":"y"}{"id":"a","o":2,"end":true}`, "xy", nil},
+		{"doubled", 0, `{"id":"a","o":0,"t":"x"}{"id":"a","o":0,"t":"x"}{"id":"a","o":1,"end":true}`, "x", nil},
+		{"another's", 0, `{"id":"b","o":0,"t":"z"}{"id":"a","o":0,"t":"x"}{"id":"b","o":1,"end":true}{"id":"a","o":1,"end":true}`, "x", nil},
+		{"late after a resume", 2, `{"id":"a","o":1,"t":"y"}{"id":"a","o":2,"t":"z"}{"id":"a","o":3,"end":true}`, "z", nil},
+		{"a gap", 0, `{"id":"a","o":0,"t":"x"}{"id":"a","o":2,"t":"z"}`, "x", ErrGap},
+		{"cut", 0, `{"id":"a","o":0,"t":"x"}`, "x", ErrCut},
+		{"cut in a piece", 0, `{"id":"a","o":0,"t":"x"}{"id":"a","o":1,"t`, "x", ErrCut},
+		{"nothing", 0, ``, "", ErrCut},
+		{"not JSON", 0, `<html>`, "", ErrCut},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s := streamOf("a", c.from, []byte(c.lines))
+			got := ""
+			for {
+				p, err := s.Next()
+				if err != nil {
+					is.True(errors.Is(err, c.err))
+					break
+				}
+				if p.End {
+					is.True(c.err == nil)
+					break
+				}
+				got += p.Text
+			}
+			is.Equal(got, c.want)
+		})
+	}
+}
+
+// FuzzStream feeds bytes that an engine could send: never a piece of another
+// call, never one out of order.
+func FuzzStream(f *testing.F) {
+	f.Add([]byte(`{"id":"a","o":0,"t":"x"}{"id":"a","o":1,"end":true}`))
+	f.Add([]byte(`{"id":"b","o":0}{"id":"a","o":5}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s := streamOf("a", 0, data)
+		for want := 0; ; want++ {
+			p, err := s.Next()
+			if err != nil || p.End {
+				return
+			}
+			if p.ID != "a" || p.Offset != want {
+				t.Fatalf("piece %+v where %d was due", p, want)
+			}
+		}
+	})
+}
+
+// TestOrderOutcomes tables what an engine may do with an order.
+func TestOrderOutcomes(t *testing.T) {
+	cases := []struct {
+		name string
+		do   http.HandlerFunc
+		want instance.OrderOutcome
+	}{
+		{"done", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, `{"result":"done"}`) }, instance.OrderDone},
+		{"refused", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, `{"result":"refused"}`) }, instance.OrderRefused},
+		{"fenced", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, `{"result":"fenced"}`) }, instance.OrderFenced},
+		{"a word we do not know", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, `{"result":"maybe"}`) }, instance.OrderLost},
+		{"an error page", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }, instance.OrderLost},
+		{"no answer", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, instance.OrderLost},
+		{"half an answer", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, `{"result":`) }, instance.OrderLost},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			server := httptest.NewServer(c.do)
+			defer server.Close()
+			reply := NewClient(upstream.NewTransports()).Order(context.Background(), server.Listener.Addr().String(), book.Order{Engine: "e", Seq: 4}, "")
+			is := is.New(t)
+			is.Equal(reply.Outcome, c.want)
+			is.Equal(reply.Seq, uint64(4))
+		})
+	}
+	t.Run("nobody listens", func(t *testing.T) {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		is := is.New(t)
+		is.NoErr(err)
+		address := l.Addr().String()
+		is.NoErr(l.Close())
+		reply := NewClient(upstream.NewTransports()).Order(context.Background(), address, book.Order{Engine: "e"}, "")
+		is.Equal(reply.Outcome, instance.OrderNotSent)
+	})
+}
+
+// TestProgressNeverGoesBack: a late note cannot make a call look less sent.
+func TestProgressNeverGoesBack(t *testing.T) {
+	is := is.New(t)
+	var p upstream.Progress
+	p.Reach(attempt.Answered)
+	p.Reach(attempt.MaybeSent)
+	is.Equal(p.Phase(), attempt.Answered)
+}
--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,56 @@
+package peer
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/birchdrift/birchdrift/core/demand"
+	"github.com/birchdrift/birchdrift/core/pool"
+	"github.com/birchdrift/birchdrift/core/share"
+)
+
+// full has every field set, so that one that the wire loses shows.
+func full() share.Message {
+	return share.Message{
+		From: "a", Zone: "z", Address: "127.0.0.1:1", Boot: 1, Leaving: true, Revision: 2, Stamp: 3, AckBoot: 4, Ack: 5,
+		Records: share.Records{
+			Residencies: []share.Residency{{Engine: "e", Residency: pool.Residency{
+				Boot: 6, Change: 7, Leaving: true, Items: []pool.Item{{Name: "m", Phase: pool.Ready}},
+			}}},
+			Loads:   []share.Load{{Engine: "e", Load: pool.Load{Boot: 6, Seq: 8, Running: 9, Waiting: 10}}},
+			Listed:  []share.Listed{{Name: "b", Kind: share.Entry, Zone: "z", Address: "x", Leaving: true, Gone: true, Version: 11}},
+			Holders: []share.Holder{{Zone: "z", Instance: "a", Fence: 12}},
+		},
+		Demand:     []demand.Item{{Name: "m", Rate: 0.5, Concurrent: 0.25, Weight: 2, Waiting: 13, Unmet: time.Second, Idle: time.Minute}},
+		WantConfig: true,
+		Config:     []byte("c"),
+	}
+}
+
+func TestWireLosesNothing(t *testing.T) {
+	is.New(t).Equal(decode(encode(full())), full())
+}
+
+func TestExchangeNeedsTheSharedKey(t *testing.T) {
+	is := is.New(t)
+	taken := 0
+	server := httptest.NewServer(Server{Take: func(_ context.Context, msg share.Message) (share.Message, error) {
+		taken++
+		return msg, nil
+	}}.Handler("right"))
+	defer server.Close()
+	address := server.Listener.Addr().String()
+	for key, ok := range map[string]bool{"right": true, "wrong": false, "": false} {
+		reply, err := NewClient(http.DefaultClient, key).Exchange(context.Background(), address, full())
+		is.Equal(err == nil, ok)
+		if ok {
+			is.Equal(reply, full())
+		}
+	}
+	is.Equal(taken, 1)
+}
--- /dev/null
+++ b/internal/service/service_test.go
@@ -0,0 +1,21 @@
+package service
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// TestHopByHopHeadersEndHere: those of the standard, and those that the
+// Connection header names.
+func TestHopByHopHeadersEndHere(t *testing.T) {
+	is := is.New(t)
+	in := http.Header{
+		"Connection": {"close, X-Private"}, "X-Private": {"1"}, "Upgrade": {"h2c"}, "Te": {"trailers"},
+		"Transfer-Encoding": {"chunked"}, "Keep-Alive": {"5"}, "X-Kept": {"yes"}, "Idempotency-Key": {"k"},
+	}
+	out := EndToEnd(in)
+	is.Equal(out, http.Header{"X-Kept": {"yes"}, "Idempotency-Key": {"k"}})
+	is.Equal(in.Get("X-Private"), "1") // the original is untouched
+}
--- /dev/null
+++ b/internal/shell/shell_test.go
@@ -0,0 +1,113 @@
+package shell
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"github.com/birchdrift/birchdrift/core/clock"
+	"github.com/birchdrift/birchdrift/core/instance"
+	"github.com/birchdrift/birchdrift/core/share"
+	"github.com/birchdrift/birchdrift/internal/engine"
+	"github.com/birchdrift/birchdrift/internal/peer"
+	"github.com/birchdrift/birchdrift/internal/platform"
+	"github.com/birchdrift/birchdrift/internal/telemetry"
+	"github.com/birchdrift/birchdrift/internal/upstream"
+)
+
+// nobody returns an address at which nobody listens.
+func nobody(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// running returns a shell under way whose platform is down and whose only
+// peer is at seed.
+func running(t *testing.T, seed string) *Shell {
+	t.Helper()
+	opt := instance.DefaultOptions()
+	opt.ExchangeEvery = 20 * time.Millisecond
+	self := instance.Identity{Name: "entry-1", Zone: "z1", Address: "127.0.0.1:1", Boot: 1, Seeds: []string{seed}}
+	transports := upstream.NewTransports()
+	adapters := Adapters{
+		Platform: platform.NewClient(nobody(t), transports),
+		Engine:   engine.NewClient(transports),
+		Peer:     peer.NewClient(&http.Client{Transport: transports.Reused}, ""),
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	s := New(ctx, self, instance.New(self, opt, 1), adapters, logr.Discard(), telemetry.NewMetrics())
+	ended := make(chan error, 1)
+	go func() { ended <- s.Run() }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+		transports.Reused.(*http.Transport).CloseIdleConnections()
+	})
+	return s
+}
+
+// TestQuestionsDoNotPutOffTicks: a state page that is polled without pause must
+// not keep the machine from its periodic work. Each question once reset the
+// timer, and no tick came for as long as the questions did.
+func TestQuestionsDoNotPutOffTicks(t *testing.T) {
+	is := is.New(t)
+	var exchanges atomic.Int64
+	other := httptest.NewServer(peer.Server{Take: func(_ context.Context, msg share.Message) (share.Message, error) {
+		exchanges.Add(1)
+		return share.Message{}, nil
+	}}.Handler(""))
+	defer other.Close()
+	s := running(t, other.Listener.Addr().String())
+	deadline := time.Now().Add(10 * time.Second)
+	for exchanges.Load() < 10 {
+		if time.Now().After(deadline) {
+			t.Fatalf("%d exchanges in 10 s of questions", exchanges.Load())
+		}
+		_, err := s.Status(context.Background())
+		is.NoErr(err)
+	}
+}
+
+// TestCallWithoutConfigurationIsRefused through the whole of Begin and Finish,
+// and nothing is left running afterwards.
+func TestCallWithoutConfigurationIsRefused(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	t.Run("call", func(t *testing.T) {
+		is := is.New(t)
+		s := running(t, nobody(t))
+		call := s.Begin(instance.Call{ID: 1, Service: "x"})
+		finish, ok := (<-call.Actions).(instance.Finish)
+		is.True(ok)
+		is.Equal(int(finish.Refusal.Code), 402)
+		ready, reason := s.Ready()
+		is.True(!ready)
+		is.True(reason != "")
+	})
+}
+
+// TestWallReadingHasNoMonotonicPart: with Go's own monotonic reading left in,
+// the two clocks of an Instant could never differ, and a suspended machine
+// would go on believing in its lease.
+func TestWallReadingHasNoMonotonicPart(t *testing.T) {
+	is := is.New(t)
+	s := &Shell{start: time.Now()}
+	now := s.Now()
+	is.Equal(now.Wall, now.Wall.Round(0)) // == compares the monotonic part too
+	later := clock.Instant{Mono: now.Mono, Wall: now.Wall.Add(time.Hour)}
+	is.Equal(later.Elapsed(now), time.Hour)
+}
--- /dev/null
+++ b/standin/integration/contract_test.go
@@ -0,0 +1,133 @@
+package integration
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	wire "github.com/birchdrift/birchdrift/internal/platform"
+	"github.com/birchdrift/birchdrift/standin/fault"
+	"github.com/birchdrift/birchdrift/standin/platform"
+)
+
+// TestPlatformContract runs the adapter against the stand-in, with its faults
+// in a table: what a swap says became of it, and what is stored afterwards.
+func TestPlatformContract(t *testing.T) {
+	cases := []struct {
+		name     string
+		faults   platform.Faults
+		limits   func(*platform.Limits)
+		expect   uint64 // revision that the swap expects; the value's is 1
+		err      error  // that the swap must be; nil: it must succeed
+		anyErr   bool   // it must fail, and not say that it was not sent
+		inEffect bool
+	}{
+		{"in order", platform.Faults{}, nil, 1, nil, false, true},
+		{"another was faster", platform.Faults{}, nil, 0, wire.ErrConflict, false, false},
+		{"answer lost after the effect", platform.Faults{Lost: 1}, nil, 1, nil, true, true},
+		{"down", platform.Faults{Down: true}, nil, 1, nil, true, false},
+		{"slow", platform.Faults{Slow: fault.Duration(50 * time.Millisecond)}, nil, 1, nil, false, true},
+		{"over its rate", platform.Faults{}, func(l *platform.Limits) { l.WritesPerSecond = 1 }, 1, nil, true, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(t)
+			if c.limits != nil {
+				limits := platform.DefaultLimits()
+				c.limits(&limits)
+				w.usePlatform(platform.New(limits))
+			}
+			ctx := context.Background()
+			first, err := w.client().Swap(ctx, "k", []byte("old"), 0, 0)
+			is.NoErr(err)
+			is.Equal(first, uint64(1))
+			w.platform.Faults.Set(c.faults)
+			_, err = w.client().Swap(ctx, "k", []byte("new"), c.expect, 0)
+			switch {
+			case c.anyErr:
+				is.True(err != nil)
+				is.True(!errors.Is(err, wire.ErrNotSent)) // a byte had left
+			case c.err != nil:
+				is.True(errors.Is(err, c.err))
+			default:
+				is.NoErr(err)
+			}
+			w.platform.Faults.Set(platform.Faults{})
+			v, err := w.client().Get(ctx, "k", 0, 0)
+			is.NoErr(err)
+			is.Equal(string(v.Data) == "new", c.inEffect)
+		})
+	}
+}
+
+// TestPlatformNobodyListens: only then is a request certainly not sent.
+func TestPlatformNobodyListens(t *testing.T) {
+	is := is.New(t)
+	_, err := wire.NewClient("127.0.0.1:1", transports()).Swap(context.Background(), "k", nil, 0, 0)
+	is.True(errors.Is(err, wire.ErrNotSent))
+}
+
+// TestPlatformWatch wakes on a change, and ends without one when its time is up.
+func TestPlatformWatch(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	ctx := context.Background()
+	revision, err := w.client().Swap(ctx, "k", []byte("a"), 0, 0)
+	is.NoErr(err)
+	v, err := w.client().Get(ctx, "k", revision, 50*time.Millisecond)
+	is.NoErr(err)
+	is.Equal(v.Revision, revision)
+	is.Equal(len(v.Data), 0) // nothing new, so nothing sent
+	woken := make(chan wire.Value, 1)
+	go func() {
+		v, _ := w.client().Get(ctx, "k", revision, fleetPatience)
+		woken <- v
+	}()
+	_, err = w.client().Swap(ctx, "k", []byte("b"), revision, 0)
+	is.NoErr(err)
+	is.Equal(string((<-woken).Data), "b")
+}
+
+// TestPlatformLease: one holder at a time, fences that only rise, and a lease
+// that lapses or is given back can be had by another.
+func TestPlatformLease(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	ctx := context.Background()
+	ask := func(holder string, term time.Duration, renew uint64) wire.LeaseReply {
+		r, err := w.client().Lease(ctx, "planner/z", wire.LeaseRequest{Holder: holder, TermMS: term.Milliseconds(), Renew: renew})
+		is.NoErr(err)
+		return r
+	}
+	a := ask("a", time.Minute, 0)
+	is.True(a.Granted)
+	is.True(!ask("b", time.Minute, 0).Granted)
+	is.True(ask("a", time.Minute, a.Fence).Granted)
+	is.NoErr(w.client().Release(ctx, "planner/z", a.Fence))
+	b := ask("b", time.Millisecond, 0)
+	is.True(b.Granted && b.Fence > a.Fence)
+	is.True(!ask("a", time.Minute, a.Fence).Granted) // an old grant cannot be renewed
+	w.await("b's lease lapses", func() bool { return ask("c", time.Minute, 0).Granted })
+}
+
+// TestPlatformListLags: the list shows a change only after its lag.
+func TestPlatformListLags(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	w.platform.Faults.Set(platform.Faults{ListLag: fault.Duration(time.Hour)})
+	w.platform.SetInstance(wire.Instance{Name: "x", Kind: wire.KindEntry, State: wire.StateLive})
+	list, version, err := w.client().Instances(context.Background(), 0, 0)
+	is.NoErr(err)
+	is.Equal(len(list), 0)
+	is.Equal(version, uint64(0))
+	w.platform.Faults.Set(platform.Faults{})
+	w.platform.SetInstance(wire.Instance{Name: "y", Kind: wire.KindEntry, State: wire.StateLeaving})
+	list, _, err = w.client().Instances(context.Background(), 0, fleetPatience)
+	is.NoErr(err)
+	is.Equal(len(list), 1)
+	is.True(list[0].Leaving)
+}
