Calls no longer go to an adapter whose model is still loading

An adapter is loaded in a thirtieth of a second, its model in two; calls went to the engine as soon as the adapter was there, were refused as not run, and since that engine was the idlest it drew them all again, six times each.

Ruled out: the concurrency limit; the retry budget.

Change: a replica is a candidate only when the adapter and its model are ready, and one that refused an item is not asked for it for half a second unless its residency is heard anew.

--- /dev/null
+++ b/core/instance/adapter_test.go
@@ -0,0 +1,81 @@
+package instance
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/birchdrift/birchdrift/core/attempt"
+	"github.com/birchdrift/birchdrift/core/clock"
+	"github.com/birchdrift/birchdrift/core/config"
+	"github.com/birchdrift/birchdrift/core/pool"
+)
+
+// adapterMachine knows two engines; the residencies are given by each test.
+func adapterMachine(t *testing.T, now clock.Instant) *Machine {
+	t.Helper()
+	doc := config.Document{
+		Revision: 1,
+		Zones:    []config.Zone{{Name: "z"}},
+		Models:   []config.Model{{Name: "m", MemoryMiB: 100, Load: time.Second}},
+		Adapters: []config.Adapter{{Name: "a", Model: "m", MemoryMiB: 1}},
+		Services: []config.Service{{Name: "s", Versions: []config.Version{{Name: "v", Model: "m", Adapter: "a", Share: 1}}}},
+	}
+	for _, name := range []string{"e1", "e2"} {
+		doc.Engines = append(doc.Engines, config.Engine{
+			Name: name, Address: name, Zone: "z", Accelerators: 1, MemoryMiB: 1000, Sequences: 4, ChecksFence: true,
+		})
+	}
+	s, err := config.NewSnapshot(doc)
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := New(Identity{Name: "i", Zone: "z", Address: "i", Boot: 1}, DefaultOptions(), 1)
+	m.Step(now, ConfigReply{Snapshot: s, Source: PlatformSource})
+	return m
+}
+
+func residency(change uint64, model pool.ItemPhase) pool.Residency {
+	return pool.Residency{Boot: 1, Change: change, Items: []pool.Item{{Name: "a", Phase: pool.Ready}, {Name: "m", Phase: model}}}
+}
+
+// sentTo returns the replica of the Dispatch among the actions, "" if none.
+func sentTo(actions []Action) string {
+	for _, a := range actions {
+		if d, ok := a.(Dispatch); ok {
+			return d.Replica
+		}
+	}
+	return ""
+}
+
+// TestAdapterWaitsForItsModel: an adapter is loaded long before its model, and
+// an engine that is asked in between refuses. Calls wait; they once went there
+// six times each and were then refused.
+func TestAdapterWaitsForItsModel(t *testing.T) {
+	is := is.New(t)
+	now := clock.At(time.Hour)
+	m := adapterMachine(t, now)
+	m.pool.ObserveResidency("e1", residency(1, pool.Loading))
+	is.Equal(sentTo(m.Step(now, Arrive{Call: Call{ID: 1, Service: "s", Replayable: true}})), "")
+	m.pool.ObserveResidency("e1", residency(2, pool.Ready))
+	is.Equal(sentTo(m.Step(now.Add(time.Second), Tick{})), "e1")
+}
+
+// TestWhatRefusesDrawsNoCalls: an engine that refuses an item is idle and
+// answers fastest, yet gets no more calls for it for a while.
+func TestWhatRefusesDrawsNoCalls(t *testing.T) {
+	is := is.New(t)
+	now := clock.At(time.Hour)
+	m := adapterMachine(t, now)
+	m.pool.ObserveResidency("e1", residency(1, pool.Ready))
+	m.pool.ObserveResidency("e2", residency(1, pool.Ready))
+	first := sentTo(m.Step(now, Arrive{Call: Call{ID: 1, Service: "s", Replayable: true}}))
+	is.True(first != "")
+	next := sentTo(m.Step(now, Broke{ID: 1, Attempt: 1, Phase: attempt.Refused, Status: 409}))
+	is.True(next != "" && next != first)
+	for id := CallID(2); id < 5; id++ {
+		is.Equal(sentTo(m.Step(now, Arrive{Call: Call{ID: id, Service: "s", Replayable: true}})), next)
+	}
+}
--- a/core/instance/calls.go
+++ b/core/instance/calls.go
@@ -180,11 +180,22 @@
 	return m.now.Since(c.arrived) > c.service.Target.FirstToken
 }
 
+// candidates returns the replicas that can serve the call. The slice is valid
+// until the next call of candidates.
 func (m *Machine) candidates(c *call) []*pool.Replica {
 	if c.Plain {
 		return m.pool.Serving(c.service.Name)
 	}
-	return m.pool.Ready(c.item)
+	m.able = m.able[:0]
+	for _, r := range m.pool.Ready(c.item) {
+		// An adapter is through long before its model, which is what an
+		// engine that is asked then refuses for; and what has just refused an
+		// item answers fastest, so it would draw every call if it counted.
+		if r.Phase(c.version.Model) == pool.Ready && !r.Refusing(m.now, c.item) {
+			m.able = append(m.able, r)
+		}
+	}
+	return m.able
 }
 
 // place sends the call to the best replica, or lets it wait, or refuses it.
@@ -294,7 +305,7 @@
 			continue // displaced meanwhile
 		}
 		m.place(c)
-		if c.phase == waiting && c.item != "" && len(m.pool.Ready(c.item)) == 0 {
+		if c.phase == waiting && c.item != "" && len(m.candidates(c)) == 0 {
 			absent[c.item]++
 		}
 	}
@@ -440,6 +451,9 @@
 	}
 	if e.Phase == attempt.Refused {
 		r.Forget(uint64(c.ID))
+		if c.item != "" {
+			r.Refused(m.now, c.item)
+		}
 		return
 	}
 	if e.Phase == attempt.NotSent && c.item != "" {
--- a/core/instance/machine.go
+++ b/core/instance/machine.go
@@ -71,8 +71,9 @@
 	board   *demand.Board
 
 	calls   map[CallID]*call
-	line    []*call // calls that wait
-	drained uint64  // pool.Touched at the last drain
+	line    []*call         // calls that wait
+	drained uint64          // pool.Touched at the last drain
+	able    []*pool.Replica // what candidates returned last
 	budget  limit.Budget
 	recent  *decisions
 
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -124,6 +124,7 @@
 	}
 	old := r.items
 	r.Residency = res
+	clear(r.refused)
 	r.items = make(map[string]ItemPhase, len(res.Items))
 	for _, it := range res.Items {
 		r.items[it.Name] = it.Phase
--- a/core/pool/replica.go
+++ b/core/pool/replica.go
@@ -49,6 +49,7 @@
 	Facts
 	Residency Residency
 	items     map[string]ItemPhase
+	refused   map[string]clock.Instant // until when an item counts as refused
 
 	load     Load
 	loadAt   clock.Instant
@@ -79,7 +80,7 @@
 func newReplica(f Facts) *Replica {
 	return &Replica{
 		Facts: f,
-		items: map[string]ItemPhase{},
+		items: map[string]ItemPhase{}, refused: map[string]clock.Instant{},
 		first: defaultFirst,
 		hold:  defaultHold,
 		Limit: limit.NewConcurrency(f.Concurrent),
@@ -89,6 +90,18 @@
 // Phase returns where item stands on the replica, 0 if it is absent.
 func (r *Replica) Phase(item string) ItemPhase { return r.items[item] }
 
+// refusal is how long a replica that refused an item is not asked for it again,
+// unless its residency is heard anew first.
+const refusal = 500 * time.Millisecond
+
+// Refused notes that the replica refused a call for item as not run.
+func (r *Replica) Refused(now clock.Instant, item string) { r.refused[item] = now.Add(refusal) }
+
+// Refusing reports whether the replica refused item a moment ago.
+func (r *Replica) Refusing(now clock.Instant, item string) bool {
+	return len(r.refused) > 0 && now.Before(r.refused[item])
+}
+
 // InFlight returns this instance's own calls in flight.
 func (r *Replica) InFlight() int { return r.inFlight }
 
--- a/internal/pages/pages_test.go
+++ b/internal/pages/pages_test.go
@@ -4,6 +4,8 @@
 	"flag"
 	"os"
 	"path/filepath"
+	"regexp"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -46,3 +48,41 @@
 		is.True(instance.Catalogue[i-1].Number < instance.Catalogue[i].Number) // events rise
 	}
 }
+
+// TestProofsNameRealTests: every test that docs/proofs.md names exists.
+func TestProofsNameRealTests(t *testing.T) {
+	page, err := os.ReadFile(filepath.Join(docs, "proofs.md"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defined := definedTests(t)
+	names := regexp.MustCompile("`((?:Test|Fuzz)[A-Za-z]+)`").FindAllStringSubmatch(string(page), -1)
+	if len(names) < 30 {
+		t.Fatalf("only %d tests are named", len(names))
+	}
+	for _, n := range names {
+		if !defined[n[1]] {
+			t.Errorf("docs/proofs.md names %s, which does not exist", n[1])
+		}
+	}
+}
+
+func definedTests(t *testing.T) map[string]bool {
+	t.Helper()
+	defined := map[string]bool{}
+	declaration := regexp.MustCompile(`(?m)^func ((?:Test|Fuzz)[A-Za-z]+)\(`)
+	err := filepath.WalkDir("../..", func(path string, _ os.DirEntry, err error) error {
+		if err != nil || !strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		data, err := os.ReadFile(path)
+		for _, m := range declaration.FindAllStringSubmatch(string(data), -1) {
+			defined[m[1]] = true
+		}
+		return err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return defined
+}
