Exchanges go to fixed neighbours: what they owe each other stays small

Cause: at the design size a zone has 46 instances, and bytes between peers grew with their number: 1,440, 3,440 and 6,461 a second per instance at 8, 23 and 46 instances, over the 3 KB a second that control may cost. Partners were drawn at random, so two met every N exchanges and then owed each other all news since; each record was sent N-1 times by each instance, and back to whom it came from.

Ruled out: sending only recent records (a lost one would stay lost); longer spacing (news would come later).

Change: an instance begins exchanges with the members 1, 2, 4, 8 ... places ahead on the ring of names; records are not sent back to who told of them; news of what engines hold and of who leaves brings the next exchanges forward.

--- a/core/instance/exchange.go
+++ b/core/instance/exchange.go
@@ -11,9 +11,6 @@
 
 // Numbers of the exchanges.
 const (
-	// fanout is how many peers of the zone are told of a new revision at once;
-	// each tells as many in turn.
-	fanout = 3
 	// abroadEvery is every how manyth exchange goes to another zone.
 	abroadEvery = 4
 	// plannerEvery is every how manyth exchange goes to the zone's planner,
@@ -28,7 +25,9 @@
 	acks   map[string]ack  // what each peer confirmed of ours
 	heard  map[string]ack  // what we have of each peer's
 	flying map[string]bool // by address
-	urgent int             // exchanges to begin without waiting
+	turn   int             // of the neighbours
+	news   int             // exchanges to space by newsSpacing
+	urgent bool            // tell every neighbour without waiting
 	pullTo clock.Instant   // until then a newer revision is being asked for
 	ahead  ahead           // who is known to have the newest revision
 	toldAt clock.Instant   // when the planner was last told of an unmet demand
@@ -53,17 +52,36 @@
 
 // hurry has the next exchanges begin at once, to spread what is new.
 func (x *exchangeView) hurry(m *Machine) {
-	x.urgent = fanout
+	x.urgent = true
 	x.due = m.now
 }
 
+// newsSpacing is how soon the next neighbour is told when there is news that
+// calls may wait for: what an engine holds, or who is leaving.
+const newsSpacing = 400 * time.Millisecond
+
+// soon brings the next exchange forward for as many turns as there are
+// neighbours, so that each of them is told.
+func (m *Machine) soon() {
+	x := &m.exchanges
+	x.news = len(m.members.Neighbours())
+	if due := m.now.Add(newsSpacing); due.Before(x.due) {
+		x.due = due
+	}
+}
+
 func (m *Machine) exchangeDue() {
 	x := &m.exchanges
 	if m.now.Before(x.due) {
 		return
 	}
-	x.due = m.now.Add(m.jitter(m.opt.ExchangeEvery))
-	if x.urgent > 0 {
+	every := m.opt.ExchangeEvery
+	if x.news > 0 {
+		x.news--
+		every = min(every, newsSpacing)
+	}
+	x.due = m.now.Add(m.jitter(every))
+	if x.urgent {
 		m.exchangeBurst()
 		return
 	}
@@ -113,13 +131,11 @@
 	}
 }
 
-// exchangeBurst tells several peers of the zone, and one of another, at once.
+// exchangeBurst tells every neighbour, and a peer of another zone, at once.
 func (m *Machine) exchangeBurst() {
-	m.exchanges.urgent = 0
-	near := m.members.InZone(true)
-	m.rng.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
-	for i := 0; i < min(fanout, len(near)); i++ {
-		m.exchangeWith(near[i])
+	m.exchanges.urgent = false
+	for _, p := range m.members.Neighbours() {
+		m.exchangeWith(p)
 	}
 	m.exchangeWith(m.draw(m.members.InZone(false)))
 }
@@ -138,8 +154,9 @@
 			return p
 		}
 	}
-	if p := m.draw(m.members.InZone(true)); p != nil {
-		return p
+	if near := m.members.Neighbours(); len(near) > 0 {
+		x.turn++
+		return near[x.turn%len(near)]
 	}
 	return m.draw(m.members.InZone(false))
 }
@@ -210,7 +227,7 @@
 		Stamp:      m.store.Stamp(),
 		AckBoot:    heard.boot,
 		Ack:        heard.stamp,
-		Records:    m.store.Since(known.stamp, sameZone),
+		Records:    m.store.Since(known.stamp, peer, sameZone),
 		WantConfig: true,
 	}
 	msg.Demand = m.demandFor(peer)
@@ -263,7 +280,7 @@
 	m.take(e.Message)
 	reply := m.message(e.Message.From)
 	// The reply need not repeat what the message itself brought.
-	reply.Records = m.store.Since(m.exchanges.acks[e.Message.From].stamp, e.Message.Zone == m.self.Zone)
+	reply.Records = m.store.Since(m.exchanges.acks[e.Message.From].stamp, e.Message.From, e.Message.Zone == m.self.Zone)
 	if e.Message.WantConfig && e.Message.Revision < m.cfg.Revision() {
 		reply.Config = m.encoded
 	}
@@ -301,7 +318,7 @@
 		x.acks[msg.From] = ack{} // it has nothing of this boot
 	}
 	x.heard[msg.From] = ack{boot: msg.Boot, stamp: msg.Stamp}
-	m.takeRecords(msg.Records)
+	m.takeRecords(msg.From, msg.Records)
 	if len(msg.Demand) > 0 {
 		m.board.Report(m.now, msg.From, msg.Demand)
 		m.planSoon(msg.Demand)
@@ -342,26 +359,28 @@
 	}
 }
 
-func (m *Machine) takeRecords(r share.Records) {
+func (m *Machine) takeRecords(from string, r share.Records) {
 	for _, res := range r.Residencies {
-		if m.store.AddResidency(res) {
+		if m.store.AddResidency(from, res) {
 			m.noticeLeaving(res)
 			m.pool.ObserveResidency(res.Engine, res.Residency)
+			m.soon()
 		}
 	}
 	for _, l := range r.Loads {
-		if m.store.AddLoad(l) {
+		if m.store.AddLoad(from, l) {
 			m.pool.ObserveLoad(m.now, l.Engine, l.Load)
 		}
 	}
 	for _, l := range r.Listed {
-		if m.store.AddListed(l) {
+		if m.store.AddListed(from, l) {
 			m.applyListed(l)
+			m.soon()
 		}
 		m.platform.version = max(m.platform.version, l.Version)
 	}
 	for _, h := range r.Holders {
-		m.store.AddHolder(h)
+		m.store.AddHolder(from, h)
 	}
 }
 
--- a/core/instance/planner.go
+++ b/core/instance/planner.go
@@ -156,7 +156,7 @@
 	p.seq = 0
 	p.loads = budgetView{at: m.now}
 	m.note(NoteLeaseGained, "fence", p.fence)
-	m.store.AddHolder(share.Holder{Zone: m.self.Zone, Instance: m.self.Name, Fence: p.fence})
+	m.store.AddHolder("", share.Holder{Zone: m.self.Zone, Instance: m.self.Name, Fence: p.fence})
 	m.exchanges.hurry(m)
 	p.sync(m)
 	p.intents.flying = true
--- a/core/instance/read.go
+++ b/core/instance/read.go
@@ -101,12 +101,13 @@
 // observe takes in an engine's own word and makes it known to peers.
 func (m *Machine) observe(engine string, s pool.State) {
 	res := share.Residency{Engine: engine, Residency: s.Residency}
-	if m.store.AddResidency(res) {
+	if m.store.AddResidency("", res) {
 		m.noticeLeaving(res)
 		if r := m.pool.Get(engine); r != nil && s.Residency.Boot > r.Residency.Boot {
 			m.chooser.Restarted(engine)
 		}
 		m.pool.ObserveResidency(engine, s.Residency)
+		m.soon()
 	}
 	m.observeLoad(engine, s.Load)
 }
@@ -125,6 +126,6 @@
 		change = -change
 	}
 	if !ok || told.Boot != load.Boot || change >= max(1, r.Concurrent/8) {
-		m.store.AddLoad(share.Load{Engine: engine, Load: load})
+		m.store.AddLoad("", share.Load{Engine: engine, Load: load})
 	}
 }
--- a/core/instance/stop.go
+++ b/core/instance/stop.go
@@ -34,7 +34,7 @@
 	m.note(NoteStopping, "calls", len(m.calls))
 	if m.lease.Held() {
 		fence := m.lease.Fence()
-		m.store.AddHolder(share.Holder{Zone: m.self.Zone, Fence: fence})
+		m.store.AddHolder("", share.Holder{Zone: m.self.Zone, Fence: fence})
 		m.lease = m.lease.WithLoss()
 		m.planner.abandon()
 		m.do(ReleaseLease{Fence: fence})
--- a/core/instance/watch.go
+++ b/core/instance/watch.go
@@ -72,7 +72,7 @@
 // replayRecords tells the pool what was heard of upstreams before the revision
 // that defines them.
 func (m *Machine) replayRecords() {
-	all := m.store.Since(0, true)
+	all := m.store.Since(0, "", true)
 	for _, r := range all.Residencies {
 		m.pool.ObserveResidency(r.Engine, r.Residency)
 	}
@@ -89,8 +89,9 @@
 	}
 	m.platform.version = e.Version
 	for _, l := range e.Entries {
-		if m.store.AddListed(l) {
+		if m.store.AddListed("", l) {
 			m.applyListed(l)
+			m.soon()
 		}
 	}
 }
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -115,6 +115,22 @@
 	return out
 }
 
+// Neighbours returns the peers of the zone that this instance begins exchanges
+// with: on the ring of all members by name, those 1, 2, 4, 8 and so on places
+// ahead. News crosses the zone in as many hops as the ring's size has bits,
+// and each pair meets often enough that what it owes each other stays small;
+// with partners drawn at random that would grow with the zone.
+func (t *Table) Neighbours() []*Peer {
+	ring := t.InZone(true)
+	at := sort.Search(len(ring), func(i int) bool { return ring[i].Name > t.self })
+	var out []*Peer
+	for step := 1; step <= len(ring); step *= 2 {
+		// The instance itself stands between ring[at-1] and ring[at].
+		out = append(out, ring[(at+step-1)%len(ring)])
+	}
+	return out
+}
+
 // HeardWithin returns how many peers were heard within the span before now.
 func (t *Table) HeardWithin(now clock.Instant, span time.Duration) int {
 	n := 0
--- a/core/share/share.go
+++ b/core/share/share.go
@@ -104,9 +104,11 @@
 	holders     map[string]stamped[Holder]
 }
 
+// from is who told of the record; "" if it was learnt at first hand.
 type stamped[T any] struct {
 	record T
 	stamp  uint64
+	from   string
 }
 
 // NewStore returns an empty store.
@@ -123,34 +125,35 @@
 func (s *Store) Stamp() uint64 { return s.stamp }
 
 // put stores the record if fresh says so.
-func put[T any](s *Store, into map[string]stamped[T], name string, rec T, newer func(old T) bool) bool {
+func put[T any](s *Store, into map[string]stamped[T], name, from string, rec T, newer func(old T) bool) bool {
 	old, ok := into[name]
 	if ok && !newer(old.record) {
 		return false
 	}
 	s.stamp++
-	into[name] = stamped[T]{record: rec, stamp: s.stamp}
+	into[name] = stamped[T]{record: rec, stamp: s.stamp, from: from}
 	return true
 }
 
-// AddResidency stores the record and reports whether it was news.
-func (s *Store) AddResidency(r Residency) bool {
-	return put(s, s.residencies, r.Engine, r, func(old Residency) bool { return r.Newer(old.Residency) })
+// AddResidency stores the record, told by from or learnt at first hand (""), and
+// reports whether it was news.
+func (s *Store) AddResidency(from string, r Residency) bool {
+	return put(s, s.residencies, r.Engine, from, r, func(old Residency) bool { return r.Newer(old.Residency) })
 }
 
 // AddLoad stores the record and reports whether it was news.
-func (s *Store) AddLoad(l Load) bool {
-	return put(s, s.loads, l.Engine, l, func(old Load) bool { return l.Newer(old.Load) })
+func (s *Store) AddLoad(from string, l Load) bool {
+	return put(s, s.loads, l.Engine, from, l, func(old Load) bool { return l.Newer(old.Load) })
 }
 
 // AddListed stores the record and reports whether it was news.
-func (s *Store) AddListed(l Listed) bool {
-	return put(s, s.listed, l.Name, l, func(old Listed) bool { return l.Version > old.Version })
+func (s *Store) AddListed(from string, l Listed) bool {
+	return put(s, s.listed, l.Name, from, l, func(old Listed) bool { return l.Version > old.Version })
 }
 
 // AddHolder stores the record and reports whether it was news.
-func (s *Store) AddHolder(h Holder) bool {
-	return put(s, s.holders, h.Zone, h, func(old Holder) bool {
+func (s *Store) AddHolder(from string, h Holder) bool {
+	return put(s, s.holders, h.Zone, from, h, func(old Holder) bool {
 		return h.Fence > old.Fence || (h.Fence == old.Fence && h.Instance == "" && old.Instance != "")
 	})
 }
@@ -164,22 +167,23 @@
 	return l.record, ok
 }
 
-// Since returns the records that became new after stamp; loads only if withLoads.
-func (s *Store) Since(stamp uint64, withLoads bool) Records {
+// Since returns the records that became new after stamp, without those that to
+// told of itself; loads only if withLoads.
+func (s *Store) Since(stamp uint64, to string, withLoads bool) Records {
 	var r Records
-	r.Residencies = after(s.residencies, stamp)
-	r.Listed = after(s.listed, stamp)
-	r.Holders = after(s.holders, stamp)
+	r.Residencies = after(s.residencies, stamp, to)
+	r.Listed = after(s.listed, stamp, to)
+	r.Holders = after(s.holders, stamp, to)
 	if withLoads {
-		r.Loads = after(s.loads, stamp)
+		r.Loads = after(s.loads, stamp, to)
 	}
 	return r
 }
 
-func after[T any](from map[string]stamped[T], stamp uint64) []T {
+func after[T any](all map[string]stamped[T], stamp uint64, to string) []T {
 	var news []stamped[T]
-	for _, x := range from {
-		if x.stamp > stamp {
+	for _, x := range all {
+		if x.stamp > stamp && (x.from == "" || x.from != to) {
 			news = append(news, x)
 		}
 	}
--- a/standin/cmd/birchload/footprint.go
+++ b/standin/cmd/birchload/footprint.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -25,6 +26,7 @@
 		Usage: "measure what control costs an instance at three sizes: memory, processor time, bytes, platform calls",
 		Flags: []cli.Flag{
 			&cli.DurationFlag{Name: "time", Value: 20 * time.Second, Usage: "for each size, after settling"},
+			&cli.StringFlag{Name: "sizes", Value: "scire,middle,design"},
 			&cli.IntFlag{Name: "instances", Value: 8, Usage: "entry instances of one zone that run"},
 		},
 		Action: runFootprint,
@@ -37,7 +39,12 @@
 func runFootprint(_ context.Context, cmd *cli.Command) error {
 	fmt.Println("| models | replicas in all / of the zone | instances | resident MiB, mean / most | core % idle, mean / most | bytes a second per instance: peers + platform + engines' states | platform calls a second, all instances | a change in force everywhere after, most of 5 | bytes per change and instance: peers + platform |")
 	fmt.Println("| --- | --- | --- | --- | --- | --- | --- | --- | --- |")
-	for _, size := range []shape.Size{shape.Scire, shape.Middle, shape.Design} {
+	sizes := map[string]shape.Size{"scire": shape.Scire, "signaturbron": shape.Signaturbron, "middle": shape.Middle, "design": shape.Design}
+	for _, name := range strings.Split(cmd.String("sizes"), ",") {
+		size, ok := sizes[name]
+		if !ok {
+			return fmt.Errorf("no size %q", name)
+		}
 		if err := footprint(size, cmd.Int("instances"), cmd.Duration("time")); err != nil {
 			return err
 		}
