Planner: what starves and pays does not wait its turn

Also found: Starving was still 20 s.

Ruled out: the weight store's rate (it allowed 2 loads a second).

Change: a step that pays is taken whether or not its item starves; only one that does not pay waits for its turn. Starving is 6 s.

--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -27,7 +27,7 @@
 	Horizon = 60 * time.Second
 	// Starving is how long an item may be unmet before it goes ahead of every
 	// worth; the stated bound of reachability builds on it.
-	Starving   = 20 * time.Second
+	Starving   = 6 * time.Second
 	hysteresis = 1.3
 	// fill is the share of an engine's sequences that one copy should use.
 	fill = 0.7
@@ -123,6 +123,7 @@
 	item     string
 	worth    float64
 	starving bool
+	forced   bool // room is made for it though that does not pay
 	spare    bool // a second copy against the loss of the first, where there is room
 }
 
@@ -282,16 +283,15 @@
 	if w.spare && len(best.victims) > 0 {
 		return
 	}
-	if w.starving && len(best.victims) > 0 {
-		// One at a time: what starves is what few ask for, and it may take
-		// the place of one popular item, not of many.
-		if p.starved || !p.in.Starve {
+	pays := w.worth > hysteresis*best.cost+p.in.MoveCost*moves
+	if len(best.victims) > 0 && !pays {
+		// One at a time: what starves and does not pay is what few ask for,
+		// and it may take the place of one popular item, not of many.
+		if !w.starving || p.starved || !p.in.Starve {
 			return
 		}
 		p.starved = true
-	}
-	if !w.starving && len(best.victims) > 0 && w.worth <= hysteresis*best.cost+p.in.MoveCost*moves {
-		return
+		w.forced = true
 	}
 	if len(best.victims) > 0 {
 		p.drop(best, w)
@@ -327,7 +327,7 @@
 		if it.Base != "" {
 			o.engine.children[it.Base]--
 		}
-		p.steps = append(p.steps, Step{Op: book.Unload, Engine: o.engine.Name, Item: v.Name, MiB: it.MiB, Worth: w.worth, Starving: w.starving})
+		p.steps = append(p.steps, Step{Op: book.Unload, Engine: o.engine.Name, Item: v.Name, MiB: it.MiB, Worth: w.worth, Starving: w.forced})
 	}
 	p.loads-- // the load this makes room for
 	for _, it := range o.load {
--- a/standin/cmd/birchload/overhead.go
+++ b/standin/cmd/birchload/overhead.go
@@ -29,6 +29,7 @@
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "rates", Value: "50,500,5000", Usage: "calls a second"},
 			&cli.DurationFlag{Name: "time", Value: 10 * time.Second, Usage: "for each rate"},
+			&cli.IntFlag{Name: "tokens", Value: 1, Usage: "of each answer, streamed if more than one"},
 		},
 		Action: runOverhead,
 	}
@@ -62,7 +63,7 @@
 		return err
 	}
 	in := s.instances[0]
-	if err := fleet.Await("the model is served", func() bool { return oneCall(ctx, viaInstance(in.Callers, 0)) == nil }); err != nil {
+	if err := fleet.Await("the model is served", func() bool { return oneCall(ctx, viaInstance(in.Callers, 1)) == nil }); err != nil {
 		return err
 	}
 	fmt.Println("| calls a second | direct p50 / p99 ms | through an instance p50 / p99 ms | added p50 / p99 ms | calls a second per core of the instance | failed |")
@@ -72,14 +73,14 @@
 		if err != nil {
 			return err
 		}
-		compare(ctx, rate, cmd.Duration("time"), address, in)
+		compare(ctx, rate, cmd.Duration("time"), cmd.Int("tokens"), address, in)
 	}
 	return nil
 }
 
 // compare runs both ways at once, each at the full rate, so that both see the
 // same machine.
-func compare(ctx context.Context, rate float64, span time.Duration, address string, in *fleet.Instance) {
+func compare(ctx context.Context, rate float64, span time.Duration, tokens int, address string, in *fleet.Instance) {
 	direct := hdrhistogram.New(1, histogramTop, 3)
 	through := hdrhistogram.New(1, histogramTop, 3)
 	before := cpuOf(in.PID())
@@ -91,8 +92,8 @@
 		hist *hdrhistogram.Histogram
 		make func(n int) request
 	}{
-		{direct, func(n int) request { return directCall(address, n) }},
-		{through, func(n int) request { return viaInstance(in.Callers, n) }},
+		{direct, func(n int) request { return directCall(address, n, tokens) }},
+		{through, func(n int) request { return viaInstance(in.Callers, tokens) }},
 	} {
 		group.Go(func() {
 			openLoop(rate, span, uint64(rate), func(n int, due time.Time) {
@@ -145,13 +146,14 @@
 }
 
 // directCall words a call as the instance does towards the engine.
-func directCall(address string, n int) request {
-	body, _ := json.Marshal(engine.GenerateRequest{ID: fmt.Sprintf("direct-%d-%d", time.Now().UnixNano(), n), Model: overheadModel, Prompt: "x", MaxTokens: 1}) // never fails for this type
+func directCall(address string, n, tokens int) request {
+	body, _ := json.Marshal(engine.GenerateRequest{ID: fmt.Sprintf("direct-%d-%d", time.Now().UnixNano(), n), Model: overheadModel, Prompt: "x", MaxTokens: tokens}) // never fails for this type
 	return request{"http://" + address + engine.PathGenerate, body}
 }
 
-func viaInstance(address string, _ int) request {
-	return request{"http://" + address + "/v1/completions", []byte(`{"model":"` + overheadModel + `","prompt":"x","max_tokens":1}`)}
+func viaInstance(address string, tokens int) request {
+	body := fmt.Sprintf(`{"model":%q,"prompt":"x","max_tokens":%d,"stream":%v}`, overheadModel, tokens, tokens > 1)
+	return request{"http://" + address + "/v1/completions", []byte(body)}
 }
 
 var client = http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1024}}
