Reading as a newcomer: files split by job, one prelude for birchctl, dead field out

Cause: calls.go, plan.go and world_test.go had grown past what one reads at a time; birchctl's commands repeated how they reach file and platform; a handler carried a logger that it never used; make test could take integration results from the cache, which does not see the programs that they run. Change: split without a change of behaviour; tests as before; make test runs without the cache.

--- a/Makefile
+++ b/Makefile
@@ -11,8 +11,9 @@
 demo: build
 	./bin/demo
 
+# Without the cache: the integration tests run programs that it does not see.
 test:
-	@for m in $(MODULES); do (cd $$m && go test ./...) || exit 1; done
+	@for m in $(MODULES); do (cd $$m && go test -count=1 ./...) || exit 1; done
 
 race:
 	cd core && go test -race ./instance/... ./book/...
--- /dev/null
+++ b/core/instance/world_calls_test.go
@@ -0,0 +1,167 @@
+package instance
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/birchdrift/birchdrift/core/attempt"
+	"github.com/birchdrift/birchdrift/core/code"
+	"github.com/birchdrift/birchdrift/core/pool"
+)
+
+// The world's callers, plain upstreams and claims.
+
+func (w *world) claims(n *node, a Action) {
+	switch act := a.(type) {
+	case Claim:
+		mine := fmt.Sprintf("%s/%d/%d", n.id.Name, n.id.Boot, act.ID)
+		w.platform.calls++
+		w.send(n, w.platformUp(n), func() func() {
+			outcome := ClaimUnknown
+			if w.platform.values[act.Key].data == nil {
+				w.platform.revision++
+				w.platform.values[act.Key] = fakeValue{data: mine, revision: w.platform.revision}
+				outcome = ClaimWon
+			}
+			return func() { w.step(n, ClaimReply{ID: act.ID, Outcome: outcome}) }
+		}, func(bool) { w.step(n, ClaimReply{ID: act.ID, Outcome: ClaimUnknown}) })
+	case ReadClaim:
+		mine := fmt.Sprintf("%s/%d/%d", n.id.Name, n.id.Boot, act.ID)
+		w.platform.calls++
+		w.send(n, w.platformUp(n), func() func() {
+			outcome := ClaimLost
+			switch w.platform.values[act.Key].data {
+			case nil:
+				outcome = ClaimAbsent
+			case mine:
+				outcome = ClaimWon
+			}
+			return func() { w.step(n, ClaimReply{ID: act.ID, Outcome: outcome}) }
+		}, func(bool) { w.step(n, ClaimReply{ID: act.ID, Outcome: ClaimUnknown}) })
+	case ReleaseClaim:
+		mine := fmt.Sprintf("%s/%d/%d", n.id.Name, n.id.Boot, act.ID)
+		w.platform.calls++
+		w.send(n, w.platformUp(n), func() func() {
+			if w.platform.values[act.Key].data == mine {
+				delete(w.platform.values, act.Key)
+			}
+			return func() {}
+		}, func(bool) {})
+	}
+}
+
+func (w *world) callOf(n *node, id CallID) *worldCall {
+	return w.calls[fmt.Sprintf("%s/%d/%d", n.id.Name, n.id.Boot, id)]
+}
+
+// call begins a caller's call at a node.
+func (w *world) call(name string, c Call) *worldCall {
+	n := w.nodes[name]
+	wc := &worldCall{id: fmt.Sprintf("%s/%d/%d", name, n.id.Boot, c.ID), node: name, notRepeatable: c.NotRepeatable, key: c.IdempotencyKey}
+	w.calls[wc.id] = wc
+	w.step(n, Arrive{Call: c})
+	return wc
+}
+
+// dispatch plays an upstream: the connection may break before a byte leaves,
+// on the way, after the call ran, or halfway through its answer.
+func (w *world) dispatch(n *node, a Dispatch) {
+	c := w.callOf(n, a.ID)
+	if c == nil {
+		return
+	}
+	c.dispatched++
+	e := w.engines[a.Replica]
+	if e != nil && e.leaving && w.now-e.leftAt > leavingBound {
+		w.breach("%s was sent work %v after it began to leave", e.name, w.now-e.leftAt)
+	}
+	if !w.engineUp(n, a.Zone)() {
+		w.after(100*time.Millisecond, func() { w.step(n, Broke{ID: a.ID, Attempt: a.Attempt, Phase: attempt.NotSent}) })
+		return
+	}
+	w.after(w.latency(), func() { w.play(n, a, c, e) })
+}
+
+// leavingBound is the stated time after which a leaving upstream gets no work.
+const leavingBound = 4 * time.Second
+
+func (w *world) play(n *node, a Dispatch, c *worldCall, e *fakeEngine) {
+	if e != nil && (e.leaving || !e.ready(a)) {
+		w.step(n, Broke{ID: a.ID, Attempt: a.Attempt, Phase: attempt.Refused, Leaving: e.leaving, Status: 503})
+		return
+	}
+	if w.rng.Float64() >= w.faults.breaks {
+		w.execute(c, a)
+		w.step(n, First{ID: a.ID})
+		w.after(w.latency(), func() {
+			c.answered = true
+			w.step(n, Done{ID: a.ID})
+		})
+		return
+	}
+	b := Broke{ID: a.ID, Attempt: a.Attempt}
+	switch w.rng.IntN(4) {
+	case 0:
+		b.Phase = attempt.NotSent
+	case 1:
+		b.Phase = attempt.MaybeSent
+	case 2:
+		w.execute(c, a)
+		b.Phase = attempt.MaybeSent
+	case 3:
+		w.execute(c, a)
+		b.Phase = attempt.Answered
+		b.Delivered = w.rng.IntN(2)
+	}
+	w.step(n, b)
+}
+
+func (e *fakeEngine) ready(a Dispatch) bool {
+	for _, name := range []string{a.Model, a.Adapter} {
+		if name == "" {
+			continue
+		}
+		if it := e.items[name]; it == nil || it.phase != pool.Ready {
+			return false
+		}
+	}
+	return true
+}
+
+// execute notes that a call ran, and checks that it may have.
+func (w *world) execute(c *worldCall, a Dispatch) {
+	if a.Resume {
+		return
+	}
+	c.executed++
+	if c.notRepeatable && c.executed > 1 {
+		w.breach("call %s ran %d times", c.id, c.executed)
+	}
+	if c.key == "" {
+		return
+	}
+	total := 0
+	for _, other := range w.calls {
+		if other.key == c.key {
+			total += other.executed
+		}
+	}
+	if total > 1 {
+		w.breach("key %q ran %d times", c.key, total)
+	}
+}
+
+func (w *world) finish(n *node, a Finish) {
+	c := w.callOf(n, a.ID)
+	if c == nil {
+		return
+	}
+	if c.answered || c.refusal != nil {
+		w.breach("call %s was answered twice", c.id)
+	}
+	refusal := a.Refusal
+	c.refusal = &refusal
+	if refusal.Run == code.NotRun && c.executed > 0 {
+		w.breach("call %s is said not to have run (code %d), yet it ran", c.id, refusal.Code)
+	}
+}
--- /dev/null
+++ b/core/instance/world_engine_test.go
@@ -0,0 +1,125 @@
+package instance
+
+import (
+	"time"
+
+	"github.com/birchdrift/birchdrift/core/book"
+	"github.com/birchdrift/birchdrift/core/pool"
+)
+
+// The world's engines, and the orders that they carry out.
+
+func (w *world) readState(n *node, a ReadState) {
+	e := w.engines[a.Engine]
+	w.send(n, w.engineUp(n, w.zoneOf(e.name)), func() func() {
+		s := e.state()
+		return func() { w.step(n, StateReply{Engine: a.Engine, State: s}) }
+	}, func(bool) { w.step(n, StateReply{Engine: a.Engine, Err: errLost}) })
+}
+
+func (w *world) zoneOf(engine string) string {
+	for _, e := range w.doc.Engines {
+		if e.Name == engine {
+			return e.Zone
+		}
+	}
+	return ""
+}
+
+func (w *world) sendOrder(n *node, a SendOrder) {
+	e := w.engines[a.Order.Engine]
+	reply := OrderReply{Engine: e.name, Fence: a.Order.Fence, Seq: a.Order.Seq}
+	w.send(n, w.engineUp(n, w.zoneOf(e.name)), func() func() {
+		if w.beforeOrder != nil {
+			w.beforeOrder(n, e, a.Order)
+		}
+		reply.Outcome = w.carryOrder(e, a.Order)
+		reply.State = e.state()
+		return func() { w.step(n, reply) }
+	}, func(notSent bool) {
+		reply.Outcome = OrderLost
+		if notSent && !w.engineUp(n, w.zoneOf(e.name))() {
+			reply.Outcome = OrderNotSent
+		}
+		w.step(n, reply)
+	})
+}
+
+// carryOrder has the engine carry out an order as a real one would; asking for
+// more memory than there is counts as a broken promise.
+func (w *world) carryOrder(e *fakeEngine, o book.Order) OrderOutcome {
+	if e.checks {
+		if o.Fence < e.fence {
+			return OrderFenced
+		}
+		if o.Fence == e.fence && o.Seq <= e.lastOrder {
+			return OrderRefused
+		}
+		e.fence, e.lastOrder = o.Fence, o.Seq
+	}
+	switch o.Op {
+	case book.Load:
+		return w.load(e, o)
+	case book.Unload:
+		it := e.items[o.Item]
+		if it == nil || it.phase == pool.Unloading {
+			return OrderDone
+		}
+		it.phase = pool.Unloading
+		e.change++
+		e.unloads++
+		w.after(time.Duration(w.rng.Int64N(int64(2*time.Second)))+1, func() {
+			if e.items[o.Item] == it {
+				delete(e.items, o.Item)
+				e.change++
+			}
+		})
+	}
+	return OrderDone
+}
+
+func (w *world) load(e *fakeEngine, o book.Order) OrderOutcome {
+	if e.items[o.Item] != nil {
+		return OrderDone
+	}
+	var used int64
+	for _, it := range e.items {
+		used += it.mib
+	}
+	if used+o.MiB > e.capacity {
+		e.overs++
+		w.breach("%s: overcommit: %d MiB used, %d asked for, %d there are", e.name, used, o.MiB, e.capacity)
+		return OrderRefused
+	}
+	it := &fakeItem{phase: pool.Loading, mib: o.MiB}
+	e.items[o.Item] = it
+	e.change++
+	e.loads++
+	w.after(time.Duration(w.rng.Int64N(int64(3*time.Second)))+1, func() {
+		if e.items[o.Item] == it && it.phase == pool.Loading {
+			it.phase = pool.Ready
+			e.change++
+		}
+	})
+	return OrderDone
+}
+
+func (e *fakeEngine) state() pool.State {
+	e.seq++
+	s := pool.State{
+		Residency: pool.Residency{Boot: e.boot, Change: e.change, Leaving: e.leaving},
+		Load:      pool.Load{Boot: e.boot, Seq: e.seq},
+		Fence:     e.fence, LastOrder: e.lastOrder,
+	}
+	for name, it := range e.items {
+		s.Residency.Items = append(s.Residency.Items, pool.Item{Name: name, Phase: it.phase})
+	}
+	return s
+}
+
+// restart empties an engine as a new process would be.
+func (e *fakeEngine) restart() {
+	e.boot++
+	e.change, e.seq, e.fence, e.lastOrder, e.leaving = 0, 0, 0, 0, false
+	e.items = map[string]*fakeItem{}
+}
--- /dev/null
+++ b/core/plan/place.go
@@ -0,0 +1,225 @@
+package plan
+
+import (
+	"sort"
+	"time"
+
+	"github.com/birchdrift/birchdrift/core/book"
+)
+
+// An option is one way to place a want.
+type option struct {
+	engine  *engine
+	load    []Item     // base first
+	victims []Resident // adapters before their models
+	cost    float64    // worth dropped
+	spread  int        // copies in the same failure domain
+}
+
+// place gives the orders for the best option that pays.
+func (p *planner) place(w want) {
+	best, ok := p.bestOption(w)
+	if !ok {
+		return
+	}
+	moves := float64(len(best.load) + len(best.victims))
+	if w.spare && len(best.victims) > 0 {
+		return
+	}
+	pays := w.worth > hysteresis*best.cost+p.in.MoveCost*moves
+	if len(best.victims) > 0 && !pays {
+		// One at a time: what starves and does not pay is what few ask for,
+		// and it may take the place of one popular item, not of many.
+		if !w.starving || p.starved || !p.in.Starve {
+			return
+		}
+		p.starved = true
+		w.forced = true
+	}
+	if len(best.victims) > 0 {
+		p.drop(best, w)
+		return
+	}
+	p.load(best, w)
+}
+
+func (p *planner) load(o option, w want) {
+	for _, it := range o.load {
+		if p.loads <= 0 {
+			return
+		}
+		p.loads--
+		o.engine.Free -= it.MiB
+		o.engine.here[it.Name] = &Resident{Name: it.Name}
+		p.copies[it.Name]++
+		if it.Base != "" {
+			o.engine.children[it.Base]++
+		}
+		p.steps = append(p.steps, Step{Op: book.Load, Engine: o.engine.Name, Item: it.Name, MiB: it.MiB, Worth: w.worth})
+	}
+}
+
+// drop gives the unloads; the loads follow in a later plan, when the engine
+// says that the memory is free. The room is kept from lesser wants till then.
+func (p *planner) drop(o option, w want) {
+	for _, v := range o.victims {
+		it := p.in.Items[v.Name]
+		o.engine.leaving += it.MiB
+		delete(o.engine.here, v.Name)
+		p.copies[v.Name]--
+		if it.Base != "" {
+			o.engine.children[it.Base]--
+		}
+		p.steps = append(p.steps, Step{Op: book.Unload, Engine: o.engine.Name, Item: v.Name, MiB: it.MiB, Worth: w.worth, Starving: w.forced})
+	}
+	p.loads-- // the load this makes room for
+	for _, it := range o.load {
+		o.engine.Free -= it.MiB
+		o.engine.here[it.Name] = &Resident{Name: it.Name}
+		p.copies[it.Name]++
+	}
+}
+
+func (p *planner) bestOption(w want) (option, bool) {
+	var best option
+	found := false
+	for _, e := range p.engines {
+		o, ok := p.option(e, w)
+		if !ok {
+			continue
+		}
+		if !found || o.better(best) {
+			best = o
+			found = true
+		}
+	}
+	return best, found
+}
+
+// better prefers what drops less, then other failure domains, then the engine
+// with more left over, then the name.
+func (o option) better(than option) bool {
+	if len(o.victims) == 0 != (len(than.victims) == 0) {
+		return len(o.victims) == 0
+	}
+	if o.cost != than.cost {
+		return o.cost < than.cost
+	}
+	if len(o.load) != len(than.load) {
+		return len(o.load) < len(than.load)
+	}
+	if o.spread != than.spread {
+		return o.spread < than.spread
+	}
+	if o.engine.Free != than.engine.Free {
+		return o.engine.Free > than.engine.Free
+	}
+	return o.engine.Name < than.engine.Name
+}
+
+// option returns how the want could be placed on e, if it can.
+func (p *planner) option(e *engine, w want) (option, bool) {
+	if _, here := e.here[w.item]; here {
+		return option{}, false
+	}
+	o := option{engine: e, spread: p.spread(e, w.item)}
+	it := p.in.Items[w.item]
+	if it.Base != "" {
+		base, here := e.here[it.Base]
+		if here && base.Since == 0 && !base.Settled {
+			// The base is on its way in; its adapters follow it.
+			here = true
+		}
+		if !here {
+			o.load = append(o.load, p.in.Items[it.Base])
+		}
+	}
+	o.load = append(o.load, it)
+	var need int64
+	for _, l := range o.load {
+		need += l.MiB
+	}
+	if need <= e.Free {
+		return o, true
+	}
+	if need > e.Capacity || e.leaving > 0 {
+		return option{}, false
+	}
+	return p.withVictims(o, it.Base, need-e.Free, w)
+}
+
+// spread counts the copies of item on engines that share e's failure domain.
+func (p *planner) spread(e *engine, item string) int {
+	n := 0
+	for _, other := range p.engines {
+		if _, here := other.here[item]; here && other.Domain == e.Domain {
+			n++
+		}
+	}
+	return n
+}
+
+// withVictims adds the cheapest residents whose dropping frees enough.
+func (p *planner) withVictims(o option, keep string, need int64, w want) (option, bool) {
+	type candidate struct {
+		group []Resident // a model with its adapters, or one adapter
+		mib   int64
+		worth float64
+	}
+	var candidates []candidate
+	for name, r := range o.engine.here {
+		if name == keep || p.in.Items[name].Base != "" && p.in.Items[name].Base != keep {
+			continue // an adapter goes with its model, unless the model stays
+		}
+		group := p.group(o.engine, r)
+		c := candidate{group: group}
+		droppable := true
+		for _, g := range group {
+			droppable = droppable && g.Settled && g.Since >= p.stay(w)
+			c.mib += p.in.Items[g.Name].MiB
+			c.worth += p.worth(g.Name, p.copies[g.Name], p.in.Covered[g.Name])
+		}
+		if droppable {
+			candidates = append(candidates, c)
+		}
+	}
+	sort.Slice(candidates, func(i, j int) bool {
+		a, b := candidates[i], candidates[j]
+		da, db := a.worth/float64(a.mib), b.worth/float64(b.mib)
+		if da != db {
+			return da < db
+		}
+		return a.group[len(a.group)-1].Name < b.group[len(b.group)-1].Name
+	})
+	for _, c := range candidates {
+		if need <= 0 {
+			break
+		}
+		need -= c.mib
+		o.cost += c.worth
+		o.victims = append(o.victims, c.group...)
+	}
+	return o, need <= 0
+}
+
+// stay returns how long an item must have been there to be dropped for w.
+func (p *planner) stay(w want) time.Duration {
+	if w.starving {
+		return min(starvingStay, p.in.MinimumStay)
+	}
+	return p.in.MinimumStay
+}
+
+// group returns the adapters of a model on the engine, then the model.
+func (p *planner) group(e *engine, r *Resident) []Resident {
+	var group []Resident
+	if e.children[r.Name] > 0 {
+		for name, other := range e.here {
+			if p.in.Items[name].Base == r.Name {
+				group = append(group, *other)
+			}
+		}
+		sort.Slice(group, func(i, j int) bool { return group[i].Name < group[j].Name })
+	}
+	return append(group, *r)
+}
--- a/internal/control/command.go
+++ b/internal/control/command.go
@@ -113,12 +113,19 @@
 	return nil
 }
 
-func runDiff(ctx context.Context, cmd *cli.Command) error {
+// fileAndPlatform reads the command's file and reaches for the platform, in
+// this order: a file that is wrong needs no platform to say so.
+func fileAndPlatform(cmd *cli.Command) (config.Document, *platform.Client, error) {
 	doc, err := readFile(cmd)
 	if err != nil {
-		return err
+		return doc, nil, err
 	}
 	p, err := client(cmd)
+	return doc, p, err
+}
+
+func runDiff(ctx context.Context, cmd *cli.Command) error {
+	doc, p, err := fileAndPlatform(cmd)
 	if err != nil {
 		return err
 	}
@@ -135,11 +142,7 @@
 }
 
 func runApply(ctx context.Context, cmd *cli.Command) error {
-	doc, err := readFile(cmd)
-	if err != nil {
-		return err
-	}
-	p, err := client(cmd)
+	doc, p, err := fileAndPlatform(cmd)
 	if err != nil {
 		return err
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -23,7 +23,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/go-logr/logr"
 	"go.opentelemetry.io/otel/attribute"
 
 	"github.com/birchdrift/birchdrift/core/code"
@@ -54,7 +53,6 @@
 	Service  *service.Client
 	Metrics  *telemetry.Metrics
 	Tracer   *telemetry.Tracer
-	Log      logr.Logger
 	Instance string
 	MaxBody  int64
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -108,7 +108,7 @@
 	s.shell = shell.New(ctx, self, instance.New(self, s.opt, self.Boot), adapters, s.log, metrics)
 	callers := &entry.Handler{
 		Shell: s.shell, Engine: adapters.Engine, Service: service.NewClient(transports),
-		Metrics: metrics, Tracer: s.tracer, Log: s.log, Instance: s.set.Name, MaxBody: s.set.MaxBody,
+		Metrics: metrics, Tracer: s.tracer, Instance: s.set.Name, MaxBody: s.set.MaxBody,
 	}
 	handlers := []http.Handler{
 		callers.Routes(),
