--- a/core/instance/event.go
+++ b/core/instance/event.go
@@ -217,7 +217,6 @@
 		Resume     bool
 		After      time.Duration // wait before sending
 		Stall      time.Duration // silence that counts as broken
-		Reason     string        // why this replica, for the trace
 	}
 	// Finish gives a call its final answer without an upstream's.
 	Finish struct {
