One way to cancel a call; an exchange's answer is worked out once

Cause: read over once more. The answer to a peer's exchange gathered its records twice with the same arguments; the order to drop a sequence was worded in three places; two claim outcomes had the same branch each; Records.Empty was called by nobody; a comment spoke of a guard that lies elsewhere now. Ruled out: a common prelude for the load program's site and the integration world (their imports are alike, their jobs are not). Change: one cancel, one gathering, one branch; dead code out. No change of behaviour and none of a test.

--- a/core/instance/attempts.go
+++ b/core/instance/attempts.go
@@ -86,9 +86,7 @@
 	case running:
 		if r := m.pool.Get(c.replica); r != nil {
 			r.Forget(uint64(c.ID))
-			if !c.Plain {
-				m.do(Cancel{ID: c.ID, Attempt: c.history.Attempts, Replica: r.Name, Address: r.Address})
-			}
+			m.cancel(c, r)
 		}
 	case waiting:
 		m.leaveLine(c)
@@ -178,8 +176,6 @@
 	c.replica = ""
 	c.answered = false
 	c.phase = waiting
-	// A replica that refuses an item it was believed to have must not be
-	// chosen again at once: the retry would spin until its state is read.
 	if e.Phase == attempt.Refused && c.history.Attempts >= maxRefusals {
 		m.refuse(c, notRun(code.NoCapacity, "every replica refused: "+e.Detail, m.comeBack(0)))
 		return
@@ -190,7 +186,15 @@
 // abandon frees the sequence that a broken attempt may have left behind.
 func (m *Machine) abandon(c *call, e Broke) {
 	r := m.pool.Get(c.replica)
-	if c.Plain || r == nil || e.Phase == attempt.NotSent || e.Phase == attempt.Refused {
+	if r == nil || e.Phase == attempt.NotSent || e.Phase == attempt.Refused {
+		return
+	}
+	m.cancel(c, r)
+}
+
+// cancel tells an engine to drop the call's sequence; a plain service has none.
+func (m *Machine) cancel(c *call, r *pool.Replica) {
+	if c.Plain {
 		return
 	}
 	m.do(Cancel{ID: c.ID, Attempt: c.history.Attempts, Replica: r.Name, Address: r.Address})
--- a/core/instance/claims.go
+++ b/core/instance/claims.go
@@ -42,9 +42,7 @@
 		m.refuse(c, notRun(code.KeyClaimed, "another call with this key was accepted earlier", 0))
 	case ClaimUnknown:
 		m.readBack(c)
-	case ClaimAbsent:
-		m.claimAgain(c)
-	case ClaimNotSent:
+	case ClaimAbsent, ClaimNotSent:
 		m.claimAgain(c)
 	}
 }
--- a/core/instance/exchange.go
+++ b/core/instance/exchange.go
@@ -279,8 +279,6 @@
 func (m *Machine) exchangeAsked(e ExchangeAsked) {
 	m.take(e.Message)
 	reply := m.message(e.Message.From)
-	// The reply need not repeat what the message itself brought.
-	reply.Records = m.store.Since(m.exchanges.acks[e.Message.From].stamp, e.Message.From, e.Message.Zone == m.self.Zone)
 	if e.Message.WantConfig && e.Message.Revision < m.cfg.Revision() {
 		reply.Config = m.encoded
 	}
--- a/core/instance/stop.go
+++ b/core/instance/stop.go
@@ -76,8 +76,8 @@
 		m.refuse(c, notRun(code.Stopping, "this instance stopped", leastRetryAfter))
 		return
 	}
-	if r := m.pool.Get(c.replica); r != nil && !c.Plain {
-		m.do(Cancel{ID: c.ID, Attempt: c.history.Attempts, Replica: r.Name, Address: r.Address})
+	if r := m.pool.Get(c.replica); r != nil {
+		m.cancel(c, r)
 	}
 	run := code.Unknown
 	if c.answered {
--- a/core/share/share.go
+++ b/core/share/share.go
@@ -67,11 +67,6 @@
 	Holders     []Holder
 }
 
-// Empty reports whether there is nothing in it.
-func (r Records) Empty() bool {
-	return len(r.Residencies)+len(r.Loads)+len(r.Listed)+len(r.Holders) == 0
-}
-
 // A Message is one side of an exchange.
 type Message struct {
 	From     string
