--- a/cmd/birchdrift/main.go
+++ b/cmd/birchdrift/main.go
@@ -13,6 +13,8 @@
 
 	"github.com/birchdrift/birchdrift/internal/server"
 	"github.com/birchdrift/birchdrift/internal/settings"
+	"github.com/birchdrift/birchdrift/internal/upstream"
+	"github.com/birchdrift/birchdrift/platform"
 )
 
 // Exit statuses.
@@ -22,6 +24,16 @@
 	exitCut    = 3
 )
 
+// environments are what an instance can run in, by the setting's value.
+var environments = map[string]server.Enter{
+	settings.EnvironmentOwn: server.Own,
+	settings.EnvironmentPlatform: func(set settings.Settings, t upstream.Transports) server.Environment {
+		store := platform.NewStore(set.Platform, t)
+		engines := platform.NewEngines(t)
+		return server.Environment{Store: &store, Engines: &engines, Wire: platform.Wire}
+	},
+}
+
 func main() {
 	cmd := &cli.Command{
 		Name:  "birchdrift",
@@ -50,7 +62,7 @@
 		}
 		return cli.Exit("", exitUsage)
 	}
-	s, err := server.New(set, set.Options(), os.Stderr, os.Stdout)
+	s, err := server.New(set, set.Options(), environments[set.Environment], os.Stdout, os.Stdout)
 	if err != nil {
 		return cli.Exit(fmt.Sprintf("birchdrift: BD-501 bad_setting: %v", err), exitFailed)
 	}
--- a/core/code/code.go
+++ b/core/code/code.go
@@ -30,6 +30,7 @@
 	TargetMissed     Code = 202
 	NotResident      Code = 203
 	Stopping         Code = 204
+	TimedOut         Code = 205
 	NoReplica        Code = 301
 	UpstreamBroke    Code = 302
 	StreamCut        Code = 303
@@ -74,6 +75,7 @@
 	{TargetMissed, "target_missed", 503, "The call can no longer meet its target, so it was given up before it ran.", "Come back after `Retry-After`."},
 	{NotResident, "not_resident", 503, "The model is being loaded and will not be ready within the call's target.", "Come back after `Retry-After`."},
 	{Stopping, "stopping", 503, "This instance is stopping and takes no new calls.", "Call again; the balancer picks another instance."},
+	{TimedOut, "timed_out", 504, "The time for which the operators let a call be held has passed.", "The `run` field says whether the call may have run; raise the forward's timeout if it is too short."},
 	{NoReplica, "no_replica", 503, "No live replica can serve this service.", "Check the upstreams with `birchctl status`."},
 	{UpstreamBroke, "upstream_broke", 502, "The upstream failed before any part of the answer was delivered.", "The `run` field says whether the call may have run."},
 	{StreamCut, "stream_cut", 502, "The answer was cut after a part of it was delivered and could not be resumed.", "Discard the part; ask again if the call may be repeated."},
--- a/core/config/check.go
+++ b/core/config/check.go
@@ -27,6 +27,7 @@
 	c.models()
 	c.policies()
 	c.services()
+	c.forwards()
 	c.callers()
 	c.steering()
 	return c.faults
@@ -165,9 +166,10 @@
 	}
 	for i, s := range c.doc.Services {
 		c.name(seen, s.Name, "services", i)
-		if (len(s.Versions) == 0) == (len(s.Replicas) == 0) {
-			c.fault(code.ConfigValue, "a service has either versions or replicas", "services", i)
+		if !exactlyOne(len(s.Versions) > 0, len(s.Replicas) > 0, s.Announced != nil) {
+			c.fault(code.ConfigValue, "a service has versions, replicas or announced replicas, one of the three", "services", i)
 		}
+		c.announced(i, s.Announced)
 		if s.Policy != "" && !c.policy[s.Policy] {
 			c.fault(code.ConfigDangling, fmt.Sprintf("no policy %q", s.Policy), "services", i, "policy")
 		}
--- a/core/config/document.go
+++ b/core/config/document.go
@@ -24,10 +24,12 @@
 	Models    []Model     `yaml:"models,omitempty"`
 	Adapters  []Adapter   `yaml:"adapters,omitempty"`
 	Services  []Service   `yaml:"services"`
+	Forwards  []Forward   `yaml:"forwards,omitempty"`
 	Callers   []Caller    `yaml:"callers,omitempty"`
 	Policies  []Policy    `yaml:"policies,omitempty"`
 	Residency Residency   `yaml:"residency,omitempty"`
 	Weights   WeightStore `yaml:"weight_store,omitempty"`
+	Limits    Limits      `yaml:"limits,omitempty"`
 }
 
 // A Zone is one availability zone.
@@ -72,8 +74,11 @@
 	// Versions share the traffic of a model service.
 	Versions []Version `yaml:"versions,omitempty"`
 	// Replicas serve a plain service; such a service has no versions.
-	Replicas      []Replica `yaml:"replicas,omitempty"`
-	NotRepeatable bool      `yaml:"not_repeatable,omitempty"`
+	Replicas []Replica `yaml:"replicas,omitempty"`
+	// Announced is set for a service whose replicas announce themselves; such a
+	// service has neither versions nor replicas and is reached by forwards.
+	Announced     *Announced `yaml:"announced,omitempty"`
+	NotRepeatable bool       `yaml:"not_repeatable,omitempty"`
 	// Routes mark paths of a plain service that differ from it.
 	Routes []Route `yaml:"routes,omitempty"`
 	Target Target  `yaml:"target,omitempty"`
--- a/core/config/snapshot.go
+++ b/core/config/snapshot.go
@@ -20,6 +20,7 @@
 	engines  map[string]*Engine
 	policies map[string]*policy.Program
 	callers  map[string]*Caller // by hex hash of the key
+	forwards forwardTable
 }
 
 // NewSnapshot indexes doc and compiles its policies. The document must have
@@ -34,6 +35,7 @@
 		engines:  make(map[string]*Engine, len(doc.Engines)),
 		policies: make(map[string]*policy.Program, len(doc.Policies)),
 		callers:  make(map[string]*Caller, len(doc.Callers)),
+		forwards: newForwardTable(doc.Forwards),
 	}
 	for i := range doc.Services {
 		s.services[doc.Services[i].Name] = &doc.Services[i]
--- a/core/instance/attempts.go
+++ b/core/instance/attempts.go
@@ -50,6 +50,10 @@
 	if c == nil || c.phase != running || c.answered {
 		return
 	}
+	if c.forward != nil {
+		m.firstForward(c)
+		return
+	}
 	c.answered = true
 	if c.item != "" {
 		m.meter.Met(c.item)
@@ -104,6 +108,10 @@
 	if c == nil || c.phase != running || e.Attempt != c.history.Attempts {
 		return
 	}
+	if c.forward != nil {
+		m.brokeForward(c, e)
+		return
+	}
 	m.blame(c, e)
 	c.history = c.history.WithBroken(e.Phase)
 	step := c.history.Next(attempt.Break{
@@ -194,8 +202,8 @@
 
 // cancel tells an engine to drop the call's sequence; a plain service has none.
 func (m *Machine) cancel(c *call, r *pool.Replica) {
-	if c.Plain {
-		return
+	if c.Plain || c.forward != nil {
+		return // closing the connection is all there is
 	}
 	m.do(Cancel{ID: c.ID, Attempt: c.history.Attempts, Replica: r.Name, Address: r.Address})
 }
@@ -231,7 +239,7 @@
 	}
 	c.phase = 0
 	delete(m.calls, c.ID)
-	m.note(NoteCallFailed, "call", uint64(c.ID), "service", c.Service, "code", int(r.Code), "run", string(r.Run), "detail", r.Detail)
+	m.note(NoteCallFailed, "call", c.label(), "service", c.Service, "code", int(r.Code), "run", string(r.Run), "detail", r.Detail)
 	m.do(Finish{ID: c.ID, Refusal: r})
 	m.pool.Touch()
 }
--- a/core/instance/calls.go
+++ b/core/instance/calls.go
@@ -40,6 +40,9 @@
 	failedOn string
 	claimKey string
 	claims   int // claim requests sent
+
+	forward *forwardState // of a forwarded call
+	expires clock.Instant // when a forwarded call ends, whatever its state
 }
 
 // Bounds of what a caller is told.
@@ -57,6 +60,10 @@
 		return
 	}
 	m.calls[c.ID] = c
+	if c.forward != nil {
+		m.placeForward(c)
+		return
+	}
 	m.budget = m.budget.WithCall()
 	if c.claimKey != "" {
 		m.claim(c)
@@ -74,6 +81,9 @@
 	if m.cfg == nil {
 		return notRun(code.NoConfiguration, "no configuration yet", leastRetryAfter), false
 	}
+	if c.Forward != nil {
+		return m.admitForward(c)
+	}
 	caller, known := m.cfg.CallerByKey(c.Key)
 	if !known {
 		return notRun(code.Unauthorized, "no such key", 0), false
@@ -159,12 +169,20 @@
 	return used / all
 }
 
+// label names the call in logs: by its caller's identity where it has one.
+func (c *call) label() any {
+	if c.Forward != nil {
+		return c.Forward.Name
+	}
+	return uint64(c.ID)
+}
+
 func notRun(c code.Code, detail string, after time.Duration) code.Refusal {
 	return code.Refusal{Code: c, Run: code.NotRun, RetryAfter: after, Detail: detail}
 }
 
 func (m *Machine) refuseNew(c *call, r code.Refusal) {
-	m.note(NoteCallFailed, "service", c.Service, "code", int(r.Code), "run", string(r.Run))
+	m.note(NoteCallFailed, "call", c.label(), "service", c.Service, "code", int(r.Code), "run", string(r.Run))
 	m.do(Finish{ID: c.ID, Refusal: r})
 }
 
--- a/core/instance/event.go
+++ b/core/instance/event.go
@@ -32,6 +32,18 @@
 	PromptTokens   int
 	MaxTokens      int
 	Prefix         route.Prefix
+	Forward        *Forwarded // of a forwarded call; nil for the own interface
+}
+
+// A Forwarded is what a forwarded call says of itself.
+type Forwarded struct {
+	Name       string // the caller's identity of the call, for logs
+	Host       string
+	Model      string // "" if the call names none
+	Adapter    string
+	Parts      []route.Part // shared parts of the prompt, in order
+	LengthHint int
+	Deadline   time.Duration // how long the caller will wait; 0 if it does not say
 }
 
 // The events of calls.
@@ -53,7 +65,15 @@
 		Spent     bool // the call's body cannot be sent again
 		Leaving   bool // the replica said that it is leaving
 		Status    int  // the replica's HTTP status, 0 if none came
-		Detail    string
+		// Misdirected says that the replica is not the expected one, or does
+		// not hold the model.
+		Misdirected bool
+		// Incarnation is the name that the answering replica gave, if any.
+		Incarnation string
+		// Own says that the replica's own whole answer, a failure, is at hand
+		// and can be passed on.
+		Own    bool
+		Detail string
 	}
 	// Gone says that the caller closed its connection.
 	Gone struct{ ID CallID }
@@ -89,8 +109,11 @@
 	ListReply struct {
 		Entries []share.Listed
 		Version uint64
+		Whole   bool // Entries are all that the list has
 		Err     error
 	}
+	// WatchReply ends a WatchPlatform, after the events for what it brought.
+	WatchReply struct{ Err error }
 	// LeaseReply answers a SeekLease.
 	LeaseReply struct {
 		Sent    clock.Instant // when the request was sent
@@ -186,6 +209,7 @@
 func (ClaimReply) event()    {}
 func (ConfigReply) event()   {}
 func (ListReply) event()     {}
+func (WatchReply) event()    {}
 func (LeaseReply) event()    {}
 func (IntentsReply) event()  {}
 func (StateReply) event()    {}
@@ -218,7 +242,11 @@
 		After      time.Duration // wait before sending
 		Stall      time.Duration // silence that counts as broken
 		Reason     string        // why this replica, for the trace
+		Forward    *ForwardAttempt
 	}
+	// Relay passes on the replica's own failing answer, which the last Broke
+	// said to be at hand.
+	Relay struct{ ID CallID }
 	// Finish gives a call its final answer without an upstream's.
 	Finish struct {
 		ID      CallID
@@ -249,6 +277,16 @@
 	}
 )
 
+// A ForwardAttempt is what a Dispatch of a forwarded call adds.
+type ForwardAttempt struct {
+	Left     time.Duration // of the caller's deadline; 0 if there is none
+	Priority int           // -1 if the replica is not to be told
+	Stream   bool          // the answer is a series of events
+	// Resumable says that a broken series may go on at another replica, so
+	// that only whole events may be passed on.
+	Resumable bool
+}
+
 // The actions towards the platform.
 type (
 	// WatchConfig asks for a configuration newer than Have.
@@ -261,6 +299,9 @@
 		Since uint64
 		Wait  time.Duration
 	}
+	// WatchPlatform asks for whatever changed at a platform whose store is
+	// watched as one.
+	WatchPlatform struct{ Wait time.Duration }
 	// SeekLease asks for, or renews, the planner's lease.
 	SeekLease struct {
 		Term  time.Duration
@@ -318,22 +359,24 @@
 	Exit struct{ Cut int }
 )
 
-func (Dispatch) action()     {}
-func (Finish) action()       {}
-func (Cancel) action()       {}
-func (Claim) action()        {}
-func (ReadClaim) action()    {}
-func (ReleaseClaim) action() {}
-func (WatchConfig) action()  {}
-func (WatchList) action()    {}
-func (SeekLease) action()    {}
-func (ReleaseLease) action() {}
-func (ReadIntents) action()  {}
-func (WriteIntents) action() {}
-func (ReadState) action()    {}
-func (SendOrder) action()    {}
-func (Exchange) action()     {}
-func (Answer) action()       {}
-func (Install) action()      {}
-func (Note) action()         {}
-func (Exit) action()         {}
+func (Dispatch) action()      {}
+func (Finish) action()        {}
+func (Relay) action()         {}
+func (Cancel) action()        {}
+func (Claim) action()         {}
+func (ReadClaim) action()     {}
+func (ReleaseClaim) action()  {}
+func (WatchConfig) action()   {}
+func (WatchList) action()     {}
+func (WatchPlatform) action() {}
+func (SeekLease) action()     {}
+func (ReleaseLease) action()  {}
+func (ReadIntents) action()   {}
+func (WriteIntents) action()  {}
+func (ReadState) action()     {}
+func (SendOrder) action()     {}
+func (Exchange) action()      {}
+func (Answer) action()        {}
+func (Install) action()       {}
+func (Note) action()          {}
+func (Exit) action()          {}
--- a/core/instance/line.go
+++ b/core/instance/line.go
@@ -32,6 +32,10 @@
 
 // place sends the call to the best replica, or lets it wait, or refuses it.
 func (m *Machine) place(c *call) {
+	if c.forward != nil {
+		m.placeForward(c)
+		return
+	}
 	q := route.Query{
 		Zone:         m.self.Zone,
 		PromptTokens: c.PromptTokens,
--- a/core/instance/machine.go
+++ b/core/instance/machine.go
@@ -75,7 +75,11 @@
 	drained uint64          // pool.Touched at the last drain
 	able    []*pool.Replica // what candidates returned last
 	budget  limit.Budget
-	recent  *decisions
+
+	forwards  *route.Forwards
+	retries   map[string]*limit.Window // of forwarded calls, by service
+	expireDue clock.Instant            // when to look for calls whose time is over
+	recent    *decisions
 
 	platform  platformView
 	exchanges exchangeView
@@ -105,6 +109,8 @@
 		calls:     map[CallID]*call{},
 		budget:    limit.NewBudget(),
 		recent:    newDecisions(),
+		forwards:  route.NewForwards(),
+		retries:   map[string]*limit.Window{},
 		platform:  newPlatformView(),
 		exchanges: newExchangeView(),
 		readers:   map[string]*reader{},
@@ -144,6 +150,8 @@
 		m.configReply(e)
 	case ListReply:
 		m.listReply(e)
+	case WatchReply:
+		m.watchReply(e)
 	case LeaseReply:
 		m.leaseReply(e)
 	case IntentsReply:
@@ -164,6 +172,8 @@
 
 // runDue begins whatever periodic work is due.
 func (m *Machine) runDue() {
+	m.expireForwards()
+	m.vanishDue()
 	m.watchDue()
 	m.exchangeDue()
 	m.readDue()
@@ -181,7 +191,7 @@
 
 // NextWake returns how long the driver may wait before the next Tick.
 func (m *Machine) NextWake() time.Duration {
-	if len(m.line) > 0 || m.stop.begun {
+	if len(m.line) > 0 || m.stop.begun || len(m.calls) > 0 && m.cfg.HasForwards() {
 		return wakeEveryBusy
 	}
 	return wakeEvery
--- a/core/instance/note.go
+++ b/core/instance/note.go
@@ -24,6 +24,8 @@
 	NoteOrderFenced     Number = 1404
 	NoteOvercommitAvert Number = 1405
 	NoteLeaving         Number = 1501
+	NoteAnnounced       Number = 1502
+	NoteVanished        Number = 1503
 	NotePeerFailed      Number = 1601
 	NotePolicyFailed    Number = 1701
 	NoteCallFailed      Number = 1801
@@ -61,6 +63,8 @@
 	{NoteOrderFenced, "order_fenced", "An engine has seen a later fence than this instance's.", "None; another instance plans for the zone."},
 	{NoteOvercommitAvert, "overcommit_averted", "The plan asked for a step that the ledger refused.", "None; rare lines are usual when state changes under a plan."},
 	{NoteLeaving, "upstream_leaving", "An upstream is leaving and gets no new work.", "None."},
+	{NoteAnnounced, "upstream_announced", "A replica announced itself in the platform's list.", "None."},
+	{NoteVanished, "upstream_vanished", "A replica's entry is gone from the platform's list; it is used for a moment more where nothing better is there.", "None; many at once mean that the platform lost its leases."},
 	{NotePeerFailed, "peer_failed", "An exchange with a peer failed.", "Check the network between the instances if it lasts."},
 	{NotePolicyFailed, "policy_failed", "A policy expression failed at run time; its declared default was used.", "Mend the expression."},
 	{NoteCallFailed, "call_failed", "A call got a final answer that is not its upstream's.", "Look the code up in docs/codes.md."},
--- a/core/instance/options.go
+++ b/core/instance/options.go
@@ -38,6 +38,19 @@
 	StopDelay time.Duration
 	// StopLimit is how long a stopping instance waits for calls to end.
 	StopLimit time.Duration
+	// RetryWindow is the span over which repeats of forwarded calls are
+	// counted, RetryRatio the share of a service's calls that they may be, and
+	// RetrySlack how many more all instances together may make.
+	RetryWindow time.Duration
+	RetryRatio  float64
+	RetrySlack  float64
+	// Watchers is how many instances of a zone watch the platform.
+	Watchers int
+	// WatchEvery is the least time between two watch calls of one kind, so
+	// that changes that come together are heard together.
+	WatchEvery time.Duration
+	// OneWatch says that the platform's store is watched as one.
+	OneWatch bool
 	// Pick and Plan replace the routing choice and the residency plan; nil in
 	// the product. Baselines for measurements set them.
 	Pick func(estimates []route.Estimate) int
@@ -71,5 +84,9 @@
 		ClaimLife:     24 * time.Hour,
 		StopDelay:     3 * time.Second,
 		StopLimit:     10 * time.Minute,
+		RetryWindow:   10 * time.Second,
+		RetryRatio:    0.2,
+		RetrySlack:    50,
+		Watchers:      2,
 	}
 }
--- a/core/instance/planner.go
+++ b/core/instance/planner.go
@@ -90,7 +90,7 @@
 
 func (m *Machine) leaseDue() {
 	p := &m.planner
-	if m.stop.begun || m.cfg == nil || !p.job.ready(m.now) {
+	if m.stop.begun || len(m.homes.zones) == 0 || !p.job.ready(m.now) {
 		return
 	}
 	switch {
@@ -170,7 +170,7 @@
 	}
 	live := map[string]bool{}
 	for _, r := range m.pool.All() {
-		if r.Kind != pool.Engine || r.Zone != m.self.Zone {
+		if r.Kind != pool.Engine || r.Announced || r.Zone != m.self.Zone {
 			continue
 		}
 		live[r.Name] = true
--- a/core/instance/read.go
+++ b/core/instance/read.go
@@ -40,7 +40,7 @@
 	m.scanDue = m.now.Add(scanEvery)
 	var mine []*pool.Replica
 	for _, r := range m.pool.All() {
-		if r.Kind == pool.Engine && r.Zone == m.self.Zone && m.reads(r) {
+		if r.Kind == pool.Engine && !r.Announced && r.Zone == m.self.Zone && m.reads(r) {
 			mine = append(mine, r)
 		}
 	}
--- a/core/instance/stop.go
+++ b/core/instance/stop.go
@@ -18,6 +18,9 @@
 // refusing reports whether new calls are refused because of the stop.
 func (s stopView) refusing(now clock.Instant) bool { return s.begun && !now.Before(s.takeTo) }
 
+// Stopping reports whether a planned stop has begun.
+func (m *Machine) Stopping() bool { return m.stop.begun }
+
 // beginStop begins a planned stop: not ready from now on, the lease handed
 // over, the peers told. A second Stop ends it at once.
 func (m *Machine) beginStop() {
--- a/core/instance/watch.go
+++ b/core/instance/watch.go
@@ -1,14 +1,11 @@
 package instance
 
 import (
+	"github.com/birchdrift/birchdrift/core/clock"
 	"github.com/birchdrift/birchdrift/core/config"
 	"github.com/birchdrift/birchdrift/core/share"
 )
 
-// watchers is how many instances of a zone watch the platform. Two, so that
-// one that is replaced leaves no gap; the rest hear from their peers.
-const watchers = 2
-
 // watchDue begins the watches that are this instance's to keep. An instance
 // that hears of nobody watches whatever its rank, since it may be alone.
 func (m *Machine) watchDue() {
@@ -16,10 +13,17 @@
 		return
 	}
 	alone := m.members.HeardWithin(m.now, 5*m.opt.ExchangeEvery) == 0
-	if !alone && !m.members.OnDuty(m.now, "watch/"+m.self.Zone, watchers) {
+	if !alone && !m.members.OnDuty(m.now, "watch/"+m.self.Zone, m.opt.Watchers) {
 		return
 	}
 	p := &m.platform
+	if m.opt.OneWatch {
+		if p.list.ready(m.now) {
+			p.list.begin(m.now)
+			m.do(WatchPlatform{Wait: m.opt.WatchWait})
+		}
+		return
+	}
 	if p.config.ready(m.now) {
 		p.config.begin(m.now)
 		m.do(WatchConfig{Have: m.cfg.Revision(), Wait: m.opt.WatchWait})
@@ -31,9 +35,9 @@
 }
 
 func (m *Machine) configReply(e ConfigReply) {
-	if e.Source == PlatformSource {
+	if e.Source == PlatformSource && !m.opt.OneWatch {
 		m.platformSays(e.Err)
-		m.platform.config.end(m.now.Add(m.platform.backoff.Wait(m.rng)))
+		m.platform.config.end(m.nextWatch())
 	}
 	if e.Err != nil {
 		if e.Snapshot == nil && e.Encoded != nil {
@@ -82,12 +86,16 @@
 }
 
 func (m *Machine) listReply(e ListReply) {
-	m.platformSays(e.Err)
-	m.platform.list.end(m.now.Add(m.platform.backoff.Wait(m.rng)))
+	if !m.opt.OneWatch {
+		m.watchReply(WatchReply{Err: e.Err})
+	}
 	if e.Err != nil {
 		return
 	}
 	m.platform.version = e.Version
+	if e.Whole {
+		e.Entries = append(e.Entries, m.missing(e.Entries, e.Version)...)
+	}
 	for _, l := range e.Entries {
 		if m.store.AddListed("", l) {
 			m.applyListed(l)
@@ -96,12 +104,22 @@
 	}
 }
 
+// watchReply notes that a watch of the list is over.
+func (m *Machine) watchReply(e WatchReply) {
+	m.platformSays(e.Err)
+	m.platform.list.end(m.nextWatch())
+}
+
 // applyListed takes over one entry of the platform's list.
 func (m *Machine) applyListed(l share.Listed) {
 	if l.Kind == share.Entry {
 		m.applyPeer(l)
 		return
 	}
+	if l.Announced != nil || l.Gone && m.announced(l.Name) {
+		m.applyAnnounced(l)
+		return
+	}
 	if !l.Leaving && !l.Gone {
 		return
 	}
@@ -120,3 +138,8 @@
 	m.members.Learn(l.Name, l.Zone, l.Address)
 	m.members.SetLeaving(l.Name, l.Leaving)
 }
+
+// nextWatch returns when the next watch of one kind may begin.
+func (m *Machine) nextWatch() clock.Instant {
+	return m.now.Add(max(m.opt.WatchEvery, m.platform.backoff.Wait(m.rng)))
+}
--- /dev/null
+++ b/core/limit/window.go
@@ -0,0 +1,62 @@
+package limit
+
+import (
+	"time"
+
+	"github.com/birchdrift/birchdrift/core/clock"
+)
+
+// slices is how many parts a window is counted in. More parts follow the
+// sliding window more closely and cost more memory.
+const slices = 20
+
+// A Window counts calls and repeats over a sliding span and says whether one
+// more repeat stays within a share of the calls plus a fixed number. The oldest
+// slice counts for repeats and not for calls, so the answer errs to the safe
+// side.
+type Window struct {
+	span    time.Duration
+	calls   [slices]int
+	repeats [slices]int
+	at      int64 // number of the newest slice since the clock's start
+}
+
+// NewWindow returns a window over span that has counted nothing.
+func NewWindow(span time.Duration) *Window { return &Window{span: span} }
+
+func (w *Window) slice() time.Duration { return w.span / slices }
+
+// advance empties the slices that have passed since the last call.
+func (w *Window) advance(now clock.Instant) int {
+	number := int64(now.Mono / w.slice())
+	for steps := min(number-w.at, slices); steps > 0; steps-- {
+		i := (number - steps + 1) % slices
+		w.calls[i] = 0
+		w.repeats[i] = 0
+	}
+	w.at = max(w.at, number)
+	return int(w.at % slices)
+}
+
+// Call counts one call.
+func (w *Window) Call(now clock.Instant) { w.calls[w.advance(now)]++ }
+
+// Repeat counts one repeat if it stays within ratio times the calls plus slack,
+// and reports whether it does.
+func (w *Window) Repeat(now clock.Instant, ratio, slack float64) bool {
+	newest := w.advance(now)
+	calls := 0
+	repeats := 0
+	oldest := (newest + 1) % slices
+	for i := range slices {
+		repeats += w.repeats[i]
+		if i != oldest {
+			calls += w.calls[i]
+		}
+	}
+	if float64(repeats+1) > ratio*float64(calls)+slack {
+		return false
+	}
+	w.repeats[newest]++
+	return true
+}
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -131,6 +131,9 @@
 	return out
 }
 
+// Size returns how many instances are known, this one included.
+func (t *Table) Size() int { return len(t.peers) + 1 }
+
 // HeardWithin returns how many peers were heard within the span before now.
 func (t *Table) HeardWithin(now clock.Instant, span time.Duration) int {
 	n := 0
--- /dev/null
+++ b/core/pool/announced.go
@@ -0,0 +1,209 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/birchdrift/birchdrift/core/clock"
+)
+
+// An Announcement is what a replica says of itself in the platform's list.
+type Announcement struct {
+	Service  string
+	Address  string // IP:port
+	Zone     string
+	Slots    int  // calls it runs at once
+	Draining bool // it takes no new work and will end
+	// Remaining is the time left to a replica that is taken away at short
+	// notice, counted from the announcement; 0 if it is not, or not known.
+	Remaining time.Duration
+	Engine    bool   // it runs models
+	Sequence  uint64 // orders it has taken
+	Models    []AnnouncedModel
+	InMemory  []string // models whose copies lie in its host memory
+	OnDisk    []string // models whose copies lie on its disk
+}
+
+// An AnnouncedModel is a model that an engine holds ready.
+type AnnouncedModel struct {
+	Name     string
+	Adapters []string
+}
+
+// AdapterItem names an adapter of a model among the items of an engine. Two
+// models may have adapters of the same name.
+func AdapterItem(model, adapter string) string {
+	if adapter == "" {
+		return model
+	}
+	return model + "/" + adapter
+}
+
+// items returns the items that the announcement shows as ready.
+func (a Announcement) items() map[string]ItemPhase {
+	items := make(map[string]ItemPhase, 4*len(a.Models))
+	for _, m := range a.Models {
+		items[m.Name] = Ready
+		for _, adapter := range m.Adapters {
+			items[AdapterItem(m.Name, adapter)] = Ready
+		}
+	}
+	return items
+}
+
+// vanishSpan is how long a replica is still used, where nothing better is
+// there, after its entry went from the list. Entries also go while the replica
+// is sound: when the list's store loses its leases in an outage.
+const vanishSpan = time.Second
+
+// forgetSpan is how long a replica without an entry is remembered.
+const forgetSpan = 30 * time.Second
+
+// Announce takes in an announcement. A replica's name is its incarnation: one
+// that restarts has another name, and one that appears at an address where
+// another was known takes that one's place.
+func (p *Pool) Announce(now clock.Instant, name string, a Announcement) {
+	r := p.replicas[name]
+	kind := Plain
+	if a.Engine {
+		kind = Engine
+	}
+	facts := Facts{
+		Name: name, Address: a.Address, Zone: a.Zone, Kind: kind,
+		Service: a.Service, Concurrent: max(1, a.Slots), Announced: true,
+	}
+	if r == nil || r.Address != a.Address {
+		p.displace(now, name, a.Address)
+		r = newReplica(facts)
+		p.replicas[name] = r
+	}
+	r.Facts = facts
+	r.announced = a
+	r.vanishedAt = clock.Instant{}
+	r.listedLeaving = a.Draining
+	if a.Draining && a.Remaining > 0 {
+		r.endsAt = now.Add(a.Remaining)
+	}
+	p.merge(r)
+	p.reindex()
+}
+
+// displace notes that the replicas known at an address have ended.
+func (p *Pool) displace(now clock.Instant, name, address string) {
+	for _, r := range p.replicas {
+		if r.Announced && r.Address == address && r.Name != name {
+			r.listedLeaving = true
+			r.saidLeaving = true
+			if r.vanishedAt.IsZero() {
+				r.vanishedAt = now
+			}
+		}
+	}
+}
+
+// Vanish notes that the list no longer has the replica.
+func (p *Pool) Vanish(now clock.Instant, name string) {
+	if r := p.replicas[name]; r != nil && r.Announced && r.vanishedAt.IsZero() {
+		r.vanishedAt = now
+		p.touched++
+	}
+}
+
+// Expire has replicas that vanished count as leaving when their time is up, and
+// forgets those that are long gone. It returns the names of the former.
+func (p *Pool) Expire(now clock.Instant, span time.Duration) []string {
+	var left []string
+	gone := false
+	for name, r := range p.replicas {
+		if r.vanishedAt.IsZero() {
+			continue
+		}
+		age := now.Since(r.vanishedAt)
+		if age >= span && !r.listedLeaving {
+			r.listedLeaving = true
+			left = append(left, name)
+			p.touched++
+		}
+		if age >= forgetSpan && r.inFlight == 0 {
+			delete(p.replicas, name)
+			gone = true
+		}
+	}
+	if gone {
+		p.reindex()
+	}
+	return left
+}
+
+// VanishSpan is the usual span of Expire.
+const VanishSpan = vanishSpan
+
+// Vanished reports whether the list no longer has the replica.
+func (r *Replica) Vanished() bool { return !r.vanishedAt.IsZero() }
+
+// EndsAt returns when a replica that is taken away at short notice ends; ok is
+// false where that is not known.
+func (r *Replica) EndsAt() (at clock.Instant, ok bool) { return r.endsAt, !r.endsAt.IsZero() }
+
+// Announcement returns what the replica last said of itself in the list.
+func (r *Replica) Announcement() Announcement { return r.announced }
+
+// Dead notes an answer that shows that another replica has the address, or that
+// nothing runs there.
+func (p *Pool) Dead(now clock.Instant, name string) {
+	r := p.replicas[name]
+	if r == nil {
+		return
+	}
+	r.saidLeaving = true
+	p.touched++
+}
+
+// merge works out what an announced engine holds from its announcement and
+// from the word of the instance that orders it, whichever has seen more orders.
+func (p *Pool) merge(r *Replica) {
+	if !r.Announced {
+		return
+	}
+	if r.Residency.Sequence >= r.announced.Sequence && r.Residency.Boot > 0 {
+		r.items = make(map[string]ItemPhase, len(r.Residency.Items))
+		for _, it := range r.Residency.Items {
+			r.items[it.Name] = it.Phase
+		}
+		return
+	}
+	r.items = r.announced.items()
+}
+
+// Drop notes that the replica itself said that it does not hold the item.
+func (p *Pool) Drop(name, item string) {
+	r := p.replicas[name]
+	if r == nil || r.items[item] != Ready {
+		return
+	}
+	old := r.items
+	r.items = make(map[string]ItemPhase, len(old))
+	for it, phase := range old {
+		if it != item {
+			r.items[it] = phase
+		}
+	}
+	p.reindexItems(r, old)
+	p.touched++
+}
+
+// Hold notes that an item is ready on an engine, by the word of whoever had it
+// loaded.
+func (p *Pool) Hold(name, item string) {
+	r := p.replicas[name]
+	if r == nil || r.items[item] == Ready {
+		return
+	}
+	old := r.items
+	r.items = make(map[string]ItemPhase, len(old)+1)
+	for it, phase := range old {
+		r.items[it] = phase
+	}
+	r.items[item] = Ready
+	p.reindexItems(r, old)
+	p.touched++
+}
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -25,7 +25,7 @@
 	replicas map[string]*Replica
 	order    []*Replica            // by name
 	ready    map[string][]*Replica // by item, then by name
-	plain    map[string][]*Replica // by service
+	plain    map[string][]*Replica // by plain or announced service
 	touched  uint64                // rises with every change that could free room
 }
 
@@ -57,6 +57,11 @@
 			})
 		}
 	}
+	for name, r := range p.replicas {
+		if r.Announced {
+			next[name] = r
+		}
+	}
 	p.replicas = next
 	p.reindex()
 }
@@ -80,7 +85,7 @@
 	}
 	sort.Slice(p.order, func(i, j int) bool { return p.order[i].Name < p.order[j].Name })
 	for _, r := range p.order {
-		if r.Kind == Plain {
+		if r.Kind == Plain || r.Announced {
 			p.plain[r.Service] = append(p.plain[r.Service], r)
 		}
 		for item, phase := range r.items {
@@ -101,7 +106,8 @@
 // Ready returns the replicas that have item ready, whether usable or not.
 func (p *Pool) Ready(item string) []*Replica { return p.ready[item] }
 
-// Serving returns the replicas of a plain service, whether usable or not.
+// Serving returns the replicas of a plain or announced service, whether usable
+// or not.
 func (p *Pool) Serving(service string) []*Replica { return p.plain[service] }
 
 // Touched rises with every change that could let a waiting call go on.
@@ -125,9 +131,13 @@
 	old := r.items
 	r.Residency = res
 	clear(r.refused)
-	r.items = make(map[string]ItemPhase, len(res.Items))
-	for _, it := range res.Items {
-		r.items[it.Name] = it.Phase
+	if r.Announced {
+		p.merge(r)
+	} else {
+		r.items = make(map[string]ItemPhase, len(res.Items))
+		for _, it := range res.Items {
+			r.items[it.Name] = it.Phase
+		}
 	}
 	p.reindexItems(r, old)
 	p.touched++
@@ -136,8 +146,8 @@
 
 // rebooted clears what a later boot takes back.
 func (r *Replica) rebooted(boot uint64) {
-	if boot <= r.Residency.Boot {
-		return
+	if boot <= r.Residency.Boot || r.Announced {
+		return // an announced replica that restarts has another name
 	}
 	if boot > r.leavingBoot {
 		r.saidLeaving = false
--- a/core/pool/replica.go
+++ b/core/pool/replica.go
@@ -23,7 +23,8 @@
 	Zone         string
 	Domain       string
 	Kind         Kind
-	Service      string // the service of a plain replica
+	Service      string // the service of a plain or announced replica
+	Announced    bool   // it announces itself, rather than being configured
 	Concurrent   int    // sequences or calls it runs at once
 	Accelerators int
 	MemoryMiB    int64
@@ -32,15 +33,17 @@
 
 // Tunables of the health view.
 const (
-	ejectAfter    = 3               // failures in a row before a replica is ejected
-	ejectBase     = 2 * time.Second // first ejection; doubles with each
-	ejectMax      = 60 * time.Second
-	firstAlpha    = 0.2 // weight of a new sample that is below the average
-	holdAlpha     = 0.1
-	defaultFirst  = 50 * time.Millisecond
-	defaultHold   = time.Second
-	firstHalfLife = 5 * time.Second
-	loadHalfLife  = 4 * time.Second // after which half of what others had in flight is believed gone
+	ejectAfter   = 3               // failures in a row before a replica is ejected
+	ejectBase    = 2 * time.Second // first ejection; doubles with each
+	ejectMax     = 60 * time.Second
+	firstAlpha   = 0.2 // weight of a new sample that is below the average
+	holdAlpha    = 0.1
+	defaultFirst = 50 * time.Millisecond
+	defaultHold  = time.Second
+	// defaultPlainHold is the same for an announced plain replica.
+	defaultPlainHold = 30 * time.Millisecond
+	firstHalfLife    = 5 * time.Second
+	loadHalfLife     = 4 * time.Second // after which half of what others had in flight is believed gone
 )
 
 // A Replica is this instance's view of one upstream. Only the goroutine that
@@ -55,6 +58,7 @@
 	loadAt   clock.Instant
 	ownAtRep int // own calls in flight when load was heard
 
+	peers    map[string]peerUse // what other instances have in flight
 	inFlight int
 	pending  []pendingCall // own calls whose first token has not come
 	first    time.Duration // peak EWMA of the time to first token
@@ -66,6 +70,10 @@
 	ejections int // in a row
 	ejectedTo clock.Instant
 
+	announced  Announcement
+	vanishedAt clock.Instant // when the list lost it; zero while it is listed
+	endsAt     clock.Instant // when it is taken away, if that is known
+
 	listedLeaving bool
 	leavingBoot   uint64 // boot that was told to be leaving
 	saidLeaving   bool
@@ -73,16 +81,21 @@
 
 // A pendingCall is one own call in flight without a first token.
 type pendingCall struct {
-	id    uint64
-	since clock.Instant
+	id      uint64
+	since   clock.Instant
+	prefill time.Duration // work on its prompt believed to be left
 }
 
 func newReplica(f Facts) *Replica {
+	hold := defaultHold
+	if f.Announced && f.Kind == Plain {
+		hold = defaultPlainHold
+	}
 	return &Replica{
 		Facts: f,
 		items: map[string]ItemPhase{}, refused: map[string]clock.Instant{},
 		first: defaultFirst,
-		hold:  defaultHold,
+		hold:  hold,
 		Limit: limit.NewConcurrency(f.Concurrent),
 	}
 }
@@ -102,6 +115,9 @@
 	return len(r.refused) > 0 && now.Before(r.refused[item])
 }
 
+// Failures returns how many calls in a row the replica failed.
+func (r *Replica) Failures() int { return r.failures }
+
 // InFlight returns this instance's own calls in flight.
 func (r *Replica) InFlight() int { return r.inFlight }
 
@@ -120,6 +136,9 @@
 // known exactly; those of others come from the last reported load, less what
 // was own then, and fade with the report's age.
 func (r *Replica) Sequences(now clock.Instant) float64 {
+	if r.Announced {
+		return float64(r.Load(now).Calls)
+	}
 	others := float64(max(0, r.load.Running+r.load.Waiting-r.ownAtRep))
 	if !r.loadAt.IsZero() {
 		age := now.Since(r.loadAt)
@@ -153,9 +172,12 @@
 }
 
 // Start notes that this instance sent the call id to the replica.
-func (r *Replica) Start(now clock.Instant, id uint64) {
+func (r *Replica) Start(now clock.Instant, id uint64) { r.StartPrefill(now, id, 0) }
+
+// StartPrefill is Start for a call whose prompt is so much work to read.
+func (r *Replica) StartPrefill(now clock.Instant, id uint64, prefill time.Duration) {
 	r.inFlight++
-	r.pending = append(r.pending, pendingCall{id: id, since: now})
+	r.pending = append(r.pending, pendingCall{id: id, since: now, prefill: prefill})
 }
 
 // First notes that the call's first token came. late says that it came later
--- /dev/null
+++ b/core/pool/use.go
@@ -0,0 +1,80 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/birchdrift/birchdrift/core/clock"
+)
+
+// A Use is what one instance has in flight at a replica.
+type Use struct {
+	Calls   int
+	Prefill time.Duration // work on prompts that it believes is still to be done there
+}
+
+// useSpan is how long another instance's word about its calls is believed.
+const useSpan = 3 * time.Second
+
+// A peerUse is another instance's Use with the time at which it was heard.
+type peerUse struct {
+	Use
+	at clock.Instant
+}
+
+// ObserveUse takes in what a peer has in flight, by replica. Replicas that are
+// not named have nothing of it in flight.
+func (p *Pool) ObserveUse(now clock.Instant, peer string, uses map[string]Use) {
+	for name, r := range p.replicas {
+		u, ok := uses[name]
+		if !ok {
+			delete(r.peers, peer)
+			continue
+		}
+		if r.peers == nil {
+			r.peers = map[string]peerUse{}
+		}
+		r.peers[peer] = peerUse{Use: u, at: now}
+	}
+	p.touched++
+}
+
+// OwnUse returns what this instance has in flight, by replica.
+func (p *Pool) OwnUse() map[string]Use {
+	uses := map[string]Use{}
+	for name, r := range p.replicas {
+		if r.inFlight > 0 {
+			uses[name] = Use{Calls: r.inFlight, Prefill: r.ownPrefill()}
+		}
+	}
+	return uses
+}
+
+// ownPrefill returns the work on prompts of own calls without a first token.
+func (r *Replica) ownPrefill() time.Duration {
+	var work time.Duration
+	for _, c := range r.pending {
+		work += c.prefill
+	}
+	return work
+}
+
+// others sums what peers have in flight at the replica.
+func (r *Replica) others(now clock.Instant) Use {
+	var sum Use
+	for _, u := range r.peers {
+		if now.Since(u.at) <= useSpan {
+			sum.Calls += u.Calls
+			sum.Prefill += u.Prefill
+		}
+	}
+	return sum
+}
+
+// Load returns the calls in flight at the replica and the work on prompts that
+// is still to be done there, of every instance that was heard lately.
+func (r *Replica) Load(now clock.Instant) Use {
+	u := r.others(now)
+	u.Calls += r.inFlight
+	u.Prefill += r.ownPrefill()
+	return u
+}
--- /dev/null
+++ b/core/route/forward.go
@@ -0,0 +1,207 @@
+package route
+
+import (
+	"time"
+
+	"github.com/birchdrift/birchdrift/core/clock"
+	"github.com/birchdrift/birchdrift/core/pool"
+)
+
+// Tunables of the choice for forwarded calls.
+const (
+	// crossZone is the way to another zone and back; it also stands for the
+	// price of bytes that cross.
+	crossZone = 4 * time.Millisecond
+	// perSequence is what one call that runs beside another adds to the time
+	// to its first event.
+	perSequence = 300 * time.Microsecond
+	// defaultTokenTime is how long an engine is believed to read one prompt
+	// token of a model that was not measured yet.
+	defaultTokenTime = 25 * time.Microsecond
+	// headBonus is the share of its prompt's work that the engine which
+	// rendezvous hashing names for a prompt's first part is trusted to save.
+	headBonus = 0.1
+	// learnTokens is the least prompt from which the reading speed is learnt.
+	learnTokens = 400
+	// learnAlpha is the weight of one more measurement of it.
+	learnAlpha = 0.2
+	// firstOverhead is what a first event takes beside reading the prompt.
+	firstOverhead = 8 * time.Millisecond
+	// suspectCost is added for each failure in a row.
+	suspectCost = 50 * time.Millisecond
+)
+
+// A ForwardQuery is what the choice needs to know of one forwarded call.
+type ForwardQuery struct {
+	Zone   string   // zone of this instance
+	Model  string   // "" for a plain service
+	Tokens int      // of the prompt
+	Chain  Chain    // of the prompt's parts
+	Tried  []string // replicas that failed the call, passed over
+}
+
+// A ForwardEstimate is the expected time to the answer, or to a stream's first
+// event, on one replica.
+type ForwardEstimate struct {
+	Replica *pool.Replica
+	Ahead   time.Duration // work that is there already
+	Prefill time.Duration // work on this call's own prompt
+	Other   time.Duration // way, crowd, slowness
+	Cached  int           // prompt tokens believed to be kept there
+	Calls   int           // in flight there
+}
+
+// Total returns the expected time.
+func (e ForwardEstimate) Total() time.Duration { return e.Ahead + e.Prefill + e.Other }
+
+// Forwards chooses replicas for forwarded calls, and learns how fast models
+// read and what engines keep.
+type Forwards struct {
+	caches   map[string]*Cache // by engine
+	perToken map[string]time.Duration
+}
+
+// NewForwards returns a chooser that has learnt nothing.
+func NewForwards() *Forwards {
+	return &Forwards{caches: map[string]*Cache{}, perToken: map[string]time.Duration{}}
+}
+
+// TokenTime returns how long an engine is believed to read one prompt token of
+// a model.
+func (f *Forwards) TokenTime(model string) time.Duration {
+	if d, ok := f.perToken[model]; ok {
+		return d
+	}
+	return defaultTokenTime
+}
+
+// Learn takes in how long a first event took, of a call with so many tokens to
+// read on an engine that had no other prompt to read.
+func (f *Forwards) Learn(model string, tokens int, took time.Duration) {
+	if tokens < learnTokens {
+		return
+	}
+	sample := max(took-firstOverhead, time.Millisecond) / time.Duration(tokens)
+	old, ok := f.perToken[model]
+	if !ok {
+		f.perToken[model] = sample
+		return
+	}
+	f.perToken[model] = time.Duration((1-learnAlpha)*float64(old) + learnAlpha*float64(sample))
+}
+
+// Sent notes that a prompt goes to an engine that keeps so many tokens.
+func (f *Forwards) Sent(engine string, chain Chain, capacity int) {
+	c := f.caches[engine]
+	if c == nil {
+		c = NewCache(capacity)
+		f.caches[engine] = c
+	}
+	c.Add(chain)
+}
+
+// Forget drops what an engine was believed to keep.
+func (f *Forwards) Forget(engine string) { delete(f.caches, engine) }
+
+// Choose returns the best of the candidates; ok is false when none may be sent
+// the call.
+func (f *Forwards) Choose(now clock.Instant, q ForwardQuery, candidates []*pool.Replica) (best ForwardEstimate, ok bool) {
+	usable := make([]*pool.Replica, 0, len(candidates))
+	ejected := 0
+	for _, r := range candidates {
+		if !r.Usable() || contains(q.Tried, r.Name) {
+			continue
+		}
+		usable = append(usable, r)
+		if r.Ejected(now) {
+			ejected++
+		}
+	}
+	head := f.headOwner(q, usable)
+	for _, r := range usable {
+		if r.Ejected(now) && ejected < len(usable) {
+			continue
+		}
+		e := f.estimate(now, q, r, r == head)
+		if !ok || e.Total() < best.Total() {
+			best = e
+			ok = true
+		}
+	}
+	return best, ok
+}
+
+func contains(names []string, name string) bool {
+	for _, n := range names {
+		if n == name {
+			return true
+		}
+	}
+	return false
+}
+
+// headOwner returns the engine that rendezvous hashing names for the prompt's
+// first part, so that instances agree on where a new part is read first.
+func (f *Forwards) headOwner(q ForwardQuery, usable []*pool.Replica) *pool.Replica {
+	key, ok := q.Chain.Head()
+	if !ok {
+		return nil
+	}
+	var best *pool.Replica
+	var top uint64
+	for _, r := range usable {
+		if score := Score(key, r.Name); best == nil || score > top {
+			best = r
+			top = score
+		}
+	}
+	return best
+}
+
+func (f *Forwards) estimate(now clock.Instant, q ForwardQuery, r *pool.Replica, head bool) ForwardEstimate {
+	load := r.Load(now)
+	e := ForwardEstimate{Replica: r, Calls: load.Calls}
+	if r.Zone != q.Zone {
+		e.Other += crossZone
+	}
+	if r.Vanished() {
+		e.Other += vanishedCost
+	}
+	e.Other += suspectCost * time.Duration(r.Failures())
+	if q.Model == "" {
+		e.plain(r, load)
+		return e
+	}
+	e.Cached = min(f.caches[r.Name].Cached(q.Chain), q.Tokens)
+	perToken := f.TokenTime(q.Model)
+	e.Prefill = time.Duration(q.Tokens-e.Cached) * perToken
+	if head {
+		e.Prefill -= time.Duration(headBonus * float64(e.Prefill))
+	}
+	e.Ahead = load.Prefill
+	e.Other += perSequence * time.Duration(load.Calls)
+	if excess := load.Calls - r.Concurrent; excess >= 0 {
+		e.Ahead += time.Duration(excess+1) * r.Hold() / time.Duration(max(1, r.Concurrent))
+	}
+	return e
+}
+
+// vanishedCost keeps calls from replicas whose entries went, where others are.
+const vanishedCost = 500 * time.Millisecond
+
+// plain estimates a plain replica: its own usual time, longer in proportion to
+// the calls beyond its slots.
+func (e *ForwardEstimate) plain(r *pool.Replica, load pool.Use) {
+	hold := min(r.Hold(), maxPlainHold)
+	slots := max(1, r.Concurrent)
+	e.Prefill = hold
+	if load.Calls >= slots {
+		e.Ahead = time.Duration(load.Calls-slots+1) * hold / time.Duration(slots)
+	}
+	// Replicas slow down when they are nearly full.
+	e.Other += time.Duration(load.Calls) * hold / time.Duration(4*slots)
+}
+
+// maxPlainHold bounds what a plain replica's usual time counts for, so that one
+// that was slow once is tried again.
+const maxPlainHold = 300 * time.Millisecond
--- a/core/share/share.go
+++ b/core/share/share.go
@@ -50,6 +50,8 @@
 	Leaving bool
 	Gone    bool   // the list no longer has it
 	Version uint64 // of the list, when this was last changed
+	// Announced is what an upstream that announces itself says; nil for others.
+	Announced *pool.Announcement
 }
 
 // A Holder tells who plans for a zone.
--- a/internal/control/command.go
+++ b/internal/control/command.go
@@ -16,7 +16,7 @@
 	"github.com/birchdrift/birchdrift/core/code"
 	"github.com/birchdrift/birchdrift/core/config"
 	"github.com/birchdrift/birchdrift/core/instance"
-	"github.com/birchdrift/birchdrift/internal/platform"
+	"github.com/birchdrift/birchdrift/internal/keyvalue"
 	"github.com/birchdrift/birchdrift/internal/settings"
 	"github.com/birchdrift/birchdrift/internal/upstream"
 )
@@ -91,12 +91,12 @@
 	return config.Document{}, errors.Join(errs...)
 }
 
-func client(cmd *cli.Command) (*platform.Client, error) {
+func client(cmd *cli.Command) (*keyvalue.Client, error) {
 	address := cmd.String("platform")
 	if address == "" {
 		return nil, code.Errorf(code.BadSetting, "--platform (%sPLATFORM) is missing; allowed: IP:port", settings.EnvPrefix)
 	}
-	return platform.NewClient(address, upstream.NewTransports()), nil
+	return keyvalue.NewClient(address, upstream.NewTransports()), nil
 }
 
 func runValidate(_ context.Context, cmd *cli.Command) error {
@@ -115,7 +115,7 @@
 
 // fileAndPlatform reads the command's file and reaches for the platform, in
 // this order: a file that is wrong needs no platform to say so.
-func fileAndPlatform(cmd *cli.Command) (config.Document, *platform.Client, error) {
+func fileAndPlatform(cmd *cli.Command) (config.Document, *keyvalue.Client, error) {
 	doc, err := readFile(cmd)
 	if err != nil {
 		return doc, nil, err
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -20,7 +20,7 @@
 
 	"github.com/birchdrift/birchdrift/core/code"
 	"github.com/birchdrift/birchdrift/core/config"
-	"github.com/birchdrift/birchdrift/internal/platform"
+	"github.com/birchdrift/birchdrift/internal/keyvalue"
 )
 
 // applyTries bounds how often an apply whose answer is lost is repeated.
@@ -52,8 +52,8 @@
 }
 
 // Get reads the stored configuration.
-func Get(ctx context.Context, p *platform.Client) (Stored, error) {
-	v, err := p.Get(ctx, platform.ConfigKey, 0, 0)
+func Get(ctx context.Context, p *keyvalue.Client) (Stored, error) {
+	v, err := p.Get(ctx, keyvalue.ConfigKey, 0, 0)
 	if err != nil {
 		return Stored{}, code.Errorf(code.PlatformDown, "%v", trace.UserMessage(err))
 	}
@@ -70,7 +70,7 @@
 // Apply makes doc the configuration in force and returns its revision. A doc
 // that carries a revision is applied only on top of that very revision; one
 // without is applied on top of whatever is stored when Apply begins.
-func Apply(ctx context.Context, p *platform.Client, doc config.Document) (uint64, error) {
+func Apply(ctx context.Context, p *keyvalue.Client, doc config.Document) (uint64, error) {
 	stored, err := Get(ctx, p)
 	if err != nil {
 		return 0, err
@@ -89,9 +89,9 @@
 
 // swap writes the value; whenever the answer leaves open what happened, it
 // reads back and goes by what it finds.
-func swap(ctx context.Context, p *platform.Client, doc config.Document, data []byte, stored Stored) (uint64, error) {
+func swap(ctx context.Context, p *keyvalue.Client, doc config.Document, data []byte, stored Stored) (uint64, error) {
 	for range applyTries {
-		_, err := p.Swap(ctx, platform.ConfigKey, data, stored.Revision, 0)
+		_, err := p.Swap(ctx, keyvalue.ConfigKey, data, stored.Revision, 0)
 		if err == nil {
 			return doc.Revision, nil
 		}
@@ -113,7 +113,7 @@
 }
 
 // settle says what is known after every try's answer was lost.
-func settle(ctx context.Context, p *platform.Client, doc config.Document, stored Stored) error {
+func settle(ctx context.Context, p *keyvalue.Client, doc config.Document, stored Stored) error {
 	now, err := Get(ctx, p)
 	switch {
 	case err != nil:
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -29,6 +29,7 @@
 	"github.com/birchdrift/birchdrift/core/instance"
 	"github.com/birchdrift/birchdrift/core/route"
 	"github.com/birchdrift/birchdrift/internal/engine"
+	"github.com/birchdrift/birchdrift/internal/forward"
 	"github.com/birchdrift/birchdrift/internal/service"
 	"github.com/birchdrift/birchdrift/internal/shell"
 	"github.com/birchdrift/birchdrift/internal/telemetry"
@@ -55,6 +56,10 @@
 	Tracer   *telemetry.Tracer
 	Instance string
 	MaxBody  int64
+	Wire     forward.Wire // how forwarded calls are worded
+	// ForwardAll says that every call is a forwarded one: the own interface
+	// is not served to callers.
+	ForwardAll bool
 
 	lastID atomic.Uint64
 }
@@ -70,7 +75,28 @@
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		h.refuse(w, code.Refusal{Code: code.UnknownService, Run: code.NotRun, Detail: "no such path: " + r.URL.Path}, time.Now())
 	})
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		// Before the mux, which cleans paths and redirects.
+		if h.forwards(r) {
+			h.forward(w, r)
+			return
+		}
+		mux.ServeHTTP(w, r)
+	})
+}
+
+// forwards reports whether the call is a forwarded one.
+func (h *Handler) forwards(r *http.Request) bool {
+	if h.ForwardAll {
+		return true
+	}
+	cfg := h.Shell.Config()
+	if !cfg.HasForwards() {
+		return false
+	}
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	_, ok := cfg.Forward(r.Host, path)
+	return ok
 }
 
 func (h *Handler) nextID() instance.CallID { return instance.CallID(h.lastID.Add(1)) }
--- /dev/null
+++ b/internal/entry/forward.go
@@ -0,0 +1,386 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	oteltrace "go.opentelemetry.io/otel/trace"
+
+	"github.com/birchdrift/birchdrift/core/attempt"
+	"github.com/birchdrift/birchdrift/core/code"
+	"github.com/birchdrift/birchdrift/core/instance"
+	"github.com/birchdrift/birchdrift/core/route"
+	"github.com/birchdrift/birchdrift/internal/forward"
+	"github.com/birchdrift/birchdrift/internal/service"
+	"github.com/birchdrift/birchdrift/internal/shell"
+	"github.com/birchdrift/birchdrift/internal/upstream"
+)
+
+// smallAnswer is the largest answer that is read whole before any of it is
+// passed on, so that one that breaks off can still be asked for elsewhere.
+const smallAnswer = 256 << 10
+
+// errSeries says that a series of events has a gap or goes back.
+var errSeries = errors.New("the numbers of the events do not follow each other")
+
+// forward serves a forwarded call.
+func (h *Handler) forward(w http.ResponseWriter, r *http.Request) {
+	begun := time.Now()
+	ctx, span := h.Tracer.Start(h.Tracer.Extract(r.Context(), r.Header), "entry")
+	defer span.End()
+	f := &forwardCall{handler: h, w: w, r: r, begun: begun}
+	req, err := h.Wire.Read(r.Header)
+	if err == nil {
+		f.body, err = readBody(r)
+	}
+	if err != nil {
+		f.refuse(code.Refusal{Code: code.BadRequest, Run: code.NotRun, Detail: err.Error()})
+		return
+	}
+	f.call = forwardedCall(h.nextID(), r, req, !f.body.streamed)
+	f.lastEvent = req.LastEvent
+	span.SetAttributes(attribute.String("call", req.CallID))
+	f.run(ctx, h.Shell.Begin(f.call))
+}
+
+// forwardedCall words a request for the machine.
+func forwardedCall(id instance.CallID, r *http.Request, req forward.Request, replayable bool) instance.Call {
+	parts := make([]route.Part, 0, len(req.Parts))
+	for _, p := range req.Parts {
+		parts = append(parts, route.Part(p))
+	}
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	return instance.Call{
+		ID:           id,
+		Path:         path,
+		Replayable:   replayable,
+		PromptTokens: req.PromptTokens,
+		MaxTokens:    req.MaxTokens,
+		Forward: &instance.Forwarded{
+			Name:       req.CallID,
+			Host:       r.Host,
+			Model:      req.Model,
+			Adapter:    req.Adapter,
+			Parts:      parts,
+			LengthHint: req.LengthHint,
+			Deadline:   req.Deadline,
+		},
+	}
+}
+
+// A forwardCall is one forwarded call in progress.
+type forwardCall struct {
+	handler *Handler
+	w       http.ResponseWriter
+	r       *http.Request
+	body    *callBody
+	call    instance.Call
+	begun   time.Time
+
+	opened    bool // the head of the answer was written
+	lastEvent int  // number of the last event that the caller has
+	own       *ownAnswer
+}
+
+// An ownAnswer is a replica's own failing answer, kept until the machine says
+// what becomes of the call.
+type ownAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+func (f *forwardCall) run(ctx context.Context, s shell.Session) {
+	queueCtx, queue := f.handler.Tracer.Start(ctx, "queue")
+	for {
+		a, ok := waitAction(queueCtx, s)
+		queue.End()
+		if !ok {
+			f.gone(s)
+			return
+		}
+		switch act := a.(type) {
+		case instance.Finish:
+			f.finish(act.Refusal)
+			return
+		case instance.Relay:
+			f.relay()
+			return
+		case instance.Dispatch:
+			if f.attempt(ctx, s, act) {
+				return
+			}
+		}
+	}
+}
+
+// finish gives the caller the machine's final word. An answer that was begun
+// must be seen as cut, which a normal return would prevent.
+func (f *forwardCall) finish(r code.Refusal) {
+	if f.opened {
+		f.handler.Metrics.Answered(int(r.Code), time.Since(f.begun))
+		panic(http.ErrAbortHandler)
+	}
+	f.refuse(r)
+}
+
+// refuse writes a final answer that is not a replica's. A status that promises
+// that the call did not run is given only where that is certain.
+func (f *forwardCall) refuse(r code.Refusal) {
+	f.handler.Metrics.Answered(int(r.Code), time.Since(f.begun))
+	status := code.Lookup(r.Code).HTTP
+	if r.Run != code.NotRun && status == http.StatusServiceUnavailable {
+		status = http.StatusBadGateway
+	}
+	head := f.w.Header()
+	if name := f.handler.Wire.CallID; name != "" && f.call.Forward != nil && f.call.Forward.Name != "" {
+		head.Set(name, f.call.Forward.Name)
+	}
+	if r.RetryAfter > 0 && r.Run == code.NotRun {
+		head.Set(f.handler.Wire.RetryAfter, strconv.FormatFloat(r.RetryAfter.Seconds(), 'f', 3, 64))
+	}
+	f.closeIfStopping()
+	writeJSON(f.w, status, errorOf(r))
+}
+
+// closeIfStopping asks the caller to open its next connection elsewhere.
+func (f *forwardCall) closeIfStopping() {
+	if f.handler.Shell.Stopping() {
+		f.w.Header().Set("Connection", "close")
+	}
+}
+
+// relay passes on the replica's own failing answer.
+func (f *forwardCall) relay() {
+	f.handler.Metrics.Answered(int(code.UpstreamRefused), time.Since(f.begun))
+	f.head(f.own.header, f.own.status)
+	_, _ = f.w.Write(f.own.body) // a caller that is gone needs no answer
+}
+
+func (f *forwardCall) gone(s shell.Session) {
+	s.Gone()
+	f.handler.Metrics.Answered(int(code.CallerGone), time.Since(f.begun))
+	if f.opened {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// attempt carries out one Dispatch and reports whether the call is over.
+func (f *forwardCall) attempt(ctx context.Context, s shell.Session, d instance.Dispatch) bool {
+	if d.Attempt == 1 {
+		f.handler.Metrics.Queued(time.Since(f.begun))
+	}
+	name := "attempt"
+	if f.opened {
+		name = "resume"
+	}
+	ctx, span := f.handler.Tracer.Start(ctx, name, oteltrace.WithSpanKind(oteltrace.SpanKindClient))
+	defer span.End()
+	span.SetAttributes(attribute.String("upstream", d.Replica), attribute.Int("attempt", d.Attempt))
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s.Interrupt(cancel)
+	watch := newWatchdog(d.Stall, cancel)
+	defer watch.stop()
+	f.own = nil
+	var progress upstream.Progress
+	resp, err := f.handler.Service.Exchange(ctx, f.outgoing(d, watch), &progress)
+	if err != nil {
+		return f.broke(s, d, &progress, watch, instance.Broke{Detail: err.Error()})
+	}
+	defer resp.Body.Close()
+	return f.answer(s, d, resp, &progress, watch)
+}
+
+// outgoing words the call for the replica.
+func (f *forwardCall) outgoing(d instance.Dispatch, watch *watchdog) service.Call {
+	header := service.EndToEnd(f.r.Header)
+	f.handler.Wire.Dress(header, forward.Attempt{
+		Expect:    d.Replica,
+		Left:      d.Forward.Left,
+		Priority:  d.Forward.Priority,
+		LastEvent: f.lastEvent,
+	})
+	f.handler.Tracer.Inject(f.r.Context(), header)
+	return service.Call{
+		Address:    d.Address,
+		Host:       f.r.Host,
+		Method:     f.r.Method,
+		Target:     f.r.RequestURI,
+		Header:     header,
+		Body:       f.body.next(watch),
+		Length:     f.r.ContentLength,
+		Repeatable: d.Repeatable,
+	}
+}
+
+// broke tells the machine how an attempt ended and reports whether the call is
+// over, which it only is when the caller is gone.
+func (f *forwardCall) broke(s shell.Session, d instance.Dispatch, progress *upstream.Progress, watch *watchdog, b instance.Broke) bool {
+	if f.r.Context().Err() != nil {
+		f.gone(s)
+		return true
+	}
+	b.Attempt = d.Attempt
+	b.Phase = progress.Phase()
+	b.Stalled = watch.barked()
+	b.Spent = f.body.spent()
+	if f.opened {
+		b.Delivered = max(1, f.lastEvent)
+	}
+	s.Broke(b)
+	return false
+}
+
+// answer deals with the head of a replica's answer.
+func (f *forwardCall) answer(s shell.Session, d instance.Dispatch, resp *http.Response, progress *upstream.Progress, watch *watchdog) bool {
+	reply := f.handler.Wire.Judge(resp, f.call.Forward.Name)
+	b := instance.Broke{Status: resp.StatusCode, Misdirected: reply.Misdirected, Incarnation: reply.Incarnation}
+	switch {
+	case reply.Foreign:
+		b.Detail = "the answer to another call came"
+	case reply.NotRun:
+		progress.Reach(attempt.Refused)
+		b.Detail = fmt.Sprintf("the replica did not run it: status %d", resp.StatusCode)
+	case reply.Spoilt:
+		progress.Reach(attempt.Answered)
+		b.Detail = "the answer is not the replica's own"
+	case resp.StatusCode >= http.StatusInternalServerError:
+		progress.Reach(attempt.Answered)
+		f.keep(resp)
+		b.Own = f.own != nil
+		b.Detail = fmt.Sprintf("the replica failed: status %d", resp.StatusCode)
+	case d.Forward.Stream && reply.Stream:
+		progress.Reach(attempt.Answered)
+		return f.series(s, d, resp, progress, watch)
+	default:
+		progress.Reach(attempt.Answered)
+		return f.whole(s, d, resp, progress, watch)
+	}
+	return f.broke(s, d, progress, watch, b)
+}
+
+// keep reads a failing answer whole, if it is small and comes whole.
+func (f *forwardCall) keep(resp *http.Response) {
+	data, err := io.ReadAll(io.LimitReader(resp.Body, smallAnswer+1))
+	if err != nil || len(data) > smallAnswer {
+		return
+	}
+	f.own = &ownAnswer{status: resp.StatusCode, header: resp.Header, body: data}
+}
+
+// head writes the head of an answer.
+func (f *forwardCall) head(header http.Header, status int) {
+	out := f.w.Header()
+	for name, values := range service.EndToEnd(header) {
+		out[name] = values
+	}
+	f.closeIfStopping()
+	f.w.WriteHeader(status)
+	f.opened = true
+}
+
+// whole passes on an answer that is not a series: small ones only once they
+// are here whole.
+func (f *forwardCall) whole(s shell.Session, d instance.Dispatch, resp *http.Response, progress *upstream.Progress, watch *watchdog) bool {
+	data, err := io.ReadAll(io.LimitReader(resp.Body, smallAnswer))
+	if err != nil {
+		return f.broke(s, d, progress, watch, instance.Broke{Status: resp.StatusCode, Detail: err.Error()})
+	}
+	s.First()
+	if len(data) < smallAnswer && resp.ContentLength < 0 {
+		f.w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	}
+	f.head(resp.Header, resp.StatusCode)
+	if _, err := f.w.Write(data); err != nil {
+		f.gone(s)
+		return true
+	}
+	if len(data) < smallAnswer {
+		return f.done(s)
+	}
+	return f.rest(s, d, resp, progress, watch)
+}
+
+// rest passes on what follows the part of a large answer that was kept.
+func (f *forwardCall) rest(s shell.Session, d instance.Dispatch, resp *http.Response, progress *upstream.Progress, watch *watchdog) bool {
+	_, err := io.Copy(f.w, watchedReader{resp.Body, watch})
+	if err == nil {
+		return f.done(s)
+	}
+	f.broke(s, d, progress, watch, instance.Broke{Status: resp.StatusCode, Detail: err.Error()})
+	f.handler.Metrics.Answered(int(code.StreamCut), time.Since(f.begun))
+	panic(http.ErrAbortHandler)
+}
+
+func (f *forwardCall) done(s shell.Session) bool {
+	s.Done()
+	f.handler.Metrics.Answered(int(code.OK), time.Since(f.begun))
+	return true
+}
+
+// series passes on a series of events, each as it comes and only whole, so that
+// another replica can go on behind the last one.
+func (f *forwardCall) series(s shell.Session, d instance.Dispatch, resp *http.Response, progress *upstream.Progress, watch *watchdog) bool {
+	events := forward.NewEvents(resp.Body)
+	flush := http.NewResponseController(f.w)
+	first := true
+	for {
+		event, number, err := events.Next()
+		if errors.Is(err, io.EOF) {
+			if first {
+				f.open(resp)
+			}
+			return f.done(s)
+		}
+		if err == nil && number != 0 && number != f.lastEvent+1 {
+			err = errSeries
+		}
+		if err != nil {
+			return f.broke(s, d, progress, watch, instance.Broke{Status: resp.StatusCode, Detail: err.Error()})
+		}
+		watch.alive()
+		if first {
+			first = false
+			s.First()
+			f.handler.Metrics.First(time.Since(f.begun))
+			f.open(resp)
+		}
+		if _, err := f.w.Write(event); err != nil {
+			f.gone(s)
+			return true
+		}
+		_ = flush.Flush() // a caller that is gone shows at the next write
+		f.lastEvent = max(number, f.lastEvent)
+	}
+}
+
+// open writes the head of a series, once: a series that goes on at another
+// replica keeps the head of the first.
+func (f *forwardCall) open(resp *http.Response) {
+	if !f.opened {
+		f.head(resp.Header, resp.StatusCode)
+	}
+}
+
+// A watchedReader puts the watchdog off with every part that comes.
+type watchedReader struct {
+	io.Reader
+	watch *watchdog
+}
+
+// Read implements io.Reader.
+func (w watchedReader) Read(data []byte) (int, error) {
+	n, err := w.Reader.Read(data)
+	if n > 0 {
+		w.watch.alive()
+	}
+	return n, err
+}
--- /dev/null
+++ b/internal/forward/events.go
@@ -0,0 +1,67 @@
+package forward
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"strconv"
+)
+
+// maxEvent bounds one event of a series, in bytes.
+const maxEvent = 1 << 20
+
+// ErrPartial says that a series of events ended within an event.
+var ErrPartial = errors.New("the series of events ended within an event")
+
+// Events reads a series of events one whole event at a time, as it came, its
+// closing blank line included.
+type Events struct{ scanner *bufio.Scanner }
+
+// NewEvents reads events from body.
+func NewEvents(body io.Reader) *Events {
+	s := bufio.NewScanner(body)
+	s.Buffer(make([]byte, 0, 1024), maxEvent)
+	s.Split(splitEvent)
+	return &Events{scanner: s}
+}
+
+// splitEvent cuts behind each blank line.
+func splitEvent(data []byte, atEOF bool) (advance int, token []byte, err error) {
+	if i := bytes.Index(data, []byte("\n\n")); i >= 0 {
+		return i + 2, data[:i+2], nil
+	}
+	if atEOF && len(data) > 0 {
+		return 0, nil, ErrPartial
+	}
+	return 0, nil, nil
+}
+
+// Next returns the next event and its number, 0 if it has none. It returns
+// io.EOF after the last whole event of a series that came to its end, and any
+// other error for one that did not. The bytes are valid until the next call.
+func (e *Events) Next() (event []byte, number int, err error) {
+	if !e.scanner.Scan() {
+		if err := e.scanner.Err(); err != nil {
+			return nil, 0, err
+		}
+		return nil, 0, io.EOF
+	}
+	event = e.scanner.Bytes()
+	return event, eventNumber(event), nil
+}
+
+// eventNumber returns the number in an event's id field, 0 if there is none.
+func eventNumber(event []byte) int {
+	for line := range bytes.Lines(event) {
+		value, ok := bytes.CutPrefix(line, []byte("id:"))
+		if !ok {
+			continue
+		}
+		n, err := strconv.Atoi(string(bytes.TrimSpace(value)))
+		if err == nil && n > 0 {
+			return n
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/forward/wire.go
@@ -0,0 +1,191 @@
+// Package forward provides the wording of forwarded calls: which headers carry
+// a call's identity, its deadline and what it asks of a model, and how a
+// replica's answer is read.
+//
+// The idea: a forwarded call's method, path, query and body stay as they are,
+// so all that this system reads and adds stands in headers. A Wire names them.
+// Own is the product's own naming; an environment with other names supplies a
+// Wire of its own, and nothing else changes.
+package forward
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// A Wire names the headers of forwarded calls. An empty name is a header that
+// the environment does not have.
+type Wire struct {
+	CallID       string // the caller's identity of the call, echoed in answers
+	Deadline     string // milliseconds that the caller will wait, or that are left
+	Model        string // MODEL or MODEL/ADAPTER
+	Tokens       string // PROMPT,MOST-OUT
+	Parts        string // ID:TOKENS by commas; IDs in hex
+	LengthHint   string // the caller's guess of the tokens out
+	LastEvent    string // number of the last event that the caller has
+	Signature    string // a replica's signature on its answer
+	Expect       string // identity of the replica that must answer
+	Incarnation  string // identity of the replica that did answer
+	NotRun       string // a replica's word that it did not run the call
+	Priority     string // 0 to 9, 0 first
+	RetryAfter   string // seconds, with fractions
+	Misdirected  int    // status of a replica that is not the expected one
+	StreamType   string // content type of a series of events
+	ErrorsAsText bool   // final answers of this system carry a plain body
+}
+
+// Own is the product's own wording.
+var Own = Wire{
+	CallID:      "Birchdrift-Call",
+	Deadline:    "Birchdrift-Deadline",
+	Model:       "Birchdrift-Model",
+	Tokens:      "Birchdrift-Tokens",
+	Parts:       "Birchdrift-Prefix",
+	LengthHint:  "Birchdrift-Length-Hint",
+	LastEvent:   "Last-Event-Id",
+	Signature:   "Birchdrift-Signature",
+	Expect:      "Birchdrift-Expect",
+	Incarnation: "Birchdrift-Incarnation",
+	NotRun:      "Birchdrift-Not-Run",
+	Priority:    "Birchdrift-Priority",
+	RetryAfter:  "Retry-After",
+	Misdirected: http.StatusMisdirectedRequest,
+	StreamType:  "text/event-stream",
+}
+
+// A Part is one shared part of a prompt.
+type Part struct {
+	ID     uint64
+	Tokens int
+}
+
+// A Request is what the headers of a call say.
+type Request struct {
+	CallID       string
+	Deadline     time.Duration // 0 if none was given
+	Model        string
+	Adapter      string
+	PromptTokens int
+	MaxTokens    int
+	LengthHint   int
+	Parts        []Part
+	LastEvent    int // 0 if the caller has none
+}
+
+// Bounds of what a header may hold.
+const (
+	maxDeadline = 24 * time.Hour
+	maxParts    = 64
+	maxTokens   = 1 << 24
+)
+
+// Read reads a call's headers. An error names the header that makes no sense.
+func (w Wire) Read(h http.Header) (Request, error) {
+	r := Request{CallID: h.Get(w.CallID)}
+	r.Model, r.Adapter, _ = strings.Cut(h.Get(w.Model), "/")
+	if v := h.Get(w.Deadline); v != "" {
+		ms, err := strconv.ParseFloat(v, 64)
+		if err != nil || ms < 0 || ms > float64(maxDeadline/time.Millisecond) {
+			return r, fmt.Errorf("header %s: %q is no number of milliseconds", w.Deadline, v)
+		}
+		r.Deadline = time.Duration(ms * float64(time.Millisecond))
+	}
+	if v := h.Get(w.Tokens); v != "" {
+		prompt, out, _ := strings.Cut(v, ",")
+		r.PromptTokens = tokens(prompt)
+		r.MaxTokens = tokens(out)
+	}
+	r.LengthHint = tokens(h.Get(w.LengthHint))
+	r.LastEvent = tokens(h.Get(w.LastEvent))
+	r.Parts = readParts(h.Get(w.Parts))
+	return r, nil
+}
+
+// tokens reads a count that only steers decisions; one that makes no sense
+// counts as absent, since the call itself is none the worse for it.
+func tokens(v string) int {
+	n, err := strconv.Atoi(strings.TrimSpace(v))
+	if err != nil || n < 0 || n > maxTokens {
+		return 0
+	}
+	return n
+}
+
+func readParts(v string) []Part {
+	if v == "" {
+		return nil
+	}
+	var parts []Part
+	for _, field := range strings.Split(v, ",") {
+		id, count, ok := strings.Cut(strings.TrimSpace(field), ":")
+		n, err := strconv.ParseUint(id, 16, 64)
+		if !ok || err != nil || len(parts) == maxParts {
+			return parts
+		}
+		parts = append(parts, Part{ID: n, Tokens: tokens(count)})
+	}
+	return parts
+}
+
+// An Attempt is what this system adds to a call on its way to a replica.
+type Attempt struct {
+	Expect    string        // identity of the replica
+	Left      time.Duration // of the caller's deadline; 0 if there is none
+	Priority  int           // -1 leaves the header out
+	LastEvent int           // number of the last event that was delivered, 0 if none
+}
+
+// Dress writes an attempt's headers over the caller's.
+func (w Wire) Dress(h http.Header, a Attempt) {
+	set(h, w.Expect, a.Expect)
+	if a.Left > 0 {
+		set(h, w.Deadline, strconv.FormatInt(max(1, a.Left.Milliseconds()), 10))
+	}
+	if a.Priority >= 0 {
+		set(h, w.Priority, strconv.Itoa(a.Priority))
+	}
+	if a.LastEvent > 0 {
+		set(h, w.LastEvent, strconv.Itoa(a.LastEvent))
+	}
+}
+
+func set(h http.Header, name, value string) {
+	if name != "" {
+		h.Set(name, value)
+	}
+}
+
+// A Reply is what the head of a replica's answer says.
+type Reply struct {
+	NotRun      bool // the replica did not run the call and never will
+	Misdirected bool // another replica has the address, or the model is not there
+	Incarnation string
+	Foreign     bool // it answers another call
+	Spoilt      bool // it is not an answer that may be passed on
+	Stream      bool // it is a series of events
+}
+
+// Judge reads the head of a replica's answer to the call with this identity.
+func (w Wire) Judge(resp *http.Response, callID string) Reply {
+	r := Reply{
+		NotRun:      w.NotRun != "" && resp.Header.Get(w.NotRun) != "",
+		Misdirected: resp.StatusCode == w.Misdirected,
+		Incarnation: resp.Header.Get(w.Incarnation),
+		Stream:      w.StreamType != "" && strings.HasPrefix(resp.Header.Get("Content-Type"), w.StreamType),
+	}
+	r.NotRun = r.NotRun || r.Misdirected
+	if echoed := resp.Header.Get(w.CallID); callID != "" && echoed != "" && echoed != callID {
+		r.Foreign = true
+	}
+	success := resp.StatusCode >= 200 && resp.StatusCode < 300
+	if success && (w.Signature == "" || resp.Header.Get(w.Signature) == "" || resp.Header.Get("Content-Encoding") != "") {
+		r.Spoilt = w.Signature != ""
+	}
+	if success && callID != "" && resp.Header.Get(w.CallID) == "" {
+		r.Spoilt = true
+	}
+	return r
+}
--- a/internal/platform/platform.go
+++ b/internal/keyvalue/keyvalue.go
@@ -1,4 +1,4 @@
-// Package platform provides the adapter for the platform's small key-value
+// Package keyvalue provides the adapter for the platform's small key-value
 // service: compare-and-swap, leases, watches and the list of instances.
 //
 // Every method is one call and counts as one against the platform's rates; a
@@ -6,7 +6,7 @@
 // certainly never left (ErrNotSent), was refused for its expectation
 // (ErrConflict), or may have taken effect (anything else): after the last the
 // caller reads back before it goes on.
-package platform
+package keyvalue
 
 import (
 	"bytes"
--- a/internal/platform/wire.go
+++ b/internal/keyvalue/wire.go
@@ -1,4 +1,4 @@
-package platform
+package keyvalue
 
 import "github.com/birchdrift/birchdrift/core/share"
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -21,9 +21,11 @@
 	"github.com/birchdrift/birchdrift/core/instance"
 	"github.com/birchdrift/birchdrift/internal/engine"
 	"github.com/birchdrift/birchdrift/internal/entry"
+	"github.com/birchdrift/birchdrift/internal/forward"
+	"github.com/birchdrift/birchdrift/internal/keyvalue"
 	"github.com/birchdrift/birchdrift/internal/ops"
 	"github.com/birchdrift/birchdrift/internal/peer"
-	"github.com/birchdrift/birchdrift/internal/platform"
+	"github.com/birchdrift/birchdrift/internal/seam"
 	"github.com/birchdrift/birchdrift/internal/service"
 	"github.com/birchdrift/birchdrift/internal/settings"
 	"github.com/birchdrift/birchdrift/internal/shell"
@@ -55,9 +57,26 @@
 	http *http.Server
 }
 
-// New binds the listeners and wires the instance, whose tunables are opt; Run
-// starts it. Logs go to logs, spans to spans.
-func New(set settings.Settings, opt instance.Options, logs, spans io.Writer) (*Server, error) {
+// An Environment is what an instance runs in, other than the product's own
+// interfaces: the zero value stands for those.
+type Environment struct {
+	Store   *seam.Store
+	Engines *seam.Engines
+	Wire    forward.Wire
+}
+
+// An Enter joins an instance to its environment.
+type Enter func(set settings.Settings, t upstream.Transports) Environment
+
+// Own joins an instance to the product's own interfaces.
+func Own(settings.Settings, upstream.Transports) Environment {
+	return Environment{Wire: forward.Own}
+}
+
+// New binds the listeners and wires the instance, whose tunables are opt, to the
+// environment that enter joins it to; Run starts it. Logs go to logs, spans to
+// spans.
+func New(set settings.Settings, opt instance.Options, enter Enter, logs, spans io.Writer) (*Server, error) {
 	log := telemetry.NewLogger(logs, set.LogLevel, set.Name, set.Zone)
 	tracer, err := telemetry.NewTracer(spans, set.Name, set.Zone, set.TraceShare)
 	if err != nil {
@@ -67,7 +86,7 @@
 	if err := s.bind(); err != nil {
 		return nil, err
 	}
-	s.wire()
+	s.wire(enter)
 	return s, nil
 }
 
@@ -90,17 +109,20 @@
 	return nil
 }
 
-func (s *Server) wire() {
+func (s *Server) wire(enter Enter) {
 	metrics := telemetry.NewMetrics()
 	transports := upstream.NewTransports()
+	environment := enter(s.set, transports)
 	self := instance.Identity{
 		Name: s.set.Name, Zone: s.set.Zone, Address: s.set.Advertise,
 		Boot: uint64(time.Now().UnixNano()), Seeds: s.set.Seeds,
 	}
 	adapters := shell.Adapters{
-		Platform: platform.NewClient(s.set.Platform, transports),
+		Platform: keyvalue.NewClient(s.set.Platform, transports),
 		Engine:   engine.NewClient(transports),
 		Peer:     peer.NewClient(&http.Client{Transport: transports.Reused}, s.set.PeerKey),
+		Store:    environment.Store,
+		Engines:  environment.Engines,
 	}
 	adapters.Platform.Called = metrics.PlatformCall
 	ctx, cancel := context.WithCancel(context.Background())
@@ -109,6 +131,7 @@
 	callers := &entry.Handler{
 		Shell: s.shell, Engine: adapters.Engine, Service: service.NewClient(transports),
 		Metrics: metrics, Tracer: s.tracer, Instance: s.set.Name, MaxBody: s.set.MaxBody,
+		Wire: environment.Wire, ForwardAll: environment.Store != nil,
 	}
 	handlers := []http.Handler{
 		callers.Routes(),
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -12,6 +12,7 @@
 	"log/slog"
 	"net/netip"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -50,6 +51,13 @@
 	LeaseTerm   time.Duration
 	Exchange    time.Duration
 	ReadEvery   time.Duration
+	Environment string
+	RetryRatio  float64
+	RetryWindow time.Duration
+	RetrySlack  float64
+	Watchers    int
+	WatchEvery  time.Duration
+	MemoryLimit int64 // MiB; 0: none
 }
 
 // A Setting is one row of the table.
@@ -85,7 +93,7 @@
 	{"peer-key", "", "any text", "Key that entry instances show each other.", true, text(func(s *Settings) *string { return &s.PeerKey })},
 	{"operations-key", "", "any text", "Key that changing calls on the operations listener must show; empty switches those calls off.", true, text(func(s *Settings) *string { return &s.OpsKey })},
 	{"log-level", "info", "debug, info, warn or error", "Least level of log lines.", false, level},
-	{"trace-share", "0", "0 to 1", "Share of calls whose spans are written to standard output.", false, share},
+	{"trace-share", "0", "0 to 1", "Share of calls whose spans are written to standard output.", false, number(func(s *Settings) *float64 { return &s.TraceShare }, 0, 1)},
 	{"max-body", "4194304", "1024 to 1073741824", "Largest body of a model call, in bytes.", false, integer(func(s *Settings) *int64 { return &s.MaxBody }, 1024, 1<<30)},
 	{"header-time", "10s", "100ms to 24h", "Time a caller may take to send a request's header.", false, duration(func(s *Settings) *time.Duration { return &s.HeaderTime }, 100*time.Millisecond)},
 	{"idle-time", "2m", "100ms to 24h", "Time a caller's connection may be idle.", false, duration(func(s *Settings) *time.Duration { return &s.IdleTime }, 100*time.Millisecond)},
@@ -97,8 +105,21 @@
 	{"lease-term", "10s", "500ms to 24h", "Term of the zone planner's lease.", false, duration(func(s *Settings) *time.Duration { return &s.LeaseTerm }, 500*time.Millisecond)},
 	{"exchange-every", "2s", "50ms to 24h", "Spacing of the exchanges with peers.", false, duration(func(s *Settings) *time.Duration { return &s.Exchange }, 50*time.Millisecond)},
 	{"read-every", "1s", "50ms to 24h", "Spacing of the reads of one engine's state.", false, duration(func(s *Settings) *time.Duration { return &s.ReadEvery }, 50*time.Millisecond)},
+	{"environment", EnvironmentOwn, "own or platform", "What the instance runs in: the product's own interfaces, or the users' platform.", false, oneOf(func(s *Settings) *string { return &s.Environment }, EnvironmentOwn, EnvironmentPlatform)},
+	{"retry-ratio", "0.2", "0 to 10", "Repeats of forwarded calls, as a share of a service's calls within the window.", false, number(func(s *Settings) *float64 { return &s.RetryRatio }, 0, 10)},
+	{"retry-window", "10s", "100ms to 24h", "Span over which repeats of forwarded calls are counted.", false, duration(func(s *Settings) *time.Duration { return &s.RetryWindow }, 100*time.Millisecond)},
+	{"retry-slack", "50", "0 to 1000000", "Repeats of a service's forwarded calls that all instances together may make beyond the share.", false, number(func(s *Settings) *float64 { return &s.RetrySlack }, 0, 1e6)},
+	{"watchers", "2", "1 to 1000", "Instances of a zone that watch the platform; the others hear from them.", false, count(func(s *Settings) *int { return &s.Watchers }, 1, 1000)},
+	{"watch-every", "0s", "0s to 24h", "Least time between two watch calls, so that changes that come together are heard together.", false, duration(func(s *Settings) *time.Duration { return &s.WatchEvery }, 0)},
+	{"memory-limit", "0", "0 to 1048576", "Memory in MiB that the process should stay within; 0 sets no limit.", false, integer(func(s *Settings) *int64 { return &s.MemoryLimit }, 0, 1<<20)},
 }
 
+// The environments.
+const (
+	EnvironmentOwn      = "own"
+	EnvironmentPlatform = "platform"
+)
+
 // Flags returns the command-line flags of the table.
 func Flags() []cli.Flag {
 	flags := make([]cli.Flag, 0, len(Table))
@@ -143,6 +164,12 @@
 	opt.LeaseTerm = s.LeaseTerm
 	opt.ExchangeEvery = s.Exchange
 	opt.ReadEvery = s.ReadEvery
+	opt.RetryRatio = s.RetryRatio
+	opt.RetryWindow = s.RetryWindow
+	opt.RetrySlack = s.RetrySlack
+	opt.Watchers = s.Watchers
+	opt.WatchEvery = s.WatchEvery
+	opt.OneWatch = s.Environment != EnvironmentOwn
 	return opt
 }
 
@@ -191,10 +218,19 @@
 
 func level(s *Settings, v string) bool { return s.LogLevel.UnmarshalText([]byte(v)) == nil }
 
-func share(s *Settings, v string) bool {
-	f, err := strconv.ParseFloat(v, 64)
-	s.TraceShare = f
-	return err == nil && f >= 0 && f <= 1
+func number(field func(*Settings) *float64, least, most float64) setter {
+	return func(s *Settings, v string) bool {
+		f, err := strconv.ParseFloat(v, 64)
+		*field(s) = f
+		return err == nil && f >= least && f <= most
+	}
+}
+
+func oneOf(field func(*Settings) *string, words ...string) setter {
+	return func(s *Settings, v string) bool {
+		*field(s) = v
+		return slices.Contains(words, v)
+	}
 }
 
 func integer(field func(*Settings) *int64, least, most int64) setter {
--- a/internal/shell/actions.go
+++ b/internal/shell/actions.go
@@ -11,7 +11,7 @@
 	"github.com/birchdrift/birchdrift/core/config"
 	"github.com/birchdrift/birchdrift/core/instance"
 	"github.com/birchdrift/birchdrift/core/share"
-	"github.com/birchdrift/birchdrift/internal/platform"
+	"github.com/birchdrift/birchdrift/internal/keyvalue"
 )
 
 // Time limits of single requests.
@@ -32,6 +32,9 @@
 		s.deliver(act.ID, act)
 		s.interrupt(act.ID)
 		delete(s.calls, act.ID)
+	case instance.Relay:
+		s.deliver(act.ID, act)
+		delete(s.calls, act.ID)
 	case instance.Cancel:
 		s.work(func(ctx context.Context) { s.cancel(ctx, act) })
 	case instance.Claim:
@@ -44,6 +47,8 @@
 		s.work(func(ctx context.Context) { s.watchConfig(ctx, act) })
 	case instance.WatchList:
 		s.work(func(ctx context.Context) { s.watchList(ctx, act) })
+	case instance.WatchPlatform:
+		s.work(func(ctx context.Context) { s.watchPlatform(ctx, act) })
 	case instance.SeekLease:
 		s.work(func(ctx context.Context) { s.seekLease(ctx, act) })
 	case instance.ReleaseLease:
@@ -135,11 +140,11 @@
 	switch {
 	case err == nil:
 		return instance.ClaimWon
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, keyvalue.ErrConflict):
 		// The first of two requests whose answer was lost conflicts with the
 		// second, so a conflict alone does not say that another won.
 		return instance.ClaimUnknown
-	case errors.Is(err, platform.ErrNotSent):
+	case errors.Is(err, keyvalue.ErrNotSent):
 		return instance.ClaimNotSent
 	default:
 		return instance.ClaimUnknown
@@ -182,7 +187,7 @@
 	if a.Have == 0 {
 		after = 0
 	}
-	v, err := s.adapters.Platform.Get(ctx, platform.ConfigKey, after, a.Wait)
+	v, err := s.adapters.Platform.Get(ctx, keyvalue.ConfigKey, after, a.Wait)
 	if err != nil {
 		s.post(instance.ConfigReply{Source: instance.PlatformSource, Err: err})
 		return
@@ -198,7 +203,7 @@
 // postConfig indexes a configuration off the machine's goroutine, which would
 // stand still for it, and posts it.
 func (s *Shell) postConfig(data []byte, source string) {
-	snapshot, err := loadConfig(data)
+	snapshot, err := s.loadConfig(data)
 	if err != nil {
 		s.log.Info(noteName(instance.NoteConfigFailed), "event", int(instance.NoteConfigFailed), "source", source, "error", err.Error())
 		s.post(instance.ConfigReply{Source: source})
@@ -208,11 +213,17 @@
 	// Decoding a large configuration leaves several times its size behind,
 	// and a small instance that is idle would keep that for minutes. Changes
 	// are rare, so a collection for each costs next to nothing.
-	debug.FreeOSMemory()
+	if len(data) > largeConfig {
+		debug.FreeOSMemory()
+	}
 }
 
-func loadConfig(data []byte) (*config.Snapshot, error) {
-	doc, err := config.Decode(data)
+// largeConfig is the size of an encoded configuration, in bytes, from which the
+// memory that its decoding leaves behind is worth a collection.
+const largeConfig = 128 << 10
+
+func (s *Shell) loadConfig(data []byte) (*config.Snapshot, error) {
+	doc, err := s.adapters.decode(data)
 	if err != nil {
 		return nil, err
 	}
@@ -236,7 +247,7 @@
 
 func (s *Shell) seekLease(ctx context.Context, a instance.SeekLease) {
 	sent := s.Now()
-	reply, err := s.adapters.Platform.Lease(ctx, platform.LeaseName(s.self.Zone), platform.LeaseRequest{
+	reply, err := s.adapters.Platform.Lease(ctx, keyvalue.LeaseName(s.self.Zone), keyvalue.LeaseRequest{
 		Holder: s.holder(), TermMS: a.Term.Milliseconds(), Renew: a.Renew,
 	})
 	s.post(instance.LeaseReply{Sent: sent, Granted: reply.Granted, Fence: reply.Fence, Holder: reply.Holder, Err: err})
@@ -244,11 +255,11 @@
 
 func (s *Shell) releaseLease(ctx context.Context, a instance.ReleaseLease) {
 	// Best effort: a lease that is not released lapses.
-	_ = s.adapters.Platform.Release(ctx, platform.LeaseName(s.self.Zone), a.Fence)
+	_ = s.adapters.Platform.Release(ctx, keyvalue.LeaseName(s.self.Zone), a.Fence)
 }
 
 func (s *Shell) readIntents(ctx context.Context) {
-	v, err := s.adapters.Platform.Get(ctx, platform.IntentsKey(s.self.Zone), 0, 0)
+	v, err := s.adapters.Platform.Get(ctx, keyvalue.IntentsKey(s.self.Zone), 0, 0)
 	reply := instance.IntentsReply{Read: true, Revision: v.Revision, Err: err}
 	if err == nil && len(v.Data) > 0 {
 		reply.Err = json.Unmarshal(v.Data, &reply.Intents)
@@ -260,9 +271,9 @@
 	reply := instance.IntentsReply{Intents: a.Intents}
 	data, err := json.Marshal(a.Intents)
 	if err == nil {
-		reply.Revision, err = s.adapters.Platform.Swap(ctx, platform.IntentsKey(s.self.Zone), data, a.Revision, 0)
+		reply.Revision, err = s.adapters.Platform.Swap(ctx, keyvalue.IntentsKey(s.self.Zone), data, a.Revision, 0)
 	}
-	reply.Conflict = errors.Is(err, platform.ErrConflict)
+	reply.Conflict = errors.Is(err, keyvalue.ErrConflict)
 	if !reply.Conflict {
 		reply.Err = err
 	}
--- a/internal/shell/shell.go
+++ b/internal/shell/shell.go
@@ -20,8 +20,9 @@
 	"github.com/birchdrift/birchdrift/core/instance"
 	"github.com/birchdrift/birchdrift/core/share"
 	"github.com/birchdrift/birchdrift/internal/engine"
+	"github.com/birchdrift/birchdrift/internal/keyvalue"
 	"github.com/birchdrift/birchdrift/internal/peer"
-	"github.com/birchdrift/birchdrift/internal/platform"
+	"github.com/birchdrift/birchdrift/internal/seam"
 	"github.com/birchdrift/birchdrift/internal/telemetry"
 )
 
@@ -34,9 +35,21 @@
 
 // Adapters are the ways to the outside that actions are carried out over.
 type Adapters struct {
-	Platform *platform.Client
+	Platform *keyvalue.Client
 	Engine   *engine.Client
 	Peer     *peer.Client
+	// Store and Engines are set in an environment other than the product's
+	// own, in place of Platform and Engine.
+	Store   *seam.Store
+	Engines *seam.Engines
+}
+
+// decode reads a configuration as the environment's store holds it.
+func (a Adapters) decode(data []byte) (config.Document, error) {
+	if a.Store != nil {
+		return a.Store.Decode(data)
+	}
+	return config.Decode(data)
 }
 
 // A Shell runs one machine.
@@ -142,6 +155,9 @@
 // Ready reports whether the balancer should send calls here, and if not, why.
 func (s *Shell) Ready() (bool, string) { return s.snapshot.ready() }
 
+// Stopping reports whether a planned stop has begun.
+func (s *Shell) Stopping() bool { return s.snapshot.stopping() }
+
 // Status asks the machine for its state.
 func (s *Shell) Status(ctx context.Context) (instance.Status, error) {
 	reply := make(chan instance.Status, 1)
--- a/internal/shell/shell_test.go
+++ b/internal/shell/shell_test.go
@@ -17,8 +17,8 @@
 	"github.com/birchdrift/birchdrift/core/instance"
 	"github.com/birchdrift/birchdrift/core/share"
 	"github.com/birchdrift/birchdrift/internal/engine"
+	"github.com/birchdrift/birchdrift/internal/keyvalue"
 	"github.com/birchdrift/birchdrift/internal/peer"
-	"github.com/birchdrift/birchdrift/internal/platform"
 	"github.com/birchdrift/birchdrift/internal/telemetry"
 	"github.com/birchdrift/birchdrift/internal/upstream"
 )
@@ -43,7 +43,7 @@
 	self := instance.Identity{Name: "entry-1", Zone: "z1", Address: "127.0.0.1:1", Boot: 1, Seeds: []string{seed}}
 	transports := upstream.NewTransports()
 	adapters := Adapters{
-		Platform: platform.NewClient(nobody(t), transports),
+		Platform: keyvalue.NewClient(nobody(t), transports),
 		Engine:   engine.NewClient(transports),
 		Peer:     peer.NewClient(&http.Client{Transport: transports.Reused}, ""),
 	}
--- a/internal/shell/snapshot.go
+++ b/internal/shell/snapshot.go
@@ -12,6 +12,7 @@
 	config *config.Snapshot
 	ready  bool
 	reason string
+	stops  bool // a planned stop has begun
 }
 
 // A snapshotCell holds the latest view.
@@ -23,10 +24,10 @@
 func (c *snapshotCell) publish(m *instance.Machine) {
 	ready, reason := m.Ready()
 	old := c.current.Load()
-	if old != nil && old.ready == ready && old.reason == reason && old.config == c.install {
+	if old != nil && old.ready == ready && old.reason == reason && old.stops == m.Stopping() && old.config == c.install {
 		return
 	}
-	c.current.Store(&view{config: c.install, ready: ready, reason: reason})
+	c.current.Store(&view{config: c.install, ready: ready, reason: reason, stops: m.Stopping()})
 }
 
 func (c *snapshotCell) config() *config.Snapshot {
@@ -42,3 +43,8 @@
 	}
 	return false, "starting"
 }
+
+func (c *snapshotCell) stopping() bool {
+	v := c.current.Load()
+	return v != nil && v.stops
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -12,37 +12,83 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/birchdrift/birchdrift/core/attempt"
 )
 
 // Bounds of connections to upstreams.
 const (
-	dialTimeout = 2 * time.Second
-	idleTimeout = 60 * time.Second
+	dialTimeout = time.Second
+	idleTimeout = 4 * time.Second // below what upstreams keep idle connections for
 	idlePerHost = 64
+	probeEvery  = time.Second // probes of a connection on which nothing comes
+	probeCount  = 3
+	unackedTime = 3 * time.Second // time for which sent bytes may stay unacknowledged
 )
 
 // Transports are the two ways to an upstream.
 type Transports struct {
 	Reused http.RoundTripper // keeps connections; for calls that may be repeated
 	Fresh  http.RoundTripper // a connection for each call; for those that may not
+	// Abrupt is Fresh whose connections are reset when they are closed, so
+	// that bytes which a cut link holds up are lost and do not arrive later.
+	Abrupt http.RoundTripper
 }
 
 // NewTransports returns transports that speak HTTP/1.1 only.
 func NewTransports() Transports {
-	return Transports{Reused: newTransport(false), Fresh: newTransport(true)}
+	dialer := newDialer()
+	return Transports{
+		Reused: newTransport(dialer.DialContext, false),
+		Fresh:  newTransport(dialer.DialContext, true),
+		Abrupt: newTransport(dialAbrupt(dialer), true),
+	}
+}
+
+// newDialer returns a dialer whose connections notice within seconds that the
+// other end is gone without a word.
+func newDialer() *net.Dialer {
+	return &net.Dialer{
+		Timeout:         dialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeEvery, Interval: probeEvery, Count: probeCount},
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			var set error
+			err := raw.Control(func(fd uintptr) {
+				set = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTime.Milliseconds()))
+			})
+			return errors.Join(err, set)
+		},
+	}
+}
+
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// dialAbrupt dials connections that are reset when they are closed.
+func dialAbrupt(d *net.Dialer) dialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := d.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			err = tcp.SetLinger(0)
+		}
+		return conn, err
+	}
 }
 
-func newTransport(fresh bool) *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: 15 * time.Second}
+func newTransport(dial dialFunc, fresh bool) *http.Transport {
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         dial,
 		DisableKeepAlives:   fresh,
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: idlePerHost,
--- a/standin/cmd/baseline/main.go
+++ b/standin/cmd/baseline/main.go
@@ -36,7 +36,7 @@
 	if err := baseline.Apply(&opt, cmd.String("routing"), cmd.String("residency")); err != nil {
 		return err
 	}
-	s, err := server.New(set, opt, os.Stderr, os.Stdout)
+	s, err := server.New(set, opt, server.Own, os.Stderr, os.Stdout)
 	if err != nil {
 		return err
 	}
--- a/standin/cmd/birchload/footprint.go
+++ b/standin/cmd/birchload/footprint.go
@@ -13,7 +13,7 @@
 
 	"github.com/birchdrift/birchdrift/core/config"
 	"github.com/birchdrift/birchdrift/internal/control"
-	wire "github.com/birchdrift/birchdrift/internal/platform"
+	"github.com/birchdrift/birchdrift/internal/keyvalue"
 	"github.com/birchdrift/birchdrift/internal/upstream"
 	"github.com/birchdrift/birchdrift/standin/engine"
 	"github.com/birchdrift/birchdrift/standin/fleet"
@@ -239,7 +239,7 @@
 	for i := range changesMade {
 		doc.Residency.MoveCost = float64(i + 2)
 		begun := time.Now()
-		revision, err := control.Apply(context.Background(), wire.NewClient(f.address, upstream.NewTransports()), doc)
+		revision, err := control.Apply(context.Background(), keyvalue.NewClient(f.address, upstream.NewTransports()), doc)
 		if err != nil {
 			return "", err
 		}
--- a/standin/cmd/birchload/site.go
+++ b/standin/cmd/birchload/site.go
@@ -10,7 +10,7 @@
 
 	"github.com/birchdrift/birchdrift/core/config"
 	"github.com/birchdrift/birchdrift/internal/control"
-	wire "github.com/birchdrift/birchdrift/internal/platform"
+	"github.com/birchdrift/birchdrift/internal/keyvalue"
 	"github.com/birchdrift/birchdrift/internal/upstream"
 	"github.com/birchdrift/birchdrift/standin/engine"
 	"github.com/birchdrift/birchdrift/standin/fleet"
@@ -111,13 +111,13 @@
 	if advertise != "" {
 		address = advertise
 	}
-	s.platform.SetInstance(wire.Instance{Name: in.Name, Kind: wire.KindEntry, Zone: in.Zone, Address: address, State: wire.StateLive})
+	s.platform.SetInstance(keyvalue.Instance{Name: in.Name, Kind: keyvalue.KindEntry, Zone: in.Zone, Address: address, State: keyvalue.StateLive})
 	return nil
 }
 
 // apply puts a document in force and waits until every instance is ready.
 func (s *site) apply(doc config.Document) error {
-	p := wire.NewClient(s.address, upstream.NewTransports())
+	p := keyvalue.NewClient(s.address, upstream.NewTransports())
 	if _, err := control.Apply(context.Background(), p, doc); err != nil {
 		return err
 	}
--- a/standin/cmd/demo/main.go
+++ b/standin/cmd/demo/main.go
@@ -16,7 +16,7 @@
 	"time"
 
 	"github.com/birchdrift/birchdrift/internal/control"
-	"github.com/birchdrift/birchdrift/internal/platform"
+	"github.com/birchdrift/birchdrift/internal/keyvalue"
 	"github.com/birchdrift/birchdrift/internal/upstream"
 	"github.com/birchdrift/birchdrift/standin/fleet"
 	"github.com/birchdrift/birchdrift/standin/shape"
@@ -106,7 +106,7 @@
 }
 
 func (d *demo) startInstances() error {
-	var list []platform.Instance
+	var list []keyvalue.Instance
 	for i, zone := range []string{shape.Zone(0), shape.Zone(0), shape.Zone(1)} {
 		name := fmt.Sprintf("entry-%d", i+1)
 		in, err := fleet.StartInstance(d.bin, fleet.Spec{Name: name, Zone: zone, Platform: d.platform})
@@ -115,19 +115,19 @@
 		}
 		d.processes = append(d.processes, in.Process)
 		d.instances = append(d.instances, in)
-		list = append(list, platform.Instance{Name: name, Kind: platform.KindEntry, Zone: zone, Address: in.Peers, State: platform.StateLive})
+		list = append(list, keyvalue.Instance{Name: name, Kind: keyvalue.KindEntry, Zone: zone, Address: in.Peers, State: keyvalue.StateLive})
 	}
 	return d.announce(list)
 }
 
 // announce puts the instances into the platform's list, as the platform does
 // by itself for instances that it starts.
-func (d *demo) announce(list []platform.Instance) error {
+func (d *demo) announce(list []keyvalue.Instance) error {
 	body := &strings.Builder{}
 	if err := writeJSON(body, list); err != nil {
 		return err
 	}
-	req, err := http.NewRequest(http.MethodPut, "http://"+d.platform+platform.PathInstances, strings.NewReader(body.String()))
+	req, err := http.NewRequest(http.MethodPut, "http://"+d.platform+keyvalue.PathInstances, strings.NewReader(body.String()))
 	if err != nil {
 		return err
 	}
@@ -140,7 +140,7 @@
 
 func (d *demo) apply() error {
 	doc := size().Document(func(name string) string { return d.addresses[name] })
-	p := platform.NewClient(d.platform, upstream.NewTransports())
+	p := keyvalue.NewClient(d.platform, upstream.NewTransports())
 	revision, err := control.Apply(context.Background(), p, doc)
 	if err != nil {
 		return err
--- a/standin/integration/contract_test.go
+++ b/standin/integration/contract_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/matryer/is"
 
-	wire "github.com/birchdrift/birchdrift/internal/platform"
+	"github.com/birchdrift/birchdrift/internal/keyvalue"
 	"github.com/birchdrift/birchdrift/standin/fault"
 	"github.com/birchdrift/birchdrift/standin/platform"
 )
@@ -26,7 +26,7 @@
 		inEffect bool
 	}{
 		{"in order", platform.Faults{}, nil, 1, nil, false, true},
-		{"another was faster", platform.Faults{}, nil, 0, wire.ErrConflict, false, false},
+		{"another was faster", platform.Faults{}, nil, 0, keyvalue.ErrConflict, false, false},
 		{"answer lost after the effect", platform.Faults{Lost: 1}, nil, 1, nil, true, true},
 		{"down", platform.Faults{Down: true}, nil, 1, nil, true, false},
 		{"slow", platform.Faults{Slow: fault.Duration(50 * time.Millisecond)}, nil, 1, nil, false, true},
@@ -50,7 +50,7 @@
 			switch {
 			case c.anyErr:
 				is.True(err != nil)
-				is.True(!errors.Is(err, wire.ErrNotSent)) // a byte had left
+				is.True(!errors.Is(err, keyvalue.ErrNotSent)) // a byte had left
 			case c.err != nil:
 				is.True(errors.Is(err, c.err))
 			default:
@@ -67,8 +67,8 @@
 // TestPlatformNobodyListens: only then is a request certainly not sent.
 func TestPlatformNobodyListens(t *testing.T) {
 	is := is.New(t)
-	_, err := wire.NewClient("127.0.0.1:1", transports()).Swap(context.Background(), "k", nil, 0, 0)
-	is.True(errors.Is(err, wire.ErrNotSent))
+	_, err := keyvalue.NewClient("127.0.0.1:1", transports()).Swap(context.Background(), "k", nil, 0, 0)
+	is.True(errors.Is(err, keyvalue.ErrNotSent))
 }
 
 // TestPlatformWatch wakes on a change, and ends without one when its time is up.
@@ -82,7 +82,7 @@
 	is.NoErr(err)
 	is.Equal(v.Revision, revision)
 	is.Equal(len(v.Data), 0) // nothing new, so nothing sent
-	woken := make(chan wire.Value, 1)
+	woken := make(chan keyvalue.Value, 1)
 	go func() {
 		v, _ := w.client().Get(ctx, "k", revision, fleetPatience)
 		woken <- v
@@ -98,8 +98,8 @@
 	is := is.New(t)
 	w := newWorld(t)
 	ctx := context.Background()
-	ask := func(holder string, term time.Duration, renew uint64) wire.LeaseReply {
-		r, err := w.client().Lease(ctx, "planner/z", wire.LeaseRequest{Holder: holder, TermMS: term.Milliseconds(), Renew: renew})
+	ask := func(holder string, term time.Duration, renew uint64) keyvalue.LeaseReply {
+		r, err := w.client().Lease(ctx, "planner/z", keyvalue.LeaseRequest{Holder: holder, TermMS: term.Milliseconds(), Renew: renew})
 		is.NoErr(err)
 		return r
 	}
@@ -119,13 +119,13 @@
 	is := is.New(t)
 	w := newWorld(t)
 	w.platform.Faults.Set(platform.Faults{ListLag: fault.Duration(time.Hour)})
-	w.platform.SetInstance(wire.Instance{Name: "x", Kind: wire.KindEntry, State: wire.StateLive})
+	w.platform.SetInstance(keyvalue.Instance{Name: "x", Kind: keyvalue.KindEntry, State: keyvalue.StateLive})
 	list, version, err := w.client().Instances(context.Background(), 0, 0)
 	is.NoErr(err)
 	is.Equal(len(list), 0)
 	is.Equal(version, uint64(0))
 	w.platform.Faults.Set(platform.Faults{})
-	w.platform.SetInstance(wire.Instance{Name: "y", Kind: wire.KindEntry, State: wire.StateLeaving})
+	w.platform.SetInstance(keyvalue.Instance{Name: "y", Kind: keyvalue.KindEntry, State: keyvalue.StateLeaving})
 	list, _, err = w.client().Instances(context.Background(), 0, fleetPatience)
 	is.NoErr(err)
 	is.Equal(len(list), 1)
--- a/standin/integration/fleet_test.go
+++ b/standin/integration/fleet_test.go
@@ -16,7 +16,7 @@
 
 	"github.com/birchdrift/birchdrift/core/code"
 	"github.com/birchdrift/birchdrift/internal/control"
-	wire "github.com/birchdrift/birchdrift/internal/platform"
+	"github.com/birchdrift/birchdrift/internal/keyvalue"
 	"github.com/birchdrift/birchdrift/standin/engine"
 	"github.com/birchdrift/birchdrift/standin/fleet"
 	"github.com/birchdrift/birchdrift/standin/platform"
@@ -97,7 +97,7 @@
 func TestListedLeavingGetsNoNewWork(t *testing.T) {
 	is := is.New(t)
 	w, ins := twoReplicas(t)
-	w.platform.SetInstance(wire.Instance{Name: "s1", Kind: wire.KindUpstream, Zone: "z1", State: wire.StateLeaving})
+	w.platform.SetInstance(keyvalue.Instance{Name: "s1", Kind: keyvalue.KindUpstream, Zone: "z1", State: keyvalue.StateLeaving})
 	begun := time.Now()
 	for _, in := range ins {
 		w.await(in.Name+" knows", func() bool {
--- a/standin/integration/world_test.go
+++ b/standin/integration/world_test.go
@@ -14,7 +14,7 @@
 
 	"github.com/birchdrift/birchdrift/core/config"
 	"github.com/birchdrift/birchdrift/internal/control"
-	wire "github.com/birchdrift/birchdrift/internal/platform"
+	"github.com/birchdrift/birchdrift/internal/keyvalue"
 	"github.com/birchdrift/birchdrift/internal/upstream"
 	"github.com/birchdrift/birchdrift/standin/engine"
 	"github.com/birchdrift/birchdrift/standin/fleet"
@@ -156,7 +156,7 @@
 		w.t.Fatal(err)
 	}
 	w.instances[name] = in
-	w.platform.SetInstance(wire.Instance{Name: name, Kind: wire.KindEntry, Zone: zone, Address: in.Peers, State: wire.StateLive})
+	w.platform.SetInstance(keyvalue.Instance{Name: name, Kind: keyvalue.KindEntry, Zone: zone, Address: in.Peers, State: keyvalue.StateLive})
 	w.t.Cleanup(func() {
 		if w.t.Failed() {
 			w.t.Logf("%s:\n%s", name, in.Log())
@@ -167,7 +167,7 @@
 
 func transports() upstream.Transports { return upstream.NewTransports() }
 
-func (w *world) client() *wire.Client { return wire.NewClient(w.address, transports()) }
+func (w *world) client() *keyvalue.Client { return keyvalue.NewClient(w.address, transports()) }
 
 // apply puts the document in force and waits until every instance has it.
 func (w *world) apply() uint64 {
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -15,7 +15,7 @@
 
 	"golang.org/x/time/rate"
 
-	wire "github.com/birchdrift/birchdrift/internal/platform"
+	"github.com/birchdrift/birchdrift/internal/keyvalue"
 	"github.com/birchdrift/birchdrift/standin/fault"
 )
 
@@ -61,7 +61,7 @@
 }
 
 type listed struct {
-	wire.Instance
+	keyvalue.Instance
 	visible time.Time
 }
 
@@ -97,13 +97,13 @@
 // Handler returns the platform's HTTP interface.
 func (p *Platform) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+wire.PathValue+"{key...}", p.read(p.get))
-	mux.HandleFunc("PUT "+wire.PathValue+"{key...}", p.write(p.put))
-	mux.HandleFunc("DELETE "+wire.PathValue+"{key...}", p.write(p.remove))
-	mux.HandleFunc("POST "+wire.PathLease+"{name...}", p.write(p.acquire))
-	mux.HandleFunc("DELETE "+wire.PathLease+"{name...}", p.write(p.release))
-	mux.HandleFunc("GET "+wire.PathInstances, p.read(p.instances))
-	mux.HandleFunc("PUT "+wire.PathInstances, p.setInstances)
+	mux.HandleFunc("GET "+keyvalue.PathValue+"{key...}", p.read(p.get))
+	mux.HandleFunc("PUT "+keyvalue.PathValue+"{key...}", p.write(p.put))
+	mux.HandleFunc("DELETE "+keyvalue.PathValue+"{key...}", p.write(p.remove))
+	mux.HandleFunc("POST "+keyvalue.PathLease+"{name...}", p.write(p.acquire))
+	mux.HandleFunc("DELETE "+keyvalue.PathLease+"{name...}", p.write(p.release))
+	mux.HandleFunc("GET "+keyvalue.PathInstances, p.read(p.instances))
+	mux.HandleFunc("PUT "+keyvalue.PathInstances, p.setInstances)
 	mux.HandleFunc("POST /weights/load", p.weights.load)
 	mux.HandleFunc("GET /counts", func(w http.ResponseWriter, _ *http.Request) { reply(w, 0, p.Counts()) })
 	mux.HandleFunc("POST /fault", p.Faults.Handler())
@@ -118,7 +118,7 @@
 }
 
 func reply(w http.ResponseWriter, revision uint64, v any) {
-	w.Header().Set(wire.HeaderRevision, strconv.FormatUint(revision, 10))
+	w.Header().Set(keyvalue.HeaderRevision, strconv.FormatUint(revision, 10))
 	_ = json.NewEncoder(w).Encode(v) // the caller's connection tells of a failure
 }
 
@@ -252,7 +252,7 @@
 		fault.Drop(w)
 		return
 	}
-	w.Header().Set(wire.HeaderRevision, strconv.FormatUint(v.revision, 10))
+	w.Header().Set(keyvalue.HeaderRevision, strconv.FormatUint(v.revision, 10))
 	if v.revision == 0 {
 		w.WriteHeader(http.StatusNotFound)
 		return
@@ -282,7 +282,7 @@
 		v.expires = time.Now().Add(ttl)
 	}
 	p.values[key] = v
-	w.Header().Set(wire.HeaderRevision, strconv.FormatUint(v.revision, 10))
+	w.Header().Set(keyvalue.HeaderRevision, strconv.FormatUint(v.revision, 10))
 }
 
 func (p *Platform) remove(w http.ResponseWriter, r *http.Request) {
@@ -298,7 +298,7 @@
 }
 
 func (p *Platform) acquire(w http.ResponseWriter, r *http.Request) {
-	var req wire.LeaseRequest
+	var req keyvalue.LeaseRequest
 	if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -316,11 +316,11 @@
 	case free && req.Renew == 0:
 		l = lease{holder: req.Holder, fence: p.bump(), expires: now.Add(term)}
 	default:
-		reply(w, 0, wire.LeaseReply{Fence: l.fence, Holder: l.holder})
+		reply(w, 0, keyvalue.LeaseReply{Fence: l.fence, Holder: l.holder})
 		return
 	}
 	p.leases[name] = l
-	reply(w, 0, wire.LeaseReply{Granted: true, Fence: l.fence, Holder: l.holder})
+	reply(w, 0, keyvalue.LeaseReply{Granted: true, Fence: l.fence, Holder: l.holder})
 }
 
 func (p *Platform) release(_ http.ResponseWriter, r *http.Request) {
@@ -334,7 +334,7 @@
 }
 
 // SetInstance puts one entry into the list.
-func (p *Platform) SetInstance(i wire.Instance) {
+func (p *Platform) SetInstance(i keyvalue.Instance) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	i.Version = p.bump()
@@ -343,7 +343,7 @@
 }
 
 func (p *Platform) setInstances(_ http.ResponseWriter, r *http.Request) {
-	var list []wire.Instance
+	var list []keyvalue.Instance
 	if err := json.NewDecoder(r.Body).Decode(&list); err != nil {
 		return
 	}
@@ -354,9 +354,9 @@
 
 func (p *Platform) instances(w http.ResponseWriter, r *http.Request) {
 	since := uintParam(r, "since")
-	var out wire.InstanceList
+	var out keyvalue.InstanceList
 	ok := p.waitFor(r, durationParam(r, "wait"), func() bool {
-		out = wire.InstanceList{Version: since}
+		out = keyvalue.InstanceList{Version: since}
 		now := time.Now()
 		for _, l := range p.list {
 			if l.Version > since && !now.Before(l.visible) {
