--- a/core/instance/adapter_test.go
+++ b/core/instance/adapter_test.go
@@ -57,9 +57,9 @@
 	is := is.New(t)
 	now := clock.At(time.Hour)
 	m := adapterMachine(t, now)
-	m.pool.ObserveResidency("e1", residency(1, pool.Loading))
+	m.pool.ObserveResidency(now, "e1", residency(1, pool.Loading))
 	is.Equal(sentTo(m.Step(now, Arrive{Call: Call{ID: 1, Service: "s", Replayable: true}})), "")
-	m.pool.ObserveResidency("e1", residency(2, pool.Ready))
+	m.pool.ObserveResidency(now, "e1", residency(2, pool.Ready))
 	is.Equal(sentTo(m.Step(now.Add(time.Second), Tick{})), "e1")
 }
 
@@ -69,8 +69,8 @@
 	is := is.New(t)
 	now := clock.At(time.Hour)
 	m := adapterMachine(t, now)
-	m.pool.ObserveResidency("e1", residency(1, pool.Ready))
-	m.pool.ObserveResidency("e2", residency(1, pool.Ready))
+	m.pool.ObserveResidency(now, "e1", residency(1, pool.Ready))
+	m.pool.ObserveResidency(now, "e2", residency(1, pool.Ready))
 	first := sentTo(m.Step(now, Arrive{Call: Call{ID: 1, Service: "s", Replayable: true}}))
 	is.True(first != "")
 	next := sentTo(m.Step(now, Broke{ID: 1, Attempt: 1, Phase: attempt.Refused, Status: 409}))
--- a/core/instance/announced.go
+++ b/core/instance/announced.go
@@ -29,6 +29,14 @@
 		m.note(NoteLeaving, "upstream", l.Name, "source", "list", "version", l.Version, "remaining", a.Remaining.String())
 	}
 	m.pool.Announce(m.now, l.Name, a)
+	if word, ok := m.store.Residency(l.Name); r == nil && ok {
+		m.pool.ObserveResidency(m.now, l.Name, word.Residency)
+	}
+	if e := m.engines[l.Name]; e != nil {
+		e.Announced(a.Models)
+		m.workQueue(e)
+		m.tellFleet(e)
+	}
 }
 
 // missing returns the announced replicas that a whole list no longer has, as
--- a/core/instance/bench_test.go
+++ b/core/instance/bench_test.go
@@ -57,7 +57,7 @@
 		for k := range 3 {
 			res.Items = append(res.Items, pool.Item{Name: fmt.Sprintf("model-%d", (i*3+k)%s.models), Phase: pool.Ready})
 		}
-		m.pool.ObserveResidency(fmt.Sprintf("engine-%d", i), res)
+		m.pool.ObserveResidency(now, fmt.Sprintf("engine-%d", i), res)
 	}
 	return m, now
 }
--- a/core/instance/calls.go
+++ b/core/instance/calls.go
@@ -19,6 +19,7 @@
 	claiming callPhase = iota + 1
 	waiting
 	running
+	fetching // it waits for an order that it needs
 )
 
 // A call is one caller's call in progress.
--- a/core/instance/event.go
+++ b/core/instance/event.go
@@ -8,7 +8,9 @@
 	"github.com/birchdrift/birchdrift/core/clock"
 	"github.com/birchdrift/birchdrift/core/code"
 	"github.com/birchdrift/birchdrift/core/config"
+	"github.com/birchdrift/birchdrift/core/orders"
 	"github.com/birchdrift/birchdrift/core/pool"
+	"github.com/birchdrift/birchdrift/core/registry"
 	"github.com/birchdrift/birchdrift/core/route"
 	"github.com/birchdrift/birchdrift/core/share"
 )
@@ -114,6 +116,32 @@
 	}
 	// WatchReply ends a WatchPlatform, after the events for what it brought.
 	WatchReply struct{ Err error }
+	// RegistryReply brings news of the registry.
+	RegistryReply struct {
+		Change  registry.Change
+		Version uint64
+	}
+	// EnrolReply answers an Enrol, KeepReply a KeepEnrolled. Over says that the
+	// lease has gone.
+	EnrolReply struct {
+		Sent  clock.Instant
+		Lease uint64
+		Err   error
+	}
+	KeepReply struct {
+		Sent  clock.Instant
+		Lease uint64
+		Over  bool
+		Err   error
+	}
+	// WriteReply answers a WriteRegistry.
+	WriteReply struct {
+		Write    RegistryWrite
+		Sent     clock.Instant
+		Revision uint64
+		Conflict bool
+		Err      error
+	}
 	// LeaseReply answers a SeekLease.
 	LeaseReply struct {
 		Sent    clock.Instant // when the request was sent
@@ -132,6 +160,71 @@
 	}
 )
 
+// The events of engines that announce themselves.
+type (
+	// EngineOrderReply answers an EngineOrder.
+	EngineOrderReply struct {
+		Engine string
+		Fence  uint64
+		Answer EngineAnswer
+		Detail string
+	}
+	// EngineStateReply answers an AskEngine.
+	EngineStateReply struct {
+		Engine string
+		State  orders.State
+		Err    error
+	}
+	// OrderAsked says that a peer asks for an order to an engine that this
+	// instance owns; the machine answers with an OrderAnswered of the same
+	// Token.
+	OrderAsked struct {
+		Token   uint64
+		From    string
+		Engine  string
+		Request orders.Request
+	}
+	// AskOrderReply answers an AskOrder.
+	AskOrderReply struct {
+		Engine  string
+		Request orders.Request
+		Outcome AskOutcome
+		Detail  string
+	}
+)
+
+// An EngineAnswer is what came of an order to an engine.
+type EngineAnswer int
+
+// The answers to an order.
+const (
+	EngineLost     EngineAnswer = iota + 1 // no answer: it may be carried out, now or later
+	EngineTakes                            // it is being carried out
+	EngineHolds                            // what it asks for is so already
+	EngineConflict                         // another is under way, or the count differs
+	EngineFenced                           // it has seen a later fence
+	EngineInvalid                          // it knows no such order
+	EngineAstray                           // another engine has the address
+	EngineNotSent                          // it certainly never left
+)
+
+// An AskOutcome is what came of asking an engine's owner for an order.
+type AskOutcome int
+
+// The outcomes of asking.
+const (
+	AskDone    AskOutcome = iota + 1 // the item is there, or gone, as asked
+	AskStarted                       // the engine carries the order out
+	AskRefused                       // the owner will not give it now
+	AskFailed                        // the owner cannot be reached, or did not say
+)
+
+// A RegistryWrite says what a write of the registry is for.
+type RegistryWrite struct {
+	Claim  []registry.Ownership // each under the condition of its Revision
+	Placer *registry.Placer
+}
+
 // The events of upstreams and peers.
 type (
 	// StateReply answers a ReadState.
@@ -201,23 +294,31 @@
 	Intents []Intent `json:"intents,omitempty"`
 }
 
-func (Arrive) event()        {}
-func (First) event()         {}
-func (Done) event()          {}
-func (Broke) event()         {}
-func (Gone) event()          {}
-func (ClaimReply) event()    {}
-func (ConfigReply) event()   {}
-func (ListReply) event()     {}
-func (WatchReply) event()    {}
-func (LeaseReply) event()    {}
-func (IntentsReply) event()  {}
-func (StateReply) event()    {}
-func (OrderReply) event()    {}
-func (ExchangeReply) event() {}
-func (ExchangeAsked) event() {}
-func (Tick) event()          {}
-func (Stop) event()          {}
+func (Arrive) event()           {}
+func (First) event()            {}
+func (Done) event()             {}
+func (Broke) event()            {}
+func (Gone) event()             {}
+func (ClaimReply) event()       {}
+func (ConfigReply) event()      {}
+func (ListReply) event()        {}
+func (WatchReply) event()       {}
+func (LeaseReply) event()       {}
+func (IntentsReply) event()     {}
+func (StateReply) event()       {}
+func (OrderReply) event()       {}
+func (ExchangeReply) event()    {}
+func (ExchangeAsked) event()    {}
+func (RegistryReply) event()    {}
+func (EnrolReply) event()       {}
+func (KeepReply) event()        {}
+func (WriteReply) event()       {}
+func (EngineOrderReply) event() {}
+func (EngineStateReply) event() {}
+func (OrderAsked) event()       {}
+func (AskOrderReply) event()    {}
+func (Tick) event()             {}
+func (Stop) event()             {}
 
 // An Action is something that the machine asks its driver to do.
 type Action interface{ action() }
@@ -318,6 +419,53 @@
 	}
 )
 
+// The actions towards the registry and engines that announce themselves.
+type (
+	// Enrol begins a lease and writes this instance's record under it.
+	Enrol struct {
+		Term     time.Duration
+		Instance registry.Instance
+	}
+	// KeepEnrolled renews the lease.
+	KeepEnrolled struct{ Lease uint64 }
+	// Resign ends the lease after writing the ownerships that are given back.
+	Resign struct {
+		Lease uint64
+		Give  []registry.Ownership
+	}
+	// WriteRegistry writes ownerships, or the placer's record under Lease.
+	WriteRegistry struct {
+		Write RegistryWrite
+		Lease uint64
+	}
+	// EngineOrder gives an order to an engine that this instance owns.
+	EngineOrder struct {
+		Engine  string
+		Address string
+		Request orders.Request
+		Expect  uint64
+		Fence   uint64
+	}
+	// AskEngine asks an engine for its state.
+	AskEngine struct {
+		Engine  string
+		Address string
+	}
+	// AskOrder asks the owner of an engine for an order.
+	AskOrder struct {
+		Peer    string
+		Address string // of the peer
+		Engine  string
+		Request orders.Request
+	}
+	// OrderAnswered answers an OrderAsked.
+	OrderAnswered struct {
+		Token   uint64
+		Outcome AskOutcome
+		Detail  string
+	}
+)
+
 // The actions towards upstreams and peers.
 type (
 	// ReadState asks an engine for its state.
@@ -379,4 +527,12 @@
 func (Answer) action()        {}
 func (Install) action()       {}
 func (Note) action()          {}
+func (Enrol) action()         {}
+func (KeepEnrolled) action()  {}
+func (Resign) action()        {}
+func (WriteRegistry) action() {}
+func (EngineOrder) action()   {}
+func (AskEngine) action()     {}
+func (AskOrder) action()      {}
+func (OrderAnswered) action() {}
 func (Exit) action()          {}
--- a/core/instance/exchange.go
+++ b/core/instance/exchange.go
@@ -20,18 +20,20 @@
 
 // An exchangeView is what the machine knows of its exchanges.
 type exchangeView struct {
-	due    clock.Instant
-	count  int
-	acks   map[string]ack  // what each peer confirmed of ours
-	heard  map[string]ack  // what we have of each peer's
-	flying map[string]bool // by address
-	turn   int             // of the neighbours
-	news   int             // exchanges to space by newsSpacing
-	urgent bool            // tell every neighbour without waiting
-	pullTo clock.Instant   // until then a newer revision is being asked for
-	ahead  ahead           // who is known to have the newest revision
-	toldAt clock.Instant   // when the planner was last told of an unmet demand
-	ledAt  clock.Instant   // when other zones' planners were last told of it
+	due     clock.Instant
+	meshDue clock.Instant // of the exchanges with every peer of a small fleet
+	count   int
+	acks    map[string]ack  // what each peer confirmed of ours
+	heard   map[string]ack  // what we have of each peer's
+	flying  map[string]bool // by address
+	turn    int             // of the neighbours
+	news    int             // exchanges to space by newsSpacing
+	urgent  bool            // tell every neighbour without waiting
+	pullTo  clock.Instant   // until then a newer revision is being asked for
+	aheadAt clock.Instant   // since when a peer is known to be ahead
+	ahead   ahead           // who is known to have the newest revision
+	toldAt  clock.Instant   // when the planner was last told of an unmet demand
+	ledAt   clock.Instant   // when other zones' planners were last told of it
 }
 
 // ahead names a peer and the revision that it has in force.
@@ -75,6 +77,12 @@
 	if m.now.Before(x.due) {
 		return
 	}
+	if m.meshed() && !x.urgent {
+		x.due = m.now.Add(m.jitter(m.opt.ExchangeEvery))
+		m.contactSeeds()
+		m.pull()
+		return
+	}
 	every := m.opt.ExchangeEvery
 	if x.news > 0 {
 		x.news--
@@ -134,6 +142,12 @@
 // exchangeBurst tells every neighbour, and a peer of another zone, at once.
 func (m *Machine) exchangeBurst() {
 	m.exchanges.urgent = false
+	if m.meshed() {
+		for _, p := range m.members.Peers() {
+			m.exchangeWith(p)
+		}
+		return
+	}
 	for _, p := range m.members.Neighbours() {
 		m.exchangeWith(p)
 	}
@@ -228,9 +242,10 @@
 		AckBoot:    heard.boot,
 		Ack:        heard.stamp,
 		Records:    m.store.Since(known.stamp, peer, sameZone),
-		WantConfig: true,
+		WantConfig: m.wantsConfig(),
 	}
 	msg.Demand = m.demandFor(peer)
+	m.uses(&msg)
 	return msg
 }
 
@@ -317,11 +332,15 @@
 	}
 	x.heard[msg.From] = ack{boot: msg.Boot, stamp: msg.Stamp}
 	m.takeRecords(msg.From, msg.Records)
+	m.takeUses(msg)
 	if len(msg.Demand) > 0 {
 		m.board.Report(m.now, msg.From, msg.Demand)
 		m.planSoon(msg.Demand)
 	}
 	if msg.Revision > x.ahead.revision {
+		if x.ahead.revision <= m.cfg.Revision() {
+			x.aheadAt = m.now
+		}
 		x.ahead = ahead{peer: msg.From, revision: msg.Revision}
 	}
 	if len(msg.Config) == 0 {
@@ -336,10 +355,27 @@
 	if x.ahead.revision <= m.cfg.Revision() || m.now.Before(x.pullTo) {
 		return
 	}
+	if m.opt.OneWatch && !m.platform.down && m.now.Before(x.aheadAt.Add(pullPatience)) {
+		return // the platform will bring it, and more cheaply
+	}
 	x.pullTo = m.now.Add(m.opt.ExchangeEvery)
 	m.exchangeWith(m.members.Get(x.ahead.peer))
 }
 
+// pullPatience is how long an instance that watches the platform itself waits
+// for a revision that a peer has, before it asks the peer for it.
+const pullPatience = 600 * time.Millisecond
+
+// wantsConfig reports whether a configuration that is newer than the own one
+// should come back from an exchange.
+func (m *Machine) wantsConfig() bool {
+	if !m.opt.OneWatch || m.cfg == nil || m.platform.down {
+		return true
+	}
+	x := &m.exchanges
+	return x.ahead.revision > m.cfg.Revision() && !m.now.Before(x.aheadAt.Add(pullPatience))
+}
+
 // pulled notes that the request for a configuration is over, so that a still
 // newer one that was announced meanwhile is asked for at once.
 func (m *Machine) pulled() {
@@ -361,7 +397,7 @@
 	for _, res := range r.Residencies {
 		if m.store.AddResidency(from, res) {
 			m.noticeLeaving(res)
-			m.pool.ObserveResidency(res.Engine, res.Residency)
+			m.pool.ObserveResidency(m.now, res.Engine, res.Residency)
 			m.soon()
 		}
 	}
--- a/core/instance/forward.go
+++ b/core/instance/forward.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"sort"
 	"time"
 
 	"github.com/birchdrift/birchdrift/core/attempt"
 	"github.com/birchdrift/birchdrift/core/code"
 	"github.com/birchdrift/birchdrift/core/config"
 	"github.com/birchdrift/birchdrift/core/limit"
+	"github.com/birchdrift/birchdrift/core/orders"
 	"github.com/birchdrift/birchdrift/core/policy"
 	"github.com/birchdrift/birchdrift/core/pool"
 	"github.com/birchdrift/birchdrift/core/route"
@@ -27,6 +29,7 @@
 	unread    int  // prompt tokens believed to be read for it
 	alone     bool // no other prompt was being read where it was sent
 	chain     route.Chain
+	fetches   int  // orders that it waited for
 	opened    bool // the head of an answer was passed on
 	relayable bool // the replica's own failing answer can be passed on
 }
@@ -88,37 +91,70 @@
 // budget, so that instances that do not know each other yet stay within it.
 const leastFleet = 10
 
-// forwardCandidates returns the replicas that can serve the call.
-func (m *Machine) forwardCandidates(c *call) []*pool.Replica {
-	all := m.pool.Serving(c.service.Name)
-	if c.item == "" {
-		return all
-	}
-	m.able = m.able[:0]
-	for _, r := range all {
-		if r.Phase(c.item) == pool.Ready && r.Phase(c.version.Model) == pool.Ready && !r.Refusing(m.now, c.item) {
-			m.able = append(m.able, r)
-		}
-	}
-	return m.able
-}
-
-// placeForward sends the call to the best replica, or lets it wait for its
-// model, or refuses it.
+// placeForward sends the call to the best replica, or has what it needs loaded
+// there first, or lets it wait for its model, or refuses it.
 func (m *Machine) placeForward(c *call) {
 	f := c.forward
-	best, ok := m.forwards.Choose(m.now, route.ForwardQuery{
+	query := route.ForwardQuery{
 		Zone:   m.self.Zone,
 		Model:  c.version.Model,
 		Tokens: c.PromptTokens,
 		Chain:  f.chain,
 		Tried:  f.tried,
-	}, m.forwardCandidates(c))
-	if !ok {
+	}
+	if c.item != "" {
+		query.Extra = func(r *pool.Replica) (time.Duration, bool) { return m.itemCost(c, r) }
+	}
+	best, ok := m.forwards.Choose(m.now, query, m.pool.Serving(c.service.Name))
+	switch {
+	case !ok:
 		m.forwardAbsent(c)
-		return
+	case c.item != "" && best.Replica.Phase(c.item) != pool.Ready:
+		m.fetch(c, best.Replica)
+	default:
+		m.dispatchForward(c, best)
+	}
+}
+
+// What an adapter that is not on an engine costs a call that goes there.
+const (
+	fetchCost = 25 * time.Millisecond // asking, ordering, loading
+	evictCost = 25 * time.Millisecond // beyond that, where another must make way
+	maxFetch  = 3                     // orders that one call may wait for
+)
+
+// itemCost returns what it takes until the engine can serve the call's model or
+// adapter; ok is false if it cannot be made to.
+func (m *Machine) itemCost(c *call, r *pool.Replica) (cost time.Duration, ok bool) {
+	if r.Refusing(m.now, c.item) || r.Phase(c.version.Model) != pool.Ready {
+		return 0, false
+	}
+	phase := r.Phase(c.item)
+	if phase == pool.Ready {
+		return 0, true
+	}
+	if phase == pool.Unloading || c.forward.fetches >= maxFetch || !m.mayAsk(c.fetchKey(r)) {
+		return 0, false
+	}
+	cost = fetchCost
+	if phase != pool.Loading && r.Adapters() >= c.service.Announced.Engine.AdapterSlots {
+		cost += evictCost
+	}
+	return cost, true
+}
+
+func (c *call) fetchKey(r *pool.Replica) askKey {
+	return askKey{engine: r.Name, request: orders.Request{Load: true, Model: c.version.Model, Adapter: c.version.Adapter}}
+}
+
+// fetch has the call's adapter loaded on an engine.
+func (m *Machine) fetch(c *call, r *pool.Replica) {
+	if c.phase == waiting {
+		m.leaveLine(c)
 	}
-	m.dispatchForward(c, best)
+	c.phase = fetching
+	c.forward.fetches++
+	m.askFor(c.fetchKey(r), c)
 }
 
 // forwardAbsent deals with a forwarded call that no replica can serve now.
@@ -150,6 +186,10 @@
 	e.Replica.StartPrefill(m.now, uint64(c.ID), e.Prefill)
 	if c.item != "" {
 		m.forwards.Sent(c.replica, f.chain, m.cacheTokens(c))
+		e.Replica.Use(c.item)
+		if own := m.engines[c.replica]; own != nil {
+			own.Used(m.now, c.item)
+		}
 	}
 	m.do(m.forwardAction(c, e.Replica))
 }
@@ -310,11 +350,16 @@
 		return
 	}
 	m.expireDue = m.now.Add(expireEvery)
+	var over []*call
 	for _, c := range m.calls {
 		if c.forward != nil && !m.now.Before(c.expires) {
-			m.expire(c)
+			over = append(over, c)
 		}
 	}
+	sort.Slice(over, func(i, j int) bool { return over[i].ID < over[j].ID })
+	for _, c := range over {
+		m.expire(c)
+	}
 }
 
 // expireEvery spaces the looks for calls whose time is over.
--- a/core/instance/machine.go
+++ b/core/instance/machine.go
@@ -89,6 +89,12 @@
 	lease     lease.Lease
 	homes     homeView
 
+	registry  registryView
+	engines   map[string]*ownedEngine // that this instance orders
+	asks      map[askKey]*ask         // orders asked for and not settled
+	refused   map[askKey]clock.Instant
+	placement placementView
+
 	stop stopView
 }
 
@@ -111,6 +117,10 @@
 		recent:    newDecisions(),
 		forwards:  route.NewForwards(),
 		retries:   map[string]*limit.Window{},
+		registry:  newRegistryView(),
+		engines:   map[string]*ownedEngine{},
+		asks:      map[askKey]*ask{},
+		refused:   map[askKey]clock.Instant{},
 		platform:  newPlatformView(),
 		exchanges: newExchangeView(),
 		readers:   map[string]*reader{},
@@ -152,6 +162,22 @@
 		m.listReply(e)
 	case WatchReply:
 		m.watchReply(e)
+	case RegistryReply:
+		m.registryReply(e)
+	case EnrolReply:
+		m.enrolReply(e)
+	case KeepReply:
+		m.keepReply(e)
+	case WriteReply:
+		m.writeReply(e)
+	case EngineOrderReply:
+		m.engineOrderReply(e)
+	case EngineStateReply:
+		m.engineStateReply(e)
+	case OrderAsked:
+		m.orderAsked(e)
+	case AskOrderReply:
+		m.askOrderReply(e)
 	case LeaseReply:
 		m.leaseReply(e)
 	case IntentsReply:
@@ -174,6 +200,9 @@
 func (m *Machine) runDue() {
 	m.expireForwards()
 	m.vanishDue()
+	m.registryDue()
+	m.enginesDue()
+	m.meshDue()
 	m.watchDue()
 	m.exchangeDue()
 	m.readDue()
@@ -187,10 +216,16 @@
 const (
 	wakeEvery     = 250 * time.Millisecond
 	wakeEveryBusy = 50 * time.Millisecond
+	// wakeEveryOrder is the same while adapters, which take some milliseconds,
+	// are on their way.
+	wakeEveryOrder = 4 * time.Millisecond
 )
 
 // NextWake returns how long the driver may wait before the next Tick.
 func (m *Machine) NextWake() time.Duration {
+	if m.adaptersComing() {
+		return wakeEveryOrder
+	}
 	if len(m.line) > 0 || m.stop.begun || len(m.calls) > 0 && m.cfg.HasForwards() {
 		return wakeEveryBusy
 	}
--- /dev/null
+++ b/core/instance/mesh.go
@@ -0,0 +1,57 @@
+package instance
+
+import "github.com/birchdrift/birchdrift/core/share"
+
+// A small fleet exchanges pairwise: each instance begins an exchange with every
+// peer whose name comes after its own, so that all hear from all, at first hand
+// and within MeshEvery. A larger one uses the ring of neighbours.
+
+// meshMost is how many instances a fleet may have to exchange pairwise.
+const meshMost = 16
+
+// meshed reports whether the fleet exchanges pairwise.
+func (m *Machine) meshed() bool {
+	return m.opt.MeshEvery > 0 && m.members.Size() <= meshMost
+}
+
+func (m *Machine) meshDue() {
+	x := &m.exchanges
+	if !m.meshed() || m.now.Before(x.meshDue) {
+		return
+	}
+	x.meshDue = m.now.Add(m.jitter(m.opt.MeshEvery))
+	for _, p := range m.members.Peers() {
+		if p.Name > m.self.Name && (!p.Failing() || x.count%failingEvery == 0) {
+			m.exchangeWith(p)
+		}
+	}
+	x.count++
+	m.pool.ForgetUsed()
+}
+
+// failingEvery is every how manyth round a peer that does not answer is tried.
+const failingEvery = 4
+
+// uses returns what a message says of the calls in flight here.
+func (m *Machine) uses(msg *share.Message) {
+	if m.opt.MeshEvery > 0 {
+		msg.Uses = m.pool.OwnUse()
+	}
+}
+
+// takeUses takes in what a peer has in flight.
+func (m *Machine) takeUses(msg share.Message) {
+	if msg.Uses == nil {
+		return
+	}
+	m.pool.ObserveUse(m.now, msg.From, msg.Uses)
+	for engine, use := range msg.Uses {
+		e := m.engines[engine]
+		if e == nil {
+			continue
+		}
+		for _, item := range use.Items {
+			e.Used(m.now, item)
+		}
+	}
+}
--- a/core/instance/note.go
+++ b/core/instance/note.go
@@ -18,11 +18,19 @@
 	NoteLeaseLost       Number = 1302
 	NoteLeaseDoubt      Number = 1303
 	NoteIntentsLost     Number = 1304
+	NoteEnrolled        Number = 1311
+	NoteEnrolmentLost   Number = 1312
+	NoteEngineTaken     Number = 1313
+	NoteEngineLost      Number = 1314
 	NoteOrder           Number = 1401
 	NoteOrderRefused    Number = 1402
 	NoteOrderLost       Number = 1403
 	NoteOrderFenced     Number = 1404
 	NoteOvercommitAvert Number = 1405
+	NoteEngineOrder     Number = 1411
+	NoteEngineAnswer    Number = 1412
+	NoteEngineState     Number = 1413
+	NoteOrderWaits      Number = 1414
 	NoteLeaving         Number = 1501
 	NoteAnnounced       Number = 1502
 	NoteVanished        Number = 1503
@@ -57,11 +65,19 @@
 	{NoteLeaseLost, "lease_lost", "Another instance plans for this zone.", "None."},
 	{NoteLeaseDoubt, "lease_in_doubt", "The lease may have lapsed; only engines that check fences are still ordered.", "Check the platform if it lasts."},
 	{NoteIntentsLost, "intents_conflict", "Another holder has written the zone's intents; this one stops ordering.", "None."},
+	{NoteEnrolled, "enrolled", "This instance's record stands in the platform's store.", "None."},
+	{NoteEnrolmentLost, "enrolment_lost", "The platform dropped this instance's record; it is written again.", "None; often means that the platform was out of reach for longer than the record's term."},
+	{NoteEngineTaken, "engine_taken", "This instance orders the engine from now on, at the earliest after `wait`.", "None."},
+	{NoteEngineLost, "engine_lost", "This instance no longer orders the engine.", "None."},
 	{NoteOrder, "order", "An order was sent to an engine.", "None."},
 	{NoteOrderRefused, "order_refused", "An engine refused an order.", "Read the detail; an engine out of memory that the ledger thought free is a bug."},
 	{NoteOrderLost, "order_lost", "An order's answer is lost; its memory stays booked until the engine's state tells.", "Check the engine if it lasts."},
 	{NoteOrderFenced, "order_fenced", "An engine has seen a later fence than this instance's.", "None; another instance plans for the zone."},
 	{NoteOvercommitAvert, "overcommit_averted", "The plan asked for a step that the ledger refused.", "None; rare lines are usual when state changes under a plan."},
+	{NoteEngineOrder, "engine_order", "An order was sent to an announced engine.", "None."},
+	{NoteEngineAnswer, "engine_answer", "What came of an order to an announced engine.", "Many that are lost: check the engine."},
+	{NoteEngineState, "engine_state", "An announced engine was asked for its state.", "None."},
+	{NoteOrderWaits, "order_refused_here", "A peer asked for an order that this instance will not give now.", "Read the reason."},
 	{NoteLeaving, "upstream_leaving", "An upstream is leaving and gets no new work.", "None."},
 	{NoteAnnounced, "upstream_announced", "A replica announced itself in the platform's list.", "None."},
 	{NoteVanished, "upstream_vanished", "A replica's entry is gone from the platform's list; it is used for a moment more where nothing better is there.", "None; many at once mean that the platform lost its leases."},
--- a/core/instance/options.go
+++ b/core/instance/options.go
@@ -49,6 +49,20 @@
 	// WatchEvery is the least time between two watch calls of one kind, so
 	// that changes that come together are heard together.
 	WatchEvery time.Duration
+	// EnrolTerm is the term of the lease on which an instance's record hangs,
+	// KeepEvery the spacing of its renewals.
+	EnrolTerm time.Duration
+	KeepEvery time.Duration
+	// OrderValid is how long after its last renewal an owner may give orders.
+	OrderValid time.Duration
+	// TurnGap is the least time between the orders of two owners of an engine.
+	TurnGap time.Duration
+	// AbsentFor is how long an owner's record must have been gone, while the
+	// store answered, before its engines are taken over.
+	AbsentFor time.Duration
+	// MeshEvery spaces the exchanges with every peer of a small fleet; 0 means
+	// that there are none.
+	MeshEvery time.Duration
 	// OneWatch says that the platform's store is watched as one.
 	OneWatch bool
 	// Pick and Plan replace the routing choice and the residency plan; nil in
@@ -88,5 +102,10 @@
 		RetryRatio:    0.2,
 		RetrySlack:    50,
 		Watchers:      2,
+		EnrolTerm:     3 * time.Second,
+		KeepEvery:     600 * time.Millisecond,
+		OrderValid:    4 * time.Second,
+		TurnGap:       3 * time.Second,
+		AbsentFor:     time.Second,
 	}
 }
--- a/core/instance/read.go
+++ b/core/instance/read.go
@@ -106,7 +106,7 @@
 		if r := m.pool.Get(engine); r != nil && s.Residency.Boot > r.Residency.Boot {
 			m.chooser.Restarted(engine)
 		}
-		m.pool.ObserveResidency(engine, s.Residency)
+		m.pool.ObserveResidency(m.now, engine, s.Residency)
 		m.soon()
 	}
 	m.observeLoad(engine, s.Load)
--- /dev/null
+++ b/core/instance/registry.go
@@ -0,0 +1,389 @@
+package instance
+
+import (
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/birchdrift/birchdrift/core/backoff"
+	"github.com/birchdrift/birchdrift/core/clock"
+	"github.com/birchdrift/birchdrift/core/pool"
+	"github.com/birchdrift/birchdrift/core/registry"
+	"github.com/birchdrift/birchdrift/core/route"
+)
+
+// The registry: this instance's own record, and which instance orders which of
+// the engines that announce themselves.
+//
+// An owner may give orders for OrderValid after its last renewal was sent. Who
+// takes an engine over from another waits that long and TurnGap on top, counted
+// from its claim, since the former owner may not know yet that it lost the
+// engine: the platform may drop a record without telling its writer. Ownerships
+// are spread over the instances, so the loss of one leaves most engines ordered.
+
+// A registryView is what the machine knows of the registry.
+type registryView struct {
+	keep      job
+	lease     uint64
+	keptAt    clock.Instant // when the last renewal that succeeded was sent
+	enrolled  bool
+	backoff   backoff.Backoff
+	known     bool // the registry was read at least once
+	steadyAt  clock.Instant
+	instances map[string]registry.Instance
+	absent    map[string]clock.Instant // since when an instance has no record
+	owners    map[string]registry.Ownership
+	learnt    map[string]clock.Instant // when each ownership was learnt
+	placer    registry.Placer
+	claimDue  clock.Instant
+	claiming  bool
+}
+
+// Spacing of the registry's calls.
+const (
+	claimEvery   = 300 * time.Millisecond
+	claimMost    = 24 // ownerships in one write
+	claimStep    = 700 * time.Millisecond
+	enrolBase    = 100 * time.Millisecond
+	enrolMax     = time.Second
+	sameOwnerGap = 400 * time.Millisecond
+	turnMargin   = 300 * time.Millisecond
+)
+
+func newRegistryView() registryView {
+	return registryView{
+		backoff:   backoff.New(enrolBase, enrolMax),
+		instances: map[string]registry.Instance{},
+		absent:    map[string]clock.Instant{},
+		owners:    map[string]registry.Ownership{},
+		learnt:    map[string]clock.Instant{},
+	}
+}
+
+// registryDue keeps this instance's record and claims engines.
+func (m *Machine) registryDue() {
+	if !m.opt.OneWatch || m.stop.begun {
+		return
+	}
+	m.enrolDue()
+	m.claimDue()
+}
+
+func (m *Machine) enrolDue() {
+	g := &m.registry
+	if !g.keep.ready(m.now) {
+		return
+	}
+	g.keep.begin(m.now)
+	if g.enrolled {
+		m.do(KeepEnrolled{Lease: g.lease})
+		return
+	}
+	m.do(Enrol{Term: m.opt.EnrolTerm, Instance: registry.Instance{
+		Name: m.self.Name, Zone: m.self.Zone, Address: m.self.Address, Boot: m.self.Boot,
+	}})
+}
+
+func (m *Machine) enrolReply(e EnrolReply) {
+	g := &m.registry
+	if e.Err != nil {
+		m.registryFailed(e.Err)
+		return
+	}
+	m.registryAnswered()
+	g.lease = e.Lease
+	g.enrolled = true
+	g.keptAt = e.Sent
+	g.keep.end(m.now.Add(m.opt.KeepEvery))
+	m.note(NoteEnrolled, "lease", e.Lease)
+}
+
+func (m *Machine) keepReply(e KeepReply) {
+	g := &m.registry
+	switch {
+	case e.Over:
+		m.note(NoteEnrolmentLost, "lease", e.Lease)
+		g.enrolled = false
+		g.keep.end(m.now)
+		m.registryAnswered()
+	case e.Err != nil:
+		m.registryFailed(e.Err)
+	default:
+		m.registryAnswered()
+		g.keptAt = e.Sent
+		g.keep.end(m.now.Add(m.opt.KeepEvery))
+	}
+}
+
+// registryFailed notes a call that was not answered; what depends on the time
+// for which the store has answered starts anew.
+func (m *Machine) registryFailed(err error) {
+	g := &m.registry
+	m.platformSays(err)
+	g.backoff = g.backoff.WithFailure()
+	g.keep.end(m.now.Add(g.backoff.Wait(m.rng)))
+	g.steadyAt = clock.Instant{}
+}
+
+func (m *Machine) registryAnswered() {
+	g := &m.registry
+	m.platformSays(nil)
+	g.backoff = g.backoff.WithSuccess()
+	if g.steadyAt.IsZero() {
+		g.steadyAt = m.now
+	}
+}
+
+// mayOrderEngines reports whether this instance's ownerships are certainly its
+// own still.
+func (m *Machine) mayOrderEngines() bool {
+	g := &m.registry
+	return !m.stop.begun && !g.keptAt.IsZero() && m.now.Elapsed(g.keptAt) < m.opt.OrderValid
+}
+
+// registryReply takes in news of the registry.
+func (m *Machine) registryReply(e RegistryReply) {
+	g := &m.registry
+	g.known = true
+	c := e.Change
+	if c.Whole {
+		m.registryWhole(c)
+	}
+	for _, i := range c.Instances {
+		g.instances[i.Name] = i
+		delete(g.absent, i.Name)
+		m.members.Learn(i.Name, i.Zone, i.Address)
+	}
+	for _, name := range c.GoneInstances {
+		m.instanceGone(name)
+	}
+	for _, o := range c.Owners {
+		m.takeOwnership(o)
+	}
+	for _, engine := range c.GoneOwners {
+		delete(g.owners, engine)
+		m.loseEngine(engine, "its record went")
+	}
+	if c.Placer != nil {
+		g.placer = *c.Placer
+	}
+	if c.PlacerGone {
+		g.placer = registry.Placer{}
+	}
+}
+
+// registryWhole drops what a whole listing does not have.
+func (m *Machine) registryWhole(c registry.Change) {
+	g := &m.registry
+	here := map[string]bool{}
+	for _, i := range c.Instances {
+		here[i.Name] = true
+	}
+	for _, name := range sortedKeys(g.instances) {
+		if !here[name] {
+			m.instanceGone(name)
+		}
+	}
+	owned := map[string]bool{}
+	for _, o := range c.Owners {
+		owned[o.Engine] = true
+	}
+	for _, engine := range sortedKeys(g.owners) {
+		if !owned[engine] {
+			delete(g.owners, engine)
+			m.loseEngine(engine, "its record went")
+		}
+	}
+	if c.Placer == nil {
+		g.placer = registry.Placer{}
+	}
+}
+
+func sortedKeys[V any](of map[string]V) []string {
+	keys := make([]string, 0, len(of))
+	for k := range of {
+		keys = append(keys, k)
+	}
+	sort.Strings(keys)
+	return keys
+}
+
+func (m *Machine) instanceGone(name string) {
+	g := &m.registry
+	delete(g.instances, name)
+	if name == m.self.Name {
+		return // the next renewal will say so
+	}
+	if _, ok := g.absent[name]; !ok {
+		g.absent[name] = m.now
+	}
+}
+
+// takeOwnership takes in one ownership record, of whoever wrote it.
+func (m *Machine) takeOwnership(o registry.Ownership) {
+	g := &m.registry
+	if old, ok := g.owners[o.Engine]; ok && old.Revision > o.Revision {
+		return
+	}
+	g.owners[o.Engine] = o
+	g.learnt[o.Engine] = m.now
+	if o.Owner != m.self.Name || o.Boot != m.self.Boot {
+		m.loseEngine(o.Engine, "another instance took it")
+	}
+}
+
+// claimDue claims the engines that this instance should own.
+func (m *Machine) claimDue() {
+	g := &m.registry
+	if m.now.Before(g.claimDue) {
+		return
+	}
+	g.claimDue = m.now.Add(m.jitter(claimEvery))
+	if !g.known || !g.enrolled || g.claiming || !m.mayOrderEngines() || m.cfg == nil {
+		return
+	}
+	var claims []registry.Ownership
+	for _, r := range m.pool.All() {
+		if !r.Announced || r.Kind != pool.Engine || !r.Usable() || len(claims) == claimMost {
+			continue
+		}
+		if c, ok := m.claimOf(r); ok {
+			claims = append(claims, c)
+		}
+	}
+	if len(claims) == 0 {
+		return
+	}
+	g.claiming = true
+	m.do(WriteRegistry{Write: RegistryWrite{Claim: claims}})
+}
+
+// claimOf returns the claim of an engine, if this instance is to take it now.
+func (m *Machine) claimOf(r *pool.Replica) (registry.Ownership, bool) {
+	old, owned := m.registry.owners[r.Name]
+	claim := registry.Ownership{Engine: r.Name, Owner: m.self.Name, Boot: m.self.Boot, Revision: old.Revision}
+	if owned && old.Owner == m.self.Name {
+		return claim, old.Boot != m.self.Boot
+	}
+	since, free := m.freeSince(r, old, owned)
+	if !free {
+		return claim, false
+	}
+	// Should the instance that ranks first not claim, the next one does.
+	return claim, !m.now.Before(since.Add(time.Duration(m.ownerRank(r)) * claimStep))
+}
+
+// freeSince returns since when nobody is to be expected to order an engine; ok
+// is false while its owner is there, or may be as far as this instance can tell.
+func (m *Machine) freeSince(r *pool.Replica, old registry.Ownership, owned bool) (since clock.Instant, ok bool) {
+	g := &m.registry
+	if g.steadyAt.IsZero() {
+		return since, false
+	}
+	if !owned {
+		return later(g.steadyAt.Add(claimStep), r.SeenAt()), true
+	}
+	if old.Owner == "" {
+		return g.learnt[r.Name], true
+	}
+	if _, there := g.instances[old.Owner]; there {
+		return since, false
+	}
+	gone, seen := g.absent[old.Owner]
+	if !seen {
+		g.absent[old.Owner] = m.now
+		return since, false
+	}
+	return later(gone, g.steadyAt).Add(m.opt.AbsentFor), true
+}
+
+func later(a, b clock.Instant) clock.Instant {
+	if a.Before(b) {
+		return b
+	}
+	return a
+}
+
+// ownerRank returns how many instances come before this one for an engine: of
+// those with a record, the ones of the engine's zone first.
+func (m *Machine) ownerRank(r *pool.Replica) int {
+	key := xxhash.Sum64String(r.Name)
+	own := route.Score(key, m.self.Name)
+	near := m.self.Zone == r.Zone
+	ahead := 0
+	for name, i := range m.registry.instances {
+		if name == m.self.Name {
+			continue
+		}
+		if theirs := i.Zone == r.Zone; theirs != near {
+			if theirs {
+				ahead++
+			}
+			continue
+		}
+		if route.Score(key, name) > own {
+			ahead++
+		}
+	}
+	return ahead
+}
+
+// writeReply takes in what came of a write of the registry.
+func (m *Machine) writeReply(e WriteReply) {
+	g := &m.registry
+	if e.Write.Placer != nil {
+		m.placerReply(e)
+		return
+	}
+	g.claiming = false
+	if e.Err != nil {
+		m.platformSays(e.Err)
+		return // the watch tells if it took effect after all
+	}
+	if e.Conflict {
+		return // the watch brings what stands there
+	}
+	for _, claim := range e.Write.Claim {
+		old := g.owners[claim.Engine]
+		from := m.firstOrder(old, e.Sent)
+		claim.Revision = e.Revision
+		g.owners[claim.Engine] = claim
+		m.ownEngine(claim, old.Owner, from)
+	}
+}
+
+// firstOrder returns when the orders of this instance may begin at an engine
+// that it claimed with a write sent at sent. Time is counted from the answer,
+// which is later.
+func (m *Machine) firstOrder(old registry.Ownership, sent clock.Instant) clock.Instant {
+	switch {
+	case old.Revision == 0:
+		return sent
+	case old.Owner == m.self.Name:
+		return m.now.Add(sameOwnerGap)
+	case old.Owner == "":
+		return m.now.Add(m.opt.TurnGap + turnMargin)
+	default:
+		return m.now.Add(m.opt.OrderValid + m.opt.TurnGap + turnMargin)
+	}
+}
+
+// resign gives the engines back and ends the lease, at a planned stop.
+func (m *Machine) resign() {
+	g := &m.registry
+	if !g.enrolled {
+		return
+	}
+	var give []registry.Ownership
+	for _, name := range sortedKeys(m.engines) {
+		o := g.owners[name]
+		o.Owner = ""
+		give = append(give, o)
+	}
+	for _, name := range sortedKeys(m.engines) {
+		m.loseEngine(name, "this instance stops")
+	}
+	g.enrolled = false
+	m.do(Resign{Lease: g.lease, Give: give})
+}
--- a/core/instance/stop.go
+++ b/core/instance/stop.go
@@ -42,6 +42,7 @@
 		m.planner.abandon()
 		m.do(ReleaseLease{Fence: fence})
 	}
+	m.resign()
 	for _, p := range m.members.InZone(true) {
 		m.exchangeWith(p)
 	}
--- a/core/instance/watch.go
+++ b/core/instance/watch.go
@@ -78,7 +78,7 @@
 func (m *Machine) replayRecords() {
 	all := m.store.Since(0, "", true)
 	for _, r := range all.Residencies {
-		m.pool.ObserveResidency(r.Engine, r.Residency)
+		m.pool.ObserveResidency(m.now, r.Engine, r.Residency)
 	}
 	for _, l := range all.Listed {
 		m.applyListed(l)
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -89,6 +89,9 @@
 	return p.failed.IsZero() || now.Since(p.failed) < SilentAfter
 }
 
+// Failing reports whether the last exchange with the peer failed.
+func (p *Peer) Failing() bool { return !p.failed.IsZero() }
+
 // Get returns the peer with this name, nil if unknown.
 func (t *Table) Get(name string) *Peer { return t.peers[name] }
 
--- a/core/pool/announced.go
+++ b/core/pool/announced.go
@@ -1,6 +1,8 @@
 package pool
 
 import (
+	"sort"
+	"strings"
 	"time"
 
 	"github.com/birchdrift/birchdrift/core/clock"
@@ -16,8 +18,7 @@
 	// Remaining is the time left to a replica that is taken away at short
 	// notice, counted from the announcement; 0 if it is not, or not known.
 	Remaining time.Duration
-	Engine    bool   // it runs models
-	Sequence  uint64 // orders it has taken
+	Engine    bool // it runs models
 	Models    []AnnouncedModel
 	InMemory  []string // models whose copies lie in its host memory
 	OnDisk    []string // models whose copies lie on its disk
@@ -74,10 +75,12 @@
 	if r == nil || r.Address != a.Address {
 		p.displace(now, name, a.Address)
 		r = newReplica(facts)
+		r.seenAt = now
 		p.replicas[name] = r
 	}
 	r.Facts = facts
 	r.announced = a
+	r.announcedAt = now
 	r.vanishedAt = clock.Instant{}
 	r.listedLeaving = a.Draining
 	if a.Draining && a.Remaining > 0 {
@@ -131,6 +134,7 @@
 	if gone {
 		p.reindex()
 	}
+	sort.Strings(left)
 	return left
 }
 
@@ -140,6 +144,9 @@
 // Vanished reports whether the list no longer has the replica.
 func (r *Replica) Vanished() bool { return !r.vanishedAt.IsZero() }
 
+// SeenAt returns when the replica was first announced here.
+func (r *Replica) SeenAt() clock.Instant { return r.seenAt }
+
 // EndsAt returns when a replica that is taken away at short notice ends; ok is
 // false where that is not known.
 func (r *Replica) EndsAt() (at clock.Instant, ok bool) { return r.endsAt, !r.endsAt.IsZero() }
@@ -158,20 +165,53 @@
 	p.touched++
 }
 
-// merge works out what an announced engine holds from its announcement and
-// from the word of the instance that orders it, whichever has seen more orders.
+// staleWord is how much younger than its owner's word an announcement must be
+// to show that a model which the word has is not there any more.
+const staleWord = 1500 * time.Millisecond
+
+// merge works out what an announced engine holds, from the word of the instance
+// that orders it where there is one, else from its announcement. An announcement
+// that is younger than the word tells what became of orders on models; it says
+// nothing of adapters, which engines announce late.
 func (p *Pool) merge(r *Replica) {
 	if !r.Announced {
 		return
 	}
-	if r.Residency.Sequence >= r.announced.Sequence && r.Residency.Boot > 0 {
-		r.items = make(map[string]ItemPhase, len(r.Residency.Items))
-		for _, it := range r.Residency.Items {
-			r.items[it.Name] = it.Phase
-		}
+	announced := r.announced.items()
+	if r.Residency.Boot == 0 {
+		r.items = announced
+		return
+	}
+	r.items = make(map[string]ItemPhase, len(r.Residency.Items))
+	for _, it := range r.Residency.Items {
+		r.items[it.Name] = it.Phase
+	}
+	if r.announcedAt.Before(r.wordAt) {
 		return
 	}
-	r.items = r.announced.items()
+	old := r.announcedAt.Since(r.wordAt) >= staleWord
+	for item, phase := range r.items {
+		model, _, adapter := strings.Cut(item, "/")
+		_, shown := announced[model]
+		switch {
+		case !adapter && phase == Loading && shown:
+			r.items[item] = Ready
+		case !shown && (old && phase == Ready || phase == Unloading):
+			delete(r.items, item)
+		}
+	}
+}
+
+// Adapters returns how many adapters the engine holds, those on their way
+// included.
+func (r *Replica) Adapters() int {
+	n := 0
+	for item := range r.items {
+		if strings.Contains(item, "/") {
+			n++
+		}
+	}
+	return n
 }
 
 // Drop notes that the replica itself said that it does not hold the item.
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -118,7 +118,7 @@
 
 // ObserveResidency takes in what an engine said it holds, from whichever way it
 // came, and reports whether that was news.
-func (p *Pool) ObserveResidency(name string, res Residency) bool {
+func (p *Pool) ObserveResidency(now clock.Instant, name string, res Residency) bool {
 	r := p.replicas[name]
 	if r == nil || !res.Newer(r.Residency) {
 		return false
@@ -131,6 +131,7 @@
 	old := r.items
 	r.Residency = res
 	clear(r.refused)
+	r.wordAt = now
 	if r.Announced {
 		p.merge(r)
 	} else {
--- a/core/pool/replica.go
+++ b/core/pool/replica.go
@@ -59,6 +59,7 @@
 	ownAtRep int // own calls in flight when load was heard
 
 	peers    map[string]peerUse // what other instances have in flight
+	used     []string           // items that own calls used lately, newest last
 	inFlight int
 	pending  []pendingCall // own calls whose first token has not come
 	first    time.Duration // peak EWMA of the time to first token
@@ -70,9 +71,12 @@
 	ejections int // in a row
 	ejectedTo clock.Instant
 
-	announced  Announcement
-	vanishedAt clock.Instant // when the list lost it; zero while it is listed
-	endsAt     clock.Instant // when it is taken away, if that is known
+	announced   Announcement
+	seenAt      clock.Instant // when it was first announced
+	announcedAt clock.Instant // when it was last announced
+	wordAt      clock.Instant // when its owner's word was last heard
+	vanishedAt  clock.Instant // when the list lost it; zero while it is listed
+	endsAt      clock.Instant // when it is taken away, if that is known
 
 	listedLeaving bool
 	leavingBoot   uint64 // boot that was told to be leaving
--- a/core/pool/report.go
+++ b/core/pool/report.go
@@ -38,9 +38,6 @@
 	Change  uint64
 	Leaving bool
 	Items   []Item
-	// Sequence counts the orders that an announced engine has taken; 0 for
-	// others. It tells which of two views of an engine has seen more.
-	Sequence uint64
 }
 
 // Newer reports whether r was said after other.
--- a/core/pool/use.go
+++ b/core/pool/use.go
@@ -10,6 +10,7 @@
 type Use struct {
 	Calls   int
 	Prefill time.Duration // work on prompts that it believes is still to be done there
+	Items   []string      // items that its calls used lately
 }
 
 // useSpan is how long another instance's word about its calls is believed.
@@ -42,13 +43,39 @@
 func (p *Pool) OwnUse() map[string]Use {
 	uses := map[string]Use{}
 	for name, r := range p.replicas {
-		if r.inFlight > 0 {
-			uses[name] = Use{Calls: r.inFlight, Prefill: r.ownPrefill()}
+		if r.inFlight > 0 || len(r.used) > 0 {
+			uses[name] = Use{Calls: r.inFlight, Prefill: r.ownPrefill(), Items: r.recent()}
 		}
 	}
 	return uses
 }
 
+// usedKept bounds the items of one replica that are remembered as used.
+const usedKept = 16
+
+// Use notes that an own call uses an item.
+func (r *Replica) Use(item string) {
+	for i, it := range r.used {
+		if it == item {
+			r.used = append(r.used[:i], r.used[i+1:]...)
+			break
+		}
+	}
+	r.used = append(r.used, item)
+	if len(r.used) > usedKept {
+		r.used = r.used[1:]
+	}
+}
+
+func (r *Replica) recent() []string { return append([]string(nil), r.used...) }
+
+// ForgetUsed begins the list of used items anew, once peers were told of it.
+func (p *Pool) ForgetUsed() {
+	for _, r := range p.replicas {
+		r.used = r.used[:0]
+	}
+}
+
 // ownPrefill returns the work on prompts of own calls without a first token.
 func (r *Replica) ownPrefill() time.Duration {
 	var work time.Duration
--- /dev/null
+++ b/core/registry/registry.go
@@ -0,0 +1,135 @@
+// Package registry provides the records that instances keep in the platform's
+// store: who is there, who orders which engine, and who places models.
+//
+// The idea: a record is a key with a small JSON value. An instance's own record
+// hangs on its lease and goes with it. An ownership outlives its owner, so that
+// whoever takes an engine over knows whose orders may still be on their way.
+//
+// Invariant: an ownership changes hands only under the condition that it is
+// still as its taker last read it, so two instances never both hold one.
+package registry
+
+import (
+	"encoding/json"
+	"strings"
+)
+
+// Keys of the records, below the product's own part of the store.
+const (
+	instancePrefix = "instances/"
+	ownerPrefix    = "owners/"
+	placerKey      = "placer"
+)
+
+// An Instance is the record of one entry instance.
+type Instance struct {
+	Name    string `json:"-"`
+	Zone    string `json:"zone"`
+	Address string `json:"address"` // of its peers' listener
+	Boot    uint64 `json:"boot"`
+}
+
+// An Ownership says which instance orders an engine. An empty owner gave it
+// back and sends no more orders.
+type Ownership struct {
+	Engine   string `json:"-"`
+	Owner    string `json:"owner"`
+	Boot     uint64 `json:"boot"` // of the owner when it took the engine
+	Revision uint64 `json:"-"`    // of the record; the fence of its orders
+}
+
+// A Placer says which instance places models. Its record hangs on the lease of
+// that instance.
+type Placer struct {
+	Name     string `json:"name"`
+	Boot     uint64 `json:"boot"`
+	Revision uint64 `json:"-"`
+}
+
+// A Change is news of the registry.
+type Change struct {
+	Instances     []Instance
+	GoneInstances []string
+	Owners        []Ownership
+	GoneOwners    []string
+	Placer        *Placer // set if it changed
+	PlacerGone    bool
+	Whole         bool // the records in it are all that there are
+}
+
+// Empty reports whether the change says nothing.
+func (c Change) Empty() bool {
+	return !c.Whole && len(c.Instances) == 0 && len(c.GoneInstances) == 0 && len(c.Owners) == 0 &&
+		len(c.GoneOwners) == 0 && c.Placer == nil && !c.PlacerGone
+}
+
+// Add takes one record into the change. One that makes no sense is passed over:
+// a later version of the program may write what this one does not know.
+func (c *Change) Add(key string, value []byte, revision uint64, gone bool) {
+	switch {
+	case key == placerKey:
+		c.addPlacer(value, revision, gone)
+	case strings.HasPrefix(key, instancePrefix):
+		c.addInstance(strings.TrimPrefix(key, instancePrefix), value, gone)
+	case strings.HasPrefix(key, ownerPrefix):
+		c.addOwner(strings.TrimPrefix(key, ownerPrefix), value, revision, gone)
+	}
+}
+
+func (c *Change) addPlacer(value []byte, revision uint64, gone bool) {
+	if gone {
+		c.Placer = nil
+		c.PlacerGone = true
+		return
+	}
+	p := Placer{Revision: revision}
+	if json.Unmarshal(value, &p) == nil {
+		c.Placer = &p
+		c.PlacerGone = false
+	}
+}
+
+func (c *Change) addInstance(name string, value []byte, gone bool) {
+	if gone {
+		c.GoneInstances = append(c.GoneInstances, name)
+		return
+	}
+	i := Instance{Name: name}
+	if json.Unmarshal(value, &i) == nil {
+		c.Instances = append(c.Instances, i)
+	}
+}
+
+func (c *Change) addOwner(engine string, value []byte, revision uint64, gone bool) {
+	if gone {
+		c.GoneOwners = append(c.GoneOwners, engine)
+		return
+	}
+	o := Ownership{Engine: engine, Revision: revision}
+	if json.Unmarshal(value, &o) == nil {
+		c.Owners = append(c.Owners, o)
+	}
+}
+
+// A Value is a key with the bytes to write there.
+type Value struct {
+	Key  string
+	Data []byte
+}
+
+// Value returns the instance's record.
+func (i Instance) Value() Value { return value(instancePrefix+i.Name, i) }
+
+// Value returns the ownership's record.
+func (o Ownership) Value() Value { return value(ownerPrefix+o.Engine, o) }
+
+// Value returns the placer's record.
+func (p Placer) Value() Value { return value(placerKey, p) }
+
+func value(key string, record any) Value {
+	data, err := json.Marshal(record)
+	if err != nil {
+		panic("registry: a record of plain fields cannot be encoded: " + err.Error())
+	}
+	return Value{Key: key, Data: data}
+}
--- a/core/route/forward.go
+++ b/core/route/forward.go
@@ -38,6 +38,9 @@
 	Tokens int      // of the prompt
 	Chain  Chain    // of the prompt's parts
 	Tried  []string // replicas that failed the call, passed over
+	// Extra returns what must happen at a replica before it can serve the
+	// call, as time; ok is false if it cannot. nil: nothing must.
+	Extra func(r *pool.Replica) (cost time.Duration, ok bool)
 }
 
 // A ForwardEstimate is the expected time to the answer, or to a stream's first
@@ -112,6 +115,9 @@
 		if !r.Usable() || contains(q.Tried, r.Name) {
 			continue
 		}
+		if !q.possible(r) {
+			continue
+		}
 		usable = append(usable, r)
 		if r.Ejected(now) {
 			ejected++
@@ -131,6 +137,15 @@
 	return best, ok
 }
 
+// possible reports whether the replica can be made to serve the call.
+func (q ForwardQuery) possible(r *pool.Replica) bool {
+	if q.Extra == nil {
+		return true
+	}
+	_, ok := q.Extra(r)
+	return ok
+}
+
 func contains(names []string, name string) bool {
 	for _, n := range names {
 		if n == name {
@@ -167,6 +182,10 @@
 	if r.Vanished() {
 		e.Other += vanishedCost
 	}
+	if q.Extra != nil {
+		cost, _ := q.Extra(r)
+		e.Other += cost
+	}
 	e.Other += suspectCost * time.Duration(r.Failures())
 	if q.Model == "" {
 		e.plain(r, load)
--- a/core/share/share.go
+++ b/core/share/share.go
@@ -85,6 +85,8 @@
 	Records Records
 	// Demand is sent to the planner of the sender's zone only.
 	Demand []demand.Item
+	// Uses is what the sender has in flight, by replica; nil if it does not say.
+	Uses map[string]pool.Use
 	// WantConfig asks for the configuration if the receiver's is newer.
 	WantConfig bool
 	// Config is the encoded configuration of Revision, if it was asked for.
@@ -158,6 +160,12 @@
 // Holder returns who plans for the zone, "" if nobody is known to.
 func (s *Store) Holder(zone string) Holder { return s.holders[zone].record }
 
+// Residency returns the newest word about what an engine holds.
+func (s *Store) Residency(engine string) (Residency, bool) {
+	r, ok := s.residencies[engine]
+	return r.record, ok
+}
+
 // Load returns the newest load known of an engine.
 func (s *Store) Load(engine string) (Load, bool) {
 	l, ok := s.loads[engine]
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -35,7 +35,7 @@
 	for _, l := range m.Records.Listed {
 		out.Listed = append(out.Listed, &peerpb.Listed{
 			Name: l.Name, Kind: uint32(l.Kind), Zone: l.Zone, Address: l.Address,
-			Leaving: l.Leaving, Gone: l.Gone, Version: l.Version,
+			Leaving: l.Leaving, Gone: l.Gone, Version: l.Version, Announced: encodeAnnounced(l.Announced),
 		})
 	}
 	for _, h := range m.Records.Holders {
@@ -47,6 +47,42 @@
 			Waiting: uint32(d.Waiting), UnmetMs: uint32(d.Unmet.Milliseconds()), IdleMs: uint32(d.Idle.Milliseconds()),
 		})
 	}
+	out.HasUses = m.Uses != nil
+	for name, u := range m.Uses {
+		out.Uses = append(out.Uses, &peerpb.Use{
+			Replica: name, Calls: uint32(u.Calls), PrefillUs: uint32(u.Prefill.Microseconds()), Items: u.Items,
+		})
+	}
+	return out
+}
+
+func encodeAnnounced(a *pool.Announcement) *peerpb.Announced {
+	if a == nil {
+		return nil
+	}
+	out := &peerpb.Announced{
+		Service: a.Service, Address: a.Address, Zone: a.Zone, Slots: uint32(a.Slots),
+		Draining: a.Draining, RemainingMs: uint32(a.Remaining.Milliseconds()),
+		Engine: a.Engine, InMemory: a.InMemory, OnDisk: a.OnDisk,
+	}
+	for _, m := range a.Models {
+		out.Models = append(out.Models, &peerpb.AnnouncedModel{Name: m.Name, Adapters: m.Adapters})
+	}
+	return out
+}
+
+func decodeAnnounced(a *peerpb.Announced) *pool.Announcement {
+	if a == nil {
+		return nil
+	}
+	out := &pool.Announcement{
+		Service: a.GetService(), Address: a.GetAddress(), Zone: a.GetZone(), Slots: int(a.GetSlots()),
+		Draining: a.GetDraining(), Remaining: time.Duration(a.GetRemainingMs()) * time.Millisecond,
+		Engine: a.GetEngine(), InMemory: a.GetInMemory(), OnDisk: a.GetOnDisk(),
+	}
+	for _, m := range a.GetModels() {
+		out.Models = append(out.Models, pool.AnnouncedModel{Name: m.GetName(), Adapters: m.GetAdapters()})
+	}
 	return out
 }
 
@@ -84,7 +120,7 @@
 	for _, l := range m.GetListed() {
 		out.Records.Listed = append(out.Records.Listed, share.Listed{
 			Name: l.GetName(), Kind: share.ListedKind(l.GetKind()), Zone: l.GetZone(), Address: l.GetAddress(),
-			Leaving: l.GetLeaving(), Gone: l.GetGone(), Version: l.GetVersion(),
+			Leaving: l.GetLeaving(), Gone: l.GetGone(), Version: l.GetVersion(), Announced: decodeAnnounced(l.GetAnnounced()),
 		})
 	}
 	for _, h := range m.GetHolders() {
@@ -99,6 +135,14 @@
 			Unmet: time.Duration(d.GetUnmetMs()) * time.Millisecond, Idle: time.Duration(d.GetIdleMs()) * time.Millisecond,
 		})
 	}
+	if m.GetHasUses() {
+		out.Uses = map[string]pool.Use{}
+	}
+	for _, u := range m.GetUses() {
+		out.Uses[u.GetReplica()] = pool.Use{
+			Calls: int(u.GetCalls()), Prefill: time.Duration(u.GetPrefillUs()) * time.Microsecond, Items: u.GetItems(),
+		}
+	}
 	return out
 }
 
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -15,6 +15,8 @@
 	"github.com/gravitational/trace"
 	"github.com/twitchtv/twirp"
 
+	"github.com/birchdrift/birchdrift/core/instance"
+	"github.com/birchdrift/birchdrift/core/orders"
 	"github.com/birchdrift/birchdrift/core/share"
 	"github.com/birchdrift/birchdrift/internal/peer/peerpb"
 )
@@ -38,13 +40,9 @@
 
 // Exchange sends msg to the peer at address (IP:port) and returns its side.
 func (c *Client) Exchange(ctx context.Context, address string, msg share.Message) (share.Message, error) {
-	if c.key != "" {
-		header := http.Header{}
-		header.Set(keyHeader, c.key)
-		var err error
-		if ctx, err = twirp.WithHTTPRequestHeaders(ctx, header); err != nil {
-			return share.Message{}, trace.Wrap(err)
-		}
+	ctx, err := c.withKey(ctx)
+	if err != nil {
+		return share.Message{}, err
 	}
 	reply, err := c.client(address).Exchange(ctx, encode(msg))
 	if err != nil {
@@ -53,6 +51,38 @@
 	return decode(reply), nil
 }
 
+// An OrderReply is what the owner of an engine answers.
+type OrderReply struct {
+	Outcome instance.AskOutcome
+	Detail  string
+}
+
+// Order asks the peer at address (IP:port) for an order to an engine of its.
+func (c *Client) Order(ctx context.Context, address, from, engine string, r orders.Request) (OrderReply, error) {
+	ctx, err := c.withKey(ctx)
+	if err != nil {
+		return OrderReply{}, err
+	}
+	reply, err := c.client(address).Order(ctx, &peerpb.OrderRequest{
+		From: from, Engine: engine, Load: r.Load, Model: r.Model, Adapter: r.Adapter,
+	})
+	if err != nil {
+		return OrderReply{}, trace.Wrap(err, "asking %s for an order", address)
+	}
+	return OrderReply{Outcome: instance.AskOutcome(reply.GetOutcome()), Detail: reply.GetDetail()}, nil
+}
+
+// withKey returns a context under which calls show the instances' key.
+func (c *Client) withKey(ctx context.Context) (context.Context, error) {
+	if c.key == "" {
+		return ctx, nil
+	}
+	header := http.Header{}
+	header.Set(keyHeader, c.key)
+	ctx, err := twirp.WithHTTPRequestHeaders(ctx, header)
+	return ctx, trace.Wrap(err)
+}
+
 func (c *Client) client(address string) peerpb.Peer {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -68,6 +98,21 @@
 type Server struct {
 	// Take answers one message.
 	Take func(ctx context.Context, msg share.Message) (share.Message, error)
+	// TakeOrder answers a question for an order; nil refuses every one.
+	TakeOrder func(ctx context.Context, from, engine string, r orders.Request) (OrderReply, error)
+}
+
+// Order implements the generated service.
+func (s Server) Order(ctx context.Context, in *peerpb.OrderRequest) (*peerpb.OrderReply, error) {
+	if s.TakeOrder == nil {
+		return nil, twirp.NewError(twirp.Unimplemented, "no orders are taken here")
+	}
+	r := orders.Request{Load: in.GetLoad(), Model: in.GetModel(), Adapter: in.GetAdapter()}
+	reply, err := s.TakeOrder(ctx, in.GetFrom(), in.GetEngine(), r)
+	if err != nil {
+		return nil, twirp.NewError(twirp.Unavailable, err.Error())
+	}
+	return &peerpb.OrderReply{Outcome: uint32(reply.Outcome), Detail: reply.Detail}, nil
 }
 
 // Exchange implements the generated service.
--- a/internal/seam/seam.go
+++ b/internal/seam/seam.go
@@ -102,6 +102,7 @@
 // An EngineReport is what an engine says of itself when it is asked.
 type EngineReport struct {
 	Announcement pool.Announcement
+	Sequence     uint64   // orders that it has taken
 	Busy         bool     // an order on a model is under way
 	Coming       []string // adapters on their way, as items
 	Queued       int
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -58,6 +58,8 @@
 	Watchers    int
 	WatchEvery  time.Duration
 	MemoryLimit int64 // MiB; 0: none
+	MeshEvery   time.Duration
+	TurnGap     time.Duration
 }
 
 // A Setting is one row of the table.
@@ -111,6 +113,8 @@
 	{"retry-slack", "50", "0 to 1000000", "Repeats of a service's forwarded calls that all instances together may make beyond the share.", false, number(func(s *Settings) *float64 { return &s.RetrySlack }, 0, 1e6)},
 	{"watchers", "2", "1 to 1000", "Instances of a zone that watch the platform; the others hear from them.", false, count(func(s *Settings) *int { return &s.Watchers }, 1, 1000)},
 	{"watch-every", "0s", "0s to 24h", "Least time between two watch calls, so that changes that come together are heard together.", false, duration(func(s *Settings) *time.Duration { return &s.WatchEvery }, 0)},
+	{"mesh-every", "0s", "0s to 24h", "Spacing of the exchanges with every peer of a small fleet; 0 for none.", false, duration(func(s *Settings) *time.Duration { return &s.MeshEvery }, 0)},
+	{"turn-gap", "3s", "0s to 24h", "Least time between the orders of two instances to one announced engine.", false, duration(func(s *Settings) *time.Duration { return &s.TurnGap }, 0)},
 	{"memory-limit", "0", "0 to 1048576", "Memory in MiB that the process should stay within; 0 sets no limit.", false, integer(func(s *Settings) *int64 { return &s.MemoryLimit }, 0, 1<<20)},
 }
 
@@ -169,6 +173,8 @@
 	opt.RetrySlack = s.RetrySlack
 	opt.Watchers = s.Watchers
 	opt.WatchEvery = s.WatchEvery
+	opt.MeshEvery = s.MeshEvery
+	opt.TurnGap = s.TurnGap
 	opt.OneWatch = s.Environment != EnvironmentOwn
 	return opt
 }
--- a/internal/shell/actions.go
+++ b/internal/shell/actions.go
@@ -12,6 +12,7 @@
 	"github.com/birchdrift/birchdrift/core/instance"
 	"github.com/birchdrift/birchdrift/core/share"
 	"github.com/birchdrift/birchdrift/internal/keyvalue"
+	"github.com/birchdrift/birchdrift/internal/peer"
 )
 
 // Time limits of single requests.
@@ -68,6 +69,25 @@
 			reply <- act.Message
 			delete(s.asks, act.Token)
 		}
+	case instance.Enrol:
+		s.work(func(ctx context.Context) { s.enrol(ctx, act) })
+	case instance.KeepEnrolled:
+		s.work(func(ctx context.Context) { s.keepEnrolled(ctx, act) })
+	case instance.Resign:
+		s.work(func(ctx context.Context) { s.resign(ctx, act) })
+	case instance.WriteRegistry:
+		s.work(func(ctx context.Context) { s.writeRegistry(ctx, act) })
+	case instance.EngineOrder:
+		s.work(func(ctx context.Context) { s.engineOrder(ctx, act) })
+	case instance.AskEngine:
+		s.work(func(ctx context.Context) { s.askEngine(ctx, act) })
+	case instance.AskOrder:
+		s.work(func(ctx context.Context) { s.askOrder(ctx, act) })
+	case instance.OrderAnswered:
+		if reply, ok := s.orders[act.Token]; ok {
+			reply <- peer.OrderReply{Outcome: act.Outcome, Detail: act.Detail}
+			delete(s.orders, act.Token)
+		}
 	case instance.Install:
 		s.snapshot.install = act.Snapshot
 	case instance.Note:
--- a/internal/shell/shell.go
+++ b/internal/shell/shell.go
@@ -64,6 +64,7 @@
 	events   chan func(*Shell) instance.Event
 	calls    map[instance.CallID]*callBox
 	asks     map[uint64]chan share.Message
+	orders   map[uint64]chan peer.OrderReply
 	nextAsk  uint64
 	workers  sync.WaitGroup
 	exited   chan instance.Exit
@@ -85,6 +86,7 @@
 		events:   make(chan func(*Shell) instance.Event, eventQueue),
 		calls:    map[instance.CallID]*callBox{},
 		asks:     map[uint64]chan share.Message{},
+		orders:   map[uint64]chan peer.OrderReply{},
 		exited:   make(chan instance.Exit, 1),
 		ctx:      ctx,
 	}
