Models are placed by measured work

Cause: demand moves to other models every few seconds and models stood where they stood at the start.

Instances measure engine time by model (demand.Flow) and tell the placer; calls for a model that is nowhere wait if it can be there in time and are told when to come back if not.

--- a/core/demand/demand.go
+++ b/core/demand/demand.go
@@ -34,6 +34,7 @@
 	Waiting    int           // calls that wait for it to become resident
 	Unmet      time.Duration // how long calls have found it not resident, 0 if they do not
 	Idle       time.Duration // since its last call
+	Absent     float64       // calls a second that found it nowhere; of forwarded calls
 }
 
 // A Meter measures the calls of one instance.
@@ -228,5 +229,6 @@
 		Waiting:    a.Waiting + b.Waiting,
 		Unmet:      max(a.Unmet, b.Unmet),
 		Idle:       idle,
+		Absent:     a.Absent + b.Absent,
 	}
 }
--- /dev/null
+++ b/core/demand/flow.go
@@ -0,0 +1,91 @@
+package demand
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"github.com/birchdrift/birchdrift/core/clock"
+)
+
+// Spans of a Flow. Work is followed quickly, so that a model that rises gets its
+// copies before calls queue; what was asked for counts longer, so that a model
+// which is asked for now and then keeps a place.
+const (
+	workSpan = 2500 * time.Millisecond
+	callSpan = 12 * time.Second
+	lostSpan = 2 * time.Second
+)
+
+// A Flow measures what forwarded calls ask of models: engine time, calls, and
+// calls that found the model nowhere.
+type Flow struct{ models map[string]*flowModel }
+
+type flowModel struct {
+	at     clock.Instant
+	work   float64 // decayed sums
+	slow   float64
+	calls  float64
+	absent float64
+}
+
+// NewFlow returns a flow that has seen no call.
+func NewFlow() *Flow { return &Flow{models: map[string]*flowModel{}} }
+
+func (f *Flow) model(now clock.Instant, name string) *flowModel {
+	m := f.models[name]
+	if m == nil {
+		m = &flowModel{at: now}
+		f.models[name] = m
+	}
+	m.decay(now)
+	return m
+}
+
+func (m *flowModel) decay(now clock.Instant) {
+	age := float64(now.Since(m.at))
+	if age <= 0 {
+		return
+	}
+	m.work *= math.Exp(-age / float64(workSpan))
+	m.slow *= math.Exp(-age / float64(callSpan))
+	m.calls *= math.Exp(-age / float64(callSpan))
+	m.absent *= math.Exp(-age / float64(lostSpan))
+	m.at = now
+}
+
+// Call notes a call for a model and the engine time that it takes.
+func (f *Flow) Call(now clock.Instant, model string, work time.Duration) {
+	m := f.model(now, model)
+	m.calls++
+	m.work += work.Seconds()
+	m.slow += work.Seconds()
+}
+
+// Absent notes that a call found no engine with its model.
+func (f *Flow) Absent(now clock.Instant, model string) { f.model(now, model).absent++ }
+
+// slowShare is the part of the work over the longer span that counts even when
+// the shorter one has less.
+const slowShare = 0.4
+
+// Items returns what is asked for now, by name. Concurrent is the engine time a
+// second.
+func (f *Flow) Items(now clock.Instant) []Item {
+	var items []Item
+	for name, m := range f.models {
+		m.decay(now)
+		if m.calls < 0.02 {
+			delete(f.models, name)
+			continue
+		}
+		items = append(items, Item{
+			Name:       name,
+			Rate:       m.calls / callSpan.Seconds(),
+			Concurrent: max(m.work/workSpan.Seconds(), slowShare*m.slow/callSpan.Seconds()),
+			Absent:     m.absent / lostSpan.Seconds(),
+		})
+	}
+	sort.Slice(items, func(i, j int) bool { return items[i].Name < items[j].Name })
+	return items
+}
--- a/core/instance/engines.go
+++ b/core/instance/engines.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"slices"
 	"time"
 
 	"github.com/birchdrift/birchdrift/core/clock"
@@ -126,7 +127,7 @@
 
 // askState asks an engine whose state is in doubt.
 func (m *Machine) askState(e *ownedEngine) {
-	if !e.Doubtful() || e.Flying() || e.asking || m.now.Before(e.askDue) {
+	if !e.Doubtful() && !e.Ordered() || e.Flying() || e.asking || m.now.Before(e.askDue) {
 		return
 	}
 	e.asking = true
@@ -181,6 +182,10 @@
 		}
 	}
 	q := queued{request: r, waiters: []waiter{w}, due: m.now, expires: m.now.Add(queueTime)}
+	if !r.Load && r.Adapter == "" && e.Phase(r.Model) == pool.Ready {
+		e.Retire(r.Model)
+		q.due = m.now.Add(unloadPause)
+	}
 	e.queue = append(e.queue, q)
 	m.workQueue(e)
 }
@@ -202,8 +207,7 @@
 
 // work does what can be done for one request, and reports whether it is over.
 func (m *Machine) work(e *ownedEngine, q *queued) bool {
-	verdict := e.Judge(q.request)
-	switch verdict {
+	switch e.Judge(q.request) {
 	case orders.Holds, orders.NotThere:
 		m.answerWaiters(e, *q, AskDone, "")
 		return true
@@ -213,7 +217,9 @@
 			return true
 		}
 	case orders.Order:
-		m.sendOrder(e, q.request)
+		if !m.now.Before(q.due) {
+			m.sendOrder(e, q.request)
+		}
 	case orders.NoRoom:
 		if q.request.Adapter == "" || !m.makeRoom(e) {
 			m.answerWaiters(e, *q, AskRefused, "no room")
@@ -226,6 +232,9 @@
 	if m.now.Before(q.expires) {
 		return false
 	}
+	if !q.request.Load && q.request.Adapter == "" {
+		e.Unretire(q.request.Model)
+	}
 	m.answerWaiters(e, *q, AskRefused, "it had to wait too long")
 	return true
 }
@@ -263,6 +272,7 @@
 	switch r.Answer {
 	case EngineTakes:
 		e.Taken(m.now, adapterTime)
+		m.expectModel(e)
 	case EngineHolds:
 		e.Holds()
 	case EngineNotSent:
@@ -285,6 +295,45 @@
 	m.tellFleet(e)
 }
 
+// expectModel has an engine asked for its state when the model that it loads
+// should be there: its own announcement comes later, and costs more to hear.
+func (m *Machine) expectModel(e *ownedEngine) {
+	if !e.Busy() {
+		return
+	}
+	r := m.pool.Get(e.Name)
+	model, loading := e.Underway()
+	if r == nil || model == "" {
+		return
+	}
+	wait := askEvery
+	if loading {
+		wait = m.loadTime(r, model)
+	}
+	e.askDue = m.now.Add(wait + reportLag)
+}
+
+// reportLag is how old what an engine says of itself may be.
+const reportLag = 120 * time.Millisecond
+
+// loadTime returns how long an engine takes to load a model.
+func (m *Machine) loadTime(r *pool.Replica, model string) time.Duration {
+	svc, ok := m.cfg.Service(r.Service)
+	if !ok || svc.Announced == nil || svc.Announced.Engine == nil {
+		return askEvery
+	}
+	facts, _ := svc.Announced.Engine.Model(model)
+	a := r.Announcement()
+	switch {
+	case slices.Contains(a.InMemory, model):
+		return facts.LoadHost
+	case slices.Contains(a.OnDisk, model):
+		return facts.LoadDisk
+	default:
+		return facts.Load
+	}
+}
+
 func (m *Machine) answerWaiters(e *ownedEngine, q queued, outcome AskOutcome, detail string) {
 	for _, w := range q.waiters {
 		m.answerWaiter(e, q.request, w, outcome, detail)
--- a/core/instance/exchange.go
+++ b/core/instance/exchange.go
@@ -245,6 +245,9 @@
 		WantConfig: m.wantsConfig(),
 	}
 	msg.Demand = m.demandFor(peer)
+	if msg.Demand == nil {
+		msg.Demand = m.placementDemand(peer)
+	}
 	m.uses(&msg)
 	return msg
 }
@@ -335,6 +338,7 @@
 	m.takeUses(msg)
 	if len(msg.Demand) > 0 {
 		m.board.Report(m.now, msg.From, msg.Demand)
+		m.placeSoon(msg.Demand)
 		m.planSoon(msg.Demand)
 	}
 	if msg.Revision > x.ahead.revision {
--- a/core/instance/forward.go
+++ b/core/instance/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 	"time"
 
@@ -30,6 +31,7 @@
 	alone     bool // no other prompt was being read where it was sent
 	chain     route.Chain
 	fetches   int  // orders that it waited for
+	missed    bool // it found its model on no engine
 	opened    bool // the head of an answer was passed on
 	relayable bool // the replica's own failing answer can be passed on
 }
@@ -66,9 +68,28 @@
 		c.forward.chain = route.NewChain(c.item, c.Forward.Parts)
 	}
 	m.retryWindow(name).Call(m.now)
+	if c.item != "" {
+		m.flow.Call(m.now, c.version.Model, m.workOf(c))
+	}
 	return code.Refusal{}, true
 }
 
+// decodeTime is the engine time that one token of an answer takes, beside others.
+const decodeTime = 100 * time.Microsecond
+
+// freshShare is the part of a prompt that is believed to be read anew.
+const freshShare = 0.6
+
+// workOf returns the engine time that a call is believed to take.
+func (m *Machine) workOf(c *call) time.Duration {
+	out := c.Forward.LengthHint
+	if out == 0 {
+		out = c.MaxTokens
+	}
+	read := time.Duration(freshShare * float64(c.PromptTokens) * float64(m.forwards.TokenTime(c.version.Model)))
+	return read + time.Duration(out)*decodeTime
+}
+
 // retryWindow returns the count of a service's calls and repeats.
 func (m *Machine) retryWindow(service string) *limit.Window {
 	w := m.retries[service]
@@ -165,10 +186,53 @@
 	case c.item == "" || len(c.forward.tried) > 0:
 		m.refuse(c, notRun(code.NoReplica, "no live replica", m.comeBack(0)))
 	default:
-		m.refuse(c, notRun(code.NotResident, fmt.Sprintf("%q is not resident", c.item), m.comeBack(0)))
+		m.awaitModel(c)
+	}
+}
+
+// awaitModel deals with a call whose model no engine can serve now: it waits if
+// the model can be there in time, else it is told when to come back.
+func (m *Machine) awaitModel(c *call) {
+	if !c.forward.missed {
+		c.forward.missed = true
+		m.flow.Absent(m.now, c.version.Model)
+		m.tellPlacer()
+	}
+	eta := m.modelETA(c)
+	spent := m.now.Since(c.arrived)
+	if spent+eta < c.service.Target.FirstToken {
+		m.wait(c)
+		return
 	}
+	left := c.expires.Since(m.now)
+	m.refuse(c, notRun(code.NotResident, fmt.Sprintf("%q is not resident", c.item), min(eta, left/4)))
 }
 
+// modelETA estimates when an engine will have the call's model ready.
+func (m *Machine) modelETA(c *call) time.Duration {
+	facts, ok := c.service.Announced.Engine.Model(c.version.Model)
+	if !ok {
+		return leastRetryAfter
+	}
+	best := facts.Load
+	for _, r := range m.pool.Serving(c.service.Name) {
+		if !r.Usable() {
+			continue
+		}
+		a := r.Announcement()
+		switch {
+		case slices.Contains(a.InMemory, c.version.Model):
+			best = min(best, facts.LoadHost)
+		case slices.Contains(a.OnDisk, c.version.Model):
+			best = min(best, facts.LoadDisk)
+		}
+	}
+	return best + placeTime
+}
+
+// placeTime is what passes before an order for a model that is missed is given.
+const placeTime = 600 * time.Millisecond
+
 // dispatchForward sends a forwarded call to the chosen replica.
 func (m *Machine) dispatchForward(c *call, e route.ForwardEstimate) {
 	if c.phase == waiting {
--- a/core/instance/machine.go
+++ b/core/instance/machine.go
@@ -94,6 +94,7 @@
 	asks      map[askKey]*ask         // orders asked for and not settled
 	refused   map[askKey]clock.Instant
 	placement placementView
+	flow      *demand.Flow // of forwarded calls
 
 	stop stopView
 }
@@ -121,6 +122,8 @@
 		engines:   map[string]*ownedEngine{},
 		asks:      map[askKey]*ask{},
 		refused:   map[askKey]clock.Instant{},
+		placement: newPlacementView(),
+		flow:      demand.NewFlow(),
 		platform:  newPlatformView(),
 		exchanges: newExchangeView(),
 		readers:   map[string]*reader{},
@@ -202,6 +205,7 @@
 	m.vanishDue()
 	m.registryDue()
 	m.enginesDue()
+	m.placementDue()
 	m.meshDue()
 	m.watchDue()
 	m.exchangeDue()
--- a/core/instance/note.go
+++ b/core/instance/note.go
@@ -27,6 +27,9 @@
 	NoteOrderLost       Number = 1403
 	NoteOrderFenced     Number = 1404
 	NoteOvercommitAvert Number = 1405
+	NotePlacing         Number = 1321
+	NotePlaced          Number = 1322
+	NotePlaceEnded      Number = 1323
 	NoteEngineOrder     Number = 1411
 	NoteEngineAnswer    Number = 1412
 	NoteEngineState     Number = 1413
@@ -69,6 +72,9 @@
 	{NoteEnrolmentLost, "enrolment_lost", "The platform dropped this instance's record; it is written again.", "None; often means that the platform was out of reach for longer than the record's term."},
 	{NoteEngineTaken, "engine_taken", "This instance orders the engine from now on, at the earliest after `wait`.", "None."},
 	{NoteEngineLost, "engine_lost", "This instance no longer orders the engine.", "None."},
+	{NotePlacing, "placing", "This instance places models from now on.", "None."},
+	{NotePlaced, "placement", "A model is to be loaded on an engine, and others to make way for it.", "None; `worth` and `cost` say why."},
+	{NotePlaceEnded, "placement_ended", "A placement is done, or was given up.", "None."},
 	{NoteOrder, "order", "An order was sent to an engine.", "None."},
 	{NoteOrderRefused, "order_refused", "An engine refused an order.", "Read the detail; an engine out of memory that the ledger thought free is a bug."},
 	{NoteOrderLost, "order_lost", "An order's answer is lost; its memory stays booked until the engine's state tells.", "Check the engine if it lasts."},
--- a/core/instance/registry.go
+++ b/core/instance/registry.go
@@ -24,20 +24,21 @@
 
 // A registryView is what the machine knows of the registry.
 type registryView struct {
-	keep      job
-	lease     uint64
-	keptAt    clock.Instant // when the last renewal that succeeded was sent
-	enrolled  bool
-	backoff   backoff.Backoff
-	known     bool // the registry was read at least once
-	steadyAt  clock.Instant
-	instances map[string]registry.Instance
-	absent    map[string]clock.Instant // since when an instance has no record
-	owners    map[string]registry.Ownership
-	learnt    map[string]clock.Instant // when each ownership was learnt
-	placer    registry.Placer
-	claimDue  clock.Instant
-	claiming  bool
+	keep       job
+	lease      uint64
+	keptAt     clock.Instant // when the last renewal that succeeded was sent
+	enrolled   bool
+	backoff    backoff.Backoff
+	known      bool // the registry was read at least once
+	steadyAt   clock.Instant
+	instances  map[string]registry.Instance
+	absent     map[string]clock.Instant // since when an instance has no record
+	owners     map[string]registry.Ownership
+	learnt     map[string]clock.Instant // when each ownership was learnt
+	placer     registry.Placer
+	placerGone clock.Instant // when the last placer's record went
+	claimDue   clock.Instant
+	claiming   bool
 }
 
 // Spacing of the registry's calls.
@@ -170,6 +171,7 @@
 	}
 	if c.PlacerGone {
 		g.placer = registry.Placer{}
+		g.placerGone = m.now
 	}
 }
 
--- a/core/orders/orders.go
+++ b/core/orders/orders.go
@@ -47,6 +47,7 @@
 	phase   pool.ItemPhase
 	readyAt clock.Instant // when an adapter on its way is believed to be there
 	usedAt  clock.Instant
+	retired bool // told to be on its way out, and not ordered out yet
 }
 
 // A Verdict says what may be done with a request.
@@ -120,6 +121,51 @@
 	return false
 }
 
+// Underway returns the model on its way in or out, and whether it comes in.
+func (e *Engine) Underway() (model string, loading bool) {
+	for _, h := range e.items {
+		if h.adapter == "" && h.phase != pool.Ready && !h.retired {
+			return h.model, h.phase == pool.Loading
+		}
+	}
+	return "", false
+}
+
+// Ordered reports whether an order on a model was taken and is not done.
+func (e *Engine) Ordered() bool {
+	model, _ := e.Underway()
+	return model != "" && e.flying == nil
+}
+
+// busyBut reports whether a model other than item is on its way in or out.
+func (e *Engine) busyBut(item string) bool {
+	for name, h := range e.items {
+		if h.adapter == "" && h.phase != pool.Ready && name != item {
+			return true
+		}
+	}
+	return false
+}
+
+// Retire has a model that is there count as on its way out, so that no more
+// calls are sent to it, before it is ordered out. Unretire takes that back.
+func (e *Engine) Retire(model string) {
+	if h, ok := e.items[model]; ok && h.phase == pool.Ready {
+		h.phase = pool.Unloading
+		h.retired = true
+		e.put(model, h)
+	}
+}
+
+// Unretire takes a Retire back that no order has followed.
+func (e *Engine) Unretire(model string) {
+	if h, ok := e.items[model]; ok && h.retired {
+		h.phase = pool.Ready
+		h.retired = false
+		e.put(model, h)
+	}
+}
+
 // Judge says what may be done with a request now.
 func (e *Engine) Judge(r Request) Verdict {
 	if !e.Known() {
@@ -127,7 +173,7 @@
 	}
 	h, here := e.items[r.Item()]
 	if !r.Load {
-		return e.judgeUnload(h, here)
+		return e.judgeUnload(r, h, here)
 	}
 	switch {
 	case here && h.phase == pool.Ready:
@@ -147,13 +193,13 @@
 	return e.judgeAdapter(r, adapterMB)
 }
 
-func (e *Engine) judgeUnload(h held, here bool) Verdict {
+func (e *Engine) judgeUnload(r Request, h held, here bool) Verdict {
 	switch {
 	case !here:
 		return NotThere
-	case h.phase == pool.Unloading:
+	case h.phase == pool.Unloading && !h.retired:
 		return Coming
-	case e.flying != nil || e.Busy() || h.phase != pool.Ready:
+	case e.flying != nil || e.busyBut(r.Item()) || h.phase == pool.Loading:
 		return Later
 	default:
 		return Order
@@ -178,7 +224,7 @@
 	if !here || model.phase != pool.Ready {
 		return NoModel
 	}
-	if e.coming() >= maxComing || e.Busy() {
+	if e.coming() >= maxComing {
 		return Later
 	}
 	if mb > e.Free() || e.slots() >= e.limits.AdapterSlots {
@@ -236,6 +282,7 @@
 	if !r.Load {
 		h = e.items[r.Item()]
 		h.phase = pool.Unloading
+		h.retired = false
 	}
 	e.put(r.Item(), h)
 }
--- a/core/pool/announced.go
+++ b/core/pool/announced.go
@@ -39,6 +39,13 @@
 	return model + "/" + adapter
 }
 
+// SplitItem returns the model and the adapter that an item of an engine names;
+// the adapter is "" for a model itself.
+func SplitItem(item string) (model, adapter string) {
+	model, adapter, _ = strings.Cut(item, "/")
+	return model, adapter
+}
+
 // items returns the items that the announcement shows as ready.
 func (a Announcement) items() map[string]ItemPhase {
 	items := make(map[string]ItemPhase, 4*len(a.Models))
@@ -191,10 +198,10 @@
 	}
 	old := r.announcedAt.Since(r.wordAt) >= staleWord
 	for item, phase := range r.items {
-		model, _, adapter := strings.Cut(item, "/")
+		model, adapter := SplitItem(item)
 		_, shown := announced[model]
 		switch {
-		case !adapter && phase == Loading && shown:
+		case adapter == "" && phase == Loading && shown:
 			r.items[item] = Ready
 		case !shown && (old && phase == Ready || phase == Unloading):
 			delete(r.items, item)
@@ -202,12 +209,16 @@
 	}
 }
 
+// Items returns where each item of the engine stands. The caller must not
+// change the map.
+func (r *Replica) Items() map[string]ItemPhase { return r.items }
+
 // Adapters returns how many adapters the engine holds, those on their way
 // included.
 func (r *Replica) Adapters() int {
 	n := 0
 	for item := range r.items {
-		if strings.Contains(item, "/") {
+		if _, adapter := SplitItem(item); adapter != "" {
 			n++
 		}
 	}
--- a/core/route/forward.go
+++ b/core/route/forward.go
@@ -23,8 +23,10 @@
 	headBonus = 0.1
 	// learnTokens is the least prompt from which the reading speed is learnt.
 	learnTokens = 400
-	// learnAlpha is the weight of one more measurement of it.
-	learnAlpha = 0.2
+	// learnStep is the share by which one more measurement moves the estimate,
+	// learnQuantile the share of measurements that should lie below it.
+	learnStep     = 0.15
+	learnQuantile = 0.4
 	// firstOverhead is what a first event takes beside reading the prompt.
 	firstOverhead = 8 * time.Millisecond
 	// suspectCost is added for each failure in a row.
@@ -79,7 +81,9 @@
 }
 
 // Learn takes in how long a first event took, of a call with so many tokens to
-// read on an engine that had no other prompt to read.
+// read on an engine that had no other prompt to read. What else happens there
+// makes some measurements too long, and parts that are kept there unknown to
+// this instance make others too short; so the estimate follows a quantile.
 func (f *Forwards) Learn(model string, tokens int, took time.Duration) {
 	if tokens < learnTokens {
 		return
@@ -87,10 +91,15 @@
 	sample := max(took-firstOverhead, time.Millisecond) / time.Duration(tokens)
 	old, ok := f.perToken[model]
 	if !ok {
-		f.perToken[model] = sample
+		f.perToken[model] = min(sample, defaultTokenTime)
 		return
 	}
-	f.perToken[model] = time.Duration((1-learnAlpha)*float64(old) + learnAlpha*float64(sample))
+	step := learnStep * float64(old)
+	if sample > old {
+		f.perToken[model] = old + time.Duration(step*learnQuantile)
+		return
+	}
+	f.perToken[model] = old - time.Duration(step*(1-learnQuantile))
 }
 
 // Sent notes that a prompt goes to an engine that keeps so many tokens.
