An engine that is busy with an unknown order is not ordered

Change: such a state leaves the ledger in doubt until the engine is done. Test: TestAnUnknownModelOnItsWayBlocks fails without it.

--- a/core/orders/orders.go
+++ b/core/orders/orders.go
@@ -389,8 +389,11 @@
 	}
 	e.replace(now, s)
 	e.known = true
-	e.doubtful = false
 	e.sequence = s.Sequence
+	// A model that another owner's order brings takes memory, and the engine
+	// does not say which it is: nothing may be ordered until it is done.
+	model, _ := e.Underway()
+	e.doubtful = s.Busy && model == ""
 }
 
 // Announced takes in the models that the engine says, unasked, to hold. It does
--- /dev/null
+++ b/core/orders/orders_test.go
@@ -0,0 +1,150 @@
+package orders
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/birchdrift/birchdrift/core/clock"
+	"github.com/birchdrift/birchdrift/core/pool"
+)
+
+const (
+	modelMB   = 70
+	adapterMB = 1
+)
+
+func sizes(model string) (int64, int64, bool) { return modelMB, adapterMB, model != "unknown" }
+
+var start = clock.At(time.Hour)
+
+// engine returns the ledger of an engine that holds the models, after so many
+// orders.
+func engine(sequence uint64, models ...string) *Engine {
+	e := New("e", "10.0.0.1:80", 7, start, Limits{MemoryMB: 3*modelMB + 8, AdapterSlots: 2}, sizes)
+	e.Observe(start, stateOf(sequence, models...))
+	return e
+}
+
+func stateOf(sequence uint64, models ...string) State {
+	s := State{Sequence: sequence}
+	for _, m := range models {
+		s.Models = append(s.Models, pool.AnnouncedModel{Name: m})
+	}
+	return s
+}
+
+func load(model, adapter string) Request {
+	return Request{Load: true, Model: model, Adapter: adapter}
+}
+
+// TestJudge tables what an owner may order in which state.
+func TestJudge(t *testing.T) {
+	cases := []struct {
+		name string
+		make func() *Engine
+		ask  Request
+		want Verdict
+	}{
+		{"nothing known yet", func() *Engine { return New("e", "a", 1, start, Limits{}, sizes) }, load("m", ""), Unknown},
+		{"room for a model", func() *Engine { return engine(1, "a", "b") }, load("c", ""), Order},
+		{"no room for a model", func() *Engine { return engine(1, "a", "b", "c") }, load("d", ""), NoRoom},
+		{"a model that is there", func() *Engine { return engine(1, "a") }, load("a", ""), Holds},
+		{"a model nobody can size", func() *Engine { return engine(1) }, load("unknown", ""), Unsized},
+		{"an adapter without its model", func() *Engine { return engine(1, "a") }, load("b", "x"), NoModel},
+		{"an adapter of a model there", func() *Engine { return engine(1, "a") }, load("a", "x"), Order},
+		{"while an order is without an answer", func() *Engine {
+			e := engine(1, "a")
+			e.Send(load("a", "x"))
+			return e
+		}, load("a", "y"), Later},
+		{"an adapter on its way", func() *Engine {
+			e := engine(1, "a")
+			e.Send(load("a", "x"))
+			e.Taken(start, time.Second)
+			return e
+		}, load("a", "x"), Coming},
+		{"no slot left", func() *Engine {
+			e := engine(1, "a")
+			for _, x := range []string{"x", "y"} {
+				e.Send(load("a", x))
+				e.Taken(start, 0)
+				e.Settle(start)
+			}
+			return e
+		}, load("a", "z"), NoRoom},
+		{"a second model while one is on its way", func() *Engine {
+			e := engine(1, "a")
+			e.Send(load("b", ""))
+			e.Taken(start, 0)
+			return e
+		}, load("c", ""), Later},
+		{"after a lost answer", func() *Engine {
+			e := engine(1, "a")
+			e.Send(load("b", ""))
+			e.Lost()
+			return e
+		}, load("a", "x"), Unknown},
+		{"dropping what is not there", func() *Engine { return engine(1, "a") }, Request{Model: "b"}, NotThere},
+		{"dropping what is told to be leaving", func() *Engine {
+			e := engine(1, "a")
+			e.Retire("a")
+			return e
+		}, Request{Model: "a"}, Order},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(c.make().Judge(c.ask), c.want)
+		})
+	}
+}
+
+// TestAnUnknownModelOnItsWayBlocks: a new owner finds the engine busy with an
+// order of the former one. The model takes memory that no list shows, and an
+// order to load another once overfilled the engine.
+func TestAnUnknownModelOnItsWayBlocks(t *testing.T) {
+	is := is.New(t)
+	e := New("e", "a", 9, start, Limits{MemoryMB: 3*modelMB + 8, AdapterSlots: 2}, sizes)
+	busy := stateOf(6, "a", "b")
+	busy.Busy = true
+	e.Observe(start, busy)
+	is.Equal(e.Judge(load("c", "")), Unknown)
+	is.True(e.Doubtful()) // it must be asked again
+	e.Observe(start, stateOf(6, "a", "b", "d"))
+	is.Equal(e.Judge(load("c", "")), NoRoom)
+}
+
+// TestALateOrderIsVoid: what an unanswered order would do stays booked until the
+// engine was asked, and the next order names the count that the engine gave.
+func TestALateOrderIsVoid(t *testing.T) {
+	is := is.New(t)
+	e := engine(4, "a", "b")
+	e.Send(load("c", ""))
+	e.Lost()
+	is.Equal(e.Free(), int64(8)) // booked
+	e.Observe(start, stateOf(3)) // older than what was answered: says nothing
+	is.Equal(e.Free(), int64(8))
+	e.Observe(start, stateOf(4, "a", "b"))
+	is.Equal(e.Judge(load("d", "")), Order)
+	is.Equal(e.Sequence(), uint64(4)) // so the lost one is void once this is taken
+	e.Send(load("d", ""))
+	e.Taken(start, 0)
+	is.Equal(e.Sequence(), uint64(5))
+}
+
+// TestAnnouncementsEndOrdersOnModels: an engine announces a model when it is
+// done, and one that nobody ordered shows that a late order took effect.
+func TestAnnouncementsEndOrdersOnModels(t *testing.T) {
+	is := is.New(t)
+	e := engine(1, "a")
+	e.Send(load("b", ""))
+	e.Taken(start, 0)
+	e.Announced([]pool.AnnouncedModel{{Name: "a"}})
+	is.Equal(e.Phase("b"), pool.Loading)
+	e.Announced([]pool.AnnouncedModel{{Name: "a"}, {Name: "b"}})
+	is.Equal(e.Phase("b"), pool.Ready)
+	e.Announced([]pool.AnnouncedModel{{Name: "a"}, {Name: "b"}, {Name: "z"}})
+	is.True(e.Doubtful())
+}
