--- a/core/instance/registry.go
+++ b/core/instance/registry.go
@@ -67,10 +67,25 @@
 	if !m.opt.OneWatch || m.stop.begun {
 		return
 	}
+	if !m.mayOrderEngines() {
+		m.disown("this instance's record may have gone")
+	}
 	m.enrolDue()
 	m.claimDue()
 }
 
+// disown has this instance order nothing any more. Others may have taken its
+// engines and its place as the placer without its knowledge, so it must claim
+// them anew.
+func (m *Machine) disown(why string) {
+	for _, name := range sortedKeys(m.engines) {
+		m.loseEngine(name, why)
+	}
+	if m.registry.placer.Name == m.self.Name {
+		m.registry.placer = registry.Placer{}
+	}
+}
+
 func (m *Machine) enrolDue() {
 	g := &m.registry
 	if !g.keep.ready(m.now) {
@@ -106,6 +121,7 @@
 	case e.Over:
 		m.note(NoteEnrolmentLost, "lease", e.Lease)
 		g.enrolled = false
+		m.disown("this instance's record went")
 		g.keep.end(m.now)
 		m.registryAnswered()
 	case e.Err != nil:
@@ -266,7 +282,7 @@
 	old, owned := m.registry.owners[r.Name]
 	claim := registry.Ownership{Engine: r.Name, Owner: m.self.Name, Boot: m.self.Boot, Revision: old.Revision}
 	if owned && old.Owner == m.self.Name {
-		return claim, old.Boot != m.self.Boot
+		return claim, m.engines[r.Name] == nil
 	}
 	since, free := m.freeSince(r, old, owned)
 	if !free {
