Settings are reloaded; the placer takes its record again

Change: settings come from a YAML file under their flags' names too (--node-file), read again at SIGHUP and when the file changes; wrong ones change nothing and say so (1006).

--- a/cmd/birchdrift/main.go
+++ b/cmd/birchdrift/main.go
@@ -55,7 +55,13 @@
 }
 
 func run(_ context.Context, cmd *cli.Command) error {
-	set, faults := settings.Parse(cmd.String)
+	source := settings.Source{
+		Path: cmd.String(settings.NodeFile),
+		Given: func(name string) (string, bool) {
+			return cmd.String(name), cmd.IsSet(name)
+		},
+	}
+	set, file, faults := source.Read()
 	if len(faults) > 0 {
 		for _, f := range faults {
 			fmt.Fprintln(os.Stderr, "birchdrift:", f)
@@ -66,6 +72,7 @@
 	if err != nil {
 		return cli.Exit(fmt.Sprintf("birchdrift: BD-501 bad_setting: %v", err), exitFailed)
 	}
+	s.Follow(source, file)
 	cut, err := s.Run()
 	if err != nil {
 		return cli.Exit(fmt.Sprintf("birchdrift: BD-901 internal: %v", err), exitFailed)
--- a/core/instance/engines.go
+++ b/core/instance/engines.go
@@ -37,7 +37,6 @@
 // A waiter is who is told of the outcome: a peer, or this instance itself.
 type waiter struct {
 	token uint64 // of the peer's question; 0 for this instance
-	start bool   // told when the order is taken, rather than when it is done
 }
 
 // Tunables of orders.
--- a/core/instance/event.go
+++ b/core/instance/event.go
@@ -275,6 +275,11 @@
 	Tick struct{}
 	// Stop begins a planned stop; a second one ends it at once.
 	Stop struct{}
+	// Retune takes over changed tunables and seeds.
+	Retune struct {
+		Options Options
+		Seeds   []string
+	}
 )
 
 // An Intent is one order written to the platform before it is sent, because
@@ -317,6 +322,7 @@
 func (EngineStateReply) event() {}
 func (OrderAsked) event()       {}
 func (AskOrderReply) event()    {}
+func (Retune) event()           {}
 func (Tick) event()             {}
 func (Stop) event()             {}
 
--- a/core/instance/machine.go
+++ b/core/instance/machine.go
@@ -195,10 +195,24 @@
 		m.exchangeAsked(e)
 	case Stop:
 		m.beginStop()
+	case Retune:
+		m.retune(e)
 	case Tick:
 	}
 }
 
+// retune takes over tunables that may change while the machine runs. What its
+// driver was built with stays.
+func (m *Machine) retune(e Retune) {
+	pick, plan, disable := m.opt.Pick, m.opt.Plan, m.opt.Disable
+	if e.Options.RetryWindow != m.opt.RetryWindow {
+		clear(m.retries)
+	}
+	m.opt = e.Options
+	m.opt.Pick, m.opt.Plan, m.opt.Disable = pick, plan, disable
+	m.self.Seeds = e.Seeds
+}
+
 // runDue begins whatever periodic work is due.
 func (m *Machine) runDue() {
 	m.expireForwards()
--- a/core/instance/note.go
+++ b/core/instance/note.go
@@ -1,5 +1,7 @@
 package instance
 
+import "fmt"
+
 // A Number is the number of one log event.
 type Number int
 
@@ -9,6 +11,8 @@
 	NoteStopping        Number = 1002
 	NoteStopped         Number = 1003
 	NoteListening       Number = 1004
+	NoteReloaded        Number = 1005
+	NoteReloadRefused   Number = 1006
 	NoteInstalled       Number = 1101
 	NoteOlderIgnored    Number = 1102
 	NoteConfigFailed    Number = 1103
@@ -45,6 +49,23 @@
 	NoteBug             Number = 1901
 )
 
+// names are the catalogue's names by number.
+var names = func() map[Number]string {
+	m := make(map[Number]string, len(Catalogue))
+	for _, e := range Catalogue {
+		m[e.Number] = e.Name
+	}
+	return m
+}()
+
+// Name returns the event's name in the catalogue.
+func (n Number) Name() string {
+	if name, ok := names[n]; ok {
+		return name
+	}
+	return fmt.Sprintf("event_%d", int(n))
+}
+
 // An Entry describes one log event for people.
 type Entry struct {
 	Number  Number
@@ -59,6 +80,8 @@
 	{NoteStopping, "stopping", "A planned stop began.", "None."},
 	{NoteStopped, "stopped", "The stop is complete; `cut` counts the calls that it cut off.", "If `cut` is not 0, raise `--stop-limit`."},
 	{NoteListening, "listening", "A listener accepts connections.", "None."},
+	{NoteReloaded, "settings_reloaded", "Changed settings are in force; those that need a restart keep their old value until then.", "None."},
+	{NoteReloadRefused, "settings_refused", "The changed settings are wrong; the old ones stay in force.", "Mend what the detail names."},
 	{NoteInstalled, "configuration_installed", "A configuration revision is in force on this instance.", "None."},
 	{NoteOlderIgnored, "older_configuration_ignored", "Somebody offered a revision that is not newer than the one in force.", "None; a burst after a zone heals is usual."},
 	{NoteConfigFailed, "configuration_failed", "A stored configuration could not be taken over; the one in force stays.", "Apply a good one with `birchctl apply`."},
--- a/core/instance/placement.go
+++ b/core/instance/placement.go
@@ -40,6 +40,7 @@
 type placementView struct {
 	seekDue  clock.Instant
 	seeking  bool
+	held     bool // this instance has the placer's record, by its last write
 	due      clock.Instant
 	active   bool
 	since    clock.Instant // when this instance became the placer
@@ -55,7 +56,6 @@
 	place.Change
 	begun   clock.Instant
 	askedAt clock.Instant
-	loading bool // the load was taken by the engine
 }
 
 func newPlacementView() placementView {
@@ -64,8 +64,7 @@
 
 // placing reports whether this instance places models.
 func (m *Machine) placing() bool {
-	p := m.registry.placer
-	return p.Name == m.self.Name && p.Boot == m.self.Boot && m.mayOrderEngines()
+	return m.placement.held && m.mayOrderEngines()
 }
 
 // placementDue seeks the placer's record while nobody has it, and places models
@@ -98,8 +97,9 @@
 	m.placeModels()
 }
 
-// seekPlacement writes the placer's record where there is none. Instances come
-// in the order of their rank, should those before them not do it.
+// seekPlacement writes the placer's record where there is none, or where it is
+// this instance's from before it may have lost it. Instances come in the order
+// of their rank, should those before them not do it.
 func (m *Machine) seekPlacement() {
 	v := &m.placement
 	g := &m.registry
@@ -107,14 +107,14 @@
 		return
 	}
 	v.seekDue = m.now.Add(m.jitter(claimEvery))
-	if g.placer.Name != "" && (g.placer.Name != m.self.Name || g.placer.Boot == m.self.Boot) {
+	if g.placer.Name != "" && g.placer.Name != m.self.Name {
 		return
 	}
-	if m.now.Before(later(g.steadyAt, g.placerGone).Add(time.Duration(m.placerRank()) * claimStep)) {
+	if g.placer.Name == "" && m.now.Before(later(g.steadyAt, g.placerGone).Add(time.Duration(m.placerRank())*claimStep)) {
 		return
 	}
 	v.seeking = true
-	m.do(WriteRegistry{Write: RegistryWrite{Placer: &registry.Placer{Name: m.self.Name, Boot: m.self.Boot}}, Lease: g.lease})
+	m.do(WriteRegistry{Write: RegistryWrite{Placer: &registry.Placer{Name: m.self.Name, Boot: m.self.Boot, Revision: g.placer.Revision}}, Lease: g.lease})
 }
 
 func (m *Machine) placerRank() int {
@@ -140,6 +140,15 @@
 	}
 	m.registry.placer = *e.Write.Placer
 	m.registry.placer.Revision = e.Revision
+	m.placement.held = true
+}
+
+// takePlacer takes in who the registry says the placer is.
+func (m *Machine) takePlacer(p registry.Placer) {
+	m.registry.placer = p
+	if p.Name != m.self.Name || p.Boot != m.self.Boot {
+		m.placement.held = false
+	}
 }
 
 // placeModels goes on with the changes under way, then begins new ones.
--- a/core/instance/registry.go
+++ b/core/instance/registry.go
@@ -81,9 +81,7 @@
 	for _, name := range sortedKeys(m.engines) {
 		m.loseEngine(name, why)
 	}
-	if m.registry.placer.Name == m.self.Name {
-		m.registry.placer = registry.Placer{}
-	}
+	m.placement.held = false
 }
 
 func (m *Machine) enrolDue() {
@@ -183,10 +181,10 @@
 		m.loseEngine(engine, "its record went")
 	}
 	if c.Placer != nil {
-		g.placer = *c.Placer
+		m.takePlacer(*c.Placer)
 	}
 	if c.PlacerGone {
-		g.placer = registry.Placer{}
+		m.takePlacer(registry.Placer{})
 		g.placerGone = m.now
 	}
 }
@@ -213,8 +211,9 @@
 			m.loseEngine(engine, "its record went")
 		}
 	}
-	if c.Placer == nil {
-		g.placer = registry.Placer{}
+	if c.Placer == nil && g.placer.Name != "" {
+		m.takePlacer(registry.Placer{})
+		g.placerGone = m.now
 	}
 }
 
--- /dev/null
+++ b/internal/server/follow.go
@@ -0,0 +1,76 @@
+package server
+
+import (
+	"bytes"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/birchdrift/birchdrift/core/instance"
+	"github.com/birchdrift/birchdrift/internal/settings"
+)
+
+// followEvery spaces the looks at the settings file, which may change without a
+// signal.
+const followEvery = 2 * time.Second
+
+// memoryShare is the part of the memory limit that the runtime aims at; the rest
+// is for what it does not count.
+const memoryShare = 0.8
+
+// limitMemory has the runtime collect more eagerly near the limit, in MiB.
+func limitMemory(mib int64) {
+	if mib > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(mib<<20)))
+	}
+}
+
+// Follow has the server take over changes of its settings, which were read from
+// source and stood in file.
+func (s *Server) Follow(source settings.Source, file []byte) {
+	s.source = source
+	s.file = file
+}
+
+// follow takes over changed settings until the server ends: at SIGHUP, and when
+// the file is seen to have changed.
+func (s *Server) follow() error {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	ticker := time.NewTicker(followEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-s.ctx.Done():
+			return nil
+		case <-signals:
+			s.reload()
+		case <-ticker.C:
+			if data := s.source.Bytes(); data != nil && !bytes.Equal(data, s.file) {
+				s.reload()
+			}
+		}
+	}
+}
+
+// reload reads the settings again. Wrong ones change nothing.
+func (s *Server) reload() {
+	if s.source.Given == nil {
+		return
+	}
+	set, file, faults := s.source.Read()
+	s.file = file
+	if len(faults) > 0 {
+		for _, f := range faults {
+			s.log.Info(instance.NoteReloadRefused.Name(), "event", int(instance.NoteReloadRefused), "detail", f.Error())
+		}
+		return
+	}
+	s.level.Set(set.LogLevel)
+	limitMemory(set.MemoryLimit)
+	s.shell.Retune(instance.Retune{Options: set.Options(), Seeds: set.Seeds})
+	s.log.Info(instance.NoteReloaded.Name(), "event", int(instance.NoteReloaded), "settings", set.String())
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"os"
@@ -47,6 +48,10 @@
 	tracer    *telemetry.Tracer
 	shell     *shell.Shell
 	listeners []*listener
+	level     *slog.LevelVar
+	source    settings.Source
+	file      []byte // of the settings in force
+	ctx       context.Context
 	cancel    context.CancelFunc
 }
 
@@ -77,12 +82,15 @@
 // environment that enter joins it to; Run starts it. Logs go to logs, spans to
 // spans.
 func New(set settings.Settings, opt instance.Options, enter Enter, logs, spans io.Writer) (*Server, error) {
-	log := telemetry.NewLogger(logs, set.LogLevel, set.Name, set.Zone)
+	level := new(slog.LevelVar)
+	level.Set(set.LogLevel)
+	log := telemetry.NewLogger(logs, level, set.Name, set.Zone)
 	tracer, err := telemetry.NewTracer(spans, set.Name, set.Zone, set.TraceShare)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	s := &Server{set: set, opt: opt, log: log, tracer: tracer}
+	s := &Server{set: set, opt: opt, log: log, tracer: tracer, level: level}
+	limitMemory(set.MemoryLimit)
 	if err := s.bind(); err != nil {
 		return nil, err
 	}
@@ -126,6 +134,7 @@
 	}
 	adapters.Platform.Called = metrics.PlatformCall
 	ctx, cancel := context.WithCancel(context.Background())
+	s.ctx = ctx
 	s.cancel = cancel
 	s.shell = shell.New(ctx, self, instance.New(self, s.opt, self.Boot), adapters, s.log, metrics)
 	callers := &entry.Handler{
@@ -159,6 +168,7 @@
 func (s *Server) Run() (int, error) {
 	var group errgroup.Group
 	group.Go(s.shell.Run)
+	group.Go(s.follow)
 	callers, peers, operations := s.Addresses()
 	s.log.Info("listening", "event", int(instance.NoteListening), "callers", callers, "peers", peers, "operations", operations)
 	for _, l := range s.listeners {
--- a/internal/shell/actions.go
+++ b/internal/shell/actions.go
@@ -91,22 +91,12 @@
 	case instance.Install:
 		s.snapshot.install = act.Snapshot
 	case instance.Note:
-		s.log.Info(noteName(act.Event), append([]any{"event", int(act.Event)}, act.Fields...)...)
+		s.log.Info(act.Event.Name(), append([]any{"event", int(act.Event)}, act.Fields...)...)
 	case instance.Exit:
 		s.exited <- act
 	}
 }
 
-// noteName looks a log event up in the catalogue.
-func noteName(n instance.Number) string {
-	for _, e := range instance.Catalogue {
-		if e.Number == n {
-			return e.Name
-		}
-	}
-	return fmt.Sprintf("event_%d", n)
-}
-
 func (s *Shell) work(f func(ctx context.Context)) {
 	s.workers.Go(func() { f(s.ctx) })
 }
@@ -225,7 +215,7 @@
 func (s *Shell) postConfig(data []byte, source string) {
 	snapshot, err := s.loadConfig(data)
 	if err != nil {
-		s.log.Info(noteName(instance.NoteConfigFailed), "event", int(instance.NoteConfigFailed), "source", source, "error", err.Error())
+		s.log.Info(instance.NoteConfigFailed.Name(), "event", int(instance.NoteConfigFailed), "source", source, "error", err.Error())
 		s.post(instance.ConfigReply{Source: source})
 		return
 	}
--- a/internal/shell/environment.go
+++ b/internal/shell/environment.go
@@ -92,7 +92,7 @@
 	commit := claimCommit(a.Write.Claim)
 	if p := a.Write.Placer; p != nil {
 		v := p.Value()
-		commit.Conditions = append(commit.Conditions, seam.Condition{Key: v.Key})
+		commit.Conditions = append(commit.Conditions, seam.Condition{Key: v.Key, Revision: p.Revision})
 		commit.Puts = append(commit.Puts, seam.Put{Key: v.Key, Value: v.Data, Lease: a.Lease})
 	}
 	s.metrics.PlatformCall()
--- a/internal/shell/shell.go
+++ b/internal/shell/shell.go
@@ -148,6 +148,9 @@
 // Exited delivers the machine's Exit after a stop.
 func (s *Shell) Exited() <-chan instance.Exit { return s.exited }
 
+// Retune has the machine take over changed tunables.
+func (s *Shell) Retune(r instance.Retune) { s.post(r) }
+
 // Stop begins a planned stop, or ends one that is under way.
 func (s *Shell) Stop() { s.post(instance.Stop{}) }
 
--- a/internal/telemetry/log.go
+++ b/internal/telemetry/log.go
@@ -8,7 +8,7 @@
 )
 
 // NewLogger returns a logger of JSON lines with the instance's name on each.
-func NewLogger(w io.Writer, level slog.Level, instance, zone string) logr.Logger {
+func NewLogger(w io.Writer, level slog.Leveler, instance, zone string) logr.Logger {
 	handler := slog.NewJSONHandler(w, &slog.HandlerOptions{Level: level})
 	return logr.FromSlogHandler(handler).WithValues("instance", instance, "zone", zone)
 }
