--- /dev/null
+++ b/core/instance/announced_world_test.go
@@ -0,0 +1,887 @@
+package instance
+
+import (
+	"container/heap"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sort"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/birchdrift/birchdrift/core/clock"
+	"github.com/birchdrift/birchdrift/core/config"
+	"github.com/birchdrift/birchdrift/core/orders"
+	"github.com/birchdrift/birchdrift/core/pool"
+	"github.com/birchdrift/birchdrift/core/registry"
+	"github.com/birchdrift/birchdrift/core/share"
+)
+
+// A fleet drives several machines under one clock against a store and engines
+// that announce themselves, with faults by seed, and checks after every order
+// what must hold of orders. It knows nothing of how machines decide.
+type fleet struct {
+	rng     *rand.Rand
+	now     time.Duration
+	queue   eventQueue
+	order   uint64
+	opt     Options
+	doc     config.Document
+	store   fleetStore
+	engines map[string]*fleetEngine
+	members map[string]*fleetMember
+	names   []string
+	broken  []string
+	loads   []time.Duration // when loads from the weight store began
+	served  int
+	refused int
+	orders  int
+	late    float64 // share of orders without an answer, carried out seconds later
+	lost    float64 // share of writes of the store whose answers are lost
+}
+
+// A fleetMember is one machine with what is wrong with it.
+type fleetMember struct {
+	m       *Machine
+	id      Identity
+	boot    uint64
+	dead    bool
+	frozen  bool
+	held    []func()
+	noStore bool
+	after   uint64 // the watch's position; 0 reads the whole
+	asked   map[uint64]func(OrderAnswered)
+	answers map[uint64]func(share.Message)
+	token   uint64
+}
+
+// A fleetStore is the platform's store.
+type fleetStore struct {
+	down     bool
+	revision uint64
+	values   map[string]*fleetValue
+	log      []fleetChange
+	leases   map[uint64]*fleetLease
+	next     uint64
+}
+
+type fleetValue struct {
+	data     any // *registry.Ownership, *registry.Instance, *registry.Placer or *pool.Announcement
+	revision uint64
+	lease    uint64
+}
+
+type fleetChange struct {
+	key      string
+	value    *fleetValue // nil: gone
+	revision uint64
+}
+
+type fleetLease struct {
+	expires time.Duration
+	term    time.Duration
+}
+
+// A fleetEngine is one engine that announces itself.
+type fleetEngine struct {
+	name     string
+	zone     string
+	sequence uint64
+	models   map[string]bool
+	adapters map[string]bool // MODEL/ADAPTER
+	busy     bool
+	pending  string // the model that comes
+	onDisk   map[string]bool
+	holder   string
+	heldAt   time.Duration
+	fence    uint64
+	gone     bool
+}
+
+const (
+	fleetModelMB = 70
+	fleetRate    = 0.4 // loads from the weight store a second
+	fleetEngines = 6
+	fleetModels  = 12
+)
+
+func fleetDocument() config.Document {
+	engine := &config.EnginePool{Sequences: 8, CacheTokens: 1000, MemoryMB: 3*fleetModelMB + 5, AdapterSlots: 2, LoadsPerSec: fleetRate}
+	for i := range fleetModels {
+		engine.Models = append(engine.Models, config.PooledModel{
+			Name: fmt.Sprintf("m%d", i), MemoryMB: fleetModelMB, Adapters: 4, AdapterMB: 1,
+			Load: 4 * time.Second, LoadDisk: 800 * time.Millisecond, LoadHost: 400 * time.Millisecond,
+		})
+	}
+	return config.Document{
+		Revision: 1,
+		Services: []config.Service{{Name: "llm", Announced: &config.Announced{Engine: engine}}},
+		Forwards: []config.Forward{{
+			Name: "f", Host: "h", Prefix: "/", Kind: config.Stream, Resumable: true,
+			Timeout: 5 * time.Second, Target: time.Second, MaxAttempts: 2, Split: []config.Share{{Service: "llm", Weight: 1}},
+		}},
+	}
+}
+
+func newFleet(seed uint64, members int) *fleet {
+	return newFleetWith(seed, members, Disabled{}, false)
+}
+
+// newFleetWith returns a fleet with mechanisms switched off; with empty, its
+// engines hold nothing at the start.
+func newFleetWith(seed uint64, members int, disable Disabled, empty bool) *fleet {
+	f := &fleet{
+		rng:     rand.New(rand.NewPCG(seed, 77)),
+		opt:     DefaultOptions(),
+		doc:     fleetDocument(),
+		store:   fleetStore{values: map[string]*fleetValue{}, leases: map[uint64]*fleetLease{}},
+		engines: map[string]*fleetEngine{},
+		members: map[string]*fleetMember{},
+	}
+	f.opt.Disable = disable
+	f.opt.OneWatch = true
+	f.opt.MeshEvery = 250 * time.Millisecond
+	f.opt.WatchEvery = 200 * time.Millisecond
+	f.opt.WatchWait = 1500 * time.Millisecond
+	f.opt.Watchers = 3
+	for i := range fleetEngines {
+		e := &fleetEngine{
+			name: fmt.Sprintf("e%d", i), zone: fmt.Sprintf("z%d", i%2),
+			models: map[string]bool{}, adapters: map[string]bool{}, onDisk: map[string]bool{},
+		}
+		for k := range 3 {
+			if empty {
+				break
+			}
+			e.models[fmt.Sprintf("m%d", (i*3+k)%fleetModels)] = true
+			e.onDisk[fmt.Sprintf("m%d", (i*3+k)%fleetModels)] = true
+			e.onDisk[fmt.Sprintf("m%d", (i*5+k)%fleetModels)] = true
+		}
+		f.engines[e.name] = e
+		f.announce(e)
+	}
+	for i := range members {
+		name := fmt.Sprintf("i%d", i)
+		f.names = append(f.names, name)
+		f.members[name] = &fleetMember{id: Identity{Name: name, Zone: fmt.Sprintf("z%d", i%2), Address: name}}
+		f.start(name)
+	}
+	return f
+}
+
+func (f *fleet) at(d time.Duration, do func()) {
+	f.order++
+	heap.Push(&f.queue, scheduled{at: f.now + d, order: f.order, do: do})
+}
+
+// run drives the fleet for a span.
+func (f *fleet) run(span time.Duration) {
+	end := f.now + span
+	for f.queue.Len() > 0 && f.queue[0].at <= end {
+		next := heap.Pop(&f.queue).(scheduled)
+		f.now = next.at
+		next.do()
+	}
+	f.now = end
+}
+
+func (f *fleet) fault(format string, args ...any) {
+	f.broken = append(f.broken, fmt.Sprintf("%v: ", f.now)+fmt.Sprintf(format, args...))
+}
+
+// start begins a new process on a member's machine.
+func (f *fleet) start(name string) {
+	n := f.members[name]
+	n.boot++
+	n.dead = false
+	n.frozen = false
+	n.held = nil
+	n.after = 0
+	n.id.Boot = n.boot
+	n.asked = map[uint64]func(OrderAnswered){}
+	n.answers = map[uint64]func(share.Message){}
+	n.m = New(n.id, f.opt, f.rng.Uint64())
+	f.tick(n, n.boot)
+}
+
+func (f *fleet) tick(n *fleetMember, boot uint64) {
+	if n.dead || n.boot != boot {
+		return
+	}
+	f.step(n, boot, Tick{})
+	f.at(max(n.m.NextWake(), 4*time.Millisecond), func() { f.tick(n, boot) })
+}
+
+// step hands an event to a machine, or holds it while the machine is frozen.
+func (f *fleet) step(n *fleetMember, boot uint64, ev Event) {
+	switch {
+	case n.dead || n.boot != boot:
+		return
+	case n.frozen:
+		n.held = append(n.held, func() { f.step(n, boot, ev) })
+		return
+	}
+	for _, a := range slices.Clone(n.m.Step(clock.At(time.Hour+f.now), ev)) {
+		f.do(n, boot, a)
+	}
+}
+
+func (f *fleet) thaw(n *fleetMember) {
+	n.frozen = false
+	held := n.held
+	n.held = nil
+	for _, do := range held {
+		do()
+	}
+}
+
+const fleetWay = 2 * time.Millisecond
+
+func (f *fleet) do(n *fleetMember, boot uint64, a Action) {
+	reply := func(d time.Duration, ev Event) { f.at(d, func() { f.step(n, boot, ev) }) }
+	switch act := a.(type) {
+	case WatchPlatform:
+		f.at(fleetWay, func() { f.watch(n, boot, act.Wait) })
+	case Enrol:
+		f.storeCall(n, func() (Event, bool) { return f.enrol(act), true }, func(err error) Event { return EnrolReply{Err: err} }, reply)
+	case KeepEnrolled:
+		sent := clock.At(time.Hour + f.now)
+		f.storeCall(n, func() (Event, bool) {
+			l := f.store.leases[act.Lease]
+			if l == nil {
+				return KeepReply{Sent: sent, Lease: act.Lease, Over: true, Err: errors.New("over")}, false
+			}
+			l.expires = f.now + l.term
+			return KeepReply{Sent: sent, Lease: act.Lease}, false
+		}, func(err error) Event { return KeepReply{Lease: act.Lease, Err: err} }, reply)
+	case Resign:
+		f.storeCall(n, func() (Event, bool) {
+			for _, o := range act.Give {
+				f.writeOwnership(o)
+			}
+			f.endLease(act.Lease)
+			return Tick{}, false
+		}, func(error) Event { return Tick{} }, reply)
+	case WriteRegistry:
+		sent := clock.At(time.Hour + f.now)
+		f.storeCall(n, func() (Event, bool) { return f.write(act, sent), true }, func(err error) Event { return WriteReply{Write: act.Write, Err: err} }, reply)
+	case EngineOrder:
+		f.sendOrder(n, act, reply)
+	case AskEngine:
+		f.at(fleetWay, func() {
+			e := f.engines[act.Engine]
+			reply(fleetWay, EngineStateReply{Engine: act.Engine, State: e.state()})
+		})
+	case AskOrder:
+		f.askPeer(n, act, reply)
+	case OrderAnswered:
+		if do := n.asked[act.Token]; do != nil {
+			delete(n.asked, act.Token)
+			do(act)
+		}
+	case Exchange:
+		f.exchange(n, act, reply)
+	case Answer:
+		if do := n.answers[act.Token]; do != nil {
+			delete(n.answers, act.Token)
+			do(act.Message)
+		}
+	case Dispatch:
+		f.serve(act, reply)
+	case Finish:
+		f.refused++
+	case Relay:
+	}
+}
+
+// serve has a call run, or be refused, at its engine.
+func (f *fleet) serve(d Dispatch, reply func(time.Duration, Event)) {
+	e := f.engines[d.Replica]
+	if e == nil || e.gone || !e.models[d.Model] || d.Adapter != "" && !e.adapters[d.Model+"/"+d.Adapter] {
+		reply(2*fleetWay, Broke{ID: d.ID, Attempt: d.Attempt, Phase: 4, Misdirected: true, Incarnation: d.Replica})
+		return
+	}
+	f.served++
+	reply(30*time.Millisecond, First{ID: d.ID})
+	reply(400*time.Millisecond, Done{ID: d.ID})
+}
+
+// storeCall makes one call of the store. A write may take effect without an
+// answer, and seconds later.
+func (f *fleet) storeCall(n *fleetMember, do func() (ev Event, write bool), failed func(error) Event, reply func(time.Duration, Event)) {
+	errLost := errors.New("no answer")
+	if n.noStore {
+		reply(time.Second, failed(errLost))
+		return
+	}
+	f.at(fleetWay, func() {
+		if f.store.down {
+			reply(fleetWay, failed(errors.New("refused")))
+			return
+		}
+		if f.rng.Float64() < f.lost {
+			f.at(time.Duration(f.rng.IntN(6000))*time.Millisecond, func() { do() })
+			reply(time.Second, failed(errLost))
+			return
+		}
+		ev, _ := do()
+		reply(fleetWay, ev)
+	})
+}
+
+func (f *fleet) change(key string, v *fleetValue) uint64 {
+	f.store.revision++
+	if v != nil {
+		v.revision = f.store.revision
+		f.store.values[key] = v
+	} else {
+		delete(f.store.values, key)
+	}
+	f.store.log = append(f.store.log, fleetChange{key: key, value: v, revision: f.store.revision})
+	return f.store.revision
+}
+
+func (f *fleet) announce(e *fleetEngine) {
+	a := &pool.Announcement{Service: "llm", Address: e.name, Zone: e.zone, Slots: 8, Engine: true}
+	for _, m := range sortedKeys(e.models) {
+		a.Models = append(a.Models, pool.AnnouncedModel{Name: m})
+	}
+	a.OnDisk = sortedKeys(e.onDisk)
+	f.change("servers/"+e.name, &fleetValue{data: a})
+}
+
+func (f *fleet) enrol(a Enrol) Event {
+	f.store.next++
+	lease := f.store.next
+	f.store.leases[lease] = &fleetLease{expires: f.now + a.Term, term: a.Term}
+	i := a.Instance
+	f.change("instances/"+i.Name, &fleetValue{data: &i, lease: lease})
+	return EnrolReply{Sent: clock.At(time.Hour + f.now), Lease: lease}
+}
+
+func (f *fleet) endLease(lease uint64) {
+	delete(f.store.leases, lease)
+	for _, key := range sortedKeys(f.store.values) {
+		if f.store.values[key].lease == lease {
+			f.change(key, nil)
+		}
+	}
+}
+
+// expire ends the leases whose time is over, while the store is up.
+func (f *fleet) expire() {
+	var over []uint64
+	for id, l := range f.store.leases {
+		if !f.store.down && f.now >= l.expires {
+			over = append(over, id)
+		}
+	}
+	sort.Slice(over, func(i, j int) bool { return over[i] < over[j] })
+	for _, id := range over {
+		f.endLease(id)
+	}
+	f.at(100*time.Millisecond, f.expire)
+}
+
+func (f *fleet) writeOwnership(o registry.Ownership) bool {
+	key := "owners/" + o.Engine
+	have := uint64(0)
+	if v := f.store.values[key]; v != nil {
+		have = v.revision
+	}
+	if have != o.Revision {
+		return false
+	}
+	f.change(key, &fleetValue{data: &o})
+	return true
+}
+
+func (f *fleet) write(a WriteRegistry, sent clock.Instant) Event {
+	r := WriteReply{Write: a.Write, Sent: sent}
+	if p := a.Write.Placer; p != nil {
+		have := uint64(0)
+		if v := f.store.values["placer"]; v != nil {
+			have = v.revision
+		}
+		if have != p.Revision || f.store.leases[a.Lease] == nil {
+			r.Conflict = true
+			return r
+		}
+		q := *p
+		r.Revision = f.change("placer", &fleetValue{data: &q, lease: a.Lease})
+		return r
+	}
+	for _, o := range a.Write.Claim {
+		v := f.store.values["owners/"+o.Engine]
+		if (v == nil) != (o.Revision == 0) || v != nil && v.revision != o.Revision {
+			r.Conflict = true
+			return r
+		}
+	}
+	// All of one write have the same revision.
+	f.store.revision++
+	for _, o := range a.Write.Claim {
+		own := o
+		v := &fleetValue{data: &own, revision: f.store.revision}
+		f.store.values["owners/"+o.Engine] = v
+		f.store.log = append(f.store.log, fleetChange{key: "owners/" + o.Engine, value: v, revision: f.store.revision})
+	}
+	r.Revision = f.store.revision
+	return r
+}
+
+// watch answers when something changed, or when the wait is over.
+func (f *fleet) watch(n *fleetMember, boot uint64, wait time.Duration) {
+	switch {
+	case n.dead || n.boot != boot:
+		return
+	case n.noStore || f.store.down:
+		f.at(wait+time.Second, func() { f.step(n, boot, WatchReply{Err: errors.New("no answer")}) })
+		return
+	}
+	whole := n.after == 0
+	var changes []fleetChange
+	if whole {
+		for _, key := range sortedKeys(f.store.values) {
+			changes = append(changes, fleetChange{key: key, value: f.store.values[key], revision: f.store.values[key].revision})
+		}
+	} else {
+		for _, c := range f.store.log {
+			if c.revision > n.after {
+				changes = append(changes, c)
+			}
+		}
+	}
+	if len(changes) == 0 && wait > 0 {
+		f.at(20*time.Millisecond, func() { f.watch(n, boot, wait-20*time.Millisecond) })
+		return
+	}
+	n.after = f.store.revision
+	f.at(fleetWay, func() { f.deliver(n, boot, changes, whole) })
+}
+
+func (f *fleet) deliver(n *fleetMember, boot uint64, changes []fleetChange, whole bool) {
+	if whole {
+		snapshot, err := config.NewSnapshot(f.doc)
+		if err != nil {
+			panic(err)
+		}
+		f.step(n, boot, ConfigReply{Snapshot: snapshot, Source: PlatformSource})
+	}
+	list := ListReply{Whole: whole, Version: f.store.revision}
+	reg := registry.Change{Whole: whole}
+	for _, c := range changes {
+		addFleetChange(&list, &reg, c)
+	}
+	f.step(n, boot, list)
+	f.step(n, boot, RegistryReply{Change: reg})
+	f.step(n, boot, WatchReply{})
+}
+
+func addFleetChange(list *ListReply, reg *registry.Change, c fleetChange) {
+	kind, name, _ := cutKey(c.key)
+	gone := c.value == nil
+	switch kind {
+	case "servers":
+		l := share.Listed{Name: name, Kind: share.Upstream, Version: c.revision, Gone: gone}
+		if !gone {
+			l.Announced = c.value.data.(*pool.Announcement)
+		}
+		list.Entries = append(list.Entries, l)
+	case "instances":
+		if gone {
+			reg.GoneInstances = append(reg.GoneInstances, name)
+			return
+		}
+		reg.Instances = append(reg.Instances, *c.value.data.(*registry.Instance))
+	case "owners":
+		o := *c.value.data.(*registry.Ownership)
+		o.Revision = c.revision
+		reg.Owners = append(reg.Owners, o)
+	case "placer":
+		if gone {
+			reg.Placer = nil
+			reg.PlacerGone = true
+			return
+		}
+		p := *c.value.data.(*registry.Placer)
+		p.Revision = c.revision
+		reg.Placer = &p
+	}
+}
+
+func cutKey(key string) (kind, name string, ok bool) {
+	for i := range key {
+		if key[i] == '/' {
+			return key[:i], key[i+1:], true
+		}
+	}
+	return key, "", false
+}
+
+func (e *fleetEngine) state() orders.State {
+	s := orders.State{Sequence: e.sequence, Busy: e.busy}
+	for _, m := range sortedKeys(e.models) {
+		am := pool.AnnouncedModel{Name: m}
+		for _, a := range sortedKeys(e.adapters) {
+			if model, adapter := pool.SplitItem(a); model == m {
+				am.Adapters = append(am.Adapters, adapter)
+			}
+		}
+		s.Models = append(s.Models, am)
+	}
+	return s
+}
+
+// sendOrder carries an order to its engine, perhaps without an answer and late.
+func (f *fleet) sendOrder(n *fleetMember, a EngineOrder, reply func(time.Duration, Event)) {
+	f.orders++
+	out := func(answer EngineAnswer) Event {
+		return EngineOrderReply{Engine: a.Engine, Fence: a.Fence, Answer: answer}
+	}
+	if f.rng.Float64() < f.late {
+		f.at(fleetWay, func() { f.checkHolder(n.id.Name, a) })
+		f.at(time.Duration(2000+f.rng.IntN(10000))*time.Millisecond, func() { f.carryOut(a) })
+		reply(500*time.Millisecond, out(EngineLost))
+		return
+	}
+	f.at(fleetWay, func() {
+		f.checkHolder(n.id.Name, a)
+		reply(fleetWay, out(f.carryOut(a)))
+	})
+}
+
+// checkHolder checks that orders of two holders do not take turns too quickly,
+// and that fences only rise.
+func (f *fleet) checkHolder(holder string, a EngineOrder) {
+	e := f.engines[a.Engine]
+	if e.holder != "" && e.holder != holder && f.now-e.heldAt < f.opt.TurnGap {
+		f.fault("%s ordered %s %v after %s", holder, e.name, f.now-e.heldAt, e.holder)
+	}
+	if a.Fence < e.fence || a.Fence == e.fence && e.holder != holder && e.holder != "" {
+		f.fault("%s ordered %s under fence %d after %d of %s", holder, e.name, a.Fence, e.fence, e.holder)
+	}
+	e.holder = holder
+	e.heldAt = f.now
+	e.fence = a.Fence
+}
+
+// carryOut does what an order says, and checks that there is room for it.
+func (f *fleet) carryOut(a EngineOrder) EngineAnswer {
+	e := f.engines[a.Engine]
+	r := a.Request
+	model, adapter := r.Model, r.Item()
+	switch {
+	case e.gone:
+		return EngineAstray
+	case a.Expect != e.sequence:
+		return EngineConflict
+	case r.Adapter != "":
+		if r.Load {
+			if e.adapters[adapter] {
+				return EngineHolds
+			}
+			if !e.models[model] {
+				return EngineInvalid
+			}
+			e.adapters[adapter] = true
+			if len(e.adapters) > 2 {
+				f.fault("%s holds %d adapters", e.name, len(e.adapters))
+			}
+		} else {
+			delete(e.adapters, adapter)
+		}
+		e.sequence++
+		return EngineTakes
+	case e.busy:
+		return EngineConflict
+	case r.Load && e.models[model]:
+		return EngineHolds
+	}
+	e.sequence++
+	e.busy = true
+	if !r.Load {
+		f.at(300*time.Millisecond, func() { f.unloaded(e, model) })
+		return EngineTakes
+	}
+	if len(e.models)+1 > 3 {
+		f.fault("%s was ordered to load more than it holds", e.name)
+	}
+	e.pending = model
+	took := 4 * time.Second
+	if e.onDisk[model] {
+		took = 800 * time.Millisecond
+	} else {
+		f.countLoad()
+	}
+	f.at(took, func() { f.loaded(e, model) })
+	return EngineTakes
+}
+
+func (f *fleet) loaded(e *fleetEngine, model string) {
+	e.busy = false
+	e.models[model] = true
+	e.onDisk[model] = true
+	f.announce(e)
+}
+
+func (f *fleet) unloaded(e *fleetEngine, model string) {
+	e.busy = false
+	delete(e.models, model)
+	for a := range e.adapters {
+		if m, _ := pool.SplitItem(a); m == model {
+			delete(e.adapters, a)
+		}
+	}
+	f.announce(e)
+}
+
+// countLoad checks the loads from the weight store that began within 5 s.
+func (f *fleet) countLoad() {
+	const window = 5 * time.Second
+	f.loads = append(f.loads, f.now)
+	n := 0
+	for _, at := range f.loads {
+		if f.now-at <= window {
+			n++
+		}
+	}
+	if most := fleetRate*5*1.1 + 3; float64(n) > most {
+		f.fault("%d loads from the store within %v", n, window)
+	}
+}
+
+func (f *fleet) askPeer(n *fleetMember, a AskOrder, reply func(time.Duration, Event)) {
+	p := f.members[a.Peer]
+	out := func(outcome AskOutcome) Event {
+		return AskOrderReply{Engine: a.Engine, Request: a.Request, Outcome: outcome}
+	}
+	if p == nil || p.dead || p.frozen {
+		reply(time.Second, out(AskFailed))
+		return
+	}
+	f.at(fleetWay, func() {
+		p.token++
+		token := p.token
+		p.asked[token] = func(o OrderAnswered) { reply(fleetWay, out(o.Outcome)) }
+		f.step(p, p.boot, OrderAsked{Token: token, From: n.id.Name, Engine: a.Engine, Request: a.Request})
+	})
+}
+
+func (f *fleet) exchange(n *fleetMember, a Exchange, reply func(time.Duration, Event)) {
+	p := f.members[a.Address]
+	if p == nil || p.dead || p.frozen {
+		reply(time.Second, ExchangeReply{Peer: a.Peer, Address: a.Address, Err: errors.New("no answer")})
+		return
+	}
+	f.at(fleetWay, func() {
+		p.token++
+		token := p.token
+		p.answers[token] = func(msg share.Message) {
+			reply(fleetWay, ExchangeReply{Peer: a.Peer, Address: a.Address, Message: msg})
+		}
+		f.step(p, p.boot, ExchangeAsked{Token: token, Message: a.Message})
+	})
+}
+
+// call has a caller ask for a model at some member, again and again.
+func (f *fleet) callers(every time.Duration) {
+	f.at(every, func() {
+		n := f.members[f.names[f.rng.IntN(len(f.names))]]
+		if !n.dead && !n.frozen {
+			f.token()
+			adapter := ""
+			if f.rng.Float64() < 0.4 {
+				adapter = fmt.Sprintf("a%d", f.rng.IntN(4))
+			}
+			// Demand moves over the models as time goes by.
+			model := (int(f.now/(7*time.Second)) + f.rng.IntN(4)*f.rng.IntN(2)) % fleetModels
+			f.step(n, n.boot, Arrive{Call: Call{
+				ID: CallID(f.order), Path: "/x", Replayable: true, PromptTokens: 4000,
+				Forward: &Forwarded{Name: fmt.Sprint(f.order), Host: "h", Model: fmt.Sprintf("m%d", model), Adapter: adapter},
+			}})
+		}
+		f.callers(every)
+	})
+}
+
+func (f *fleet) token() { f.order++ }
+
+// A fleetStorm is what goes wrong in one test of the fleet.
+type fleetStorm struct {
+	name string
+	do   func(f *fleet)
+}
+
+// again has something done every so often, undone after a while.
+func (f *fleet) again(every, span time.Duration, do func() (undo func())) {
+	f.at(every, func() {
+		undo := do()
+		f.at(span, undo)
+		f.again(every, span, do)
+	})
+}
+
+func (f *fleet) anyMember() *fleetMember { return f.members[f.names[f.rng.IntN(len(f.names))]] }
+
+// giver returns the member that gave the last order.
+func (f *fleet) giver() *fleetMember {
+	var last *fleetEngine
+	for _, name := range sortedKeys(f.engines) {
+		if e := f.engines[name]; e.holder != "" && (last == nil || e.heldAt > last.heldAt) {
+			last = e
+		}
+	}
+	if last == nil {
+		return f.anyMember()
+	}
+	return f.members[last.holder]
+}
+
+var fleetStorms = []fleetStorm{
+	{"calm", func(*fleet) {}},
+	{"orders carried out late", func(f *fleet) { f.late = 0.4 }},
+	{"answers of the store lost", func(f *fleet) { f.lost = 0.4 }},
+	{"members killed", func(f *fleet) {
+		f.again(6*time.Second, 2*time.Second, func() func() {
+			n := f.giver()
+			n.dead = true
+			return func() { f.start(n.id.Name) }
+		})
+	}},
+	{"members frozen", func(f *fleet) {
+		f.again(9*time.Second, 6*time.Second, func() func() {
+			n := f.giver()
+			n.frozen = true
+			return func() { f.thaw(n) }
+		})
+	}},
+	{"members cut from the store, their records revoked", func(f *fleet) {
+		f.again(12*time.Second, 9*time.Second, func() func() {
+			n := f.giver()
+			n.noStore = true
+			f.endLease(n.m.registry.lease)
+			return func() { n.noStore = false }
+		})
+	}},
+	{"the store down", func(f *fleet) {
+		f.again(12*time.Second, 6*time.Second, func() func() {
+			f.store.down = true
+			return func() { f.store.down = false }
+		})
+	}},
+	{"all killed at once", func(f *fleet) {
+		f.again(15*time.Second, time.Second, func() func() {
+			for _, name := range f.names {
+				f.members[name].dead = true
+			}
+			return func() {
+				for _, name := range f.names {
+					f.start(name)
+				}
+			}
+		})
+	}},
+	{"killed while orders are late", func(f *fleet) {
+		f.late = 0.4
+		f.again(7*time.Second, 1500*time.Millisecond, func() func() {
+			n := f.giver()
+			n.dead = true
+			return func() { f.start(n.id.Name) }
+		})
+	}},
+	{"cut off while answers of the store are lost", func(f *fleet) {
+		f.lost = 0.3
+		f.again(12*time.Second, 7*time.Second, func() func() {
+			n := f.anyMember()
+			n.noStore = true
+			f.endLease(n.m.registry.lease)
+			return func() { n.noStore = false }
+		})
+	}},
+	{"planned stops", func(f *fleet) {
+		f.again(8*time.Second, 4*time.Second, func() func() {
+			n := f.giver()
+			f.step(n, n.boot, Stop{})
+			f.at(2*time.Second, func() { n.dead = true })
+			return func() { f.start(n.id.Name) }
+		})
+	}},
+}
+
+// TestOrdersHoldUnderStorms: whatever fails, no engine is ordered by two members
+// within the turn gap or under a falling fence, none is ordered to hold more
+// than it can, and the weight store's rate is kept; and calls go on being served.
+func TestOrdersHoldUnderStorms(t *testing.T) {
+	seeds := 4
+	if testing.Short() {
+		seeds = 1
+	}
+	for _, s := range fleetStorms {
+		t.Run(s.name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range seeds {
+				f := newFleet(uint64(seed+1), 5)
+				f.expire()
+				f.run(5 * time.Second)
+				f.callers(40 * time.Millisecond)
+				s.do(f)
+				f.run(45 * time.Second)
+				for _, b := range f.broken {
+					t.Errorf("seed %d: %s", seed, b)
+				}
+				if f.orders == 0 || f.served*2 < f.refused {
+					t.Errorf("seed %d: %d orders, %d served, %d refused", seed, f.orders, f.served, f.refused)
+				}
+			}
+		})
+	}
+}
+
+// TestEmptyEnginesAreFilledAtTheStoresRate: engines that come back with nothing
+// get their models again, no faster than the weight store allows.
+func TestEmptyEnginesAreFilledAtTheStoresRate(t *testing.T) {
+	is := is.New(t)
+	f := newFleetWith(3, 5, Disabled{}, true)
+	f.expire()
+	f.run(5 * time.Second)
+	f.callers(40 * time.Millisecond)
+	f.run(40 * time.Second)
+	is.Equal(f.broken, nil)
+	is.True(len(f.loads) >= 8)
+	is.True(f.served > f.refused)
+}
+
+// TestFleetStormsFindWhatIsSwitchedOff: each mechanism that keeps orders safe,
+// switched off, is found out by some storm.
+func TestFleetStormsFindWhatIsSwitchedOff(t *testing.T) {
+	cases := []struct {
+		name    string
+		disable Disabled
+		empty   bool
+	}{
+		{"waiting for the former owner's orders", Disabled{TurnWait: true}, false},
+		{"the rate of the weight store", Disabled{Rate: true}, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			for _, s := range fleetStorms {
+				for seed := range 3 {
+					f := newFleetWith(uint64(seed+1), 5, c.disable, c.empty)
+					f.expire()
+					f.run(5 * time.Second)
+					f.callers(40 * time.Millisecond)
+					s.do(f)
+					f.run(45 * time.Second)
+					if len(f.broken) > 0 {
+						return
+					}
+				}
+			}
+			t.Errorf("no storm found that %s is switched off", c.name)
+		})
+	}
+}
--- a/core/instance/ask.go
+++ b/core/instance/ask.go
@@ -39,7 +39,7 @@
 // ownerReachable reports whether somebody is known who orders the engine.
 func (m *Machine) ownerReachable(engine string) bool {
 	if e := m.engines[engine]; e != nil {
-		return m.mayOrderEngines() && !m.now.Before(e.From)
+		return m.orderable(e)
 	}
 	o, ok := m.registry.owners[engine]
 	if !ok || o.Owner == "" || o.Owner == m.self.Name {
--- a/core/instance/engines.go
+++ b/core/instance/engines.go
@@ -19,6 +19,7 @@
 type ownedEngine struct {
 	*orders.Engine
 	service string
+	settled bool // no order of a former owner can be on its way any more
 	queue   []queued
 	asking  bool
 	askDue  clock.Instant // when it may be asked for its state again
@@ -49,7 +50,7 @@
 )
 
 // ownEngine begins to order an engine.
-func (m *Machine) ownEngine(o registry.Ownership, former string, from clock.Instant) {
+func (m *Machine) ownEngine(o registry.Ownership, from clock.Instant) {
 	r := m.pool.Get(o.Engine)
 	if r == nil {
 		return
@@ -61,12 +62,18 @@
 	e := &ownedEngine{
 		Engine:  orders.New(r.Name, r.Address, o.Revision, from, limits, sizes),
 		service: service,
+		settled: o.Former == "",
 	}
 	m.engines[r.Name] = e
-	m.note(NoteEngineTaken, "engine", r.Name, "fence", o.Revision, "former", former, "wait", from.Since(m.now).String())
+	m.note(NoteEngineTaken, "engine", r.Name, "fence", o.Revision, "former", o.Former, "wait", from.Since(m.now).String())
 	m.askState(e)
 }
 
+// orderable reports whether an engine that this instance owns may be ordered.
+func (m *Machine) orderable(e *ownedEngine) bool {
+	return m.mayOrderEngines() && e.settled && !m.now.Before(e.From)
+}
+
 // engineFacts returns what the configuration says of an engine's pool.
 func (m *Machine) engineFacts(r *pool.Replica) (service string, limits orders.Limits, sizes orders.Sizes, ok bool) {
 	svc, found := m.cfg.Service(r.Service)
@@ -170,7 +177,7 @@
 
 // request asks for an order to an engine that this instance owns.
 func (m *Machine) request(e *ownedEngine, r orders.Request, w waiter) {
-	if !m.mayOrderEngines() || m.now.Before(e.From) {
+	if !m.orderable(e) {
 		m.answerWaiter(e, r, w, AskRefused, "the engine may not be ordered yet")
 		return
 	}
@@ -253,7 +260,7 @@
 }
 
 func (m *Machine) sendOrder(e *ownedEngine, r orders.Request) {
-	if !m.mayOrderEngines() || m.now.Before(e.From) {
+	if !m.orderable(e) {
 		return
 	}
 	m.note(NoteEngineOrder, "engine", e.Name, "load", r.Load, "item", r.Item(), "expect", e.Sequence(), "fence", e.Fence)
@@ -287,7 +294,7 @@
 		e.Failed()
 		m.loseEngine(e.Name, "the engine has seen a later fence")
 		return
-	default:
+	case EngineLost:
 		e.Lost()
 	}
 	m.workQueue(e)
--- a/core/instance/options.go
+++ b/core/instance/options.go
@@ -80,6 +80,8 @@
 	Leaving   bool // believe only the list about who is leaving
 	Monotonic bool // take over an older revision
 	Fences    bool // plan by plain reads, without raising fences first
+	TurnWait  bool // order an engine at once after taking it from another owner
+	Rate      bool // load from the weight store without regard to its rate
 	Intents   bool // order engines that check nothing without writing it down
 }
 
--- a/core/instance/placement.go
+++ b/core/instance/placement.go
@@ -227,6 +227,10 @@
 // the former placer may still be at work, there are none.
 func (m *Machine) countStoreLoads() {
 	v := &m.placement
+	if m.opt.Disable.Rate {
+		v.tokens = math.MaxInt32
+		return
+	}
 	if m.now.Since(v.since) < m.opt.OrderValid {
 		v.at = m.now
 		return
--- a/core/instance/registry.go
+++ b/core/instance/registry.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"cmp"
 	"sort"
 	"time"
 
@@ -280,8 +281,19 @@
 func (m *Machine) claimOf(r *pool.Replica) (registry.Ownership, bool) {
 	old, owned := m.registry.owners[r.Name]
 	claim := registry.Ownership{Engine: r.Name, Owner: m.self.Name, Boot: m.self.Boot, Revision: old.Revision}
-	if owned && old.Owner == m.self.Name {
-		return claim, m.engines[r.Name] == nil
+	switch {
+	case owned && old.Owner == m.self.Name:
+		e := m.engines[r.Name]
+		if e == nil {
+			claim.Former = old.Former
+			return claim, true
+		}
+		// The former owner's orders cannot be on their way any more: say so.
+		return claim, !e.settled && !m.now.Before(e.From)
+	case owned && old.Owner == "":
+		claim.Former = cmp.Or(old.Former, registry.Returned)
+	case owned:
+		claim.Former = old.Owner
 	}
 	since, free := m.freeSince(r, old, owned)
 	if !free {
@@ -362,24 +374,29 @@
 		return // the watch brings what stands there
 	}
 	for _, claim := range e.Write.Claim {
-		old := g.owners[claim.Engine]
-		from := m.firstOrder(old, e.Sent)
+		first := claim.Revision == 0
 		claim.Revision = e.Revision
 		g.owners[claim.Engine] = claim
-		m.ownEngine(claim, old.Owner, from)
+		if own := m.engines[claim.Engine]; own != nil && claim.Former == "" {
+			own.Fence = claim.Revision
+			own.settled = true
+			continue
+		}
+		m.ownEngine(claim, m.firstOrder(claim, first))
 	}
 }
 
 // firstOrder returns when the orders of this instance may begin at an engine
-// that it claimed with a write sent at sent. Time is counted from the answer,
-// which is later.
-func (m *Machine) firstOrder(old registry.Ownership, sent clock.Instant) clock.Instant {
+// that it has just claimed; first says that nobody ever ordered the engine.
+func (m *Machine) firstOrder(claim registry.Ownership, first bool) clock.Instant {
 	switch {
-	case old.Revision == 0:
-		return sent
-	case old.Owner == m.self.Name:
+	case m.opt.Disable.TurnWait:
+		return m.now
+	case claim.Former == "" && first:
+		return m.now
+	case claim.Former == "":
 		return m.now.Add(sameOwnerGap)
-	case old.Owner == "":
+	case claim.Former == registry.Returned:
 		return m.now.Add(m.opt.TurnGap + turnMargin)
 	default:
 		return m.now.Add(m.opt.OrderValid + m.opt.TurnGap + turnMargin)
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -32,12 +32,20 @@
 // An Ownership says which instance orders an engine. An empty owner gave it
 // back and sends no more orders.
 type Ownership struct {
-	Engine   string `json:"-"`
-	Owner    string `json:"owner"`
-	Boot     uint64 `json:"boot"` // of the owner when it took the engine
-	Revision uint64 `json:"-"`    // of the record; the fence of its orders
+	Engine string `json:"-"`
+	Owner  string `json:"owner"`
+	Boot   uint64 `json:"boot"` // of the owner when it took the engine
+	// Former is whose orders may still be on their way: the owner before, or
+	// Returned. It is cleared by the owner once they cannot be any more. A
+	// write may take effect without an answer, so an owner that finds its own
+	// name in a record must be able to tell what it has to wait for.
+	Former   string `json:"former,omitempty"`
+	Revision uint64 `json:"-"` // of the record; the fence of its orders
 }
 
+// Returned is the Former of an engine that its owner gave back.
+const Returned = "-"
+
 // A Placer says which instance places models. Its record hangs on the lease of
 // that instance.
 type Placer struct {
--- /dev/null
+++ b/internal/server/forward_test.go
@@ -0,0 +1,543 @@
+package server
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/birchdrift/birchdrift/core/config"
+	"github.com/birchdrift/birchdrift/core/pool"
+	"github.com/birchdrift/birchdrift/core/share"
+	"github.com/birchdrift/birchdrift/internal/forward"
+	"github.com/birchdrift/birchdrift/internal/seam"
+	"github.com/birchdrift/birchdrift/internal/settings"
+	"github.com/birchdrift/birchdrift/internal/upstream"
+)
+
+// A site is one instance of the real server between callers and fake replicas,
+// joined to a store in memory through the seams.
+type site struct {
+	t        *testing.T
+	server   *Server
+	address  string // of the callers' listener
+	replicas []*replica
+}
+
+// A replica is a fake replica; its answers are one function each.
+type replica struct {
+	name   string
+	server *httptest.Server
+	mu     sync.Mutex
+	seen   []*http.Request
+	bodies []string
+	answer http.HandlerFunc
+}
+
+// ServeHTTP implements http.Handler.
+func (r *replica) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	r.mu.Lock()
+	r.seen = append(r.seen, req)
+	r.mu.Unlock()
+	w.Header().Set(forward.Own.CallID, req.Header.Get(forward.Own.CallID))
+	r.answer(w, req)
+}
+
+func (r *replica) runs() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.seen)
+}
+
+// ok answers with the replica's signature and a body.
+func ok(body string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set(forward.Own.Signature, "signed")
+		_, _ = io.WriteString(w, body)
+	}
+}
+
+func status(code int) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(forward.Own.Signature, "signed")
+		w.WriteHeader(code)
+		_, _ = io.WriteString(w, "the replica's words")
+	}
+}
+
+func notRun(code int) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(forward.Own.NotRun, "1")
+		w.WriteHeader(code)
+	}
+}
+
+// cut answers with a part of what it promised.
+func cut(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	w.Header().Set(forward.Own.Signature, "signed")
+	w.Header().Set("Content-Length", "100")
+	_, _ = io.WriteString(w, "part")
+	panic(http.ErrAbortHandler)
+}
+
+// drop closes the connection without an answer.
+func drop(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	panic(http.ErrAbortHandler)
+}
+
+// testDocument forwards three hosts, one of each kind, to one service.
+func testDocument() config.Document {
+	doc := config.Document{
+		Revision: 3,
+		Services: []config.Service{{Name: "app", Announced: &config.Announced{}}},
+	}
+	for _, f := range []config.Forward{
+		{Name: "again", Host: "again", Kind: config.Repeatable, Timeout: 5 * time.Second, MaxAttempts: 2},
+		{Name: "once", Host: "once", Kind: config.Once, Timeout: 5 * time.Second, MaxAttempts: 1},
+		{Name: "short", Host: "short", Kind: config.Repeatable, Timeout: 200 * time.Millisecond, MaxAttempts: 1},
+		{Name: "stream", Host: "stream", Kind: config.Stream, Resumable: true, Timeout: 5 * time.Second, MaxAttempts: 2},
+		{Name: "brief", Host: "brief", Kind: config.Stream, Timeout: 5 * time.Second, MaxAttempts: 1},
+	} {
+		f.Prefix = "/"
+		f.Split = []config.Share{{Service: "app", Weight: 1}}
+		doc.Forwards = append(doc.Forwards, f)
+	}
+	return doc
+}
+
+// newSite starts an instance before replicas with these answers. With none, its
+// store has no configuration either.
+func newSite(t *testing.T, answers ...http.HandlerFunc) *site {
+	t.Helper()
+	is := is.New(t)
+	s := &site{t: t}
+	change := seam.Change{Whole: true, Version: 5}
+	for i, answer := range answers {
+		r := &replica{name: fmt.Sprintf("r%d", i), answer: answer}
+		r.server = httptest.NewServer(r)
+		t.Cleanup(r.server.Close)
+		s.replicas = append(s.replicas, r)
+		change.Listed = append(change.Listed, share.Listed{
+			Name: r.name, Kind: share.Upstream, Zone: "z", Version: 4,
+			Announced: &pool.Announcement{Service: "app", Address: r.server.Listener.Addr().String(), Zone: "z", Slots: 8},
+		})
+	}
+	if len(answers) > 0 {
+		data, err := testDocument().Encode()
+		is.NoErr(err)
+		change.Config = data
+	}
+	set, faults := settings.Parse(func(name string) string {
+		return map[string]string{
+			"name": "i1", "zone": "z", "platform": "127.0.0.1:1", "environment": settings.EnvironmentPlatform,
+			"listen-callers": "127.0.0.1:0", "listen-peers": "127.0.0.1:0", "listen-operations": "127.0.0.1:0",
+			"log-level": "error", "stop-delay": "0s",
+		}[name] + defaultOf(name)
+	})
+	is.Equal(len(faults), 0)
+	server, err := New(set, set.Options(), memoryStore(change), io.Discard, nil)
+	is.NoErr(err)
+	s.server = server
+	s.address, _, _ = server.Addresses()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_, _ = server.Run()
+	}()
+	t.Cleanup(func() {
+		server.shell.Stop()
+		server.shell.Stop()
+		<-done
+	})
+	s.await(len(answers) > 0)
+	return s
+}
+
+// defaultOf returns the default of a setting that newSite does not give.
+func defaultOf(name string) string {
+	switch name {
+	case "name", "zone", "platform", "environment", "listen-callers", "listen-peers", "listen-operations", "log-level", "stop-delay":
+		return ""
+	}
+	for _, row := range settings.Table {
+		if row.Name == name {
+			return row.Default
+		}
+	}
+	return ""
+}
+
+// memoryStore joins the instance to a store that says one thing and then waits.
+func memoryStore(change seam.Change) Enter {
+	first := make(chan seam.Change, 1)
+	first <- change
+	store := &seam.Store{
+		Watch: func(ctx context.Context, wait time.Duration) (seam.Change, error) {
+			select {
+			case c := <-first:
+				return c, nil
+			case <-ctx.Done():
+				return seam.Change{}, ctx.Err()
+			case <-time.After(wait):
+				return seam.Change{Version: change.Version}, nil
+			}
+		},
+		Restart: func() {},
+		Grant:   func(context.Context, time.Duration) (uint64, error) { return 1, nil },
+		Keep:    func(context.Context, uint64) error { return nil },
+		End:     func(context.Context, uint64) error { return nil },
+		Commit:  func(context.Context, seam.Commit) (uint64, error) { return 6, nil },
+		Decode:  config.Decode,
+	}
+	return func(settings.Settings, upstream.Transports) Environment {
+		return Environment{Store: store, Wire: forward.Own}
+	}
+}
+
+// await waits until the instance is ready, if it can become so, and knows its
+// replicas.
+func (s *site) await(ready bool) {
+	s.t.Helper()
+	deadline := time.Now().Add(10 * time.Second)
+	for time.Now().Before(deadline) {
+		st, err := s.server.shell.Status(context.Background())
+		if err == nil && (!ready || st.Ready && len(st.Upstreams) == len(s.replicas)) {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	s.t.Fatal("the instance did not become ready")
+}
+
+// An outcome is what a caller saw.
+type outcome struct {
+	status int
+	header http.Header
+	body   string
+	err    error // of reading the body
+}
+
+func (s *site) call(method, host, path, body string) outcome {
+	s.t.Helper()
+	req, err := http.NewRequest(method, "http://"+s.address+path, strings.NewReader(body))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	req.Host = host
+	req.Header.Set(forward.Own.CallID, "call-1")
+	req.Header.Set(forward.Own.Deadline, "4000")
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		return outcome{err: err}
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return outcome{status: resp.StatusCode, header: resp.Header, body: string(data), err: err}
+}
+
+func (s *site) runs() int {
+	n := 0
+	for _, r := range s.replicas {
+		n += r.runs()
+	}
+	return n
+}
+
+// TestForwardedAnswers tables what replicas may do with a call that is not a
+// stream, and what its caller then gets. Whatever the first replica does, the
+// second answers well.
+func TestForwardedAnswers(t *testing.T) {
+	foreign := func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(forward.Own.CallID, "another")
+		ok("another's")(w, r)
+	}
+	unsigned := func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "bytes of nobody") }
+	encoded := func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Encoding", "gzip")
+		ok("squeezed")(w, r)
+	}
+	cases := []struct {
+		name   string
+		first  http.HandlerFunc
+		host   string
+		status int
+		runs   int // arrivals at both replicas
+	}{
+		{"good", ok("good"), "again", 200, 1},
+		{"good, at most once", ok("good"), "once", 200, 1},
+		{"cut", cut, "again", 200, 2},
+		{"cut, at most once", cut, "once", 502, 1},
+		{"dropped", drop, "again", 200, 2},
+		{"dropped, at most once", drop, "once", 502, 1},
+		{"another call's answer", foreign, "again", 200, 2},
+		{"another call's answer, at most once", foreign, "once", 502, 1},
+		{"no signature", unsigned, "again", 200, 2},
+		{"no signature, at most once", unsigned, "once", 502, 1},
+		{"an encoded body", encoded, "again", 200, 2},
+		{"not run", notRun(503), "again", 200, 2},
+		{"not run, at most once", notRun(503), "once", 200, 2},
+		{"misdirected, at most once", notRun(421), "once", 200, 2},
+		{"its own failure", status(500), "again", 200, 2},
+		{"its own failure, at most once", status(500), "once", 500, 1},
+		{"its own refusal", status(404), "again", 404, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			var s *site
+			taken := make(chan struct{}, 1)
+			taken <- struct{}{}
+			// Whichever replica is asked first does what the case says.
+			either := func(w http.ResponseWriter, r *http.Request) {
+				select {
+				case <-taken:
+					c.first(w, r)
+				default:
+					ok("good")(w, r)
+				}
+			}
+			s = newSite(t, either, either)
+			got := s.call("POST", c.host, "/x", "body")
+			is.NoErr(got.err)
+			is.Equal(got.status, c.status)
+			is.Equal(s.runs(), c.runs)
+			if c.status == 200 {
+				is.Equal(got.body, "good")
+				is.Equal(got.header.Get(forward.Own.Signature), "signed")
+			}
+			if c.status == 500 || c.status == 404 {
+				is.Equal(got.body, "the replica's words")
+			}
+		})
+	}
+}
+
+// TestARefusalEverywhereSaysWhenToComeBack: all replicas say that they did not
+// run the call; the caller is promised that, and told when to come back.
+func TestARefusalEverywhereSaysWhenToComeBack(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, notRun(503), notRun(503))
+	got := s.call("POST", "once", "/x", "body")
+	is.Equal(got.status, 503)
+	is.True(got.header.Get("Retry-After") != "")
+}
+
+// TestADeadReplicaIsNoPromiseBroken: a call that never left goes elsewhere, also
+// where it may run only once.
+func TestADeadReplicaIsNoPromiseBroken(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, ok("good"), ok("good"))
+	s.replicas[0].server.Close()
+	for range 6 {
+		is.Equal(s.call("POST", "once", "/x", "body").status, 200)
+	}
+	is.Equal(s.replicas[1].runs(), 6)
+}
+
+// TestRequestsTravelUnchanged: path and query byte for byte, the headers but for
+// those of one connection, nothing added that the caller did not send.
+func TestRequestsTravelUnchanged(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, ok("good"))
+	conn, err := net.Dial("tcp", s.address)
+	is.NoErr(err)
+	defer conn.Close()
+	const target = "/a//b/../c%2Fd;e?x=%zz&y=a+b&&"
+	_, err = io.WriteString(conn, "POST "+target+" HTTP/1.1\r\nHost: again\r\nBirchdrift-Call: c7\r\n"+
+		"X-Odd: a,  b\r\nConnection: X-Gone\r\nX-Gone: 1\r\nContent-Length: 4\r\n\r\nbody")
+	is.NoErr(err)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, 200)
+	seen := s.replicas[0].seen[0]
+	is.Equal(seen.RequestURI, target)
+	is.Equal(seen.Host, "again")
+	is.Equal(seen.Header.Get("X-Odd"), "a,  b")
+	is.Equal(seen.Header.Get("X-Gone"), "")
+	is.Equal(seen.Header.Get(forward.Own.Expect), "r0")
+	for _, added := range []string{"User-Agent", "Accept-Encoding", "X-Forwarded-For"} {
+		is.Equal(seen.Header.Values(added), nil)
+	}
+}
+
+// TestNoConfigurationIsNotNotFound: an instance that knows nothing must not say
+// that a path does not exist.
+func TestNoConfigurationIsNotNotFound(t *testing.T) {
+	is := is.New(t)
+	is.Equal(newSite(t).call("GET", "again", "/x", "").status, 503)
+	is.Equal(newSite(t, ok("good")).call("GET", "nowhere", "/x", "").status, 404)
+}
+
+// TestTheTimeoutEndsACall: at the forward's timeout the caller has an answer,
+// and the replica is left.
+func TestTheTimeoutEndsACall(t *testing.T) {
+	is := is.New(t)
+	left := make(chan struct{})
+	s := newSite(t, func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+		close(left)
+	})
+	begun := time.Now()
+	is.Equal(s.call("GET", "short", "/x", "").status, 504)
+	is.True(time.Since(begun) < 2*time.Second)
+	within(t, left)
+}
+
+func within(t *testing.T, done <-chan struct{}) {
+	t.Helper()
+	select {
+	case <-done:
+	case <-time.After(5 * time.Second):
+		t.Fatal("it did not happen in time")
+	}
+}
+
+// TestACallerWhoLeavesFreesTheReplica: its connection is closed at once.
+func TestACallerWhoLeavesFreesTheReplica(t *testing.T) {
+	is := is.New(t)
+	begun := make(chan struct{})
+	left := make(chan struct{})
+	s := newSite(t, func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		close(begun)
+		<-r.Context().Done()
+		close(left)
+	})
+	ctx, leave := context.WithCancel(context.Background())
+	req, err := http.NewRequestWithContext(ctx, "POST", "http://"+s.address+"/x", strings.NewReader("body"))
+	is.NoErr(err)
+	req.Host = "once"
+	go func() {
+		<-begun
+		leave()
+	}()
+	_, err = http.DefaultTransport.RoundTrip(req)
+	is.True(err != nil)
+	within(t, left)
+}
+
+// series answers with events from the number behind the one the caller has; it
+// breaks off in the middle of event number cutAt, if that is not 0.
+func series(total, cutAt int) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		last := 0
+		_, _ = fmt.Sscan(r.Header.Get("Last-Event-Id"), &last)
+		w.Header().Set(forward.Own.Signature, "signed")
+		w.Header().Set("Content-Type", "text/event-stream")
+		w.WriteHeader(http.StatusOK)
+		for n := last + 1; n <= total; n++ {
+			text := fmt.Sprintf("id: %d\ndata: event %d\n\n", n, n)
+			if n == cutAt {
+				_, _ = io.WriteString(w, text[:len(text)/2])
+				_ = http.NewResponseController(w).Flush()
+				panic(http.ErrAbortHandler)
+			}
+			_, _ = io.WriteString(w, text)
+			_ = http.NewResponseController(w).Flush()
+		}
+	}
+}
+
+func wholeSeries(total int) string {
+	var b strings.Builder
+	for n := 1; n <= total; n++ {
+		fmt.Fprintf(&b, "id: %d\ndata: event %d\n\n", n, n)
+	}
+	return b.String()
+}
+
+// TestABrokenSeriesGoesOnElsewhere: one answer with every event once, though
+// the first replica broke off in the middle of one.
+func TestABrokenSeriesGoesOnElsewhere(t *testing.T) {
+	is := is.New(t)
+	first := make(chan struct{}, 1)
+	first <- struct{}{}
+	either := func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-first:
+			series(9, 4)(w, r)
+		default:
+			series(9, 0)(w, r)
+		}
+	}
+	s := newSite(t, either, either)
+	got := s.call("POST", "stream", "/x", "body")
+	is.NoErr(got.err)
+	is.Equal(got.body, wholeSeries(9))
+	is.Equal(s.runs(), 2)
+}
+
+// TestASeriesThatCannotGoOnIsSeenAsCut: its caller must not take it for whole.
+func TestASeriesThatCannotGoOnIsSeenAsCut(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, series(9, 4), series(9, 4))
+	got := s.call("POST", "brief", "/x", "body")
+	is.True(got.err != nil)
+	is.Equal(got.body, wholeSeries(3))
+	is.Equal(s.runs(), 1)
+}
+
+// TestEventsOutOfOrderAreNotPassedOn: a gap ends the attempt.
+func TestEventsOutOfOrderAreNotPassedOn(t *testing.T) {
+	is := is.New(t)
+	gap := func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set(forward.Own.Signature, "signed")
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(w, "id: 1\ndata: event 1\n\nid: 3\ndata: event 3\n\n")
+	}
+	got := newSite(t, gap).call("POST", "brief", "/x", "body")
+	is.True(got.err != nil)
+	is.Equal(got.body, wholeSeries(1))
+}
+
+// TestAnEarlyAnswerIsPassedOn: a replica may answer before it has read a long
+// body; what it still reads then must be the rest of that body.
+func TestAnEarlyAnswerIsPassedOn(t *testing.T) {
+	is := is.New(t)
+	early := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(forward.Own.Signature, "signed")
+		w.WriteHeader(http.StatusOK)
+		_, _ = io.WriteString(w, "early")
+	}
+	s := newSite(t, early)
+	for range 3 {
+		got := s.call("POST", "again", "/x", strings.Repeat("b", 2<<20))
+		if got.err == nil {
+			is.Equal(got.body, "early")
+		}
+	}
+}
+
+// TestAnAnswerWithoutALengthIsWhole: it ends with its connection.
+func TestAnAnswerWithoutALengthIsWhole(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		conn, buf, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(buf, "HTTP/1.1 200 OK\r\nBirchdrift-Call: call-1\r\nBirchdrift-Signature: s\r\n\r\nunframed")
+		_ = buf.Flush()
+		_ = conn.Close()
+	})
+	got := s.call("POST", "once", "/x", "body")
+	is.NoErr(got.err)
+	is.Equal(got.body, "unframed")
+}
