The test of early answers asks what the replica is said to do

Change: the replica answers, keeps the connection and reads on; the test checks every byte that it reads then.

--- a/internal/server/forward_test.go
+++ b/internal/server/forward_test.go
@@ -507,21 +507,33 @@
 }
 
 // TestAnEarlyAnswerIsPassedOn: a replica may answer before it has read a long
-// body; what it still reads then must be the rest of that body.
+// body, and read on later; what comes then must be the rest of that body, or
+// nothing, and never another request.
 func TestAnEarlyAnswerIsPassedOn(t *testing.T) {
 	is := is.New(t)
+	const length = 2 << 20
+	wrong := make(chan string, 8)
 	early := func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set(forward.Own.Signature, "signed")
-		w.WriteHeader(http.StatusOK)
-		_, _ = io.WriteString(w, "early")
+		conn, buf, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			wrong <- err.Error()
+			return
+		}
+		defer conn.Close()
+		_, _ = io.WriteString(buf, "HTTP/1.1 200 OK\r\nBirchdrift-Call: call-1\r\nBirchdrift-Signature: s\r\nContent-Length: 5\r\n\r\nearly")
+		_ = buf.Flush()
+		data, _ := io.ReadAll(io.LimitReader(buf, length))
+		if strings.Trim(string(data), "b") != "" {
+			wrong <- "other bytes stand where the rest of the body is due"
+		}
 	}
 	s := newSite(t, early)
 	for range 3 {
-		got := s.call("POST", "again", "/x", strings.Repeat("b", 2<<20))
-		if got.err == nil {
-			is.Equal(got.body, "early")
-		}
+		got := s.call("POST", "again", "/x", strings.Repeat("b", length))
+		is.NoErr(got.err)
+		is.Equal(got.body, "early")
 	}
+	is.Equal(len(wrong), 0)
 }
 
 // TestAnAnswerWithoutALengthIsWhole: it ends with its connection.
