--- a/core/config/forward.go
+++ b/core/config/forward.go
@@ -83,10 +83,10 @@
 // An EnginePool says what every engine of an announced service is and which
 // models it may hold.
 type EnginePool struct {
-	Sequences    int           `yaml:"sequences"`     // calls one engine runs at once
-	CacheTokens  int           `yaml:"cache_tokens"`  // tokens its memory for prompts and answers holds
-	MemoryMB     int64         `yaml:"memory_mb"`     // for weights and adapters together
-	AdapterSlots int           `yaml:"adapter_slots"` // adapters one engine may hold
+	Sequences    int           `yaml:"sequences"`    // calls one engine runs at once
+	CacheTokens  int           `yaml:"cache_tokens"` // tokens its memory for prompts and answers holds
+	MemoryMB     int64         `yaml:"memory_mb"`    // for weights and adapters together
+	AdapterSlots int           `yaml:"max_adapters"` // adapters one engine may hold
 	LoadsPerSec  float64       `yaml:"loads_per_second"`
 	Models       []PooledModel `yaml:"models"`
 }
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -62,8 +62,8 @@
 	}
 	out := &peerpb.Announced{
 		Service: a.Service, Address: a.Address, Zone: a.Zone, Slots: uint32(a.Slots),
-		Draining: a.Draining, RemainingMs: uint32(a.Remaining.Milliseconds()),
-		Engine: a.Engine, InMemory: a.InMemory, OnDisk: a.OnDisk,
+		Draining: a.Draining, LeftMs: uint32(a.Remaining.Milliseconds()),
+		Engine: a.Engine, HostCopies: a.InMemory, DiskCopies: a.OnDisk,
 	}
 	for _, m := range a.Models {
 		out.Models = append(out.Models, &peerpb.AnnouncedModel{Name: m.Name, Adapters: m.Adapters})
@@ -77,8 +77,8 @@
 	}
 	out := &pool.Announcement{
 		Service: a.GetService(), Address: a.GetAddress(), Zone: a.GetZone(), Slots: int(a.GetSlots()),
-		Draining: a.GetDraining(), Remaining: time.Duration(a.GetRemainingMs()) * time.Millisecond,
-		Engine: a.GetEngine(), InMemory: a.GetInMemory(), OnDisk: a.GetOnDisk(),
+		Draining: a.GetDraining(), Remaining: time.Duration(a.GetLeftMs()) * time.Millisecond,
+		Engine: a.GetEngine(), InMemory: a.GetHostCopies(), OnDisk: a.GetDiskCopies(),
 	}
 	for _, m := range a.GetModels() {
 		out.Models = append(out.Models, pool.AnnouncedModel{Name: m.GetName(), Adapters: m.GetAdapters()})
--- a/internal/server/forward_test.go
+++ b/internal/server/forward_test.go
@@ -39,7 +39,6 @@
 	server *httptest.Server
 	mu     sync.Mutex
 	seen   []*http.Request
-	bodies []string
 	answer http.HandlerFunc
 }
 
