Loads from the weight store are counted where they begin

Ruled out: weights believed to be on an engine's disk that had been pushed out of it. That could happen as well, since a load pushes weights out and the engine announces that later; such lists are not believed any more until the next announcement.

Change: a load is counted when its order is asked for (TestLoadsAreCountedWhereTheyBegin fails before). Reading speed is learnt by size for models not measured yet. Calls wait a moment for an adapter that cannot be loaded now.

--- a/core/instance/announced_world_test.go
+++ b/core/instance/announced_world_test.go
@@ -15,6 +15,7 @@
 	"github.com/birchdrift/birchdrift/core/clock"
 	"github.com/birchdrift/birchdrift/core/config"
 	"github.com/birchdrift/birchdrift/core/orders"
+	"github.com/birchdrift/birchdrift/core/place"
 	"github.com/birchdrift/birchdrift/core/pool"
 	"github.com/birchdrift/birchdrift/core/registry"
 	"github.com/birchdrift/birchdrift/core/share"
@@ -40,7 +41,9 @@
 	refused int
 	orders  int
 	late    float64 // share of orders without an answer, carried out seconds later
-	lost    float64 // share of writes of the store whose answers are lost
+	// firstAfter is how long an engine takes to the first event of a call.
+	firstAfter time.Duration
+	lost       float64 // share of writes of the store whose answers are lost
 }
 
 // A fleetMember is one machine with what is wrong with it.
@@ -103,8 +106,8 @@
 
 const (
 	fleetModelMB = 70
-	fleetRate    = 0.4 // loads from the weight store a second
-	fleetEngines = 6
+	fleetRate    = 0.6 // loads from the weight store a second
+	fleetEngines = 8
 	fleetModels  = 12
 )
 
@@ -134,12 +137,13 @@
 // engines hold nothing at the start.
 func newFleetWith(seed uint64, members int, disable Disabled, empty bool) *fleet {
 	f := &fleet{
-		rng:     rand.New(rand.NewPCG(seed, 77)),
-		opt:     DefaultOptions(),
-		doc:     fleetDocument(),
-		store:   fleetStore{values: map[string]*fleetValue{}, leases: map[uint64]*fleetLease{}},
-		engines: map[string]*fleetEngine{},
-		members: map[string]*fleetMember{},
+		rng:        rand.New(rand.NewPCG(seed, 77)),
+		opt:        DefaultOptions(),
+		firstAfter: 30 * time.Millisecond,
+		doc:        fleetDocument(),
+		store:      fleetStore{values: map[string]*fleetValue{}, leases: map[uint64]*fleetLease{}},
+		engines:    map[string]*fleetEngine{},
+		members:    map[string]*fleetMember{},
 	}
 	f.opt.Disable = disable
 	f.opt.OneWatch = true
@@ -305,7 +309,7 @@
 		return
 	}
 	f.served++
-	reply(30*time.Millisecond, First{ID: d.ID})
+	reply(f.firstAfter, First{ID: d.ID})
 	reply(400*time.Millisecond, Done{ID: d.ID})
 }
 
@@ -604,7 +608,8 @@
 	e.sequence++
 	e.busy = true
 	if !r.Load {
-		f.at(300*time.Millisecond, func() { f.unloaded(e, model) })
+		// It waits for its runs.
+		f.at(time.Duration(100+f.rng.IntN(5000))*time.Millisecond, func() { f.unloaded(e, model) })
 		return EngineTakes
 	}
 	if len(e.models)+1 > 3 {
@@ -687,8 +692,15 @@
 	})
 }
 
-// call has a caller ask for a model at some member, again and again.
+// callers has calls come, for models that demand moves over as time goes by.
 func (f *fleet) callers(every time.Duration) {
+	f.callersOf(every, func() int {
+		return (int(f.now/(7*time.Second)) + f.rng.IntN(4)*f.rng.IntN(2)) % fleetModels
+	})
+}
+
+// callersOf has calls come at some member, again and again.
+func (f *fleet) callersOf(every time.Duration, model func() int) {
 	f.at(every, func() {
 		n := f.members[f.names[f.rng.IntN(len(f.names))]]
 		if !n.dead && !n.frozen {
@@ -697,14 +709,12 @@
 			if f.rng.Float64() < 0.4 {
 				adapter = fmt.Sprintf("a%d", f.rng.IntN(4))
 			}
-			// Demand moves over the models as time goes by.
-			model := (int(f.now/(7*time.Second)) + f.rng.IntN(4)*f.rng.IntN(2)) % fleetModels
 			f.step(n, n.boot, Arrive{Call: Call{
 				ID: CallID(f.order), Path: "/x", Replayable: true, PromptTokens: 4000,
-				Forward: &Forwarded{Name: fmt.Sprint(f.order), Host: "h", Model: fmt.Sprintf("m%d", model), Adapter: adapter},
+				Forward: &Forwarded{Name: fmt.Sprint(f.order), Host: "h", Model: fmt.Sprintf("m%d", model()), Adapter: adapter},
 			}})
 		}
-		f.callers(every)
+		f.callersOf(every, model)
 	})
 }
 
@@ -855,6 +865,34 @@
 	is.True(f.served > f.refused)
 }
 
+// TestLoadsAreCountedWhereTheyBegin: loads were once counted when they were
+// planned; several that waited for room then began together (CEILING broke on
+// two days in some hundred).
+func TestLoadsAreCountedWhereTheyBegin(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1, 5)
+	f.expire()
+	f.run(12 * time.Second)
+	var placer *Machine
+	for _, name := range f.names {
+		if m := f.members[name].m; m.placing() {
+			placer = m
+		}
+	}
+	placer.placement.tokens = 1
+	begun := 0
+	for _, engine := range []string{"e0", "e1", "e2"} {
+		c := &change{Change: place.Change{Engine: engine, Load: "m11", Source: place.FromStore}, begun: placer.now}
+		placer.placement.changes[engine] = c
+		placer.goOn(c)
+		if !c.askedAt.IsZero() {
+			begun++
+		}
+	}
+	is.Equal(begun, 1)
+	is.Equal(placer.storeLoads(), 0)
+}
+
 // TestFleetStormsFindWhatIsSwitchedOff: each mechanism that keeps orders safe,
 // switched off, is found out by some storm.
 func TestFleetStormsFindWhatIsSwitchedOff(t *testing.T) {
--- a/core/instance/forward.go
+++ b/core/instance/forward.go
@@ -30,6 +30,7 @@
 	unread    int  // prompt tokens believed to be read for it
 	alone     bool // no other prompt was being read where it was sent
 	chain     route.Chain
+	weight    route.Weight
 	fetches   int  // orders that it waited for
 	missed    bool // it found its model on no engine
 	opened    bool // the head of an answer was passed on
@@ -66,6 +67,8 @@
 		c.item = pool.AdapterItem(c.Forward.Model, c.Forward.Adapter)
 		c.version = config.Version{Name: c.Forward.Model, Model: c.Forward.Model, Adapter: c.Forward.Adapter}
 		c.forward.chain = route.NewChain(c.item, c.Forward.Parts)
+		facts, _ := service.Announced.Engine.Model(c.Forward.Model)
+		c.forward.weight = route.Weight{Model: c.Forward.Model, MB: facts.MemoryMB}
 	}
 	m.retryWindow(name).Call(m.now)
 	if c.item != "" {
@@ -86,7 +89,7 @@
 	if out == 0 {
 		out = c.MaxTokens
 	}
-	read := time.Duration(freshShare * float64(c.PromptTokens) * float64(m.forwards.TokenTime(c.version.Model)))
+	read := time.Duration(freshShare * float64(c.PromptTokens) * float64(m.forwards.TokenTime(c.forward.weight)))
 	return read + time.Duration(out)*decodeTime
 }
 
@@ -118,7 +121,7 @@
 	f := c.forward
 	query := route.ForwardQuery{
 		Zone:   m.self.Zone,
-		Model:  c.version.Model,
+		Model:  c.forward.weight,
 		Tokens: c.PromptTokens,
 		Chain:  f.chain,
 		Tried:  f.tried,
@@ -185,11 +188,37 @@
 		m.endForward(c, Broke{Phase: attempt.MaybeSent, Detail: "no other replica can serve it"})
 	case c.item == "" || len(c.forward.tried) > 0:
 		m.refuse(c, notRun(code.NoReplica, "no live replica", m.comeBack(0)))
+	case c.version.Adapter != "" && m.modelServed(c):
+		m.awaitAdapter(c)
 	default:
 		m.awaitModel(c)
 	}
 }
 
+// modelServed reports whether some engine can serve the call's model, though
+// not its adapter.
+func (m *Machine) modelServed(c *call) bool {
+	for _, r := range m.pool.Serving(c.service.Name) {
+		if r.Usable() && r.Phase(c.version.Model) == pool.Ready {
+			return true
+		}
+	}
+	return false
+}
+
+// awaitAdapter deals with a call whose adapter cannot be loaded now where its
+// model is: slots come free and owners come back within moments, or not soon.
+func (m *Machine) awaitAdapter(c *call) {
+	if m.now.Since(c.arrived) < c.service.Target.FirstToken/4 {
+		m.wait(c)
+		return
+	}
+	m.refuse(c, notRun(code.NotResident, fmt.Sprintf("%q cannot be loaded where its model is", c.item), m.comeBack(leastBack)))
+}
+
+// leastBack is the least time after which a forwarded call is told to come back.
+const leastBack = 250 * time.Millisecond
+
 // awaitModel deals with a call whose model no engine can serve now: it waits if
 // the model can be there in time, else it is told when to come back.
 func (m *Machine) awaitModel(c *call) {
@@ -403,7 +432,7 @@
 	}
 	r.First(m.now, uint64(c.ID), false)
 	if c.item != "" && c.forward.alone {
-		m.forwards.Learn(c.version.Model, c.forward.unread, m.now.Since(c.started))
+		m.forwards.Learn(c.forward.weight, c.forward.unread, m.now.Since(c.started))
 	}
 }
 
--- a/core/instance/placement.go
+++ b/core/instance/placement.go
@@ -56,6 +56,7 @@
 	place.Change
 	begun   clock.Instant
 	askedAt clock.Instant
+	paid    bool // its load from the weight store was counted
 }
 
 func newPlacementView() placementView {
@@ -175,10 +176,7 @@
 func (m *Machine) placeService(svc config.Service) {
 	v := &m.placement
 	for _, c := range place.Changes(m.placeInput(svc)) {
-		if c.Source == place.FromStore {
-			v.tokens--
-		}
-		m.note(NotePlaced, "engine", c.Engine, "load", c.Load, "drop", c.Drop, "source", c.Source.String(), "worth", c.Worth, "cost", c.Cost, "work", c.Work, "copies", c.Copies, "token", m.forwards.TokenTime(c.Load).String())
+		m.note(NotePlaced, "engine", c.Engine, "load", c.Load, "drop", c.Drop, "source", c.Source.String(), "worth", c.Worth, "cost", c.Cost, "work", c.Work, "copies", c.Copies)
 		ch := &change{Change: c, begun: m.now}
 		v.changes[c.Engine] = ch
 		if m.goOn(ch) {
@@ -209,10 +207,31 @@
 			return false
 		}
 	}
+	// Counted where it begins: what makes way may take seconds to go, and loads
+	// that were planned over seconds would begin together.
+	if c.Source == place.FromStore && !c.paid {
+		if m.placement.tokens < 1 {
+			return false
+		}
+		m.placement.tokens--
+		c.paid = true
+	}
 	m.askOnce(c, orders.Request{Load: true, Model: c.Load})
 	return false
 }
 
+// storeLoads returns how many loads from the weight store may be planned now:
+// those that may begin, less those that are planned and have not begun.
+func (m *Machine) storeLoads() int {
+	free := math.Floor(m.placement.tokens)
+	for _, c := range m.placement.changes {
+		if c.Source == place.FromStore && !c.paid {
+			free--
+		}
+	}
+	return max(0, int(free))
+}
+
 // askOnce asks the engine's owner for the order that a change needs next.
 func (m *Machine) askOnce(c *change, r orders.Request) {
 	key := askKey{c.Engine, r}
@@ -277,7 +296,7 @@
 	in := place.Input{
 		Models:      make(map[string]place.Model, len(p.Models)),
 		Demand:      map[string]place.Demand{},
-		StoreLoads:  int(math.Floor(m.placement.tokens)),
+		StoreLoads:  m.storeLoads(),
 		MinimumStay: minimumStay,
 		Blind:       m.now.Since(m.placement.demandAt) < blindTime,
 	}
@@ -298,16 +317,14 @@
 }
 
 func (m *Machine) placeEngine(r *pool.Replica, p *config.EnginePool) place.Engine {
-	a := r.Announcement()
 	e := place.Engine{
-		Name:     r.Name,
-		Zone:     r.Zone,
-		FreeMB:   p.MemoryMB,
-		InMemory: setOf(a.InMemory),
-		OnDisk:   setOf(a.OnDisk),
-		Sound:    r.Usable() && !r.Vanished() && !r.Ejected(m.now),
-		Open:     m.placement.changes[r.Name] == nil && m.ownerReachable(r.Name),
+		Name:   r.Name,
+		Zone:   r.Zone,
+		FreeMB: p.MemoryMB,
+		Sound:  r.Usable() && !r.Vanished() && !r.Ejected(m.now),
+		Open:   m.placement.changes[r.Name] == nil && m.ownerReachable(r.Name),
 	}
+	newest := clock.Instant{}
 	for item, phase := range r.Items() {
 		model, adapter := pool.SplitItem(item)
 		facts, _ := p.Model(model)
@@ -319,12 +336,21 @@
 		c := place.Copy{Model: model, Ready: phase == pool.Ready, Leaving: phase == pool.Unloading}
 		if since, ok := m.placement.readyAt[placement{r.Name, item}]; ok {
 			c.Age = m.now.Since(since)
+			newest = later(newest, since)
 		}
 		if phase != pool.Ready {
 			e.Open = false
 		}
 		e.Copies = append(e.Copies, c)
 	}
+	// A load pushes other weights out of the engine's disk and host memory, and
+	// what it announced before does not say which. Taken for at hand, they would
+	// come from the weight store without being counted there.
+	if !r.AnnouncedAt().Before(newest) {
+		a := r.Announcement()
+		e.InMemory = setOf(a.InMemory)
+		e.OnDisk = setOf(a.OnDisk)
+	}
 	e = withChange(e, m.placement.changes[r.Name])
 	sort.Slice(e.Copies, func(i, j int) bool { return e.Copies[i].Model < e.Copies[j].Model })
 	return e
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -25,9 +25,9 @@
 	// margin is by how much a copy must be worth more than what makes way.
 	margin = 1.5
 	// storeWorth is the least worth of a copy that is loaded from the store.
-	storeWorth = 0.30
+	storeWorth = 0.12
 	// handWorth is the same for one whose weights the engine has at hand.
-	handWorth = 0.05
+	handWorth = 0.04
 	// runsCost is the cost of dropping a copy of a model, for each call a
 	// second that it serves: its runs must end first.
 	runsCost = 0.03
--- a/core/pool/announced.go
+++ b/core/pool/announced.go
@@ -161,6 +161,9 @@
 // Announcement returns what the replica last said of itself in the list.
 func (r *Replica) Announcement() Announcement { return r.announced }
 
+// AnnouncedAt returns when the replica was last announced.
+func (r *Replica) AnnouncedAt() clock.Instant { return r.announcedAt }
+
 // Dead notes an answer that shows that another replica has the address, or that
 // nothing runs there.
 func (p *Pool) Dead(now clock.Instant, name string) {
--- a/core/route/forward.go
+++ b/core/route/forward.go
@@ -36,7 +36,7 @@
 // A ForwardQuery is what the choice needs to know of one forwarded call.
 type ForwardQuery struct {
 	Zone   string   // zone of this instance
-	Model  string   // "" for a plain service
+	Model  Weight   // the zero value for a plain service
 	Tokens int      // of the prompt
 	Chain  Chain    // of the prompt's parts
 	Tried  []string // replicas that failed the call, passed over
@@ -64,17 +64,27 @@
 type Forwards struct {
 	caches   map[string]*Cache // by engine
 	perToken map[string]time.Duration
+	perSize  map[int64]time.Duration // of models of a size, for those not measured yet
 }
 
 // NewForwards returns a chooser that has learnt nothing.
 func NewForwards() *Forwards {
-	return &Forwards{caches: map[string]*Cache{}, perToken: map[string]time.Duration{}}
+	return &Forwards{caches: map[string]*Cache{}, perToken: map[string]time.Duration{}, perSize: map[int64]time.Duration{}}
+}
+
+// A Weight names a model and the memory that its weights take, in MB.
+type Weight struct {
+	Model string
+	MB    int64
 }
 
 // TokenTime returns how long an engine is believed to read one prompt token of
-// a model.
-func (f *Forwards) TokenTime(model string) time.Duration {
-	if d, ok := f.perToken[model]; ok {
+// a model: as measured, else as measured of models of its size.
+func (f *Forwards) TokenTime(w Weight) time.Duration {
+	if d, ok := f.perToken[w.Model]; ok {
+		return d
+	}
+	if d, ok := f.perSize[w.MB]; ok {
 		return d
 	}
 	return defaultTokenTime
@@ -84,22 +94,26 @@
 // read on an engine that had no other prompt to read. What else happens there
 // makes some measurements too long, and parts that are kept there unknown to
 // this instance make others too short; so the estimate follows a quantile.
-func (f *Forwards) Learn(model string, tokens int, took time.Duration) {
+func (f *Forwards) Learn(w Weight, tokens int, took time.Duration) {
 	if tokens < learnTokens {
 		return
 	}
 	sample := max(took-firstOverhead, time.Millisecond) / time.Duration(tokens)
-	old, ok := f.perToken[model]
-	if !ok {
-		f.perToken[model] = min(sample, defaultTokenTime)
-		return
-	}
+	f.perToken[w.Model] = follow(f.perToken[w.Model], sample)
+	f.perSize[w.MB] = follow(f.perSize[w.MB], sample)
+}
+
+// follow moves an estimate one step towards the quantile of its samples.
+func follow(old, sample time.Duration) time.Duration {
 	step := learnStep * float64(old)
-	if sample > old {
-		f.perToken[model] = old + time.Duration(step*learnQuantile)
-		return
+	switch {
+	case old == 0:
+		return min(sample, defaultTokenTime)
+	case sample > old:
+		return old + time.Duration(step*learnQuantile)
+	default:
+		return old - time.Duration(step*(1-learnQuantile))
 	}
-	f.perToken[model] = old - time.Duration(step*(1-learnQuantile))
 }
 
 // Sent notes that a prompt goes to an engine that keeps so many tokens.
@@ -196,7 +210,7 @@
 		e.Other += cost
 	}
 	e.Other += suspectCost * time.Duration(r.Failures())
-	if q.Model == "" {
+	if q.Model.Model == "" {
 		e.plain(r, load)
 		return e
 	}
