Dark replicas are left sooner; owners in a cut zone load what is missed; calls are logged

Cause: calls went to replicas at which nothing answered any more, and waited for each dial; a call whose model's only engine had crashed was told that there is no replica, though the model could be back in 1.5 s; an instance in a cut zone could load nothing.

Change: a replica at which nothing answers counts as down for 0.7 s, here and for the placer; a first event that is overdue speaks against its replica; a zone none of whose instances answers is avoided; a call that never left anywhere waits for its model; an owner that cannot hear of the placer brings in what its own callers miss from weights at hand. A line for each call sent (1804), served (1805) and waiting (1806), through a buffered writer that never blocks; what it drops is counted.

--- a/core/instance/attempts.go
+++ b/core/instance/attempts.go
@@ -72,6 +72,11 @@
 	if r := m.pool.Get(c.replica); r != nil {
 		r.End(m.now, uint64(c.ID), c.started, false)
 	}
+	if f := c.forward; f != nil {
+		m.note(NoteCallServed, "call", c.Forward.Name, "replica", c.replica, "attempts", c.history.Attempts,
+			"waited_ms", wholeMillis(c.started.Since(c.arrived)), "first_ms", wholeMillis(f.firstAt.Since(c.started)),
+			"total_ms", wholeMillis(m.now.Since(c.arrived)))
+	}
 	held := m.now.Since(c.started)
 	if c.item != "" {
 		m.meter.Held(c.item, held)
--- a/core/instance/forward.go
+++ b/core/instance/forward.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/birchdrift/birchdrift/core/attempt"
+	"github.com/birchdrift/birchdrift/core/clock"
 	"github.com/birchdrift/birchdrift/core/code"
 	"github.com/birchdrift/birchdrift/core/config"
 	"github.com/birchdrift/birchdrift/core/limit"
@@ -25,10 +26,13 @@
 	rule      *config.Forward
 	tried     []string // replicas that failed it
 	ran       int      // attempts that may have run
+	refusals  int      // replicas that said they did not run it
+	unsent    int      // replicas that it could not be sent to
 	delivered int      // number of the last event that the caller has
 	prefill   time.Duration
-	unread    int  // prompt tokens believed to be read for it
-	alone     bool // no other prompt was being read where it was sent
+	firstAt   clock.Instant // when the first event of the last attempt came
+	unread    int           // prompt tokens believed to be read for it
+	alone     bool          // no other prompt was being read where it was sent
 	chain     route.Chain
 	weight    route.Weight
 	fetches   int  // orders that it waited for
@@ -125,6 +129,7 @@
 		Tokens: c.PromptTokens,
 		Chain:  f.chain,
 		Tried:  f.tried,
+		Doubt:  m.zoneDoubt,
 	}
 	if c.item != "" {
 		query.Extra = func(r *pool.Replica) (time.Duration, bool) { return m.itemCost(c, r) }
@@ -178,6 +183,7 @@
 	}
 	c.phase = fetching
 	c.forward.fetches++
+	m.note(NoteCallWaits, "call", c.Forward.Name, "item", c.item, "for", "an order", "engine", r.Name)
 	m.askFor(c.fetchKey(r), c)
 }
 
@@ -186,8 +192,10 @@
 	switch {
 	case c.history.Run() != code.NotRun || c.forward.opened:
 		m.endForward(c, Broke{Phase: attempt.MaybeSent, Detail: "no other replica can serve it"})
-	case c.item == "" || len(c.forward.tried) > 0:
-		m.refuse(c, notRun(code.NoReplica, "no live replica", m.comeBack(0)))
+	case c.item == "":
+		m.refuse(c, notRun(code.NoReplica, "no live replica", leastBack))
+	case c.forward.refusals > 0:
+		m.refuse(c, notRun(code.NoCapacity, "its replicas refused it", leastBack))
 	case c.version.Adapter != "" && m.modelServed(c):
 		m.awaitAdapter(c)
 	default:
@@ -230,6 +238,9 @@
 	eta := m.modelETA(c)
 	spent := m.now.Since(c.arrived)
 	if spent+eta < c.service.Target.FirstToken {
+		if !m.inLine(c) {
+			m.note(NoteCallWaits, "call", c.Forward.Name, "item", c.item, "for", "its model", "eta_ms", wholeMillis(eta))
+		}
 		m.wait(c)
 		return
 	}
@@ -276,7 +287,7 @@
 	f.prefill = e.Prefill
 	f.unread = c.PromptTokens - e.Cached
 	f.alone = e.Ahead == 0 && e.Calls <= aloneCalls
-	e.Replica.StartPrefill(m.now, uint64(c.ID), e.Prefill)
+	e.Replica.StartPrefill(m.now, uint64(c.ID), e.Prefill, e.Total())
 	if c.item != "" {
 		m.forwards.Sent(c.replica, f.chain, m.cacheTokens(c))
 		e.Replica.Use(c.item)
@@ -284,9 +295,16 @@
 			own.Used(m.now, c.item)
 		}
 	}
+	m.note(NoteCallSent, "call", c.Forward.Name, "service", c.Service, "item", c.item, "attempt", c.history.Attempts,
+		"replica", c.replica, "waited_ms", wholeMillis(m.now.Since(c.arrived)), "ahead_ms", wholeMillis(e.Ahead),
+		"prefill_ms", wholeMillis(e.Prefill), "other_ms", wholeMillis(e.Other), "cached", e.Cached, "calls_there", e.Calls,
+		"announced_ago_ms", wholeMillis(m.now.Since(e.Replica.AnnouncedAt())), "revision", m.cfg.Revision())
 	m.do(m.forwardAction(c, e.Replica))
 }
 
+// wholeMillis is a duration in logs.
+func wholeMillis(d time.Duration) int64 { return d.Milliseconds() }
+
 // aloneCalls is how many calls may run at an engine for its reading speed to be
 // learnt from one more.
 const aloneCalls = 4
@@ -339,16 +357,24 @@
 	f.relayable = e.Own
 	f.delivered = max(f.delivered, e.Delivered)
 	f.opened = f.opened || e.Delivered > 0
-	f.tried = append(f.tried, c.replica)
+	former := c.replica
+	f.tried = append(f.tried, former)
 	c.replica = ""
-	if e.Phase != attempt.NotSent && e.Phase != attempt.Refused {
+	switch e.Phase {
+	case attempt.NotSent:
+		// It counts as down for a while, and may be tried again after that.
+		f.tried = f.tried[:len(f.tried)-1]
+		f.unsent++
+	case attempt.Refused:
+		f.refusals++
+	default:
 		f.ran++
 	}
 	if !m.mayGoOn(c, e) {
 		m.endForward(c, e)
 		return
 	}
-	m.note(NoteCallRetried, "call", c.Forward.Name, "replica", f.tried[len(f.tried)-1], "status", e.Status, "detail", e.Detail)
+	m.note(NoteCallRetried, "call", c.Forward.Name, "replica", former, "status", e.Status, "detail", e.Detail)
 	c.phase = waiting
 	m.placeForward(c)
 }
@@ -361,7 +387,7 @@
 	if f.opened {
 		again = f.rule.Kind == config.Stream && f.rule.Resumable
 	}
-	if !again || e.Spent || f.ran >= max(1, f.rule.MaxAttempts) || len(f.tried) >= maxRefusals {
+	if !again || e.Spent || f.ran >= max(1, f.rule.MaxAttempts) || f.refusals >= maxForwardRefusals || f.unsent >= maxUnsent {
 		return false
 	}
 	if m.now.Add(leastLeft).Mono >= c.expires.Mono {
@@ -371,6 +397,13 @@
 	return e.Phase == attempt.NotSent || m.mayRepeat(c.service.Name)
 }
 
+// Bounds of what a forwarded call follows: refusals, which cost the budget, and
+// replicas at which nothing answers.
+const (
+	maxForwardRefusals = 3
+	maxUnsent          = 8
+)
+
 // leastLeft is the least time for which an attempt is worth making.
 const leastLeft = 20 * time.Millisecond
 
@@ -410,6 +443,9 @@
 	case e.Phase == attempt.Refused:
 		r.Forget(uint64(c.ID))
 		r.Refused(m.now, c.item)
+	case e.Phase == attempt.NotSent:
+		r.Forget(uint64(c.ID))
+		r.SetDown(m.now)
 	case e.Own:
 		// The replica works; that it failed a call may lie in the call.
 		r.End(m.now, uint64(c.ID), c.started, false)
@@ -425,6 +461,7 @@
 // firstForward notes the first event of a forwarded call's answer.
 func (m *Machine) firstForward(c *call) {
 	c.answered = true
+	c.forward.firstAt = m.now
 	c.forward.opened = c.forward.rule.Kind == config.Stream
 	r := m.pool.Get(c.replica)
 	if r == nil {
--- a/core/instance/mesh.go
+++ b/core/instance/mesh.go
@@ -1,6 +1,10 @@
 package instance
 
-import "github.com/birchdrift/birchdrift/core/share"
+import (
+	"time"
+
+	"github.com/birchdrift/birchdrift/core/share"
+)
 
 // A small fleet exchanges pairwise: each instance begins an exchange with every
 // peer whose name comes after its own, so that all hear from all, at first hand
@@ -35,7 +39,7 @@
 // uses returns what a message says of the calls in flight here.
 func (m *Machine) uses(msg *share.Message) {
 	if m.opt.MeshEvery > 0 {
-		msg.Uses = m.pool.OwnUse()
+		msg.Uses = m.pool.OwnUse(m.now)
 	}
 }
 
@@ -55,3 +59,30 @@
 		}
 	}
 }
+
+// zoneDoubtCost keeps calls from the replicas of a zone none of whose instances
+// answers, where others can serve them.
+const zoneDoubtCost = 400 * time.Millisecond
+
+// zoneDoubt returns the cost of a zone that seems to be cut off from this one.
+func (m *Machine) zoneDoubt(zone string) time.Duration {
+	if zone == m.self.Zone || !m.meshed() || !m.zoneSilent(zone) {
+		return 0
+	}
+	return zoneDoubtCost
+}
+
+// zoneSilent reports whether the zone has instances and none of them answers.
+func (m *Machine) zoneSilent(zone string) bool {
+	known := false
+	for _, p := range m.members.Peers() {
+		if p.Zone != zone {
+			continue
+		}
+		known = true
+		if !p.Failing() {
+			return false
+		}
+	}
+	return known
+}
--- a/core/instance/note.go
+++ b/core/instance/note.go
@@ -46,6 +46,9 @@
 	NoteCallFailed      Number = 1801
 	NoteCallRetried     Number = 1802
 	NoteCallResumed     Number = 1803
+	NoteCallSent        Number = 1804
+	NoteCallServed      Number = 1805
+	NoteCallWaits       Number = 1806
 	NoteBug             Number = 1901
 )
 
@@ -115,5 +118,8 @@
 	{NoteCallFailed, "call_failed", "A call got a final answer that is not its upstream's.", "Look the code up in docs/codes.md."},
 	{NoteCallRetried, "call_retried", "A call was sent to another replica after an attempt broke.", "None; watch the rate."},
 	{NoteCallResumed, "call_resumed", "A broken stream goes on at its offset.", "None; watch the rate."},
+	{NoteCallSent, "call_sent", "A forwarded call was sent to a replica: what was expected of it, from which load and how old its announcement was.", "None."},
+	{NoteCallServed, "call_served", "A forwarded call's answer is whole; how long its parts took.", "None."},
+	{NoteCallWaits, "call_waits", "A forwarded call waits here, for an order or for its model.", "None."},
 	{NoteBug, "bug", "The program met a state that it holds impossible.", "Report it with the line."},
 }
--- a/core/instance/placement.go
+++ b/core/instance/placement.go
@@ -43,6 +43,7 @@
 	held     bool // this instance has the placer's record, by its last write
 	due      clock.Instant
 	active   bool
+	orphan   bool          // only the own engines, and only what is missed
 	since    clock.Instant // when this instance became the placer
 	demandAt clock.Instant // since when callers are known to ask for models
 	tokens   float64       // loads from the store that may begin
@@ -75,21 +76,19 @@
 	if !m.opt.OneWatch || m.stop.begun || m.cfg == nil {
 		return
 	}
-	if !m.placing() {
+	placing := m.placing()
+	if !placing {
+		m.seekPlacement()
+	}
+	if !placing && !m.orphaned() {
 		if v.active {
 			v.active = false
 			v.changes = map[string]*change{}
 		}
-		m.seekPlacement()
 		return
 	}
-	if !v.active {
-		v.active = true
-		v.since = m.now
-		v.at = m.now
-		v.tokens = 0
-		v.demandAt = m.now
-		m.note(NotePlacing, "revision", m.registry.placer.Revision)
+	if !placing || !v.active || v.orphan {
+		m.beginPlacing(!placing)
 	}
 	if m.now.Before(v.due) {
 		return
@@ -98,6 +97,34 @@
 	m.placeModels()
 }
 
+// beginPlacing begins to place models: for the fleet, or as an orphan for the
+// own engines alone.
+func (m *Machine) beginPlacing(orphan bool) {
+	v := &m.placement
+	if v.active && v.orphan == orphan {
+		return
+	}
+	v.active = true
+	v.orphan = orphan
+	v.changes = map[string]*change{}
+	v.since = m.now
+	v.at = m.now
+	v.tokens = 0
+	v.demandAt = m.now
+	m.note(NotePlacing, "orphan", orphan, "revision", m.registry.placer.Revision)
+}
+
+// orphaned reports whether this instance owns engines and cannot hear of the
+// placer, as in a zone that is cut off: then it brings in what its own callers
+// miss, from the weights that its engines have at hand.
+func (m *Machine) orphaned() bool {
+	if len(m.engines) == 0 || !m.mayOrderEngines() || !m.meshed() {
+		return false
+	}
+	p := m.members.Get(m.registry.placer.Name)
+	return p != nil && p.Failing() && m.registry.placer.Name != m.self.Name
+}
+
 // seekPlacement writes the placer's record where there is none, or where it is
 // this instance's from before it may have lost it. Instances come in the order
 // of their rank, should those before them not do it.
@@ -299,6 +326,10 @@
 		StoreLoads:  m.storeLoads(),
 		MinimumStay: minimumStay,
 		Blind:       m.now.Since(m.placement.demandAt) < blindTime,
+		OnlyAbsent:  m.placement.orphan,
+	}
+	if m.placement.orphan {
+		in.StoreLoads = 0
 	}
 	for _, model := range p.Models {
 		in.Models[model.Name] = place.Model{
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -39,6 +39,9 @@
 	// spareWorth is the worth of a second copy of a model that has one: it
 	// stands in when the first is lost.
 	spareWorth = 0.01
+	// zoneBonus prefers an engine in a zone that has no copy of the model yet:
+	// a zone may be cut off from the others.
+	zoneBonus = 0.05
 	// fullEngine is the work from which an engine is no place for more.
 	fullEngine = 0.75
 )
@@ -91,6 +94,9 @@
 	// Blind says that too little was heard of the demand to drop anything for
 	// a model that nobody misses.
 	Blind bool
+	// OnlyAbsent has only models placed of which there is no copy and that
+	// somebody asks for.
+	OnlyAbsent bool
 }
 
 // A Source is where an engine takes a model's weights from.
@@ -137,7 +143,8 @@
 type placer struct {
 	in      Input
 	engines []*engine
-	copies  map[string]int // that serve, or will
+	copies  map[string]int            // that serve, or will
+	zones   map[string]map[string]int // copies by model, then by zone
 	store   int
 }
 
@@ -148,7 +155,7 @@
 }
 
 func newPlacer(in Input) *placer {
-	p := &placer{in: in, copies: map[string]int{}, store: in.StoreLoads}
+	p := &placer{in: in, copies: map[string]int{}, zones: map[string]map[string]int{}, store: in.StoreLoads}
 	for _, e := range in.Engines {
 		p.engines = append(p.engines, &engine{Engine: e})
 		if !e.Sound {
@@ -156,7 +163,7 @@
 		}
 		for _, c := range e.Copies {
 			if !c.Leaving {
-				p.copies[c.Model]++
+				p.count(c.Model, e.Zone, 1)
 			}
 		}
 	}
@@ -170,6 +177,15 @@
 	return p
 }
 
+// count notes copies of a model that came or went in a zone.
+func (p *placer) count(model, zone string, n int) {
+	p.copies[model] += n
+	if p.zones[model] == nil {
+		p.zones[model] = map[string]int{}
+	}
+	p.zones[model][zone] += n
+}
+
 // share returns the work of one copy of a model.
 func (p *placer) share(model string) float64 {
 	return p.in.Demand[model].Work / float64(max(1, p.copies[model]))
@@ -209,6 +225,9 @@
 func (p *placer) wants() []want {
 	var wants []want
 	for name := range p.in.Models {
+		if p.in.OnlyAbsent && (p.copies[name] > 0 || p.in.Demand[name].Absent == 0) {
+			continue
+		}
 		if w := p.worth(name, p.copies[name]+1); w > 0 {
 			wants = append(wants, want{model: name, worth: w})
 		}
@@ -258,9 +277,9 @@
 	if o.source == FromStore {
 		p.store--
 	}
-	p.copies[w.model]++
+	p.count(w.model, o.engine.Zone, 1)
 	for _, model := range o.drop {
-		p.copies[model]--
+		p.count(model, o.engine.Zone, -1)
 	}
 }
 
@@ -293,7 +312,10 @@
 	if o.cost > 0 && w.worth < margin*o.cost {
 		return option{}, false
 	}
-	o.score = w.worth - o.cost - e.work*0.5 + sourceBonus[o.source]
+	if p.zones[w.model][e.Zone] == 0 {
+		o.score += zoneBonus
+	}
+	o.score += w.worth - o.cost - e.work*0.5 + sourceBonus[o.source]
 	return o, true
 }
 
--- a/core/pool/replica.go
+++ b/core/pool/replica.go
@@ -67,8 +67,9 @@
 	hold     time.Duration // EWMA of the time a call occupies the replica
 	Limit    limit.Concurrency
 
-	failures  int // in a row
-	ejections int // in a row
+	downTo    clock.Instant // until when it counts as down, since nothing answered at its address
+	failures  int           // in a row
+	ejections int           // in a row
 	ejectedTo clock.Instant
 
 	announced   Announcement
@@ -85,9 +86,10 @@
 
 // A pendingCall is one own call in flight without a first token.
 type pendingCall struct {
-	id      uint64
-	since   clock.Instant
-	prefill time.Duration // work on its prompt believed to be left
+	id       uint64
+	since    clock.Instant
+	prefill  time.Duration // work on its prompt believed to be left
+	expected time.Duration // time believed to pass until its first event
 }
 
 func newReplica(f Facts) *Replica {
@@ -122,6 +124,27 @@
 // Failures returns how many calls in a row the replica failed.
 func (r *Replica) Failures() int { return r.failures }
 
+// downSpan is how long a replica at whose address nothing answered counts as
+// down, before it is tried again.
+const downSpan = 700 * time.Millisecond
+
+// SetDown notes that nothing answered at the replica's address.
+func (r *Replica) SetDown(now clock.Instant) { r.downTo = now.Add(downSpan) }
+
+// Down reports whether nothing answered at the replica's address a moment ago.
+func (r *Replica) Down(now clock.Instant) bool { return now.Before(r.downTo) }
+
+// Overdue returns for how long the oldest own call has waited for its first
+// event beyond the work that was ahead of it: a replica that went dark shows so
+// before any call to it has failed.
+func (r *Replica) Overdue(now clock.Instant) time.Duration {
+	if len(r.pending) == 0 {
+		return 0
+	}
+	oldest := r.pending[0]
+	return max(0, now.Since(oldest.since)-oldest.expected)
+}
+
 // InFlight returns this instance's own calls in flight.
 func (r *Replica) InFlight() int { return r.inFlight }
 
@@ -176,12 +199,13 @@
 }
 
 // Start notes that this instance sent the call id to the replica.
-func (r *Replica) Start(now clock.Instant, id uint64) { r.StartPrefill(now, id, 0) }
+func (r *Replica) Start(now clock.Instant, id uint64) { r.StartPrefill(now, id, 0, 0) }
 
-// StartPrefill is Start for a call whose prompt is so much work to read.
-func (r *Replica) StartPrefill(now clock.Instant, id uint64, prefill time.Duration) {
+// StartPrefill is Start for a call whose prompt is so much work to read, and of
+// which the first event is expected after so long.
+func (r *Replica) StartPrefill(now clock.Instant, id uint64, prefill, expected time.Duration) {
 	r.inFlight++
-	r.pending = append(r.pending, pendingCall{id: id, since: now, prefill: prefill})
+	r.pending = append(r.pending, pendingCall{id: id, since: now, prefill: prefill, expected: expected})
 }
 
 // First notes that the call's first token came. late says that it came later
--- a/core/pool/use.go
+++ b/core/pool/use.go
@@ -11,6 +11,7 @@
 	Calls   int
 	Prefill time.Duration // work on prompts that it believes is still to be done there
 	Items   []string      // items that its calls used lately
+	Down    bool          // nothing answered there a moment ago
 }
 
 // useSpan is how long another instance's word about its calls is believed.
@@ -40,11 +41,11 @@
 }
 
 // OwnUse returns what this instance has in flight, by replica.
-func (p *Pool) OwnUse() map[string]Use {
+func (p *Pool) OwnUse(now clock.Instant) map[string]Use {
 	uses := map[string]Use{}
 	for name, r := range p.replicas {
-		if r.inFlight > 0 || len(r.used) > 0 {
-			uses[name] = Use{Calls: r.inFlight, Prefill: r.ownPrefill(), Items: r.recent()}
+		if r.inFlight > 0 || len(r.used) > 0 || r.Down(now) {
+			uses[name] = Use{Calls: r.inFlight, Prefill: r.ownPrefill(), Items: r.recent(), Down: r.Down(now)}
 		}
 	}
 	return uses
@@ -97,6 +98,20 @@
 	return sum
 }
 
+// Doubted reports whether this instance, or a peer that was heard a moment ago,
+// found nothing at the replica's address.
+func (r *Replica) Doubted(now clock.Instant) bool {
+	if r.Down(now) {
+		return true
+	}
+	for _, u := range r.peers {
+		if u.Down && now.Since(u.at) <= downSpan {
+			return true
+		}
+	}
+	return false
+}
+
 // Load returns the calls in flight at the replica and the work on prompts that
 // is still to be done there, of every instance that was heard lately.
 func (r *Replica) Load(now clock.Instant) Use {
--- a/core/route/forward.go
+++ b/core/route/forward.go
@@ -43,6 +43,9 @@
 	// Extra returns what must happen at a replica before it can serve the
 	// call, as time; ok is false if it cannot. nil: nothing must.
 	Extra func(r *pool.Replica) (cost time.Duration, ok bool)
+	// Doubt returns the cost of what is doubtful about a replica's zone; nil:
+	// nothing is.
+	Doubt func(zone string) time.Duration
 }
 
 // A ForwardEstimate is the expected time to the answer, or to a stream's first
@@ -151,6 +154,9 @@
 		if r.Ejected(now) && ejected < len(usable) {
 			continue
 		}
+		if r.Down(now) {
+			continue
+		}
 		e := f.estimate(now, q, r, r == head)
 		if !ok || e.Total() < best.Total() {
 			best = e
@@ -210,6 +216,15 @@
 		e.Other += cost
 	}
 	e.Other += suspectCost * time.Duration(r.Failures())
+	if r.Doubted(now) {
+		e.Other += doubtedCost
+	}
+	if q.Doubt != nil {
+		e.Other += q.Doubt(r.Zone)
+	}
+	if late := r.Overdue(now); late > overdueSlack {
+		e.Other += late
+	}
 	if q.Model.Model == "" {
 		e.plain(r, load)
 		return e
@@ -228,6 +243,13 @@
 	return e
 }
 
+// overdueSlack is how late a first event may be before that speaks against its
+// replica.
+const overdueSlack = 150 * time.Millisecond
+
+// doubtedCost keeps calls from replicas at which a peer found nothing.
+const doubtedCost = 200 * time.Millisecond
+
 // vanishedCost keeps calls from replicas whose entries went, where others are.
 const vanishedCost = 500 * time.Millisecond
 
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -50,7 +50,7 @@
 	out.HasUses = m.Uses != nil
 	for name, u := range m.Uses {
 		out.Uses = append(out.Uses, &peerpb.Use{
-			Replica: name, Calls: uint32(u.Calls), PrefillUs: uint32(u.Prefill.Microseconds()), Items: u.Items,
+			Replica: name, Calls: uint32(u.Calls), PrefillUs: uint32(u.Prefill.Microseconds()), Items: u.Items, Down: u.Down,
 		})
 	}
 	return out
@@ -141,7 +141,7 @@
 	}
 	for _, u := range m.GetUses() {
 		out.Uses[u.GetReplica()] = pool.Use{
-			Calls: int(u.GetCalls()), Prefill: time.Duration(u.GetPrefillUs()) * time.Microsecond, Items: u.GetItems(),
+			Calls: int(u.GetCalls()), Prefill: time.Duration(u.GetPrefillUs()) * time.Microsecond, Items: u.GetItems(), Down: u.GetDown(),
 		}
 	}
 	return out
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -49,6 +49,8 @@
 	shell     *shell.Shell
 	listeners []*listener
 	level     *slog.LevelVar
+	metrics   *telemetry.Metrics
+	logs      *telemetry.LogWriter
 	source    settings.Source
 	file      []byte // of the settings in force
 	ctx       context.Context
@@ -84,12 +86,14 @@
 func New(set settings.Settings, opt instance.Options, enter Enter, logs, spans io.Writer) (*Server, error) {
 	level := new(slog.LevelVar)
 	level.Set(set.LogLevel)
-	log := telemetry.NewLogger(logs, level, set.Name, set.Zone)
+	metrics := telemetry.NewMetrics()
+	writer := telemetry.NewLogWriter(logs, metrics.LogDropped)
+	log := telemetry.NewLogger(writer, level, set.Name, set.Zone)
 	tracer, err := telemetry.NewTracer(spans, set.Name, set.Zone, set.TraceShare)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	s := &Server{set: set, opt: opt, log: log, tracer: tracer, level: level}
+	s := &Server{set: set, opt: opt, log: log, tracer: tracer, level: level, metrics: metrics, logs: writer}
 	limitMemory(set.MemoryLimit)
 	if err := s.bind(); err != nil {
 		return nil, err
@@ -118,7 +122,7 @@
 }
 
 func (s *Server) wire(enter Enter) {
-	metrics := telemetry.NewMetrics()
+	metrics := s.metrics
 	transports := upstream.NewTransports()
 	environment := enter(s.set, transports)
 	self := instance.Identity{
@@ -181,7 +185,9 @@
 	}
 	exit := s.awaitExit()
 	s.close()
-	return exit.Cut, group.Wait()
+	err := group.Wait()
+	s.logs.Close()
+	return exit.Cut, err
 }
 
 func (s *Server) awaitExit() instance.Exit {
--- a/internal/shell/actions.go
+++ b/internal/shell/actions.go
@@ -18,7 +18,7 @@
 // Time limits of single requests.
 const (
 	engineTimeout   = 2 * time.Second
-	exchangeTimeout = 2 * time.Second
+	exchangeTimeout = 800 * time.Millisecond
 	claimTimeout    = time.Second
 )
 
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -23,6 +23,7 @@
 	retries       *metrics.Counter
 	resumes       *metrics.Counter
 	policyFails   *metrics.Counter
+	logDropped    *metrics.Counter
 }
 
 // NewMetrics returns measures that have counted nothing.
@@ -38,6 +39,7 @@
 		retries:       set.NewCounter("birchdrift_retries_total"),
 		resumes:       set.NewCounter("birchdrift_resumes_total"),
 		policyFails:   set.NewCounter("birchdrift_policy_failures_total"),
+		logDropped:    set.NewCounter("birchdrift_log_lines_dropped_total"),
 	}
 }
 
@@ -56,12 +58,16 @@
 	{"birchdrift_policy_failures_total", "Calls for which a policy expression failed.", "Mend the policy; event 1701 names it."},
 	{"birchdrift_platform_calls_total", "Calls made to the platform's key-value service.", "Compare with its rates."},
 	{"birchdrift_orders_total{op}", "Orders sent to engines.", "Loads and unloads are the moves."},
+	{"birchdrift_log_lines_dropped_total", "Log lines dropped because they came faster than they may be written.", "Rising: set `--log-level` to warn, or look at what fails so often."},
 	{"birchdrift_notes_total{event}", "Log events by number.", "Look the number up in docs/events.md."},
 }
 
 // PlatformCall counts a call to the platform.
 func (m *Metrics) PlatformCall() { m.platformCalls.Inc() }
 
+// LogDropped counts log lines that were dropped.
+func (m *Metrics) LogDropped(lines int) { m.logDropped.Add(lines) }
+
 // Queued notes how long a call waited here.
 func (m *Metrics) Queued(d time.Duration) { m.queueTime.Update(d.Seconds()) }
 
--- /dev/null
+++ b/internal/telemetry/writer.go
@@ -0,0 +1,99 @@
+package telemetry
+
+import (
+	"io"
+	"sync"
+	"time"
+)
+
+// Bounds of buffered logs.
+const (
+	logBuffer  = 256 << 10 // bytes that may wait to be written
+	flushEvery = 100 * time.Millisecond
+	maxPerSec  = 400 // lines a second on average; twice as many for a second
+)
+
+// A LogWriter buffers log lines and writes them in batches, so that nobody who
+// logs ever waits for the output. Lines beyond the buffer, or beyond the rate
+// for long, are dropped and counted.
+type LogWriter struct {
+	out     io.Writer
+	dropped func(lines int)
+
+	mu      sync.Mutex
+	waiting []byte
+	spare   []byte
+	tokens  float64
+	at      time.Time
+	closed  chan struct{}
+	done    chan struct{}
+}
+
+// NewLogWriter returns a writer to out; dropped counts what is lost.
+func NewLogWriter(out io.Writer, dropped func(lines int)) *LogWriter {
+	w := &LogWriter{
+		out: out, dropped: dropped, tokens: 2 * maxPerSec, at: time.Now(),
+		closed: make(chan struct{}), done: make(chan struct{}),
+	}
+	go w.run()
+	return w
+}
+
+// Write takes one line. It never blocks and never fails.
+func (w *LogWriter) Write(line []byte) (int, error) {
+	w.mu.Lock()
+	kept := w.allowed(time.Now()) && len(w.waiting)+len(line) <= logBuffer
+	if kept {
+		w.waiting = append(w.waiting, line...)
+	}
+	w.mu.Unlock()
+	if !kept {
+		w.dropped(1)
+	}
+	return len(line), nil
+}
+
+// allowed spends one line of the rate.
+func (w *LogWriter) allowed(now time.Time) bool {
+	w.tokens = min(w.tokens+maxPerSec*now.Sub(w.at).Seconds(), 2*maxPerSec)
+	w.at = now
+	if w.tokens < 1 {
+		return false
+	}
+	w.tokens--
+	return true
+}
+
+func (w *LogWriter) run() {
+	defer close(w.done)
+	ticker := time.NewTicker(flushEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			w.flush()
+		case <-w.closed:
+			w.flush()
+			return
+		}
+	}
+}
+
+func (w *LogWriter) flush() {
+	w.mu.Lock()
+	batch := w.waiting
+	w.waiting = w.spare[:0]
+	w.mu.Unlock()
+	if len(batch) > 0 {
+		_, _ = w.out.Write(batch) // there is nowhere to report that logs cannot be written
+	}
+	w.mu.Lock()
+	w.spare = batch[:0]
+	w.mu.Unlock()
+}
+
+// Close writes what waits and ends the writer.
+func (w *LogWriter) Close() {
+	close(w.closed)
+	<-w.done
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -27,7 +27,7 @@
 
 // Bounds of connections to upstreams.
 const (
-	dialTimeout = time.Second
+	dialTimeout = 500 * time.Millisecond
 	idleTimeout = 4 * time.Second // below what upstreams keep idle connections for
 	idlePerHost = 64
 	probeEvery  = time.Second // probes of a connection on which nothing comes
