Large fleets: few instances watch the platform and own engines, the others hear from them

In a fleet beyond the watchers of each zone, instances owned engines without watching the registry, so they did not hear that they had lost them; registry records did not travel between instances either, so most knew owners of long ago.

Ruled out: fences that fall by themselves (they are the store's revisions), late orders.

Change: the registry's records travel in exchanges with their revisions, ordered by them. Only instances on watch claim engines, whoever owns some keeps watching, and an owner gives orders only while its own watch was answered within OrderValid. Who watches is computed from the registry's records; an instance whose newest word of the store is old watches anyway. In a large fleet every other exchange goes to a watcher, every fourth to the placer. A claim holds at most registry.MaxClaims.

--- a/core/instance/announced_world_test.go
+++ b/core/instance/announced_world_test.go
@@ -40,7 +40,11 @@
 	served  int
 	refused int
 	orders  int
-	late    float64 // share of orders without an answer, carried out seconds later
+	claims  int // most ownerships in one write
+	watches int
+	// engineCount is how many engines there are.
+	engineCount int
+	late        float64 // share of orders without an answer, carried out seconds later
 	// firstAfter is how long an engine takes to the first event of a call.
 	firstAfter time.Duration
 	lost       float64 // share of writes of the store whose answers are lost
@@ -55,6 +59,7 @@
 	frozen  bool
 	held    []func()
 	noStore bool
+	deaf    bool   // its watches hear nothing, nor do its exchanges
 	after   uint64 // the watch's position; 0 reads the whole
 	asked   map[uint64]func(OrderAnswered)
 	answers map[uint64]func(share.Message)
@@ -136,14 +141,20 @@
 // newFleetWith returns a fleet with mechanisms switched off; with empty, its
 // engines hold nothing at the start.
 func newFleetWith(seed uint64, members int, disable Disabled, empty bool) *fleet {
+	return newFleetOf(seed, members, fleetEngines, disable, empty)
+}
+
+// newFleetOf returns a fleet with so many engines.
+func newFleetOf(seed uint64, members, engines int, disable Disabled, empty bool) *fleet {
 	f := &fleet{
-		rng:        rand.New(rand.NewPCG(seed, 77)),
-		opt:        DefaultOptions(),
-		firstAfter: 30 * time.Millisecond,
-		doc:        fleetDocument(),
-		store:      fleetStore{values: map[string]*fleetValue{}, leases: map[uint64]*fleetLease{}},
-		engines:    map[string]*fleetEngine{},
-		members:    map[string]*fleetMember{},
+		engineCount: engines,
+		rng:         rand.New(rand.NewPCG(seed, 77)),
+		opt:         DefaultOptions(),
+		firstAfter:  30 * time.Millisecond,
+		doc:         fleetDocument(),
+		store:       fleetStore{values: map[string]*fleetValue{}, leases: map[uint64]*fleetLease{}},
+		engines:     map[string]*fleetEngine{},
+		members:     map[string]*fleetMember{},
 	}
 	f.opt.Disable = disable
 	f.opt.OneWatch = true
@@ -151,7 +162,7 @@
 	f.opt.WatchEvery = 200 * time.Millisecond
 	f.opt.WatchWait = 1500 * time.Millisecond
 	f.opt.Watchers = 3
-	for i := range fleetEngines {
+	for i := range f.engineCount {
 		e := &fleetEngine{
 			name: fmt.Sprintf("e%d", i), zone: fmt.Sprintf("z%d", i%2),
 			models: map[string]bool{}, adapters: map[string]bool{}, onDisk: map[string]bool{},
@@ -418,6 +429,7 @@
 		r.Revision = f.change("placer", &fleetValue{data: &q, lease: a.Lease})
 		return r
 	}
+	f.claims = max(f.claims, len(a.Write.Claim))
 	for _, o := range a.Write.Claim {
 		v := f.store.values["owners/"+o.Engine]
 		if (v == nil) != (o.Revision == 0) || v != nil && v.revision != o.Revision {
@@ -442,10 +454,11 @@
 	switch {
 	case n.dead || n.boot != boot:
 		return
-	case n.noStore || f.store.down:
+	case n.noStore || n.deaf || f.store.down:
 		f.at(wait+time.Second, func() { f.step(n, boot, WatchReply{Err: errors.New("no answer")}) })
 		return
 	}
+	f.watches++
 	whole := n.after == 0
 	var changes []fleetChange
 	if whole {
@@ -476,45 +489,31 @@
 		f.step(n, boot, ConfigReply{Snapshot: snapshot, Source: PlatformSource})
 	}
 	list := ListReply{Whole: whole, Version: f.store.revision}
-	reg := registry.Change{Whole: whole}
+	reg := RegistryReply{Whole: whole, Version: f.store.revision}
 	for _, c := range changes {
 		addFleetChange(&list, &reg, c)
 	}
 	f.step(n, boot, list)
-	f.step(n, boot, RegistryReply{Change: reg})
+	f.step(n, boot, reg)
 	f.step(n, boot, WatchReply{})
 }
 
-func addFleetChange(list *ListReply, reg *registry.Change, c fleetChange) {
+func addFleetChange(list *ListReply, reg *RegistryReply, c fleetChange) {
 	kind, name, _ := cutKey(c.key)
 	gone := c.value == nil
-	switch kind {
-	case "servers":
+	if kind == "servers" {
 		l := share.Listed{Name: name, Kind: share.Upstream, Version: c.revision, Gone: gone}
 		if !gone {
 			l.Announced = c.value.data.(*pool.Announcement)
 		}
 		list.Entries = append(list.Entries, l)
-	case "instances":
-		if gone {
-			reg.GoneInstances = append(reg.GoneInstances, name)
-			return
-		}
-		reg.Instances = append(reg.Instances, *c.value.data.(*registry.Instance))
-	case "owners":
-		o := *c.value.data.(*registry.Ownership)
-		o.Revision = c.revision
-		reg.Owners = append(reg.Owners, o)
-	case "placer":
-		if gone {
-			reg.Placer = nil
-			reg.PlacerGone = true
-			return
-		}
-		p := *c.value.data.(*registry.Placer)
-		p.Revision = c.revision
-		reg.Placer = &p
+		return
+	}
+	rec := registry.Record{Key: c.key, Revision: c.revision, Gone: gone}
+	if !gone {
+		rec.Data = c.value.data.(interface{ Value() registry.Value }).Value().Data
 	}
+	reg.Records = append(reg.Records, rec)
 }
 
 func cutKey(key string) (kind, name string, ok bool) {
@@ -678,7 +677,7 @@
 
 func (f *fleet) exchange(n *fleetMember, a Exchange, reply func(time.Duration, Event)) {
 	p := f.members[a.Address]
-	if p == nil || p.dead || p.frozen {
+	if p == nil || p.dead || p.frozen || p.deaf || n.deaf {
 		reply(time.Second, ExchangeReply{Peer: a.Peer, Address: a.Address, Err: errors.New("no answer")})
 		return
 	}
@@ -865,6 +864,93 @@
 	is.True(f.served > f.refused)
 }
 
+// TestClaimsFitIntoOneWrite: an instance that finds many engines unowned claims
+// no more at a time than a write of the store holds. Before, stores refused such
+// claims again and again, and the engines stayed without an owner.
+func TestClaimsFitIntoOneWrite(t *testing.T) {
+	is := is.New(t)
+	f := newFleetOf(1, 1, 40, Disabled{}, false)
+	f.expire()
+	f.run(20 * time.Second)
+	is.True(f.claims > 1)
+	is.True(f.claims <= registry.MaxClaims)
+	is.Equal(len(f.members["i0"].m.engines), 40)
+}
+
+// largeFleet has too many members for all to watch the platform, and callers.
+func largeFleet(seed uint64, disable Disabled) *fleet {
+	f := newFleetOf(seed, 2*meshMost, 4*fleetEngines, disable, false)
+	f.expire()
+	f.run(6 * time.Second)
+	f.callers(15 * time.Millisecond)
+	return f
+}
+
+// TestFewMembersOfALargeFleetWatch: in a large fleet a few members watch the
+// platform and own the engines; the others hear of owners from them and get
+// their orders, and the calls that the platform sees stay few.
+func TestFewMembersOfALargeFleetWatch(t *testing.T) {
+	is := is.New(t)
+	f := largeFleet(1, Disabled{})
+	f.run(20 * time.Second)
+	owners, watching := 0, 0
+	for _, name := range f.names {
+		m := f.members[name].m
+		if len(m.engines) > 0 {
+			owners++
+		}
+		if m.watches() {
+			watching++
+		}
+		is.Equal(len(m.registry.owners), 4*fleetEngines) // whoever it is knows the owners
+	}
+	is.True(owners >= 2)
+	is.True(owners <= 4*f.opt.Watchers)
+	is.True(watching <= 4*f.opt.Watchers)
+	is.Equal(f.broken, nil)
+	is.True(f.served > 4*f.refused)
+}
+
+// TestOwnersHearOfTheRegistry: an instance that stops watching must not go on
+// ordering its engines, since another may have taken them. Before, instances of
+// a large fleet owned engines without watching (ONE broke on a day of a grown
+// fleet: the former owner ordered under a lower fence).
+func TestOwnersHearOfTheRegistry(t *testing.T) {
+	cases := []struct {
+		name    string
+		disable Disabled
+		broken  bool
+	}{
+		{"owners that hear", Disabled{}, false},
+		{"owners that need not", Disabled{HearRegistry: true}, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			broken := 0
+			for seed := range 3 {
+				f := largeFleet(uint64(seed+1), c.disable)
+				f.deafOwners()
+				f.run(30 * time.Second)
+				broken += len(f.broken)
+			}
+			is.Equal(broken > 0, c.broken)
+		})
+	}
+}
+
+// deafOwners has the records of members that give orders go without a word, one
+// after the other, while their watches and exchanges are held up and their leases
+// are renewed.
+func (f *fleet) deafOwners() {
+	f.again(9*time.Second, 20*time.Second, func() func() {
+		n := f.giver()
+		n.deaf = true
+		f.change("instances/"+n.id.Name, nil)
+		return func() { n.deaf = false }
+	})
+}
+
 // TestLoadsAreCountedWhereTheyBegin: loads were once counted when they were
 // planned; several that waited for room then began together (CEILING broke on
 // two days in some hundred).
--- /dev/null
+++ b/core/instance/duty.go
@@ -0,0 +1,117 @@
+package instance
+
+import (
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/birchdrift/birchdrift/core/member"
+	"github.com/birchdrift/birchdrift/core/route"
+)
+
+// Who watches the platform. A few instances of each zone do, and the others hear
+// from them; a call that waits at the platform costs its operators as much as
+// any other. Each instance works this out from its own view. Where views differ
+// one too many watches, or one too few until its peers' news grows old.
+
+// storeSilence is how old the newest word of the platform's store may be before
+// an instance watches the platform whoever else should.
+const storeSilence = 4 * time.Second
+
+// watches reports whether this instance watches the platform now.
+func (m *Machine) watches() bool {
+	if m.members.HeardWithin(m.now, 5*m.opt.ExchangeEvery) == 0 {
+		return true // it may be alone
+	}
+	if !m.opt.OneWatch {
+		return m.members.OnDuty(m.now, watchDuty+m.self.Zone, m.opt.Watchers)
+	}
+	return m.onWatch() || len(m.engines) > 0 || m.placement.held || m.now.Since(m.exchanges.storeAt) > storeSilence
+}
+
+const watchDuty = "watch/"
+
+// onWatch reports whether this instance is among those that keep a watch of the
+// platform, of which engines are owned.
+func (m *Machine) onWatch() bool {
+	for _, name := range m.watchersOf(m.self.Zone) {
+		if name == m.self.Name {
+			return true
+		}
+	}
+	return false
+}
+
+// watchersOf returns the instances of a zone that keep a watch of the platform:
+// all in a small fleet, else the first by rendezvous hashing of those that have a
+// record and answer.
+func (m *Machine) watchersOf(zone string) []string {
+	var names []string
+	if zone == m.self.Zone {
+		names = append(names, m.self.Name)
+	}
+	for name, i := range m.registry.instances {
+		if i.Zone != zone || name == m.self.Name {
+			continue
+		}
+		if p := m.members.Get(name); p != nil && p.Live(m.now) {
+			names = append(names, name)
+		}
+	}
+	key := xxhash.Sum64String(watchDuty + zone)
+	sort.Slice(names, func(i, j int) bool {
+		a, b := route.Score(key, names[i]), route.Score(key, names[j])
+		return a > b || a == b && names[i] < names[j]
+	})
+	if !m.meshed() && len(names) > m.opt.Watchers {
+		names = names[:m.opt.Watchers]
+	}
+	return names
+}
+
+// nextOfFleet draws whom to exchange with in a fleet that watches the platform as
+// one and is too large to exchange pairwise: every other time one that watches
+// the platform, which has the news first, and the placer, which needs the
+// demand; nil to leave it to the ring of neighbours.
+func (m *Machine) nextOfFleet() *member.Peer {
+	x := &m.exchanges
+	switch x.count % 4 {
+	case 0, 2:
+		return m.nextWatcher(m.self.Zone)
+	case 1:
+		if p := m.members.Get(m.registry.placer.Name); p != nil && !p.Leaving {
+			return p
+		}
+	case 3:
+		if zones := m.zones(); m.onWatch() && len(zones) > 1 {
+			return m.nextWatcher(zones[m.rng.IntN(len(zones))])
+		}
+	}
+	return nil
+}
+
+// nextWatcher returns the peer of a zone whose turn it is, of those that watch
+// the platform.
+func (m *Machine) nextWatcher(zone string) *member.Peer {
+	var others []*member.Peer
+	for _, name := range m.watchersOf(zone) {
+		if p := m.members.Get(name); p != nil && !p.Leaving {
+			others = append(others, p)
+		}
+	}
+	if len(others) == 0 {
+		return nil
+	}
+	m.exchanges.turn++
+	return others[m.exchanges.turn%len(others)]
+}
+
+// zones returns the zones that have instances, in order.
+func (m *Machine) zones() []string {
+	seen := map[string]bool{m.self.Zone: true}
+	for _, i := range m.registry.instances {
+		seen[i.Zone] = true
+	}
+	return sortedKeys(seen)
+}
--- a/core/instance/event.go
+++ b/core/instance/event.go
@@ -116,10 +116,11 @@
 	}
 	// WatchReply ends a WatchPlatform, after the events for what it brought.
 	WatchReply struct{ Err error }
-	// RegistryReply brings news of the registry.
+	// RegistryReply brings news of the registry from the platform.
 	RegistryReply struct {
-		Change  registry.Change
-		Version uint64
+		Records []registry.Record
+		Version uint64 // of the store
+		Whole   bool   // Records are all that there are
 	}
 	// EnrolReply answers an Enrol, KeepReply a KeepEnrolled. Over says that the
 	// lease has gone.
--- a/core/instance/exchange.go
+++ b/core/instance/exchange.go
@@ -30,6 +30,7 @@
 	news    int             // exchanges to space by newsSpacing
 	urgent  bool            // tell every neighbour without waiting
 	pullTo  clock.Instant   // until then a newer revision is being asked for
+	storeAt clock.Instant   // of the newest word of the platform's store, from whomever
 	aheadAt clock.Instant   // since when a peer is known to be ahead
 	ahead   ahead           // who is known to have the newest revision
 	toldAt  clock.Instant   // when the planner was last told of an unmet demand
@@ -158,6 +159,11 @@
 // zone, in a fixed rhythm.
 func (m *Machine) nextPeer() *member.Peer {
 	x := &m.exchanges
+	if m.opt.OneWatch {
+		if p := m.nextOfFleet(); p != nil {
+			return p
+		}
+	}
 	if x.count%abroadEvery == 0 {
 		if p := m.abroad(); p != nil {
 			return p
@@ -238,6 +244,7 @@
 		Boot:       m.self.Boot,
 		Leaving:    m.stop.begun,
 		Revision:   m.cfg.Revision(),
+		StoreAge:   m.now.Since(m.exchanges.storeAt),
 		Stamp:      m.store.Stamp(),
 		AckBoot:    heard.boot,
 		Ack:        heard.stamp,
@@ -335,6 +342,9 @@
 	}
 	x.heard[msg.From] = ack{boot: msg.Boot, stamp: msg.Stamp}
 	m.takeRecords(msg.From, msg.Records)
+	if heard := m.now.Add(-msg.StoreAge); msg.StoreAge > 0 {
+		x.storeAt = later(x.storeAt, heard)
+	}
 	m.takeUses(msg)
 	if len(msg.Demand) > 0 {
 		m.board.Report(m.now, msg.From, msg.Demand)
@@ -359,7 +369,7 @@
 	if x.ahead.revision <= m.cfg.Revision() || m.now.Before(x.pullTo) {
 		return
 	}
-	if m.opt.OneWatch && !m.platform.down && m.now.Before(x.aheadAt.Add(pullPatience)) {
+	if m.opt.OneWatch && m.watches() && !m.platform.down && m.now.Before(x.aheadAt.Add(pullPatience)) {
 		return // the platform will bring it, and more cheaply
 	}
 	x.pullTo = m.now.Add(m.opt.ExchangeEvery)
@@ -373,7 +383,7 @@
 // wantsConfig reports whether a configuration that is newer than the own one
 // should come back from an exchange.
 func (m *Machine) wantsConfig() bool {
-	if !m.opt.OneWatch || m.cfg == nil || m.platform.down {
+	if !m.opt.OneWatch || m.cfg == nil || m.platform.down || !m.watches() {
 		return true
 	}
 	x := &m.exchanges
@@ -420,6 +430,7 @@
 	for _, h := range r.Holders {
 		m.store.AddHolder(from, h)
 	}
+	m.takeRegistered(from, r.Registered)
 }
 
 func (m *Machine) noticeLeaving(res share.Residency) {
--- a/core/instance/options.go
+++ b/core/instance/options.go
@@ -81,8 +81,10 @@
 	Monotonic bool // take over an older revision
 	Fences    bool // plan by plain reads, without raising fences first
 	TurnWait  bool // order an engine at once after taking it from another owner
-	Rate      bool // load from the weight store without regard to its rate
-	Intents   bool // order engines that check nothing without writing it down
+	// HearRegistry has owners order engines though they do not hear of the registry.
+	HearRegistry bool
+	Rate         bool // load from the weight store without regard to its rate
+	Intents      bool // order engines that check nothing without writing it down
 }
 
 // DefaultOptions returns the product's defaults.
--- a/core/instance/registry.go
+++ b/core/instance/registry.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"sort"
 	"time"
 
@@ -17,11 +18,15 @@
 // The registry: this instance's own record, and which instance orders which of
 // the engines that announce themselves.
 //
-// An owner may give orders for OrderValid after its last renewal was sent. Who
-// takes an engine over from another waits that long and TurnGap on top, counted
-// from its claim, since the former owner may not know yet that it lost the
-// engine: the platform may drop a record without telling its writer. Ownerships
-// are spread over the instances, so the loss of one leaves most engines ordered.
+// An owner may give orders for OrderValid after its last renewal, and the last
+// watch that it heard the registry through, were sent. Who takes an engine over
+// from another waits that long and TurnGap on top, counted from its claim, since
+// the former owner may not know yet that it lost the engine: the platform may
+// drop a record without telling its writer, and only the watch shows that.
+//
+// So only instances that watch the platform own engines. Ownerships are spread
+// over them, so the loss of one leaves most engines ordered. The others hear the
+// registry's records from their peers, and know by them whom to ask for orders.
 
 // A registryView is what the machine knows of the registry.
 type registryView struct {
@@ -30,7 +35,8 @@
 	keptAt     clock.Instant // when the last renewal that succeeded was sent
 	enrolled   bool
 	backoff    backoff.Backoff
-	known      bool // the registry was read at least once
+	known      bool          // the registry was read at least once
+	heardAt    clock.Instant // when the last watch that was answered was sent
 	steadyAt   clock.Instant
 	instances  map[string]registry.Instance
 	absent     map[string]clock.Instant // since when an instance has no record
@@ -45,7 +51,6 @@
 // Spacing of the registry's calls.
 const (
 	claimEvery   = 300 * time.Millisecond
-	claimMost    = 24 // ownerships in one write
 	claimStep    = 700 * time.Millisecond
 	enrolBase    = 100 * time.Millisecond
 	enrolMax     = time.Second
@@ -155,17 +160,42 @@
 // own still.
 func (m *Machine) mayOrderEngines() bool {
 	g := &m.registry
-	return !m.stop.begun && !g.keptAt.IsZero() && m.now.Elapsed(g.keptAt) < m.opt.OrderValid
+	if m.stop.begun || g.keptAt.IsZero() || m.now.Elapsed(g.keptAt) >= m.opt.OrderValid {
+		return false
+	}
+	return m.opt.Disable.HearRegistry || !g.heardAt.IsZero() && m.now.Elapsed(g.heardAt) < m.opt.OrderValid
 }
 
-// registryReply takes in news of the registry.
+// registryReply takes in what the platform says of the registry.
 func (m *Machine) registryReply(e RegistryReply) {
-	g := &m.registry
-	g.known = true
-	c := e.Change
-	if c.Whole {
-		m.registryWhole(c)
+	m.registry.known = true
+	records := e.Records
+	if e.Whole {
+		records = append(slices.Clone(records), m.store.Missing(records, e.Version)...)
+	}
+	m.takeRegistered("", records)
+}
+
+// takeRegistered takes in those of the records, told by from or by the platform
+// itself (""), that are news.
+func (m *Machine) takeRegistered(from string, records []registry.Record) {
+	var change registry.Change
+	news := false
+	for _, r := range records {
+		if m.store.AddRegistered(from, r) {
+			change.Add(r)
+			news = true
+		}
+	}
+	if news {
+		m.applyRegistry(change)
+		m.soon()
 	}
+}
+
+// applyRegistry takes in news of the registry.
+func (m *Machine) applyRegistry(c registry.Change) {
+	g := &m.registry
 	for _, i := range c.Instances {
 		g.instances[i.Name] = i
 		delete(g.absent, i.Name)
@@ -190,34 +220,6 @@
 	}
 }
 
-// registryWhole drops what a whole listing does not have.
-func (m *Machine) registryWhole(c registry.Change) {
-	g := &m.registry
-	here := map[string]bool{}
-	for _, i := range c.Instances {
-		here[i.Name] = true
-	}
-	for _, name := range sortedKeys(g.instances) {
-		if !here[name] {
-			m.instanceGone(name)
-		}
-	}
-	owned := map[string]bool{}
-	for _, o := range c.Owners {
-		owned[o.Engine] = true
-	}
-	for _, engine := range sortedKeys(g.owners) {
-		if !owned[engine] {
-			delete(g.owners, engine)
-			m.loseEngine(engine, "its record went")
-		}
-	}
-	if c.Placer == nil && g.placer.Name != "" {
-		m.takePlacer(registry.Placer{})
-		g.placerGone = m.now
-	}
-}
-
 func sortedKeys[V any](of map[string]V) []string {
 	keys := make([]string, 0, len(of))
 	for k := range of {
@@ -258,12 +260,12 @@
 		return
 	}
 	g.claimDue = m.now.Add(m.jitter(claimEvery))
-	if !g.known || !g.enrolled || g.claiming || !m.mayOrderEngines() || m.cfg == nil {
+	if !g.known || !g.enrolled || g.claiming || !m.onWatch() || !m.mayOrderEngines() || m.cfg == nil {
 		return
 	}
 	var claims []registry.Ownership
 	for _, r := range m.pool.All() {
-		if !r.Announced || r.Kind != pool.Engine || !r.Usable() || len(claims) == claimMost {
+		if !r.Announced || r.Kind != pool.Engine || !r.Usable() || len(claims) == registry.MaxClaims {
 			continue
 		}
 		if c, ok := m.claimOf(r); ok {
@@ -335,24 +337,22 @@
 }
 
 // ownerRank returns how many instances come before this one for an engine: of
-// those with a record, the ones of the engine's zone first.
+// those that watch the platform, the ones of the engine's zone first.
 func (m *Machine) ownerRank(r *pool.Replica) int {
+	ahead := 0
+	if m.self.Zone != r.Zone {
+		ahead = len(m.watchersOf(r.Zone))
+	}
 	key := xxhash.Sum64String(r.Name)
 	own := route.Score(key, m.self.Name)
-	near := m.self.Zone == r.Zone
-	ahead := 0
-	for name, i := range m.registry.instances {
-		if name == m.self.Name {
+	for _, zone := range m.zones() {
+		if (zone == r.Zone) != (m.self.Zone == r.Zone) {
 			continue
 		}
-		if theirs := i.Zone == r.Zone; theirs != near {
-			if theirs {
+		for _, name := range m.watchersOf(zone) {
+			if name != m.self.Name && route.Score(key, name) > own {
 				ahead++
 			}
-			continue
-		}
-		if route.Score(key, name) > own {
-			ahead++
 		}
 	}
 	return ahead
--- a/core/instance/watch.go
+++ b/core/instance/watch.go
@@ -6,14 +6,9 @@
 	"github.com/birchdrift/birchdrift/core/share"
 )
 
-// watchDue begins the watches that are this instance's to keep. An instance
-// that hears of nobody watches whatever its rank, since it may be alone.
+// watchDue begins the watches that are this instance's to keep.
 func (m *Machine) watchDue() {
-	if m.stop.begun {
-		return
-	}
-	alone := m.members.HeardWithin(m.now, 5*m.opt.ExchangeEvery) == 0
-	if !alone && !m.members.OnDuty(m.now, "watch/"+m.self.Zone, m.opt.Watchers) {
+	if m.stop.begun || !m.watches() {
 		return
 	}
 	p := &m.platform
@@ -107,6 +102,10 @@
 // watchReply notes that a watch of the list is over.
 func (m *Machine) watchReply(e WatchReply) {
 	m.platformSays(e.Err)
+	if e.Err == nil {
+		m.registry.heardAt = m.platform.list.since
+		m.exchanges.storeAt = later(m.exchanges.storeAt, m.platform.list.since)
+	}
 	m.platform.list.end(m.nextWatch())
 }
 
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -54,6 +54,18 @@
 	Revision uint64 `json:"-"`
 }
 
+// MaxClaims is the most ownerships that one write holds: each is a condition
+// and a value, and stores bound the two together.
+const MaxClaims = 15
+
+// A Record is one of the registry's values as the store holds it.
+type Record struct {
+	Key      string
+	Data     []byte
+	Revision uint64 // of its last change; rises over the whole store
+	Gone     bool   // it was there and is not any more
+}
+
 // A Change is news of the registry.
 type Change struct {
 	Instances     []Instance
@@ -62,25 +74,18 @@
 	GoneOwners    []string
 	Placer        *Placer // set if it changed
 	PlacerGone    bool
-	Whole         bool // the records in it are all that there are
-}
-
-// Empty reports whether the change says nothing.
-func (c Change) Empty() bool {
-	return !c.Whole && len(c.Instances) == 0 && len(c.GoneInstances) == 0 && len(c.Owners) == 0 &&
-		len(c.GoneOwners) == 0 && c.Placer == nil && !c.PlacerGone
 }
 
 // Add takes one record into the change. One that makes no sense is passed over:
 // a later version of the program may write what this one does not know.
-func (c *Change) Add(key string, value []byte, revision uint64, gone bool) {
+func (c *Change) Add(r Record) {
 	switch {
-	case key == placerKey:
-		c.addPlacer(value, revision, gone)
-	case strings.HasPrefix(key, instancePrefix):
-		c.addInstance(strings.TrimPrefix(key, instancePrefix), value, gone)
-	case strings.HasPrefix(key, ownerPrefix):
-		c.addOwner(strings.TrimPrefix(key, ownerPrefix), value, revision, gone)
+	case r.Key == placerKey:
+		c.addPlacer(r.Data, r.Revision, r.Gone)
+	case strings.HasPrefix(r.Key, instancePrefix):
+		c.addInstance(strings.TrimPrefix(r.Key, instancePrefix), r.Data, r.Gone)
+	case strings.HasPrefix(r.Key, ownerPrefix):
+		c.addOwner(strings.TrimPrefix(r.Key, ownerPrefix), r.Data, r.Revision, r.Gone)
 	}
 }
 
--- a/core/share/share.go
+++ b/core/share/share.go
@@ -7,17 +7,19 @@
 // often it arrives. Each peer is sent only what became new here since it last
 // confirmed; a message that is lost is covered by the next one.
 //
-// What travels where: what engines hold and who is leaving goes everywhere,
-// for it changes rarely and calls are sent across zones by it; loads stay in
-// their zone, for they change all the time and are stale by the time they
-// would have crossed.
+// What travels where: what engines hold, who is leaving and the registry's
+// records go everywhere, for they change rarely and calls are sent across zones
+// by them; loads stay in their zone, for they change all the time and are stale
+// by the time they would have crossed.
 package share
 
 import (
 	"sort"
+	"time"
 
 	"github.com/birchdrift/birchdrift/core/demand"
 	"github.com/birchdrift/birchdrift/core/pool"
+	"github.com/birchdrift/birchdrift/core/registry"
 )
 
 // A Residency tells what an engine holds.
@@ -67,6 +69,7 @@
 	Loads       []Load
 	Listed      []Listed
 	Holders     []Holder
+	Registered  []registry.Record
 }
 
 // A Message is one side of an exchange.
@@ -77,6 +80,9 @@
 	Boot     uint64 // of the sender
 	Leaving  bool   // the sender is stopping
 	Revision uint64 // of the configuration in force at the sender
+	// StoreAge is how old the newest word of the platform's store is that the
+	// sender has, at first hand or from others.
+	StoreAge time.Duration
 	Stamp    uint64 // the sender's store at the time of sending
 	// AckBoot and Ack confirm what the receiver sent: everything up to Ack of
 	// its boot AckBoot is here.
@@ -101,6 +107,7 @@
 	loads       map[string]stamped[Load]
 	listed      map[string]stamped[Listed]
 	holders     map[string]stamped[Holder]
+	registered  map[string]stamped[registry.Record]
 }
 
 // from is who told of the record; "" if it was learnt at first hand.
@@ -117,6 +124,7 @@
 		loads:       map[string]stamped[Load]{},
 		listed:      map[string]stamped[Listed]{},
 		holders:     map[string]stamped[Holder]{},
+		registered:  map[string]stamped[registry.Record]{},
 	}
 }
 
@@ -157,6 +165,28 @@
 	})
 }
 
+// AddRegistered stores the record and reports whether it was news.
+func (s *Store) AddRegistered(from string, r registry.Record) bool {
+	return put(s, s.registered, r.Key, from, r, func(old registry.Record) bool { return r.Revision > old.Revision })
+}
+
+// Missing returns the registry's records that a listing of the whole registry at
+// revision at does not have, as records that are gone.
+func (s *Store) Missing(whole []registry.Record, at uint64) []registry.Record {
+	here := make(map[string]bool, len(whole))
+	for _, r := range whole {
+		here[r.Key] = true
+	}
+	var gone []registry.Record
+	for key, old := range s.registered {
+		if !here[key] && !old.record.Gone && old.record.Revision < at {
+			gone = append(gone, registry.Record{Key: key, Revision: at, Gone: true})
+		}
+	}
+	sort.Slice(gone, func(i, j int) bool { return gone[i].Key < gone[j].Key })
+	return gone
+}
+
 // Holder returns who plans for the zone, "" if nobody is known to.
 func (s *Store) Holder(zone string) Holder { return s.holders[zone].record }
 
@@ -179,6 +209,7 @@
 	r.Residencies = after(s.residencies, stamp, to)
 	r.Listed = after(s.listed, stamp, to)
 	r.Holders = after(s.holders, stamp, to)
+	r.Registered = after(s.registered, stamp, to)
 	if withLoads {
 		r.Loads = after(s.loads, stamp, to)
 	}
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -1,10 +1,12 @@
 package peer
 
 import (
+	"math"
 	"time"
 
 	"github.com/birchdrift/birchdrift/core/demand"
 	"github.com/birchdrift/birchdrift/core/pool"
+	"github.com/birchdrift/birchdrift/core/registry"
 	"github.com/birchdrift/birchdrift/core/share"
 	"github.com/birchdrift/birchdrift/internal/peer/peerpb"
 )
@@ -23,6 +25,10 @@
 		Ack:        m.Ack,
 		WantConfig: m.WantConfig,
 		Config:     m.Config,
+		StoreAgeMs: uint32(min(m.StoreAge.Milliseconds(), math.MaxUint32)),
+	}
+	for _, r := range m.Records.Registered {
+		out.Registered = append(out.Registered, &peerpb.Registered{Key: r.Key, Data: r.Data, Revision: r.Revision, Gone: r.Gone})
 	}
 	for _, r := range m.Records.Residencies {
 		out.Residencies = append(out.Residencies, encodeResidency(r))
@@ -108,6 +114,12 @@
 		Ack:        m.GetAck(),
 		WantConfig: m.GetWantConfig(),
 		Config:     m.GetConfig(),
+		StoreAge:   time.Duration(m.GetStoreAgeMs()) * time.Millisecond,
+	}
+	for _, r := range m.GetRegistered() {
+		out.Records.Registered = append(out.Records.Registered, registry.Record{
+			Key: r.GetKey(), Data: r.GetData(), Revision: r.GetRevision(), Gone: r.GetGone(),
+		})
 	}
 	for _, r := range m.GetResidencies() {
 		out.Records.Residencies = append(out.Records.Residencies, decodeResidency(r))
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/birchdrift/birchdrift/core/demand"
 	"github.com/birchdrift/birchdrift/core/pool"
+	"github.com/birchdrift/birchdrift/core/registry"
 	"github.com/birchdrift/birchdrift/core/share"
 )
 
@@ -18,6 +19,7 @@
 func full() share.Message {
 	return share.Message{
 		From: "a", Zone: "z", Address: "127.0.0.1:1", Boot: 1, Leaving: true, Revision: 2, Stamp: 3, AckBoot: 4, Ack: 5,
+		StoreAge: 16 * time.Millisecond,
 		Records: share.Records{
 			Residencies: []share.Residency{{Engine: "e", Residency: pool.Residency{
 				Boot: 6, Change: 7, Leaving: true, Items: []pool.Item{{Name: "m", Phase: pool.Ready}},
@@ -25,6 +27,10 @@
 			Loads:   []share.Load{{Engine: "e", Load: pool.Load{Boot: 6, Seq: 8, Running: 9, Waiting: 10}}},
 			Listed:  []share.Listed{{Name: "b", Kind: share.Entry, Zone: "z", Address: "x", Leaving: true, Gone: true, Version: 11}},
 			Holders: []share.Holder{{Zone: "z", Instance: "a", Fence: 12}},
+			Registered: []registry.Record{
+				{Key: "owners/e", Data: []byte("{}"), Revision: 14},
+				{Key: "owners/f", Revision: 15, Gone: true},
+			},
 		},
 		Demand:     []demand.Item{{Name: "m", Rate: 0.5, Concurrent: 0.25, Weight: 2, Waiting: 13, Unmet: time.Second, Idle: time.Minute}},
 		WantConfig: true,
--- a/internal/seam/seam.go
+++ b/internal/seam/seam.go
@@ -14,6 +14,7 @@
 
 	"github.com/birchdrift/birchdrift/core/config"
 	"github.com/birchdrift/birchdrift/core/pool"
+	"github.com/birchdrift/birchdrift/core/registry"
 	"github.com/birchdrift/birchdrift/core/share"
 )
 
@@ -28,21 +29,12 @@
 	ErrRefused = errors.New("the store refused the call")
 )
 
-// A Record is one of the product's own values in the store.
-type Record struct {
-	Key      string
-	Value    []byte
-	Revision uint64 // of its last change; rises over the whole store
-	Lease    uint64 // 0 if it outlives its writer
-	Gone     bool   // it was there and is not any more
-}
-
 // A Change is what a watch brought.
 type Change struct {
 	Config  []byte // the newest configuration as the store holds it; nil if it did not change
 	Listed  []share.Listed
-	Records []Record
-	Whole   bool // Listed and Records are all that there is
+	Records []registry.Record // the product's own values
+	Whole   bool              // Listed and Records are all that there is
 	Version uint64
 }
 
--- a/internal/shell/environment.go
+++ b/internal/shell/environment.go
@@ -31,13 +31,8 @@
 	if len(change.Listed) > 0 || change.Whole {
 		s.post(instance.ListReply{Entries: change.Listed, Version: change.Version, Whole: change.Whole})
 	}
-	var news registry.Change
-	news.Whole = change.Whole
-	for _, r := range change.Records {
-		news.Add(r.Key, r.Value, r.Revision, r.Gone)
-	}
-	if !news.Empty() {
-		s.post(instance.RegistryReply{Change: news, Version: change.Version})
+	if len(change.Records) > 0 || change.Whole {
+		s.post(instance.RegistryReply{Records: change.Records, Version: change.Version, Whole: change.Whole})
 	}
 	s.post(instance.WatchReply{})
 }
@@ -68,15 +63,12 @@
 // resign gives ownerships back, then ends the lease. It is best effort: what is
 // not given back is taken over when the lease is over.
 func (s *Shell) resign(ctx context.Context, a instance.Resign) {
-	for chunk := range slices.Chunk(a.Give, maxCommit) {
+	for chunk := range slices.Chunk(a.Give, registry.MaxClaims) {
 		_, _ = s.adapters.Store.Commit(ctx, claimCommit(chunk))
 	}
 	_ = s.adapters.Store.End(ctx, a.Lease)
 }
 
-// maxCommit is how many records one write holds, its conditions included.
-const maxCommit = 15
-
 func claimCommit(claims []registry.Ownership) seam.Commit {
 	var c seam.Commit
 	for _, o := range claims {
