A revision is asked of another peer, and of the platform, when the first is slow; no peer is told what it heard itself

Only the peer that was furthest ahead was asked for a revision, and nobody else until that exchange had failed; many exchanges ran into their limit of 0.8 s, since instances that restart were sent every record of the platform's store by each peer, though they read the store themselves (links of 10 Mbit/s).

Change: what a peer is known to have in force is kept for each; one that is being asked, or fails, is passed over; after 0.3 s the next is asked, after 0.8 s the platform. A message says up to where its sender heard the store at first hand, and what is older is not sent to it. What a new boot of a peer confirms for its former one is not believed.

Tests, failing before: TestSlowPeerDoesNotHoldUpARevision, TestPeersAreNotToldWhatTheyHeardThemselves, TestOlderRecordsOfTheRegistryAreIgnored.

--- a/core/instance/duty.go
+++ b/core/instance/duty.go
@@ -27,9 +27,15 @@
 	if !m.opt.OneWatch {
 		return m.members.OnDuty(m.now, watchDuty+m.self.Zone, m.opt.Watchers)
 	}
-	return m.onWatch() || len(m.engines) > 0 || m.placement.held || m.now.Since(m.exchanges.storeAt) > storeSilence
+	x := &m.exchanges
+	behind := x.ahead > m.cfg.Revision() && m.now.Since(x.aheadAt) > pullLimit
+	return m.onWatch() || len(m.engines) > 0 || m.placement.held || m.now.Since(x.storeAt) > storeSilence || behind
 }
 
+// pullLimit is how long peers that are ahead may leave this instance behind
+// before it asks the platform itself.
+const pullLimit = 800 * time.Millisecond
+
 const watchDuty = "watch/"
 
 // onWatch reports whether this instance is among those that keep a watch of the
--- a/core/instance/exchange.go
+++ b/core/instance/exchange.go
@@ -30,17 +30,20 @@
 	news    int             // exchanges to space by newsSpacing
 	urgent  bool            // tell every neighbour without waiting
 	pullTo  clock.Instant   // until then a newer revision is being asked for
-	storeAt clock.Instant   // of the newest word of the platform's store, from whomever
-	aheadAt clock.Instant   // since when a peer is known to be ahead
-	ahead   ahead           // who is known to have the newest revision
-	toldAt  clock.Instant   // when the planner was last told of an unmet demand
-	ledAt   clock.Instant   // when other zones' planners were last told of it
+	version uint64          // of the platform's store, heard at first hand
+	peers   map[string]peerWord
+	storeAt clock.Instant // of the newest word of the platform's store, from whomever
+	ahead   uint64        // the newest revision that a peer is known to have
+	aheadAt clock.Instant // since when a peer is known to be ahead
+	toldAt  clock.Instant // when the planner was last told of an unmet demand
+	ledAt   clock.Instant // when other zones' planners were last told of it
 }
 
-// ahead names a peer and the revision that it has in force.
-type ahead struct {
-	peer     string
-	revision uint64
+// A peerWord is what a peer said of itself last.
+type peerWord struct {
+	boot     uint64
+	revision uint64 // in force there
+	store    uint64 // up to where it heard the platform's store at first hand
 }
 
 // An ack is a position in one boot of an instance's store.
@@ -50,7 +53,7 @@
 }
 
 func newExchangeView() exchangeView {
-	return exchangeView{acks: map[string]ack{}, heard: map[string]ack{}, flying: map[string]bool{}}
+	return exchangeView{acks: map[string]ack{}, heard: map[string]ack{}, flying: map[string]bool{}, peers: map[string]peerWord{}}
 }
 
 // hurry has the next exchanges begin at once, to spread what is new.
@@ -75,13 +78,13 @@
 
 func (m *Machine) exchangeDue() {
 	x := &m.exchanges
+	m.pull()
 	if m.now.Before(x.due) {
 		return
 	}
 	if m.meshed() && !x.urgent {
 		x.due = m.now.Add(m.jitter(m.opt.ExchangeEvery))
 		m.contactSeeds()
-		m.pull()
 		return
 	}
 	every := m.opt.ExchangeEvery
@@ -238,18 +241,20 @@
 		sameZone = p.Zone == m.self.Zone
 	}
 	msg := share.Message{
-		From:       m.self.Name,
-		Zone:       m.self.Zone,
-		Address:    m.self.Address,
-		Boot:       m.self.Boot,
-		Leaving:    m.stop.begun,
-		Revision:   m.cfg.Revision(),
-		StoreAge:   m.now.Since(m.exchanges.storeAt),
-		Stamp:      m.store.Stamp(),
-		AckBoot:    heard.boot,
-		Ack:        heard.stamp,
-		Records:    m.store.Since(known.stamp, peer, sameZone),
-		WantConfig: m.wantsConfig(),
+		From:     m.self.Name,
+		Zone:     m.self.Zone,
+		Address:  m.self.Address,
+		Boot:     m.self.Boot,
+		Leaving:  m.stop.begun,
+		Revision: m.cfg.Revision(),
+		StoreAge: m.now.Since(x.storeAt),
+
+		StoreVersion: x.version,
+		Stamp:        m.store.Stamp(),
+		AckBoot:      heard.boot,
+		Ack:          heard.stamp,
+		Records:      m.store.Since(known.stamp, peer, sameZone, x.peers[peer].store),
+		WantConfig:   m.wantsConfig(),
 	}
 	msg.Demand = m.demandFor(peer)
 	if msg.Demand == nil {
@@ -317,10 +322,7 @@
 			m.note(NotePeerFailed, "peer", e.Peer, "error", e.Err.Error())
 		}
 		m.members.Failed(m.now, e.Peer)
-		if e.Peer == m.exchanges.ahead.peer {
-			m.exchanges.ahead = ahead{}
-			m.exchanges.pullTo = clock.Instant{}
-		}
+		m.pull()
 		return
 	}
 	m.take(e.Message)
@@ -335,7 +337,10 @@
 	m.members.SetLeaving(msg.From, msg.Leaving)
 	m.members.Heard(m.now, msg.From)
 	x := &m.exchanges
-	if msg.AckBoot == m.self.Boot {
+	former := x.peers[msg.From]
+	x.peers[msg.From] = peerWord{boot: msg.Boot, revision: msg.Revision, store: msg.StoreVersion}
+	// What a new boot confirms may have been composed for the boot before it.
+	if msg.AckBoot == m.self.Boot && (former.boot == msg.Boot || former.boot == 0) {
 		x.acks[msg.From] = ack{boot: msg.AckBoot, stamp: msg.Ack}
 	} else {
 		x.acks[msg.From] = ack{} // it has nothing of this boot
@@ -351,29 +356,61 @@
 		m.placeSoon(msg.Demand)
 		m.planSoon(msg.Demand)
 	}
-	if msg.Revision > x.ahead.revision {
-		if x.ahead.revision <= m.cfg.Revision() {
+	if msg.Revision > x.ahead {
+		if x.ahead <= m.cfg.Revision() {
 			x.aheadAt = m.now
 		}
-		x.ahead = ahead{peer: msg.From, revision: msg.Revision}
+		x.ahead = msg.Revision
 	}
 	if len(msg.Config) == 0 {
 		m.pull()
 	}
 }
 
-// pull asks the peer that is furthest ahead for what it has, now. Only one is
-// asked at a time, since the whole configuration comes back.
+// pull asks a peer that is ahead for what it has, now. Only one is asked at a
+// time, since the whole configuration comes back; another, if that one is slow.
 func (m *Machine) pull() {
 	x := &m.exchanges
-	if x.ahead.revision <= m.cfg.Revision() || m.now.Before(x.pullTo) {
+	if x.ahead <= m.cfg.Revision() || m.now.Before(x.pullTo) {
 		return
 	}
 	if m.opt.OneWatch && m.watches() && !m.platform.down && m.now.Before(x.aheadAt.Add(pullPatience)) {
 		return // the platform will bring it, and more cheaply
 	}
-	x.pullTo = m.now.Add(m.opt.ExchangeEvery)
-	m.exchangeWith(m.members.Get(x.ahead.peer))
+	if p := m.furthestAhead(); p != nil {
+		x.pullTo = m.now.Add(pullTime)
+		m.exchangeWith(p)
+	}
+}
+
+// pullTime is how long a configuration that a peer was asked for is waited for
+// before another peer is asked.
+const pullTime = 300 * time.Millisecond
+
+// furthestAhead returns the peer with the newest revision that is not being asked
+// already and seems to answer, one of the own zone before others.
+func (m *Machine) furthestAhead() *member.Peer {
+	x := &m.exchanges
+	var best *member.Peer
+	for _, p := range m.members.Peers() {
+		word := x.peers[p.Name]
+		if word.revision <= m.cfg.Revision() || p.Failing() || x.flying[p.Address] {
+			continue
+		}
+		if best == nil || m.preferred(p, best) {
+			best = p
+		}
+	}
+	return best
+}
+
+// preferred reports whether a rather than b is asked for a configuration.
+func (m *Machine) preferred(a, b *member.Peer) bool {
+	x := &m.exchanges
+	if near := a.Zone == m.self.Zone; near != (b.Zone == m.self.Zone) {
+		return near
+	}
+	return x.peers[a.Name].revision > x.peers[b.Name].revision
 }
 
 // pullPatience is how long an instance that watches the platform itself waits
@@ -387,7 +424,7 @@
 		return true
 	}
 	x := &m.exchanges
-	return x.ahead.revision > m.cfg.Revision() && !m.now.Before(x.aheadAt.Add(pullPatience))
+	return x.ahead > m.cfg.Revision() && !m.now.Before(x.aheadAt.Add(pullPatience))
 }
 
 // pulled notes that the request for a configuration is over, so that a still
--- /dev/null
+++ b/core/instance/exchange_test.go
@@ -0,0 +1,123 @@
+package instance
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/birchdrift/birchdrift/core/clock"
+	"github.com/birchdrift/birchdrift/core/pool"
+	"github.com/birchdrift/birchdrift/core/registry"
+	"github.com/birchdrift/birchdrift/core/share"
+)
+
+// fleetMachine is an instance of a large fleet that watches the platform as one.
+// It has a record, as have its peers, and is not among those that watch.
+func fleetMachine(now clock.Instant, peers ...string) *Machine {
+	opt := DefaultOptions()
+	opt.OneWatch = true
+	opt.Watchers = 1
+	opt.ExchangeEvery = time.Minute
+	m := New(Identity{Name: "self", Zone: "z", Address: "self", Boot: 1}, opt, 1)
+	m.now = now
+	var records []registry.Record
+	for i, name := range peers {
+		v := registry.Instance{Name: name, Zone: "z", Address: name, Boot: 1}.Value()
+		records = append(records, registry.Record{Key: v.Key, Data: v.Data, Revision: uint64(i + 1)})
+	}
+	m.Step(now, RegistryReply{Records: records, Version: 10, Whole: true})
+	for _, name := range peers {
+		m.Step(now, ExchangeReply{Peer: name, Address: name, Message: share.Message{From: name, Zone: "z", Address: name, Boot: 1, StoreAge: time.Millisecond}})
+	}
+	return m
+}
+
+// exchanges returns the exchanges among the actions, by peer.
+func exchanges(actions []Action) map[string]share.Message {
+	out := map[string]share.Message{}
+	for _, a := range actions {
+		if e, ok := a.(Exchange); ok {
+			out[e.Peer] = e.Message
+		}
+	}
+	return out
+}
+
+// TestSlowPeerDoesNotHoldUpARevision: a configuration that one peer does not hand
+// over is asked of another, and at last of the platform. Before, only the peer
+// that was furthest ahead was asked, until its exchange failed (CONFIG broke on a
+// day of a grown fleet: a route was refused 3.1 s after its acknowledgement).
+func TestSlowPeerDoesNotHoldUpARevision(t *testing.T) {
+	is := is.New(t)
+	now := clock.At(time.Hour)
+	m := fleetMachine(now, "a", "b")
+	ahead := func(name string) []Action {
+		return m.Step(now, ExchangeAsked{Token: 1, Message: share.Message{From: name, Zone: "z", Address: name, Boot: 1, Revision: 5, StoreAge: time.Millisecond}})
+	}
+	first := exchanges(ahead("a"))
+	is.True(first["a"].WantConfig)
+	is.Equal(exchanges(ahead("b")), map[string]share.Message{}) // one is asked at a time
+	now = now.Add(pullTime)
+	is.True(exchanges(m.Step(now, Tick{}))["b"].WantConfig)
+	is.True(!m.watches())
+	now = now.Add(pullLimit)
+	m.Step(now, Tick{})
+	is.True(m.watches())
+}
+
+// TestPeersAreNotToldWhatTheyHeardThemselves: of what the platform's store holds,
+// a peer is sent what it has not heard at first hand; a new boot of it, which
+// may have heard nothing, is sent everything.
+func TestPeersAreNotToldWhatTheyHeardThemselves(t *testing.T) {
+	is := is.New(t)
+	now := clock.At(time.Hour)
+	m := fleetMachine(now, "a", "b")
+	for i, name := range []string{"r1", "r2"} {
+		m.Step(now, ListReply{Version: uint64(11 + i), Entries: []share.Listed{{
+			Name: name, Kind: share.Upstream, Version: uint64(11 + i), Announced: &pool.Announcement{Service: "s", Address: name},
+		}}})
+	}
+	told := func(boot, ackBoot, ack, heard uint64) []string {
+		actions := m.Step(now, ExchangeAsked{Token: 1, Message: share.Message{
+			From: "a", Zone: "z", Address: "a", Boot: boot, AckBoot: ackBoot, Ack: ack, StoreVersion: heard,
+		}})
+		var names []string
+		for _, a := range actions {
+			if answer, ok := a.(Answer); ok {
+				for _, l := range answer.Message.Records.Listed {
+					names = append(names, l.Name)
+				}
+			}
+		}
+		return names
+	}
+	is.Equal(told(1, 0, 0, 0), []string{"r1", "r2"})
+	is.Equal(told(1, 0, 0, 11), []string{"r2"})
+	is.Equal(told(1, 1, m.store.Stamp(), 12), nil)
+	// A new boot that confirms what was composed for the one before it.
+	is.Equal(told(2, 1, m.store.Stamp(), 0), []string{"r1", "r2"})
+	is.Equal(told(2, 1, m.store.Stamp(), 0), nil)
+}
+
+// TestOlderRecordsOfTheRegistryAreIgnored: what a peer says of the registry may
+// be older than what is known, and a whole listing ends what it does not have.
+func TestOlderRecordsOfTheRegistryAreIgnored(t *testing.T) {
+	is := is.New(t)
+	now := clock.At(time.Hour)
+	m := fleetMachine(now, "a")
+	owned := func(owner string, revision uint64) registry.Record {
+		v := registry.Ownership{Engine: "e", Owner: owner}.Value()
+		return registry.Record{Key: v.Key, Data: v.Data, Revision: revision}
+	}
+	m.takeRegistered("a", []registry.Record{owned("new", 20)})
+	m.takeRegistered("b", []registry.Record{owned("old", 19)})
+	is.Equal(m.registry.owners["e"].Owner, "new")
+	m.Step(now, RegistryReply{Version: 15, Whole: true}) // from before that change
+	is.Equal(m.registry.owners["e"].Owner, "new")
+	is.Equal(len(m.registry.instances), 0)
+	m.Step(now, RegistryReply{Version: 25, Whole: true})
+	is.Equal(len(m.registry.owners), 0)
+	m.takeRegistered("b", []registry.Record{owned("new", 20)})
+	is.Equal(len(m.registry.owners), 0)
+}
--- a/core/instance/watch.go
+++ b/core/instance/watch.go
@@ -62,6 +62,7 @@
 	m.replayRecords()
 	m.homes = newHomeView(s, m.self.Zone)
 	m.planner.sync(m)
+	m.exchanges.aheadAt = m.now
 	m.pulled()
 	m.exchanges.hurry(m)
 	m.note(NoteInstalled, "revision", s.Revision(), "source", source)
@@ -71,7 +72,7 @@
 // replayRecords tells the pool what was heard of upstreams before the revision
 // that defines them.
 func (m *Machine) replayRecords() {
-	all := m.store.Since(0, "", true)
+	all := m.store.Since(0, "", true, 0)
 	for _, r := range all.Residencies {
 		m.pool.ObserveResidency(m.now, r.Engine, r.Residency)
 	}
@@ -88,6 +89,9 @@
 		return
 	}
 	m.platform.version = e.Version
+	if m.opt.OneWatch {
+		m.exchanges.version = e.Version
+	}
 	if e.Whole {
 		e.Entries = append(e.Entries, m.missing(e.Entries, e.Version)...)
 	}
--- a/core/share/share.go
+++ b/core/share/share.go
@@ -14,6 +14,7 @@
 package share
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -83,7 +84,10 @@
 	// StoreAge is how old the newest word of the platform's store is that the
 	// sender has, at first hand or from others.
 	StoreAge time.Duration
-	Stamp    uint64 // the sender's store at the time of sending
+	// StoreVersion is up to where the sender has heard the platform's store at
+	// first hand, so that it need not be told what changed before.
+	StoreVersion uint64
+	Stamp        uint64 // the sender's store at the time of sending
 	// AckBoot and Ack confirm what the receiver sent: everything up to Ack of
 	// its boot AckBoot is here.
 	AckBoot uint64
@@ -203,13 +207,18 @@
 }
 
 // Since returns the records that became new after stamp, without those that to
-// told of itself; loads only if withLoads.
-func (s *Store) Since(stamp uint64, to string, withLoads bool) Records {
+// told of itself; loads only if withLoads. Of what the platform's store holds,
+// only what changed there after known.
+func (s *Store) Since(stamp uint64, to string, withLoads bool, known uint64) Records {
 	var r Records
 	r.Residencies = after(s.residencies, stamp, to)
 	r.Listed = after(s.listed, stamp, to)
 	r.Holders = after(s.holders, stamp, to)
 	r.Registered = after(s.registered, stamp, to)
+	if known > 0 {
+		r.Listed = slices.DeleteFunc(r.Listed, func(l Listed) bool { return l.Version <= known })
+		r.Registered = slices.DeleteFunc(r.Registered, func(g registry.Record) bool { return g.Revision <= known })
+	}
 	if withLoads {
 		r.Loads = after(s.loads, stamp, to)
 	}
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -26,6 +26,8 @@
 		WantConfig: m.WantConfig,
 		Config:     m.Config,
 		StoreAgeMs: uint32(min(m.StoreAge.Milliseconds(), math.MaxUint32)),
+
+		StoreVersion: m.StoreVersion,
 	}
 	for _, r := range m.Records.Registered {
 		out.Registered = append(out.Registered, &peerpb.Registered{Key: r.Key, Data: r.Data, Revision: r.Revision, Gone: r.Gone})
@@ -115,6 +117,8 @@
 		WantConfig: m.GetWantConfig(),
 		Config:     m.GetConfig(),
 		StoreAge:   time.Duration(m.GetStoreAgeMs()) * time.Millisecond,
+
+		StoreVersion: m.GetStoreVersion(),
 	}
 	for _, r := range m.GetRegistered() {
 		out.Records.Registered = append(out.Records.Registered, registry.Record{
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -19,7 +19,7 @@
 func full() share.Message {
 	return share.Message{
 		From: "a", Zone: "z", Address: "127.0.0.1:1", Boot: 1, Leaving: true, Revision: 2, Stamp: 3, AckBoot: 4, Ack: 5,
-		StoreAge: 16 * time.Millisecond,
+		StoreAge: 16 * time.Millisecond, StoreVersion: 17,
 		Records: share.Records{
 			Residencies: []share.Residency{{Engine: "e", Residency: pool.Residency{
 				Boot: 6, Change: 7, Leaving: true, Items: []pool.Item{{Name: "m", Phase: pool.Ready}},
