Duties go to the strongest instances; placements are cheaper and spaced

A placement weighed each model on each engine and looked over all engines for each victim, and every peer's word of a model that was missed began another one at once. While it was late, models were placed late.

Change: an instance's record says its share of a processor (setting processor); the watch of the platform, and with it engines and the placing of models, go to those with most. Who has duties is worked out at most every 0.2 s.

Tests: TestDutiesGoToTheStrongest, TestTheLastCopyAtHandStays.

--- a/core/instance/duty.go
+++ b/core/instance/duty.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/birchdrift/birchdrift/core/clock"
 	"github.com/birchdrift/birchdrift/core/member"
 	"github.com/birchdrift/birchdrift/core/route"
 )
@@ -49,30 +50,58 @@
 	return false
 }
 
-// watchersOf returns the instances of a zone that keep a watch of the platform:
-// all in a small fleet, else the first by rendezvous hashing of those that have a
-// record and answer.
+// A dutyView is what was worked out of who has which duty.
+type dutyView struct {
+	at       clock.Instant
+	watchers map[string][]string // by zone
+}
+
+// dutyEvery is how long what was worked out of duties is good.
+const dutyEvery = 200 * time.Millisecond
+
+// watchersOf returns the instances of a zone that keep a watch of the platform,
+// the most suited first: all in a small fleet, else a few.
 func (m *Machine) watchersOf(zone string) []string {
-	var names []string
+	v := &m.duties
+	if v.watchers == nil || m.now.Since(v.at) >= dutyEvery {
+		v.at = m.now
+		v.watchers = map[string][]string{}
+	}
+	names, ok := v.watchers[zone]
+	if !ok {
+		names = m.suited(zone)
+		if !m.meshed() && len(names) > m.opt.Watchers {
+			names = names[:m.opt.Watchers]
+		}
+		v.watchers[zone] = names
+	}
+	return names
+}
+
+// suited returns the instances of a zone that have a record and answer: those
+// with the largest share of a processor first, else by rendezvous hashing.
+func (m *Machine) suited(zone string) []string {
+	processors := map[string]float64{}
 	if zone == m.self.Zone {
-		names = append(names, m.self.Name)
+		processors[m.self.Name] = m.self.Processor
 	}
 	for name, i := range m.registry.instances {
 		if i.Zone != zone || name == m.self.Name {
 			continue
 		}
 		if p := m.members.Get(name); p != nil && p.Live(m.now) {
-			names = append(names, name)
+			processors[name] = i.Processor
 		}
 	}
+	names := sortedKeys(processors)
 	key := xxhash.Sum64String(watchDuty + zone)
-	sort.Slice(names, func(i, j int) bool {
-		a, b := route.Score(key, names[i]), route.Score(key, names[j])
-		return a > b || a == b && names[i] < names[j]
+	sort.SliceStable(names, func(i, j int) bool {
+		a, b := names[i], names[j]
+		if processors[a] != processors[b] {
+			return processors[a] > processors[b]
+		}
+		return route.Score(key, a) > route.Score(key, b)
 	})
-	if !m.meshed() && len(names) > m.opt.Watchers {
-		names = names[:m.opt.Watchers]
-	}
 	return names
 }
 
--- a/core/instance/exchange_test.go
+++ b/core/instance/exchange_test.go
@@ -1,6 +1,8 @@
 package instance
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -33,6 +35,35 @@
 	return m
 }
 
+// TestDutiesGoToTheStrongest: in a fleet of unlike machines the ones with most
+// processor watch the platform, and the strongest of those places models. The
+// work of a placer once fell to a fifth of a core, which then lagged behind in
+// everything else (CONFIG broke on a day of a grown fleet).
+func TestDutiesGoToTheStrongest(t *testing.T) {
+	is := is.New(t)
+	now := clock.At(time.Hour)
+	opt := DefaultOptions()
+	opt.OneWatch = true
+	opt.Watchers = 2
+	m := New(Identity{Name: "self", Zone: "z0", Address: "self", Boot: 1, Processor: 0.8}, opt, 1)
+	var records []registry.Record
+	for i := range 30 {
+		record := registry.Instance{Name: fmt.Sprintf("i%02d", i), Zone: fmt.Sprintf("z%d", i%2), Address: fmt.Sprint(i), Boot: 1, Processor: 0.2}
+		if i == 7 || i == 11 {
+			record.Processor = 0.9
+		}
+		v := record.Value()
+		records = append(records, registry.Record{Key: v.Key, Data: v.Data, Revision: uint64(i + 1)})
+	}
+	m.Step(now, RegistryReply{Records: records, Version: 40, Whole: true})
+	is.Equal(m.watchersOf("z0")[0], "self")
+	is.Equal(len(m.watchersOf("z0")), 2)
+	strong := m.watchersOf("z1")
+	slices.Sort(strong)
+	is.Equal(strong, []string{"i07", "i11"})
+	is.Equal(m.placerRank(), 2)
+}
+
 // exchanges returns the exchanges among the actions, by peer.
 func exchanges(actions []Action) map[string]share.Message {
 	out := map[string]share.Message{}
--- a/core/instance/machine.go
+++ b/core/instance/machine.go
@@ -40,6 +40,8 @@
 	Zone    string
 	Address string // IP:port of its peers' listener
 	Boot    uint64 // rises with every start of the instance
+	// Processor is the share of a core that it may use, 0 if that is not known.
+	Processor float64
 	// Seeds are peers' addresses known from settings.
 	Seeds []string
 }
@@ -90,6 +92,7 @@
 	homes     homeView
 
 	registry  registryView
+	duties    dutyView
 	engines   map[string]*ownedEngine // that this instance orders
 	asks      map[askKey]*ask         // orders asked for and not settled
 	refused   map[askKey]clock.Instant
--- a/core/instance/placement.go
+++ b/core/instance/placement.go
@@ -27,9 +27,10 @@
 // Tunables of the placer.
 const (
 	placeEvery   = 200 * time.Millisecond
-	changeTime   = 10 * time.Second // after which a change that is not done is given up
-	storeBurst   = 2.0              // loads from the store that may begin together
-	storeShare   = 0.9              // of the store's rate that is used
+	placeGap     = 40 * time.Millisecond // least time between two placements
+	changeTime   = 10 * time.Second      // after which a change that is not done is given up
+	storeBurst   = 2.0                   // loads from the store that may begin together
+	storeShare   = 0.9                   // of the store's rate that is used
 	minimumStay  = 3 * time.Second
 	blindTime    = 3 * time.Second // for which a new placer learns the demand
 	placerDuty   = "placer"
@@ -42,6 +43,7 @@
 	seeking  bool
 	held     bool // this instance has the placer's record, by its last write
 	due      clock.Instant
+	placedAt clock.Instant // when models were placed last
 	active   bool
 	orphan   bool          // only the own engines, and only what is missed
 	since    clock.Instant // when this instance became the placer
@@ -90,9 +92,10 @@
 	if !placing || !v.active || v.orphan {
 		m.beginPlacing(!placing)
 	}
-	if m.now.Before(v.due) {
+	if m.now.Before(v.due) || !v.placedAt.IsZero() && m.now.Since(v.placedAt) < placeGap {
 		return
 	}
+	v.placedAt = m.now
 	v.due = m.now.Add(placeEvery)
 	m.placeModels()
 }
@@ -131,7 +134,7 @@
 func (m *Machine) seekPlacement() {
 	v := &m.placement
 	g := &m.registry
-	if v.seeking || m.now.Before(v.seekDue) || !g.enrolled || !g.known || g.steadyAt.IsZero() {
+	if v.seeking || m.now.Before(v.seekDue) || !g.enrolled || !g.known || g.steadyAt.IsZero() || !m.onWatch() {
 		return
 	}
 	v.seekDue = m.now.Add(m.jitter(claimEvery))
@@ -145,13 +148,21 @@
 	m.do(WriteRegistry{Write: RegistryWrite{Placer: &registry.Placer{Name: m.self.Name, Boot: m.self.Boot, Revision: g.placer.Revision}}, Lease: g.lease})
 }
 
+// placerRank returns how many instances come before this one as the placer: of
+// those that watch the platform, the ones with more of a processor, else by
+// rendezvous hashing.
 func (m *Machine) placerRank() int {
 	key := xxhash.Sum64String(placerDuty)
 	own := route.Score(key, m.self.Name)
 	ahead := 0
-	for name := range m.registry.instances {
-		if name != m.self.Name && route.Score(key, name) > own {
-			ahead++
+	for _, zone := range m.zones() {
+		for _, name := range m.watchersOf(zone) {
+			theirs := m.registry.instances[name].Processor
+			switch {
+			case name == m.self.Name || theirs < m.self.Processor:
+			case theirs > m.self.Processor || route.Score(key, name) > own:
+				ahead++
+			}
 		}
 	}
 	return ahead
--- a/core/instance/registry.go
+++ b/core/instance/registry.go
@@ -101,7 +101,7 @@
 		return
 	}
 	m.do(Enrol{Term: m.opt.EnrolTerm, Instance: registry.Instance{
-		Name: m.self.Name, Zone: m.self.Zone, Address: m.self.Address, Boot: m.self.Boot,
+		Name: m.self.Name, Zone: m.self.Zone, Address: m.self.Address, Boot: m.self.Boot, Processor: m.self.Processor,
 	}})
 }
 
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -145,6 +145,7 @@
 	engines []*engine
 	copies  map[string]int            // that serve, or will
 	zones   map[string]map[string]int // copies by model, then by zone
+	atHand  map[string]int            // engines that have a model's weights and can be ordered
 	store   int
 }
 
@@ -155,9 +156,10 @@
 }
 
 func newPlacer(in Input) *placer {
-	p := &placer{in: in, copies: map[string]int{}, zones: map[string]map[string]int{}, store: in.StoreLoads}
+	p := &placer{in: in, copies: map[string]int{}, zones: map[string]map[string]int{}, atHand: map[string]int{}, store: in.StoreLoads}
 	for _, e := range in.Engines {
 		p.engines = append(p.engines, &engine{Engine: e})
+		p.countAtHand(e)
 		if !e.Sound {
 			continue
 		}
@@ -177,6 +179,23 @@
 	return p
 }
 
+// countAtHand notes the models whose weights an engine has at hand.
+func (p *placer) countAtHand(e Engine) {
+	if !e.Sound || !e.Open {
+		return
+	}
+	for model, there := range e.OnDisk {
+		if there {
+			p.atHand[model]++
+		}
+	}
+	for model, there := range e.InMemory {
+		if there && !e.OnDisk[model] {
+			p.atHand[model]++
+		}
+	}
+}
+
 // count notes copies of a model that came or went in a zone.
 func (p *placer) count(model, zone string, n int) {
 	p.copies[model] += n
@@ -221,14 +240,15 @@
 }
 
 // wants returns the copies that would be worth having, most worth first; of
-// each model the next one only.
+// each model the next one only. What is worth too little wherever its weights
+// come from is left out, for each want is weighed on every engine.
 func (p *placer) wants() []want {
 	var wants []want
 	for name := range p.in.Models {
 		if p.in.OnlyAbsent && (p.copies[name] > 0 || p.in.Demand[name].Absent == 0) {
 			continue
 		}
-		if w := p.worth(name, p.copies[name]+1); w > 0 {
+		if w := p.worth(name, p.copies[name]+1); w >= handWorth || p.copies[name] == 0 {
 			wants = append(wants, want{model: name, worth: w})
 		}
 	}
@@ -387,18 +407,8 @@
 		return p.worth(model, n) + runs
 	}
 	cost := p.worth(model, 1) + runs
-	if !p.atHandElsewhere(model) {
+	if p.atHand[model] <= 1 { // the one that drops it keeps a copy too
 		cost += 1
 	}
 	return cost
 }
-
-func (p *placer) atHandElsewhere(model string) bool {
-	n := 0
-	for _, e := range p.engines {
-		if e.Sound && e.Open && (e.InMemory[model] || e.OnDisk[model]) {
-			n++
-		}
-	}
-	return n > 1 // the one that drops it keeps a copy too
-}
--- /dev/null
+++ b/core/place/place_test.go
@@ -0,0 +1,76 @@
+package place
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// sized returns an input of so many engines and models: every model stands on
+// one engine, some on more, and a few are asked for.
+func sized(engines, models int) Input {
+	in := Input{Models: map[string]Model{}, Demand: map[string]Demand{}, StoreLoads: 2, MinimumStay: time.Second}
+	for i := range models {
+		name := fmt.Sprintf("m%d", i)
+		in.Models[name] = Model{Name: name, MB: 70, Store: 4 * time.Second, Disk: 800 * time.Millisecond, Memory: 400 * time.Millisecond}
+		if i%6 == 0 {
+			in.Demand[name] = Demand{Work: 0.05 * float64(1+i%7), Rate: 1}
+		}
+	}
+	for i := range engines {
+		e := Engine{Name: fmt.Sprintf("e%d", i), Zone: fmt.Sprintf("z%d", i%4), Open: true, Sound: true, InMemory: map[string]bool{}, OnDisk: map[string]bool{}}
+		for k := range 3 {
+			name := fmt.Sprintf("m%d", (i*3+k)%models)
+			e.Copies = append(e.Copies, Copy{Model: name, Ready: true, Age: time.Minute})
+			e.OnDisk[name] = true
+			e.OnDisk[fmt.Sprintf("m%d", (i*5+k)%models)] = true
+		}
+		in.Engines = append(in.Engines, e)
+	}
+	return in
+}
+
+// TestTheLastCopyAtHandStays: the last copy of a model that nobody asks for makes
+// way only where another engine has its weights at hand.
+func TestTheLastCopyAtHandStays(t *testing.T) {
+	cases := []struct {
+		name      string
+		elsewhere bool
+		want      int
+	}{
+		{"weights at hand nowhere else", false, 0},
+		{"weights at hand elsewhere", true, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			in := Input{
+				Models: map[string]Model{"rare": {Name: "rare", MB: 70}, "busy": {Name: "busy", MB: 70}},
+				Demand: map[string]Demand{"busy": {Work: 0.5, Rate: 1}},
+			}
+			other := Engine{Name: "other", Open: true, Sound: true, Copies: []Copy{{Model: "busy", Ready: true, Age: time.Minute}}, OnDisk: map[string]bool{"rare": c.elsewhere}}
+			holder := Engine{Name: "holder", Open: true, Sound: true, Copies: []Copy{{Model: "rare", Ready: true, Age: time.Minute}}, OnDisk: map[string]bool{"rare": true, "busy": true}}
+			in.Engines = []Engine{holder, other}
+			changes := Changes(in)
+			is.Equal(len(changes), c.want)
+			if c.want > 0 {
+				is.Equal(changes[0].Load, "busy")
+				is.Equal(changes[0].Drop, []string{"rare"})
+			}
+		})
+	}
+}
+
+// BenchmarkChanges measures one placement at three sizes.
+func BenchmarkChanges(b *testing.B) {
+	for _, size := range []struct{ engines, models int }{{18, 39}, {144, 305}, {850, 1900}} {
+		b.Run(fmt.Sprintf("%d_engines", size.engines), func(b *testing.B) {
+			in := sized(size.engines, size.models)
+			for b.Loop() {
+				Changes(in)
+			}
+		})
+	}
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -127,7 +127,7 @@
 	environment := enter(s.set, transports)
 	self := instance.Identity{
 		Name: s.set.Name, Zone: s.set.Zone, Address: s.set.Advertise,
-		Boot: uint64(time.Now().UnixNano()), Seeds: s.set.Seeds,
+		Boot: uint64(time.Now().UnixNano()), Seeds: s.set.Seeds, Processor: s.set.Processor,
 	}
 	adapters := shell.Adapters{
 		Platform: keyvalue.NewClient(s.set.Platform, transports),
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -59,6 +59,7 @@
 	WatchEvery  time.Duration
 	WatchWait   time.Duration
 	MemoryLimit int64 // MiB; 0: none
+	Processor   float64
 	MeshEvery   time.Duration
 	TurnGap     time.Duration
 }
@@ -117,6 +118,7 @@
 	{"watch-every", "0s", "0s to 24h", "Least time between two watch calls, so that changes that come together are heard together.", false, duration(func(s *Settings) *time.Duration { return &s.WatchEvery }, 0)},
 	{"mesh-every", "0s", "0s to 24h", "Spacing of the exchanges with every peer of a small fleet; 0 for none.", false, duration(func(s *Settings) *time.Duration { return &s.MeshEvery }, 0)},
 	{"turn-gap", "3s", "0s to 24h", "Least time between the orders of two instances to one announced engine.", false, duration(func(s *Settings) *time.Duration { return &s.TurnGap }, 0)},
+	{"processor", "1", "0 to 1024", "Cores, or the share of one, that the process may use. Duties for the fleet go to the instances that have most.", false, number(func(s *Settings) *float64 { return &s.Processor }, 0, 1024)},
 	{"memory-limit", "0", "0 to 1048576", "Memory in MiB that the process should stay within; 0 sets no limit.", false, integer(func(s *Settings) *int64 { return &s.MemoryLimit }, 0, 1<<20)},
 }
 
