One configuration at a time, packed; calls ask engines how busy they are; given-back engines are ordered sooner

Cause 2: in a large fleet instances hear of each other's calls too late to go by them.

Tests: TestOnlyPullsBringConfigurations, TestConfigurationsTravelPacked, TestQuietEngineIsOrderedSoonerAfterAStop, TestRenewalsFollowDuties.

--- a/core/instance/calls.go
+++ b/core/instance/calls.go
@@ -20,6 +20,7 @@
 	waiting
 	running
 	fetching // it waits for an order that it needs
+	probing  // it waits for engines to say how busy they are
 )
 
 // A call is one caller's call in progress.
--- a/core/instance/duty.go
+++ b/core/instance/duty.go
@@ -35,7 +35,7 @@
 
 // pullLimit is how long peers that are ahead may leave this instance behind
 // before it asks the platform itself.
-const pullLimit = 800 * time.Millisecond
+const pullLimit = 1200 * time.Millisecond
 
 const watchDuty = "watch/"
 
--- a/core/instance/engines.go
+++ b/core/instance/engines.go
@@ -22,9 +22,11 @@
 	settled bool // no order of a former owner can be on its way any more
 	queue   []queued
 	asking  bool
-	askDue  clock.Instant // when it may be asked for its state again
-	told    uint64        // changes of the ledger that the fleet was told
-	word    uint64        // number of the last word to the fleet
+	// orderedAt is when an order was last sent.
+	orderedAt clock.Instant
+	askDue    clock.Instant // when it may be asked for its state again
+	told      uint64        // changes of the ledger that the fleet was told
+	word      uint64        // number of the last word to the fleet
 }
 
 // A queued request waits for its turn at the engine.
@@ -265,6 +267,7 @@
 	}
 	m.note(NoteEngineOrder, "engine", e.Name, "load", r.Load, "item", r.Item(), "expect", e.Sequence(), "fence", e.Fence)
 	expect := e.Sequence()
+	e.orderedAt = m.now
 	e.Send(r)
 	m.do(EngineOrder{Engine: e.Name, Address: e.Address, Request: r, Expect: expect, Fence: e.Fence})
 }
--- a/core/instance/event.go
+++ b/core/instance/event.go
@@ -176,6 +176,14 @@
 		State  orders.State
 		Err    error
 	}
+	// LoadReply answers an AskLoad.
+	LoadReply struct {
+		Call    CallID
+		Engine  string
+		Queued  int // calls without a first event there
+		Running int // calls with one
+		Err     error
+	}
 	// OrderAsked says that a peer asks for an order to an engine that this
 	// instance owns; the machine answers with an OrderAnswered of the same
 	// Token.
@@ -316,6 +324,7 @@
 func (ExchangeReply) event()    {}
 func (ExchangeAsked) event()    {}
 func (RegistryReply) event()    {}
+func (LoadReply) event()        {}
 func (EnrolReply) event()       {}
 func (KeepReply) event()        {}
 func (WriteReply) event()       {}
@@ -458,6 +467,14 @@
 		Engine  string
 		Address string
 	}
+	// AskLoad asks an engine how busy it is, for a call that may go there. It is
+	// answered after Wait at the latest.
+	AskLoad struct {
+		Call    CallID
+		Engine  string
+		Address string
+		Wait    time.Duration
+	}
 	// AskOrder asks the owner of an engine for an order.
 	AskOrder struct {
 		Peer    string
@@ -540,6 +557,7 @@
 func (WriteRegistry) action() {}
 func (EngineOrder) action()   {}
 func (AskEngine) action()     {}
+func (AskLoad) action()       {}
 func (AskOrder) action()      {}
 func (OrderAnswered) action() {}
 func (Exit) action()          {}
--- a/core/instance/exchange.go
+++ b/core/instance/exchange.go
@@ -254,7 +254,6 @@
 		AckBoot:      heard.boot,
 		Ack:          heard.stamp,
 		Records:      m.store.Since(known.stamp, peer, sameZone, x.peers[peer].store),
-		WantConfig:   m.wantsConfig(),
 	}
 	msg.Demand = m.demandFor(peer)
 	if msg.Demand == nil {
@@ -377,15 +376,21 @@
 	if m.opt.OneWatch && m.watches() && !m.platform.down && m.now.Before(x.aheadAt.Add(pullPatience)) {
 		return // the platform will bring it, and more cheaply
 	}
-	if p := m.furthestAhead(); p != nil {
-		x.pullTo = m.now.Add(pullTime)
-		m.exchangeWith(p)
+	p := m.furthestAhead()
+	if p == nil {
+		return
 	}
+	x.pullTo = m.now.Add(pullTime)
+	x.flying[p.Address] = true
+	msg := m.message(p.Name)
+	msg.WantConfig = true
+	m.do(Exchange{Peer: p.Name, Address: p.Address, Message: msg})
 }
 
 // pullTime is how long a configuration that a peer was asked for is waited for
-// before another peer is asked.
-const pullTime = 300 * time.Millisecond
+// before another peer is asked. Several at once would share a narrow link, and
+// none would arrive.
+const pullTime = 600 * time.Millisecond
 
 // furthestAhead returns the peer with the newest revision that is not being asked
 // already and seems to answer, one of the own zone before others.
@@ -417,16 +422,6 @@
 // for a revision that a peer has, before it asks the peer for it.
 const pullPatience = 600 * time.Millisecond
 
-// wantsConfig reports whether a configuration that is newer than the own one
-// should come back from an exchange.
-func (m *Machine) wantsConfig() bool {
-	if !m.opt.OneWatch || m.cfg == nil || m.platform.down || !m.watches() {
-		return true
-	}
-	x := &m.exchanges
-	return x.ahead > m.cfg.Revision() && !m.now.Before(x.aheadAt.Add(pullPatience))
-}
-
 // pulled notes that the request for a configuration is over, so that a still
 // newer one that was announced meanwhile is asked for at once.
 func (m *Machine) pulled() {
--- a/core/instance/exchange_test.go
+++ b/core/instance/exchange_test.go
@@ -64,6 +64,45 @@
 	is.Equal(m.placerRank(), 2)
 }
 
+// TestQuietEngineIsOrderedSoonerAfterAStop: an engine that is given back waits for
+// what is left of the turn gap since its last order, not for the whole gap; one
+// whose orders may still be on their way waits for all of it.
+func TestQuietEngineIsOrderedSoonerAfterAStop(t *testing.T) {
+	is := is.New(t)
+	now := clock.At(time.Hour)
+	m := fleetMachine(now, "a")
+	whole := m.opt.TurnGap + turnMargin
+	cases := []struct {
+		former string
+		quiet  time.Duration
+		want   time.Duration
+	}{
+		{registry.Returned, 0, whole},
+		{registry.Returned, time.Second, whole - time.Second},
+		{registry.Returned, time.Minute, 0},
+		{"b", time.Minute, whole + m.opt.OrderValid},
+	}
+	for _, c := range cases {
+		claim := registry.Ownership{Engine: "e", Former: c.former, QuietMS: c.quiet.Milliseconds()}
+		is.Equal(m.firstOrder(claim, false), m.now.Add(c.want))
+	}
+}
+
+// TestRenewalsFollowDuties: only an instance whose record others rely on, to leave
+// its engines alone, renews it often; each renewal is paid for.
+func TestRenewalsFollowDuties(t *testing.T) {
+	is := is.New(t)
+	now := clock.At(time.Hour)
+	m := fleetMachine(now, "a")
+	is.Equal(m.keepEvery(), 2*m.opt.KeepEvery)
+	is.True(m.keepEvery() < m.opt.EnrolTerm/2)
+	m.engines["e"] = nil
+	is.Equal(m.keepEvery(), m.opt.KeepEvery)
+	delete(m.engines, "e")
+	m.placement.held = true
+	is.Equal(m.keepEvery(), m.opt.KeepEvery)
+}
+
 // exchanges returns the exchanges among the actions, by peer.
 func exchanges(actions []Action) map[string]share.Message {
 	out := map[string]share.Message{}
@@ -97,6 +136,26 @@
 	is.True(m.watches())
 }
 
+// TestOnlyPullsBringConfigurations: of all exchanges with peers that are ahead,
+// only one at a time asks for the configuration itself. Before, each did, and
+// over narrow links none of them came to its end.
+func TestOnlyPullsBringConfigurations(t *testing.T) {
+	is := is.New(t)
+	now := clock.At(time.Hour)
+	m := fleetMachine(now, "a", "b", "c", "d")
+	wanted := 0
+	for _, name := range []string{"a", "b", "c", "d"} {
+		actions := m.Step(now, ExchangeAsked{Token: 1, Message: share.Message{From: name, Zone: "z", Address: name, Boot: 1, Revision: 5, StoreAge: time.Millisecond}})
+		m.exchanges.hurry(m)
+		for _, msg := range exchanges(append(slices.Clone(actions), m.Step(now, Tick{})...)) {
+			if msg.WantConfig {
+				wanted++
+			}
+		}
+	}
+	is.Equal(wanted, 1)
+}
+
 // TestPeersAreNotToldWhatTheyHeardThemselves: of what the platform's store holds,
 // a peer is sent what it has not heard at first hand; a new boot of it, which
 // may have heard nothing, is sent everything.
--- a/core/instance/forward.go
+++ b/core/instance/forward.go
@@ -37,6 +37,7 @@
 	weight    route.Weight
 	fetches   int  // orders that it waited for
 	missed    bool // it found its model on no engine
+	probe     probeState
 	opened    bool // the head of an answer was passed on
 	relayable bool // the replica's own failing answer can be passed on
 }
@@ -129,12 +130,17 @@
 		Tokens: c.PromptTokens,
 		Chain:  f.chain,
 		Tried:  f.tried,
+		Salt:   uint64(c.ID) ^ m.self.Boot,
 		Doubt:  m.zoneDoubt,
 	}
 	if c.item != "" {
 		query.Extra = func(r *pool.Replica) (time.Duration, bool) { return m.itemCost(c, r) }
 	}
-	best, ok := m.forwards.Choose(m.now, query, m.pool.Serving(c.service.Name))
+	candidates := m.pool.Serving(c.service.Name)
+	if m.probe(c, query, candidates) {
+		return
+	}
+	best, ok := m.forwards.Choose(m.now, query, candidates)
 	switch {
 	case !ok:
 		m.forwardAbsent(c)
@@ -376,6 +382,7 @@
 	}
 	m.note(NoteCallRetried, "call", c.Forward.Name, "replica", former, "status", e.Status, "detail", e.Detail)
 	c.phase = waiting
+	c.probeAgain()
 	m.placeForward(c)
 }
 
--- a/core/instance/machine.go
+++ b/core/instance/machine.go
@@ -180,6 +180,8 @@
 		m.engineOrderReply(e)
 	case EngineStateReply:
 		m.engineStateReply(e)
+	case LoadReply:
+		m.loadReply(e)
 	case OrderAsked:
 		m.orderAsked(e)
 	case AskOrderReply:
--- a/core/instance/options.go
+++ b/core/instance/options.go
@@ -63,6 +63,9 @@
 	// MeshEvery spaces the exchanges with every peer of a small fleet; 0 means
 	// that there are none.
 	MeshEvery time.Duration
+	// LoadWait is how long a forwarded call waits for engines to say how busy
+	// they are, in a fleet too large to exchange pairwise; 0: it does not ask.
+	LoadWait time.Duration
 	// OneWatch says that the platform's store is watched as one.
 	OneWatch bool
 	// Pick and Plan replace the routing choice and the residency plan; nil in
--- a/core/instance/registry.go
+++ b/core/instance/registry.go
@@ -115,7 +115,7 @@
 	g.lease = e.Lease
 	g.enrolled = true
 	g.keptAt = e.Sent
-	g.keep.end(m.now.Add(m.opt.KeepEvery))
+	g.keep.end(m.now.Add(m.keepEvery()))
 	m.note(NoteEnrolled, "lease", e.Lease)
 }
 
@@ -133,10 +133,19 @@
 	default:
 		m.registryAnswered()
 		g.keptAt = e.Sent
-		g.keep.end(m.now.Add(m.opt.KeepEvery))
+		g.keep.end(m.now.Add(m.keepEvery()))
 	}
 }
 
+// keepEvery returns the spacing of renewals. An instance that gives no orders may
+// lose its record for a moment without harm, so it renews less often.
+func (m *Machine) keepEvery() time.Duration {
+	if len(m.engines) == 0 && !m.placement.held {
+		return 2 * m.opt.KeepEvery
+	}
+	return m.opt.KeepEvery
+}
+
 // registryFailed notes a call that was not answered; what depends on the time
 // for which the store has answered starts anew.
 func (m *Machine) registryFailed(err error) {
@@ -288,12 +297,14 @@
 		e := m.engines[r.Name]
 		if e == nil {
 			claim.Former = old.Former
+			claim.QuietMS = old.QuietMS
 			return claim, true
 		}
 		// The former owner's orders cannot be on their way any more: say so.
 		return claim, !e.settled && !m.now.Before(e.From)
 	case owned && old.Owner == "":
 		claim.Former = cmp.Or(old.Former, registry.Returned)
+		claim.QuietMS = old.QuietMS
 	case owned:
 		claim.Former = old.Owner
 	}
@@ -397,12 +408,26 @@
 	case claim.Former == "":
 		return m.now.Add(sameOwnerGap)
 	case claim.Former == registry.Returned:
-		return m.now.Add(m.opt.TurnGap + turnMargin)
+		quiet := time.Duration(claim.QuietMS) * time.Millisecond
+		return m.now.Add(max(0, m.opt.TurnGap+turnMargin-quiet))
 	default:
 		return m.now.Add(m.opt.OrderValid + m.opt.TurnGap + turnMargin)
 	}
 }
 
+// quiet returns for how long an engine has certainly been sent no order: by this
+// instance, and before it by others, for whose orders it has waited.
+func (m *Machine) quiet(e *ownedEngine) time.Duration {
+	switch {
+	case !e.settled || e.Flying() || e.Doubtful() || m.now.Before(e.From):
+		return 0
+	case !e.orderedAt.IsZero():
+		return m.now.Since(e.orderedAt)
+	default:
+		return m.now.Since(e.From)
+	}
+}
+
 // resign gives the engines back and ends the lease, at a planned stop.
 func (m *Machine) resign() {
 	g := &m.registry
@@ -413,6 +438,7 @@
 	for _, name := range sortedKeys(m.engines) {
 		o := g.owners[name]
 		o.Owner = ""
+		o.QuietMS = m.quiet(m.engines[name]).Milliseconds()
 		give = append(give, o)
 	}
 	for _, name := range sortedKeys(m.engines) {
--- a/core/pool/replica.go
+++ b/core/pool/replica.go
@@ -58,6 +58,7 @@
 	loadAt   clock.Instant
 	ownAtRep int // own calls in flight when load was heard
 
+	report   heardReport
 	peers    map[string]peerUse // what other instances have in flight
 	used     []string           // items that own calls used lately, newest last
 	inFlight int
--- a/core/pool/use.go
+++ b/core/pool/use.go
@@ -10,6 +10,7 @@
 type Use struct {
 	Calls   int
 	Prefill time.Duration // work on prompts that it believes is still to be done there
+	Waiting int           // calls without a first event that are not in Prefill
 	Items   []string      // items that its calls used lately
 	Down    bool          // nothing answered there a moment ago
 }
@@ -116,7 +117,56 @@
 // is still to be done there, of every instance that was heard lately.
 func (r *Replica) Load(now clock.Instant) Use {
 	u := r.others(now)
+	if r.ReportAge(now) <= reportSpan {
+		u.Calls = r.report.running
+		u.Prefill = 0
+		u.Waiting = r.report.waiting
+	}
 	u.Calls += r.inFlight
 	u.Prefill += r.ownPrefill()
 	return u
 }
+
+// A Report is what an engine says of the calls there when it is asked.
+type Report struct {
+	Queued  int // without a first event
+	Running int // with one
+}
+
+// An engine's word about its load is some 100 ms old when it comes, and is
+// believed for a while.
+const (
+	reportLag  = 100 * time.Millisecond
+	reportSpan = 500 * time.Millisecond
+)
+
+// A heardReport is a Report with what the instance itself had there then.
+type heardReport struct {
+	at      clock.Instant
+	waiting int // calls of others without a first event
+	running int // other calls
+}
+
+// ObserveReport takes in what an engine says of its load.
+func (r *Replica) ObserveReport(now clock.Instant, said Report) {
+	then := now.Add(-reportLag)
+	waiting := 0
+	for _, c := range r.pending {
+		if c.since.Before(then) {
+			waiting++
+		}
+	}
+	r.report = heardReport{
+		at:      now,
+		waiting: max(0, said.Queued-waiting),
+		running: max(0, said.Queued+said.Running-r.inFlight),
+	}
+}
+
+// ReportAge returns how long ago the replica said how busy it is.
+func (r *Replica) ReportAge(now clock.Instant) time.Duration {
+	if r.report.at.IsZero() {
+		return time.Hour
+	}
+	return now.Since(r.report.at)
+}
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -42,7 +42,10 @@
 	// Returned. It is cleared by the owner once they cannot be any more. A
 	// write may take effect without an answer, so an owner that finds its own
 	// name in a record must be able to tell what it has to wait for.
-	Former   string `json:"former,omitempty"`
+	Former string `json:"former,omitempty"`
+	// QuietMS is, of an engine that was given back, for how many milliseconds
+	// it had been sent no order then.
+	QuietMS  int64  `json:"quiet_ms,omitempty"`
 	Revision uint64 `json:"-"` // of the record; the fence of its orders
 }
 
--- a/core/route/forward.go
+++ b/core/route/forward.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"sort"
 	"time"
 
 	"github.com/birchdrift/birchdrift/core/clock"
@@ -21,6 +22,9 @@
 	// headBonus is the share of its prompt's work that the engine which
 	// rendezvous hashing names for a prompt's first part is trusted to save.
 	headBonus = 0.1
+	// waitingTokens is what a prompt of which only its being there is known is
+	// believed to have left to read.
+	waitingTokens = 2500
 	// learnTokens is the least prompt from which the reading speed is learnt.
 	learnTokens = 400
 	// learnStep is the share by which one more measurement moves the estimate,
@@ -40,6 +44,7 @@
 	Tokens int      // of the prompt
 	Chain  Chain    // of the prompt's parts
 	Tried  []string // replicas that failed the call, passed over
+	Salt   uint64   // of the call, to tell apart replicas that seem alike
 	// Extra returns what must happen at a replica before it can serve the
 	// call, as time; ok is false if it cannot. nil: nothing must.
 	Extra func(r *pool.Replica) (cost time.Duration, ok bool)
@@ -135,6 +140,35 @@
 // Choose returns the best of the candidates; ok is false when none may be sent
 // the call.
 func (f *Forwards) Choose(now clock.Instant, q ForwardQuery, candidates []*pool.Replica) (best ForwardEstimate, ok bool) {
+	for _, e := range f.estimates(now, q, candidates) {
+		if !ok || e.Total() < best.Total() {
+			best = e
+			ok = true
+		}
+	}
+	return best, ok
+}
+
+// Best returns the best of the candidates, n at most. Those that differ by less
+// than bestStep come in an order of the call's own, so that calls of the same kind
+// do not all look at the same ones.
+func (f *Forwards) Best(now clock.Instant, q ForwardQuery, candidates []*pool.Replica, n int) []ForwardEstimate {
+	all := f.estimates(now, q, candidates)
+	sort.Slice(all, func(i, j int) bool {
+		a, b := all[i], all[j]
+		if x, y := a.Total()/bestStep, b.Total()/bestStep; x != y {
+			return x < y
+		}
+		return Score(q.Salt, a.Replica.Name) > Score(q.Salt, b.Replica.Name)
+	})
+	return all[:min(n, len(all))]
+}
+
+// bestStep is a difference between estimates that means nothing.
+const bestStep = 20 * time.Millisecond
+
+// estimates returns the estimates of the candidates that may be sent the call.
+func (f *Forwards) estimates(now clock.Instant, q ForwardQuery, candidates []*pool.Replica) (estimates []ForwardEstimate) {
 	usable := make([]*pool.Replica, 0, len(candidates))
 	ejected := 0
 	for _, r := range candidates {
@@ -157,13 +191,9 @@
 		if r.Down(now) {
 			continue
 		}
-		e := f.estimate(now, q, r, r == head)
-		if !ok || e.Total() < best.Total() {
-			best = e
-			ok = true
-		}
+		estimates = append(estimates, f.estimate(now, q, r, r == head))
 	}
-	return best, ok
+	return estimates
 }
 
 // possible reports whether the replica can be made to serve the call.
@@ -235,7 +265,7 @@
 	if head {
 		e.Prefill -= time.Duration(headBonus * float64(e.Prefill))
 	}
-	e.Ahead = load.Prefill
+	e.Ahead = load.Prefill + time.Duration(load.Waiting)*waitingTokens*perToken
 	e.Other += perSequence * time.Duration(load.Calls)
 	if excess := load.Calls - r.Concurrent; excess >= 0 {
 		e.Ahead += time.Duration(excess+1) * r.Hold() / time.Duration(max(1, r.Concurrent))
--- a/internal/pages/pages.go
+++ b/internal/pages/pages.go
@@ -64,7 +64,7 @@
 	for _, e := range instance.Catalogue {
 		row(&b, fmt.Sprint(int(e.Number)), e.Name, e.Meaning, e.Remedy)
 	}
-	b.WriteString("\nLogs are JSON lines on standard error; each carries `event`, `instance` and `zone`.\n")
+	b.WriteString("\nLogs are JSON lines on standard output; each carries `event`, `instance` and `zone`.\n")
 	return b.String()
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -61,6 +61,7 @@
 	MemoryLimit int64 // MiB; 0: none
 	Processor   float64
 	MeshEvery   time.Duration
+	LoadWait    time.Duration
 	TurnGap     time.Duration
 }
 
@@ -117,6 +118,7 @@
 	{"watch-wait", "25s", "100ms to 24h", "How long one watch call waits at the platform for a change. Where watches may be dropped without a word, this bounds how late that is noticed.", false, duration(func(s *Settings) *time.Duration { return &s.WatchWait }, 100*time.Millisecond)},
 	{"watch-every", "0s", "0s to 24h", "Least time between two watch calls, so that changes that come together are heard together.", false, duration(func(s *Settings) *time.Duration { return &s.WatchEvery }, 0)},
 	{"mesh-every", "0s", "0s to 24h", "Spacing of the exchanges with every peer of a small fleet; 0 for none.", false, duration(func(s *Settings) *time.Duration { return &s.MeshEvery }, 0)},
+	{"load-wait", "0s", "0s to 1s", "How long a forwarded call waits for announced engines to say how busy they are, in a fleet too large to exchange pairwise; 0: it does not ask.", false, atMost(time.Second, duration(func(s *Settings) *time.Duration { return &s.LoadWait }, 0), func(s *Settings) time.Duration { return s.LoadWait })},
 	{"turn-gap", "3s", "0s to 24h", "Least time between the orders of two instances to one announced engine.", false, duration(func(s *Settings) *time.Duration { return &s.TurnGap }, 0)},
 	{"processor", "1", "0 to 1024", "Cores, or the share of one, that the process may use. Duties for the fleet go to the instances that have most.", false, number(func(s *Settings) *float64 { return &s.Processor }, 0, 1024)},
 	{"memory-limit", "0", "0 to 1048576", "Memory in MiB that the process should stay within; 0 sets no limit.", false, integer(func(s *Settings) *int64 { return &s.MemoryLimit }, 0, 1<<20)},
@@ -188,6 +190,7 @@
 	opt.WatchWait = s.WatchWait
 	opt.MeshEvery = s.MeshEvery
 	opt.TurnGap = s.TurnGap
+	opt.LoadWait = s.LoadWait
 	opt.OneWatch = s.Environment != EnvironmentOwn
 	return opt
 }
@@ -237,6 +240,11 @@
 
 func level(s *Settings, v string) bool { return s.LogLevel.UnmarshalText([]byte(v)) == nil }
 
+// atMost bounds what another setter took in.
+func atMost(most time.Duration, set setter, get func(*Settings) time.Duration) setter {
+	return func(s *Settings, v string) bool { return set(s, v) && get(s) <= most }
+}
+
 func number(field func(*Settings) *float64, least, most float64) setter {
 	return func(s *Settings, v string) bool {
 		f, err := strconv.ParseFloat(v, 64)
--- a/internal/shell/actions.go
+++ b/internal/shell/actions.go
@@ -19,6 +19,7 @@
 const (
 	engineTimeout   = 2 * time.Second
 	exchangeTimeout = 800 * time.Millisecond
+	pullTimeout     = 3 * time.Second // of an exchange that brings a configuration
 	claimTimeout    = time.Second
 )
 
@@ -79,6 +80,8 @@
 		s.work(func(ctx context.Context) { s.writeRegistry(ctx, act) })
 	case instance.EngineOrder:
 		s.work(func(ctx context.Context) { s.engineOrder(ctx, act) })
+	case instance.AskLoad:
+		s.work(func(ctx context.Context) { s.askLoad(ctx, act) })
 	case instance.AskEngine:
 		s.work(func(ctx context.Context) { s.askEngine(ctx, act) })
 	case instance.AskOrder:
@@ -308,7 +311,11 @@
 }
 
 func (s *Shell) exchange(ctx context.Context, a instance.Exchange) {
-	ctx, done := context.WithTimeout(ctx, exchangeTimeout)
+	limit := exchangeTimeout
+	if a.Message.WantConfig {
+		limit = pullTimeout
+	}
+	ctx, done := context.WithTimeout(ctx, limit)
 	defer done()
 	reply, err := s.adapters.Peer.Exchange(ctx, a.Address, a.Message)
 	if err == nil {
--- a/internal/shell/environment.go
+++ b/internal/shell/environment.go
@@ -26,7 +26,7 @@
 	}
 	s.metrics.PlatformCall()
 	if change.Config != nil {
-		s.postConfig(change.Config, instance.PlatformSource)
+		s.postConfig(pack(change.Config), instance.PlatformSource)
 	}
 	if len(change.Listed) > 0 || change.Whole {
 		s.post(instance.ListReply{Entries: change.Listed, Version: change.Version, Whole: change.Whole})
@@ -124,6 +124,14 @@
 	}})
 }
 
+// askLoad asks an engine how busy it is.
+func (s *Shell) askLoad(ctx context.Context, a instance.AskLoad) {
+	ctx, done := context.WithTimeout(ctx, a.Wait)
+	defer done()
+	report, err := s.adapters.Engines.Report(ctx, a.Address)
+	s.post(instance.LoadReply{Call: a.Call, Engine: a.Engine, Queued: report.Queued, Running: report.Running, Err: err})
+}
+
 // askTime bounds how long the owner of an engine is waited for.
 const askTime = time.Second
 
--- /dev/null
+++ b/internal/shell/pack.go
@@ -0,0 +1,36 @@
+package shell
+
+import (
+	"bytes"
+	"compress/gzip"
+	"io"
+
+	"github.com/gravitational/trace"
+)
+
+// A configuration that came from an environment's store travels between
+// instances as the store holds it, compressed: it may have thousands of routes,
+// and links may be narrow.
+
+// maxUnpacked bounds a configuration, in bytes.
+const maxUnpacked = 64 << 20
+
+// pack compresses a configuration as a store holds it.
+func pack(data []byte) []byte {
+	var buf bytes.Buffer
+	zip := gzip.NewWriter(&buf)
+	// Writes to a buffer cannot fail.
+	_, _ = zip.Write(data)
+	_ = zip.Close()
+	return buf.Bytes()
+}
+
+// unpack undoes pack.
+func unpack(data []byte) ([]byte, error) {
+	zip, err := gzip.NewReader(bytes.NewReader(data))
+	if err != nil {
+		return nil, trace.Wrap(err, "not a packed configuration")
+	}
+	out, err := io.ReadAll(io.LimitReader(zip, maxUnpacked))
+	return out, trace.Wrap(err, "reading a packed configuration")
+}
--- /dev/null
+++ b/internal/shell/pack_test.go
@@ -0,0 +1,32 @@
+package shell
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/birchdrift/birchdrift/core/config"
+	"github.com/birchdrift/birchdrift/internal/seam"
+)
+
+// TestConfigurationsTravelPacked: what instances hand each other is much smaller
+// than what the store holds, and comes out of it the same.
+func TestConfigurationsTravelPacked(t *testing.T) {
+	is := is.New(t)
+	route := []byte(`{"name":"r","host":"h.example","path_prefix":"/a/b/","timeout_ms":5000},`)
+	stored := bytes.Repeat(route, 2000)
+	packed := pack(stored)
+	is.True(len(packed)*8 < len(stored))
+	var decoded []byte
+	a := Adapters{Store: &seam.Store{Decode: func(data []byte) (config.Document, error) {
+		decoded = data
+		return config.Document{Revision: 3}, nil
+	}}}
+	doc, err := a.decode(packed)
+	is.NoErr(err)
+	is.Equal(doc.Revision, uint64(3))
+	is.Equal(decoded, stored)
+	_, err = a.decode(stored)
+	is.True(err != nil) // what is not packed is refused, not guessed at
+}
--- a/internal/shell/shell.go
+++ b/internal/shell/shell.go
@@ -47,6 +47,10 @@
 // decode reads a configuration as the environment's store holds it.
 func (a Adapters) decode(data []byte) (config.Document, error) {
 	if a.Store != nil {
+		data, err := unpack(data)
+		if err != nil {
+			return config.Document{}, err
+		}
 		return a.Store.Decode(data)
 	}
 	return config.Decode(data)
