Watchers stand in for a placer that does not answer, in a large fleet too

Change: an instance whose exchanges with the placer fail tells its zone's watchers what its callers ask for; a watcher that owns engines places what is missed on them, from weights at hand.

Test: TestWatchersStandInForASilentPlacer (fails before).

--- a/core/instance/exchange_test.go
+++ b/core/instance/exchange_test.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"errors"
 	"fmt"
 	"slices"
 	"testing"
@@ -88,6 +89,39 @@
 	}
 }
 
+// TestWatchersStandInForASilentPlacer: in a large fleet, while the placer does not
+// answer, an instance tells its zone's watchers what its callers ask for, and one
+// of those that owns engines places what is missed on them.
+func TestWatchersStandInForASilentPlacer(t *testing.T) {
+	is := is.New(t)
+	now := clock.At(time.Hour)
+	var peers []string
+	for i := range 2 * meshMost {
+		peers = append(peers, fmt.Sprintf("p%02d", i))
+	}
+	m := fleetMachine(now, peers...)
+	watcher := m.watchersOf("z")[0]
+	if watcher == m.self.Name {
+		t.Fatal("this instance is not to watch in this test")
+	}
+	placer := "p00"
+	if watcher == placer {
+		placer = "p01"
+	}
+	v := registry.Placer{Name: placer, Boot: 1}.Value()
+	m.takeRegistered("", []registry.Record{{Key: v.Key, Data: v.Data, Revision: 99}})
+	m.flow.Call(now, "model", time.Second)
+	is.Equal(len(m.placementDemand(placer)), 1)
+	is.Equal(len(m.placementDemand(watcher)), 0)
+	m.Step(now, ExchangeReply{Peer: placer, Address: placer, Err: errors.New("no answer")})
+	is.Equal(len(m.placementDemand(watcher)), 1)
+	is.True(!m.orphaned()) // it owns no engine
+	m.engines["e"] = &ownedEngine{}
+	m.registry.keptAt = now
+	m.registry.heardAt = now
+	is.True(m.orphaned())
+}
+
 // TestRenewalsFollowDuties: only an instance whose record others rely on, to leave
 // its engines alone, renews it often; each renewal is paid for.
 func TestRenewalsFollowDuties(t *testing.T) {
--- a/core/instance/placement.go
+++ b/core/instance/placement.go
@@ -121,11 +121,14 @@
 // placer, as in a zone that is cut off: then it brings in what its own callers
 // miss, from the weights that its engines have at hand.
 func (m *Machine) orphaned() bool {
-	if len(m.engines) == 0 || !m.mayOrderEngines() || !m.meshed() {
-		return false
-	}
+	return len(m.engines) > 0 && m.mayOrderEngines() && m.placerSilent()
+}
+
+// placerSilent reports whether the placer is another instance that does not
+// answer this one.
+func (m *Machine) placerSilent() bool {
 	p := m.members.Get(m.registry.placer.Name)
-	return p != nil && p.Failing() && m.registry.placer.Name != m.self.Name
+	return p != nil && p.Failing()
 }
 
 // seekPlacement writes the placer's record where there is none, or where it is
@@ -425,10 +428,14 @@
 	return set
 }
 
-// placementDemand returns what the peer needs to know to place models, if it is
-// the placer.
+// placementDemand returns what the peer needs to know to place models: if it is
+// the placer, or in a large fleet may stand in for one that does not answer.
 func (m *Machine) placementDemand(peer string) []demand.Item {
-	if peer == "" || m.registry.placer.Name != peer {
+	if peer == "" {
+		return nil
+	}
+	standIn := !m.meshed() && m.placerSilent() && slices.Contains(m.watchersOf(m.self.Zone), peer)
+	if m.registry.placer.Name != peer && !standIn {
 		return nil
 	}
 	return m.flow.Items(m.now)
@@ -445,6 +452,10 @@
 		m.placement.due = m.now
 		return
 	}
+	if m.placerSilent() && !m.meshed() {
+		m.exchangeWith(m.nextWatcher(m.self.Zone))
+		return
+	}
 	m.exchangeWith(m.members.Get(m.registry.placer.Name))
 }
 
@@ -452,7 +463,7 @@
 
 // placeSoon has models placed at once if a peer's callers found one nowhere.
 func (m *Machine) placeSoon(items []demand.Item) {
-	if !m.placing() {
+	if !m.placing() && !m.orphaned() {
 		return
 	}
 	for _, it := range items {
