--- /dev/null
+++ b/core/instance/probe_test.go
@@ -0,0 +1,117 @@
+package instance
+
+import (
+	"errors"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/birchdrift/birchdrift/core/clock"
+	"github.com/birchdrift/birchdrift/core/config"
+	"github.com/birchdrift/birchdrift/core/pool"
+	"github.com/birchdrift/birchdrift/core/share"
+)
+
+// probeMachine is an instance of a large fleet before engines that hold model m0.
+func probeMachine(t *testing.T, now clock.Instant, wait time.Duration, engines ...string) *Machine {
+	t.Helper()
+	var peers []string
+	for i := range 2 * meshMost {
+		peers = append(peers, string(rune('a'+i%26))+string(rune('a'+i/26)))
+	}
+	m := fleetMachine(now, peers...)
+	m.opt.LoadWait = wait
+	snapshot, err := config.NewSnapshot(fleetDocument())
+	if err != nil {
+		t.Fatal(err)
+	}
+	m.Step(now, ConfigReply{Snapshot: snapshot, Source: PlatformSource})
+	var list ListReply
+	list.Version = 100
+	for i, name := range engines {
+		list.Entries = append(list.Entries, share.Listed{Name: name, Kind: share.Upstream, Zone: "z", Version: uint64(50 + i), Announced: &pool.Announcement{
+			Service: "llm", Address: name, Zone: "z", Slots: 8, Engine: true, Models: []pool.AnnouncedModel{{Name: "m0"}},
+		}})
+	}
+	m.Step(now, list)
+	return m
+}
+
+func probeCall(id CallID) Arrive {
+	return Arrive{Call: Call{ID: id, Path: "/x", Replayable: true, PromptTokens: 4000, Forward: &Forwarded{Name: "call", Host: "h", Model: "m0"}}}
+}
+
+// asked returns the engines that are asked how busy they are.
+func asked(actions []Action) []string {
+	var names []string
+	for _, a := range actions {
+		if p, ok := a.(AskLoad); ok {
+			names = append(names, p.Engine)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// TestCallsGoWhereEnginesSayThatTheyAreIdle: in a large fleet a call that may go
+// to several engines asks two of them, waits for both answers, and goes to the
+// one with less to do; one that does not answer in time holds nothing up.
+func TestCallsGoWhereEnginesSayThatTheyAreIdle(t *testing.T) {
+	cases := []struct {
+		name string
+		e1   LoadReply
+		e2   LoadReply
+		want string
+	}{
+		{"the first is busy", LoadReply{Queued: 12, Running: 30}, LoadReply{}, "e2"},
+		{"the second is busy", LoadReply{}, LoadReply{Queued: 12, Running: 30}, "e1"},
+		{"the first is busy, the second silent", LoadReply{Queued: 12, Running: 30}, LoadReply{Err: errors.New("no answer")}, "e2"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			now := clock.At(time.Hour)
+			m := probeMachine(t, now, 20*time.Millisecond, "e1", "e2")
+			actions := m.Step(now, probeCall(1))
+			is.Equal(asked(actions), []string{"e1", "e2"})
+			is.Equal(sentTo(actions), "")
+			c.e1.Call, c.e1.Engine = 1, "e1"
+			c.e2.Call, c.e2.Engine = 1, "e2"
+			is.Equal(sentTo(m.Step(now, c.e1)), "")
+			is.Equal(sentTo(m.Step(now, c.e2)), c.want)
+			// What they said a moment ago serves the next call as well.
+			now = now.Add(probeFresh / 2)
+			if c.e2.Err == nil {
+				is.Equal(sentTo(m.Step(now, probeCall(2))), c.want)
+			}
+		})
+	}
+}
+
+// TestNothingIsAskedWithoutAChoice: where there is one engine, or asking is
+// switched off, a call is sent at once.
+func TestNothingIsAskedWithoutAChoice(t *testing.T) {
+	is := is.New(t)
+	now := clock.At(time.Hour)
+	one := probeMachine(t, now, 20*time.Millisecond, "e1").Step(now, probeCall(1))
+	is.Equal(len(asked(one)), 0)
+	is.Equal(sentTo(one), "e1")
+	off := probeMachine(t, now, 0, "e1", "e2").Step(now, probeCall(1))
+	is.Equal(len(asked(off)), 0)
+	is.True(sentTo(off) != "")
+}
+
+// TestCallerThatLeavesWhileEnginesAreAsked: their answers find no call, and
+// nothing is sent.
+func TestCallerThatLeavesWhileEnginesAreAsked(t *testing.T) {
+	is := is.New(t)
+	now := clock.At(time.Hour)
+	m := probeMachine(t, now, 20*time.Millisecond, "e1", "e2")
+	m.Step(now, probeCall(1))
+	m.Step(now, Gone{ID: 1})
+	is.Equal(sentTo(m.Step(now, LoadReply{Call: 1, Engine: "e1"})), "")
+	is.Equal(sentTo(m.Step(now, LoadReply{Call: 1, Engine: "e2"})), "")
+	is.Equal(len(m.calls), 0)
+}
