--- a/core/instance/options.go
+++ b/core/instance/options.go
@@ -44,7 +44,8 @@
 	RetryWindow time.Duration
 	RetryRatio  float64
 	RetrySlack  float64
-	// Watchers is how many instances of a zone watch the platform.
+	// Watchers is how many instances of a zone watch the platform; where it is
+	// watched as one and the fleet is small, all do.
 	Watchers int
 	// WatchEvery is the least time between two watch calls of one kind, so
 	// that changes that come together are heard together.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -114,7 +114,7 @@
 	{"retry-ratio", "0.2", "0 to 10", "Repeats of forwarded calls, as a share of a service's calls within the window.", false, number(func(s *Settings) *float64 { return &s.RetryRatio }, 0, 10)},
 	{"retry-window", "10s", "100ms to 24h", "Span over which repeats of forwarded calls are counted.", false, duration(func(s *Settings) *time.Duration { return &s.RetryWindow }, 100*time.Millisecond)},
 	{"retry-slack", "50", "0 to 1000000", "Repeats of a service's forwarded calls that all instances together may make beyond the share.", false, number(func(s *Settings) *float64 { return &s.RetrySlack }, 0, 1e6)},
-	{"watchers", "2", "1 to 1000", "Instances of a zone that watch the platform; the others hear from them.", false, count(func(s *Settings) *int { return &s.Watchers }, 1, 1000)},
+	{"watchers", "2", "1 to 1000", "Instances of a zone that watch the platform; the others hear from them. On the users' platform all do in a fleet of up to 16.", false, count(func(s *Settings) *int { return &s.Watchers }, 1, 1000)},
 	{"watch-wait", "25s", "100ms to 24h", "How long one watch call waits at the platform for a change. Where watches may be dropped without a word, this bounds how late that is noticed.", false, duration(func(s *Settings) *time.Duration { return &s.WatchWait }, 100*time.Millisecond)},
 	{"watch-every", "0s", "0s to 24h", "Least time between two watch calls, so that changes that come together are heard together.", false, duration(func(s *Settings) *time.Duration { return &s.WatchEvery }, 0)},
 	{"mesh-every", "0s", "0s to 24h", "Spacing of the exchanges with every peer of a small fleet; 0 for none.", false, duration(func(s *Settings) *time.Duration { return &s.MeshEvery }, 0)},
