Exchanges keep one record of what a peer said last

A peer's boot stood in two maps, heard and peers, written at the same place; they are one now. Behaviour is the same; the tests of core/instance, shell, peer and server pass.

--- a/core/instance/exchange.go
+++ b/core/instance/exchange.go
@@ -23,25 +23,25 @@
 	due     clock.Instant
 	meshDue clock.Instant // of the exchanges with every peer of a small fleet
 	count   int
-	acks    map[string]ack  // what each peer confirmed of ours
-	heard   map[string]ack  // what we have of each peer's
-	flying  map[string]bool // by address
-	turn    int             // of the neighbours
-	news    int             // exchanges to space by newsSpacing
-	urgent  bool            // tell every neighbour without waiting
-	pullTo  clock.Instant   // until then a newer revision is being asked for
-	version uint64          // of the platform's store, heard at first hand
-	peers   map[string]peerWord
-	storeAt clock.Instant // of the newest word of the platform's store, from whomever
-	ahead   uint64        // the newest revision that a peer is known to have
-	aheadAt clock.Instant // since when a peer is known to be ahead
-	toldAt  clock.Instant // when the planner was last told of an unmet demand
-	ledAt   clock.Instant // when other zones' planners were last told of it
+	acks    map[string]ack      // what each peer confirmed of ours
+	flying  map[string]bool     // by address
+	turn    int                 // of the neighbours
+	news    int                 // exchanges to space by newsSpacing
+	urgent  bool                // tell every neighbour without waiting
+	pullTo  clock.Instant       // until then a newer revision is being asked for
+	version uint64              // of the platform's store, heard at first hand
+	peers   map[string]peerWord // what each peer said of itself last
+	storeAt clock.Instant       // of the newest word of the platform's store, from whomever
+	ahead   uint64              // the newest revision that a peer is known to have
+	aheadAt clock.Instant       // since when a peer is known to be ahead
+	toldAt  clock.Instant       // when the planner was last told of an unmet demand
+	ledAt   clock.Instant       // when other zones' planners were last told of it
 }
 
 // A peerWord is what a peer said of itself last.
 type peerWord struct {
 	boot     uint64
+	stamp    uint64 // of its store, when it said so
 	revision uint64 // in force there
 	store    uint64 // up to where it heard the platform's store at first hand
 }
@@ -53,7 +53,7 @@
 }
 
 func newExchangeView() exchangeView {
-	return exchangeView{acks: map[string]ack{}, heard: map[string]ack{}, flying: map[string]bool{}, peers: map[string]peerWord{}}
+	return exchangeView{acks: map[string]ack{}, flying: map[string]bool{}, peers: map[string]peerWord{}}
 }
 
 // hurry has the next exchanges begin at once, to spread what is new.
@@ -235,7 +235,7 @@
 func (m *Machine) message(peer string) share.Message {
 	x := &m.exchanges
 	known := x.acks[peer]
-	heard := x.heard[peer]
+	word := x.peers[peer]
 	sameZone := false
 	if p := m.members.Get(peer); p != nil {
 		sameZone = p.Zone == m.self.Zone
@@ -251,9 +251,9 @@
 
 		StoreVersion: x.version,
 		Stamp:        m.store.Stamp(),
-		AckBoot:      heard.boot,
-		Ack:          heard.stamp,
-		Records:      m.store.Since(known.stamp, peer, sameZone, x.peers[peer].store),
+		AckBoot:      word.boot,
+		Ack:          word.stamp,
+		Records:      m.store.Since(known.stamp, peer, sameZone, word.store),
 	}
 	msg.Demand = m.demandFor(peer)
 	if msg.Demand == nil {
@@ -337,14 +337,13 @@
 	m.members.Heard(m.now, msg.From)
 	x := &m.exchanges
 	former := x.peers[msg.From]
-	x.peers[msg.From] = peerWord{boot: msg.Boot, revision: msg.Revision, store: msg.StoreVersion}
+	x.peers[msg.From] = peerWord{boot: msg.Boot, stamp: msg.Stamp, revision: msg.Revision, store: msg.StoreVersion}
 	// What a new boot confirms may have been composed for the boot before it.
 	if msg.AckBoot == m.self.Boot && (former.boot == msg.Boot || former.boot == 0) {
 		x.acks[msg.From] = ack{boot: msg.AckBoot, stamp: msg.Ack}
 	} else {
 		x.acks[msg.From] = ack{} // it has nothing of this boot
 	}
-	x.heard[msg.From] = ack{boot: msg.Boot, stamp: msg.Stamp}
 	m.takeRecords(msg.From, msg.Records)
 	if heard := m.now.Add(-msg.StoreAge); msg.StoreAge > 0 {
 		x.storeAt = later(x.storeAt, heard)
