Reading speed by a straight line, work ahead of a call by rank

Cause: calls were sent to engines with wrong ideas of the queue there. (1) What a first event takes beside reading its prompt (15 to 20 ms) was counted as reading, so that models of 3 us a token were believed to take 10 to 25 us: their queues, and the work that they bring when models are placed, were overestimated up to eight times. (2) Engines read the prompts of urgent calls first; the queue was counted whole for every call. Change: a line by least squares through first events over tokens read, outliers bounded; prompts' work is counted, and told to peers, by rank. The record that peers exchange has a new field for it; an instance of the version before reads no work there for as long as both versions run.

--- a/core/forwarding/place.go
+++ b/core/forwarding/place.go
@@ -40,6 +40,7 @@
 		Zone:     f.Self.Zone,
 		Model:    s.target.weight,
 		Tokens:   c.PromptTokens,
+		Rank:     s.route.Priority,
 		Chain:    s.target.chain,
 		Tried:    s.progress.tried,
 		Salt:     uint64(c.ID) ^ f.Self.Boot,
@@ -121,13 +122,14 @@
 		unread: c.PromptTokens - e.Cached,
 		alone:  e.Ahead == 0 && e.Calls <= aloneCalls,
 	}
-	e.Replica.StartPrefill(now, uint64(c.ID), e.Prefill, e.Total())
+	e.Replica.StartPrefill(now, uint64(c.ID), pool.Prefill{Rank: s.route.Priority, Work: e.Prefill, Expected: e.Total()})
 	if c.Item != "" {
 		f.router.Sent(c.Replica, s.target.chain, cacheTokens(s))
 		e.Replica.Use(c.Item)
 		f.Used(now, c.Replica, c.Item)
 	}
 	f.Out.Log(logevent.CallSent, "call", c.Forward.Name, "service", c.Service, "item", c.Item, "attempt", c.History.Attempts,
+		"rank", s.route.Priority, "target_ms", c.Target.Milliseconds(), "tokens", c.PromptTokens,
 		"replica", c.Replica, "waited_ms", now.Since(c.Arrived).Milliseconds(), "ahead_ms", e.Ahead.Milliseconds(),
 		"prefill_ms", e.Prefill.Milliseconds(), "other_ms", e.Other.Milliseconds(), "cached", e.Cached, "calls_there", e.Calls,
 		"announced_ago_ms", now.Since(e.Replica.AnnouncedAt()).Milliseconds(), "revision", f.Config.Revision())
@@ -144,9 +146,6 @@
 	return int(cachedShare * float64(s.service.Announced.Engine.CacheTokens))
 }
 
-// lowestRank is the least urgent rank that a replica is told. Set in 949b701.
-const lowestRank = 9
-
 // attempt returns the action that sends the call to the replica.
 func (f *Forwarder) attempt(now clock.Instant, c *calls.Call, r *pool.Replica) calls.Dispatch {
 	s := stateOf(c)
@@ -156,7 +155,7 @@
 	}
 	priority := -1
 	if c.Item != "" {
-		priority = min(s.route.Priority, lowestRank)
+		priority = pool.RankOf(s.route.Priority)
 	}
 	d := c.Dispatch(r, f.Options.Stall)
 	d.Model = s.target.model
--- /dev/null
+++ b/core/pool/backlog_test.go
@@ -0,0 +1,31 @@
+package pool
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/birchdrift/birchdrift/core/clock/clocktest"
+)
+
+// TestWorkBeforeACall: a call waits for the work of its own rank and of more urgent
+// ones, of this instance and of its peers; ranks beyond the last count as the last.
+func TestWorkBeforeACall(t *testing.T) {
+	is := is.New(t)
+	now := clocktest.At(time.Hour)
+	p := New()
+	p.Announce(now, "r", Announcement{Service: "s", Address: "r", Zone: "z", Slots: 4, Engine: true})
+	r := p.Get("r")
+	r.StartPrefill(now, 1, Prefill{Rank: 0, Work: time.Second})
+	r.StartPrefill(now, 2, Prefill{Rank: 2, Work: 10 * time.Second})
+	r.StartPrefill(now, 3, Prefill{Rank: Ranks + 5, Work: 100 * time.Second})
+	p.ObserveUse(now, "peer", map[string]Use{"r": {Calls: 1, Prefill: Backlog{1: 2 * time.Second}}})
+	for rank, want := range map[int]time.Duration{
+		0: time.Second, 1: 3 * time.Second, 2: 13 * time.Second, Ranks - 1: 113 * time.Second, Ranks: 113 * time.Second,
+	} {
+		is.Equal(r.Load(now).Prefill.Before(rank), want)
+	}
+	r.First(now, 2, false) // its prompt is read
+	is.Equal(r.Load(now).Prefill.Before(2), 3*time.Second)
+}
--- a/core/pool/replica.go
+++ b/core/pool/replica.go
@@ -109,6 +109,7 @@
 // A pendingCall is one own call in flight without a first token.
 type pendingCall struct {
 	id       uint64
+	rank     int // of urgency, 0 first
 	since    clock.Instant
 	prefill  time.Duration // work on its prompt believed to be left
 	expected time.Duration // time believed to pass until its first event
@@ -221,13 +222,19 @@
 }
 
 // Start notes that this instance sent the call id to the replica.
-func (r *Replica) Start(now clock.Instant, id uint64) { r.StartPrefill(now, id, 0, 0) }
+func (r *Replica) Start(now clock.Instant, id uint64) { r.StartPrefill(now, id, Prefill{}) }
 
-// StartPrefill is Start for a call whose prompt is so much work to read, and of
-// which the first event is expected after so long.
-func (r *Replica) StartPrefill(now clock.Instant, id uint64, prefill, expected time.Duration) {
+// A Prefill is what is known of a call whose prompt an engine is to read.
+type Prefill struct {
+	Rank     int           // of urgency, 0 first
+	Work     time.Duration // on its prompt
+	Expected time.Duration // until its first event
+}
+
+// StartPrefill is Start for a call with a prompt.
+func (r *Replica) StartPrefill(now clock.Instant, id uint64, p Prefill) {
 	r.inFlight++
-	r.pending = append(r.pending, pendingCall{id: id, since: now, prefill: prefill, expected: expected})
+	r.pending = append(r.pending, pendingCall{id: id, rank: RankOf(p.Rank), since: now, prefill: p.Work, expected: p.Expected})
 }
 
 // First notes that the call's first token came. late says that it came later
--- a/core/pool/use.go
+++ b/core/pool/use.go
@@ -9,10 +9,10 @@
 // A Use is what one instance has in flight at a replica.
 type Use struct {
 	Calls   int
-	Prefill time.Duration // work on prompts that it believes is still to be done there
-	Waiting int           // calls without a first event that are not in Prefill
-	Items   []string      // items that its calls used lately
-	Down    bool          // nothing answered there a moment ago
+	Prefill Backlog  // work on prompts that it believes is still to be done there
+	Waiting int      // calls without a first event that are not in Prefill
+	Items   []string // items that its calls used lately
+	Down    bool     // nothing answered there a moment ago
 }
 
 // useSpan is how long another instance's report of its calls is believed.
@@ -81,10 +81,10 @@
 }
 
 // ownPrefill returns the work on prompts of own calls without a first token.
-func (r *Replica) ownPrefill() time.Duration {
-	var work time.Duration
+func (r *Replica) ownPrefill() Backlog {
+	var work Backlog
 	for _, c := range r.pending {
-		work += c.prefill
+		work[c.rank] += c.prefill
 	}
 	return work
 }
@@ -95,7 +95,7 @@
 	for _, u := range r.peers {
 		if now.Since(u.at) <= useSpan {
 			sum.Calls += u.Calls
-			sum.Prefill += u.Prefill
+			sum.Prefill.add(u.Prefill)
 		}
 	}
 	return sum
@@ -121,11 +121,11 @@
 	u := r.others(now)
 	if r.ReportAge(now) <= reportSpan {
 		u.Calls = r.report.running
-		u.Prefill = 0
+		u.Prefill = Backlog{}
 		u.Waiting = r.report.waiting
 	}
 	u.Calls += r.inFlight
-	u.Prefill += r.ownPrefill()
+	u.Prefill.add(r.ownPrefill())
 	return u
 }
 
--- a/core/route/forward.go
+++ b/core/route/forward.go
@@ -20,9 +20,6 @@
 	// perSequence is what one call that runs beside another adds to the time
 	// to its first event. Set in 949b701.
 	perSequence = 300 * time.Microsecond
-	// defaultTokenTime is how long an engine is believed to read one prompt
-	// token of a model that was not measured yet.
-	defaultTokenTime = 25 * time.Microsecond
 	// headBonus is the share of its prompt's work that the engine which
 	// rendezvous hashing names for a prompt's first part is trusted to save.
 	// Set in 949b701.
@@ -30,17 +27,6 @@
 	// waitingTokens is what a prompt of which only its being there is known is
 	// believed to have left to read. Set in 396841e.
 	waitingTokens = 2500
-	// learnTokens is the least prompt from which the reading speed is learnt.
-	// Set in 949b701.
-	learnTokens = 400
-	// learnStep is the share by which one more measurement moves the estimate,
-	// learnQuantile the share of measurements that should lie below it.
-	// Set in 7c7040a.
-	learnStep     = 0.15
-	learnQuantile = 0.4 // set in 7c7040a
-	// firstOverhead is what a first event takes beside reading the prompt.
-	// Set in 949b701.
-	firstOverhead = 8 * time.Millisecond
 	// suspectCost is added for each failure in a row. Set in 949b701.
 	suspectCost = 50 * time.Millisecond
 )
@@ -50,6 +36,7 @@
 	Zone   string   // zone of this instance
 	Model  Weight   // the zero value for a plain service
 	Tokens int      // of the prompt
+	Rank   int      // of urgency, 0 first
 	Chain  Chain    // of the prompt's parts
 	Tried  []string // replicas that failed the call, passed over
 	Salt   uint64   // of the call, to tell apart replicas that seem alike
@@ -65,7 +52,7 @@
 // event, on one replica.
 type Estimate struct {
 	Replica *pool.Replica
-	Ahead   time.Duration // work that is there already
+	Ahead   time.Duration // work that is there already and goes first
 	Prefill time.Duration // work on this call's own prompt
 	Other   time.Duration // way, crowd, slowness
 	Cached  int           // prompt tokens believed to be kept there
@@ -78,14 +65,14 @@
 // Router chooses replicas for forwarded calls, and learns how fast models
 // read and what engines keep.
 type Router struct {
-	caches   map[string]*Cache // by engine
-	perToken map[string]time.Duration
-	perSize  map[int64]time.Duration // of models of a size, for those not measured yet
+	caches  map[string]*Cache // by engine
+	speeds  map[string]speed  // of models
+	perSize map[int64]speed   // of models of a size, for those not measured yet
 }
 
 // NewRouter returns a chooser that has learnt nothing.
 func NewRouter() *Router {
-	return &Router{caches: map[string]*Cache{}, perToken: map[string]time.Duration{}, perSize: map[int64]time.Duration{}}
+	return &Router{caches: map[string]*Cache{}, speeds: map[string]speed{}, perSize: map[int64]speed{}}
 }
 
 // A Weight names a model and the memory that its weights take, in MB.
@@ -96,40 +83,31 @@
 
 // TokenTime returns how long an engine is believed to read one prompt token of
 // a model: as measured, else as measured of models of its size.
-func (f *Router) TokenTime(w Weight) time.Duration {
-	if d, ok := f.perToken[w.Model]; ok {
-		return d
+func (f *Router) TokenTime(w Weight) time.Duration { return f.speed(w).tokenTime() }
+
+// speed returns what is known of a model's speed: as measured, else as measured of
+// models of its size.
+func (f *Router) speed(w Weight) speed {
+	if s, ok := f.speeds[w.Model]; ok {
+		return s
 	}
-	if d, ok := f.perSize[w.MB]; ok {
-		return d
+	if s, ok := f.perSize[w.MB]; ok {
+		return s
 	}
-	return defaultTokenTime
+	return newSpeed()
 }
 
 // Learn takes in how long a first event took, of a call with so many tokens to
 // read on an engine that had no other prompt to read. What else happens there
 // makes some measurements too long, and parts that are kept there unknown to
-// this instance make others too short; so the estimate follows a quantile.
+// this instance make others too short.
 func (f *Router) Learn(w Weight, tokens int, took time.Duration) {
-	if tokens < learnTokens {
-		return
-	}
-	sample := max(took-firstOverhead, time.Millisecond) / time.Duration(tokens)
-	f.perToken[w.Model] = follow(f.perToken[w.Model], sample)
-	f.perSize[w.MB] = follow(f.perSize[w.MB], sample)
-}
-
-// follow moves an estimate one step towards the quantile of its samples.
-func follow(old, sample time.Duration) time.Duration {
-	step := learnStep * float64(old)
-	switch {
-	case old == 0:
-		return min(sample, defaultTokenTime)
-	case sample > old:
-		return old + time.Duration(step*learnQuantile)
-	default:
-		return old - time.Duration(step*(1-learnQuantile))
+	f.speeds[w.Model] = f.speed(w).learn(tokens, took)
+	size, ok := f.perSize[w.MB]
+	if !ok {
+		size = newSpeed()
 	}
+	f.perSize[w.MB] = size.learn(tokens, took)
 }
 
 // Sent notes that a prompt goes to an engine that keeps so many tokens.
@@ -270,7 +248,7 @@
 	if head {
 		e.Prefill -= time.Duration(headBonus * float64(e.Prefill))
 	}
-	e.Ahead = load.Prefill + time.Duration(load.Waiting)*waitingTokens*perToken
+	e.Ahead = load.Prefill.Before(q.Rank) + time.Duration(load.Waiting)*waitingTokens*perToken
 	e.Other += perSequence * time.Duration(load.Calls)
 	if excess := load.Calls - r.Concurrent; excess >= 0 {
 		e.Ahead += time.Duration(excess+1) * r.ServiceTime() / time.Duration(max(1, r.Concurrent))
--- a/core/route/forward_test.go
+++ b/core/route/forward_test.go
@@ -48,8 +48,16 @@
 			f.Sent("b", chain, 100_000)
 		}, "b"},
 		{"the own zone's is reading a prompt", true, func(_ *Router, _ *pool.Pool, a, _ *pool.Replica, _ *Query) {
-			a.StartPrefill(start, 1, 300*time.Millisecond, 400*time.Millisecond)
+			a.StartPrefill(start, 1, pool.Prefill{Work: 300 * time.Millisecond, Expected: 400 * time.Millisecond})
 		}, "b"},
+		{"the own zone's is reading the prompt of a more urgent call", true, func(_ *Router, _ *pool.Pool, a, _ *pool.Replica, q *Query) {
+			a.StartPrefill(start, 1, pool.Prefill{Rank: 1, Work: 300 * time.Millisecond, Expected: 400 * time.Millisecond})
+			q.Rank = 2
+		}, "b"},
+		{"the own zone's is reading the prompt of a less urgent call", true, func(_ *Router, _ *pool.Pool, a, _ *pool.Replica, q *Query) {
+			a.StartPrefill(start, 1, pool.Prefill{Rank: 2, Work: 300 * time.Millisecond, Expected: 400 * time.Millisecond})
+			q.Rank = 1
+		}, "a"},
 		{"the own zone's failed the call", true, func(_ *Router, _ *pool.Pool, _, _ *pool.Replica, q *Query) {
 			q.Tried = []string{"a"}
 		}, "b"},
@@ -104,20 +112,3 @@
 		})
 	}
 }
-
-// TestReadingSpeedIsLearnt: a measured model is estimated by its own speed, one of
-// the same size by that of others, and short prompts teach nothing.
-func TestReadingSpeedIsLearnt(t *testing.T) {
-	is := is.New(t)
-	f := NewRouter()
-	known, same, other := Weight{"m", 70}, Weight{"n", 70}, Weight{"o", 80}
-	f.Learn(known, learnTokens-1, time.Second)
-	is.Equal(f.TokenTime(known), defaultTokenTime)
-	for range 50 {
-		f.Learn(known, 1000, firstOverhead+50*time.Millisecond)
-	}
-	is.True(f.TokenTime(known) > 45*time.Microsecond)
-	is.True(f.TokenTime(known) < 55*time.Microsecond)
-	is.Equal(f.TokenTime(same), f.TokenTime(known))
-	is.Equal(f.TokenTime(other), defaultTokenTime)
-}
--- /dev/null
+++ b/core/route/speed_test.go
@@ -0,0 +1,45 @@
+package route
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestReadingSpeedIsLearnt: a measured model is estimated by its own speed, one of
+// the same size by that of others, and one of another size by the default. What a
+// first event takes beside reading does not count as reading, nor does a wait that
+// had another cause.
+func TestReadingSpeedIsLearnt(t *testing.T) {
+	for _, tt := range []struct {
+		name     string
+		overhead time.Duration
+		perToken time.Duration
+		hiccups  bool // every tenth first event waits for something else
+	}{
+		{name: "a slow model", overhead: 15 * time.Millisecond, perToken: 50 * time.Microsecond},
+		{name: "a fast model", overhead: 18 * time.Millisecond, perToken: 3 * time.Microsecond},
+		{name: "a fast model with hiccups", overhead: 18 * time.Millisecond, perToken: 3 * time.Microsecond, hiccups: true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			f := NewRouter()
+			known, same, other := Weight{"m", 70}, Weight{"n", 70}, Weight{"o", 80}
+			is.Equal(f.TokenTime(known), defaultTokenTime)
+			for i := range 60 {
+				tokens := 300 + 37*(i*7%40)
+				took := tt.overhead + time.Duration(tokens)*tt.perToken
+				if tt.hiccups && i%10 == 9 {
+					took += time.Second
+				}
+				f.Learn(known, tokens, took)
+			}
+			const tolerance = 2 * time.Microsecond
+			is.True(f.TokenTime(known) > tt.perToken-tolerance)
+			is.True(f.TokenTime(known) < tt.perToken+tolerance)
+			is.Equal(f.TokenTime(same), f.TokenTime(known))
+			is.Equal(f.TokenTime(other), defaultTokenTime)
+		})
+	}
+}
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -38,12 +38,36 @@
 	out.HasUses = m.Uses != nil
 	for name, u := range m.Uses {
 		out.Uses = append(out.Uses, &peerpb.Use{
-			Replica: name, Calls: uint32(u.Calls), PrefillUs: uint32(u.Prefill.Microseconds()), Items: u.Items, Down: u.Down,
+			Replica: name, Calls: uint32(u.Calls), PrefillUs: encodeBacklog(u.Prefill), Items: u.Items, Down: u.Down,
 		})
 	}
 	return out
 }
 
+// encodeBacklog returns the work by rank in microseconds, up to the last rank that
+// has some.
+func encodeBacklog(b pool.Backlog) []uint32 {
+	var us []uint32
+	for rank, work := range b {
+		if work == 0 {
+			continue
+		}
+		us = append(us, make([]uint32, rank-len(us))...)
+		us = append(us, uint32(min(work.Microseconds(), math.MaxUint32)))
+	}
+	return us
+}
+
+// decodeBacklog returns the work by rank; ranks that this version does not know
+// count as the last.
+func decodeBacklog(us []uint32) pool.Backlog {
+	var b pool.Backlog
+	for rank, work := range us {
+		b[pool.RankOf(rank)] += time.Duration(work) * time.Microsecond
+	}
+	return b
+}
+
 // encodeRecords adds the records to the message.
 func encodeRecords(records share.Records, out *peerpb.Message) {
 	for _, r := range records.Registered {
@@ -137,7 +161,7 @@
 	}
 	for _, u := range m.GetUses() {
 		out.Uses[u.GetReplica()] = pool.Use{
-			Calls: int(u.GetCalls()), Prefill: time.Duration(u.GetPrefillUs()) * time.Microsecond, Items: u.GetItems(), Down: u.GetDown(),
+			Calls: int(u.GetCalls()), Prefill: decodeBacklog(u.GetPrefillUs()), Items: u.GetItems(), Down: u.GetDown(),
 		}
 	}
 	return out
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -32,7 +32,10 @@
 				{Key: "owners/f", Revision: 15, Gone: true},
 			},
 		},
-		Demand:     []demand.Item{{Name: "m", Rate: 0.5, Concurrent: 0.25, Weight: 2, Waiting: 13, Unmet: time.Second, Idle: time.Minute}},
+		Demand: []demand.Item{{Name: "m", Rate: 0.5, Concurrent: 0.25, Weight: 2, Waiting: 13, Unmet: time.Second, Idle: time.Minute}},
+		Uses: map[string]pool.Use{"e": {
+			Calls: 3, Prefill: pool.Backlog{0: time.Millisecond, 2: 2 * time.Millisecond}, Items: []string{"m"}, Down: true,
+		}},
 		WantConfig: true,
 		Config:     []byte("c"),
 	}
