--- a/core/calls/call.go
+++ b/core/calls/call.go
@@ -94,7 +94,7 @@
 	// AttemptFailed decides what follows an attempt that failed.
 	AttemptFailed func(now clock.Instant, c *Call, b AttemptFailed)
 	// Served takes in that the answer is whole.
-	Served func(now clock.Instant, c *Call)
+	Served func(now clock.Instant, c *Call, e Completed)
 	// Cancel has a replica drop what it does for the call.
 	Cancel func(c *Call, r *pool.Replica)
 	// NotRun is told of a call that ends and certainly did not run.
--- a/core/calls/event.go
+++ b/core/calls/event.go
@@ -14,7 +14,10 @@
 	// AnswerBegan says that the first piece of the answer came.
 	AnswerBegan struct{ ID ID }
 	// Completed says that the answer's explicit end was delivered.
-	Completed struct{ ID ID }
+	Completed struct {
+		ID    ID
+		Pause time.Duration // longest between two pieces of the answer
+	}
 	// AttemptFailed says that an attempt ended otherwise.
 	AttemptFailed struct {
 		ID           ID
--- a/core/calls/table.go
+++ b/core/calls/table.go
@@ -90,7 +90,7 @@
 	if r := t.Pool.Get(c.Replica); r != nil {
 		r.End(now, uint64(c.ID), c.Started, false)
 	}
-	c.Kind.Served(now, c)
+	c.Kind.Served(now, c, e)
 	t.Remove(c)
 }
 
@@ -151,7 +151,7 @@
 	}
 	c.Phase = 0
 	delete(t.calls, c.ID)
-	t.Out.Log(logevent.CallFailed, "call", c.Label(), "service", c.Service, "code", int(r.Code), "run", string(r.Run), "detail", r.Detail)
+	t.Out.Log(logevent.CallFailed, "call", c.Label(), "service", c.Service, "item", c.Item, "code", int(r.Code), "run", string(r.Run), "detail", r.Detail)
 	t.Out.Do(Finish{ID: c.ID, Refusal: r})
 	t.Pool.Touch()
 }
--- a/core/forwarding/attempts.go
+++ b/core/forwarding/attempts.go
@@ -29,11 +29,11 @@
 }
 
 // served logs an answer that is whole, and how long its parts took.
-func (f *Forwarder) served(now clock.Instant, c *calls.Call) {
+func (f *Forwarder) served(now clock.Instant, c *calls.Call, e calls.Completed) {
 	s := stateOf(c)
 	f.Out.Log(logevent.CallServed, "call", c.Forward.Name, "replica", c.Replica, "attempts", c.History.Attempts,
 		"waited_ms", c.Started.Since(c.Arrived).Milliseconds(), "first_ms", s.sent.firstAt.Since(c.Started).Milliseconds(),
-		"total_ms", now.Since(c.Arrived).Milliseconds())
+		"pause_ms", e.Pause.Milliseconds(), "total_ms", now.Since(c.Arrived).Milliseconds())
 }
 
 // attemptFailed decides what follows an attempt that did not come to its proper end.
--- a/internal/control/command.go
+++ b/internal/control/command.go
@@ -16,6 +16,7 @@
 	"github.com/birchdrift/birchdrift/core/code"
 	"github.com/birchdrift/birchdrift/core/config"
 	"github.com/birchdrift/birchdrift/core/instance"
+	"github.com/birchdrift/birchdrift/internal/losses"
 	"github.com/birchdrift/birchdrift/internal/own/keyvalue"
 	"github.com/birchdrift/birchdrift/internal/settings"
 	"github.com/birchdrift/birchdrift/internal/upstream"
@@ -43,6 +44,7 @@
 			{Name: "diff", Usage: "show what applying a file would change", ArgsUsage: "FILE", Flags: []cli.Flag{platformFlag}, Action: runDiff},
 			{Name: "apply", Usage: "put a configuration file in force", ArgsUsage: "FILE", Flags: []cli.Flag{platformFlag}, Action: runApply},
 			{Name: "get", Usage: "print the configuration in force", Flags: []cli.Flag{platformFlag}, Action: runGet},
+			{Name: "losses", Usage: "say from instances' logs where service was lost, and why", ArgsUsage: "[FILE ...] (standard input without one)", Action: runLosses},
 			{Name: "status", Usage: "show the state of instances", Flags: []cli.Flag{operationsFlag}, Action: runStatus},
 			{
 				Name: "explain", Usage: "say why a model is resident or not, or why calls went where they went",
@@ -175,6 +177,29 @@
 	return err
 }
 
+// runLosses reads logs of instances, from files or from standard input, and reports
+// where service was lost.
+func runLosses(_ context.Context, cmd *cli.Command) error {
+	in := cmd.Root().Reader
+	var files []io.Reader
+	for _, name := range cmd.Args().Slice() {
+		file, err := os.Open(name)
+		if err != nil {
+			return code.Errorf(code.BadUsage, "%v", err)
+		}
+		defer file.Close()
+		files = append(files, file)
+	}
+	if len(files) > 0 {
+		in = io.MultiReader(files...)
+	}
+	log, err := losses.Read(in)
+	if err != nil {
+		return code.Errorf(code.BadUsage, "%v", err)
+	}
+	return log.Report(cmd.Root().Writer)
+}
+
 // askAll reads the states of the instances that the command names. One that
 // does not answer is reported and left out.
 func askAll(ctx context.Context, cmd *cli.Command) ([]instance.Status, error) {
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -86,8 +86,9 @@
 	call    calls.Request
 	begun   time.Time
 
-	opened    bool // the head of the answer was written
-	lastEvent int  // number of the last event that the caller has
+	opened    bool          // the head of the answer was written
+	lastEvent int           // number of the last event that the caller has
+	pause     time.Duration // longest between two events
 	own       *ownAnswer
 }
 
@@ -310,7 +311,7 @@
 }
 
 func (f *forwardCall) done(s shell.Session) bool {
-	s.Completed()
+	s.Completed(f.pause)
 	f.handler.Metrics.Answered(int(code.OK), time.Since(f.begun))
 	return true
 }
@@ -321,6 +322,7 @@
 	events := forward.NewEvents(resp.Body)
 	flush := http.NewResponseController(f.w)
 	first := true
+	var last time.Time // when the event before came
 	for {
 		event, number, err := events.Next()
 		if errors.Is(err, io.EOF) {
@@ -336,6 +338,11 @@
 			return f.broke(s, d, progress, watch, calls.AttemptFailed{Status: resp.StatusCode, Detail: err.Error()})
 		}
 		watch.Alive()
+		now := time.Now()
+		if !first {
+			f.pause = max(f.pause, now.Sub(last))
+		}
+		last = now
 		if first {
 			first = false
 			s.AnswerBegan()
--- /dev/null
+++ b/internal/losses/absence.go
@@ -0,0 +1,149 @@
+package losses
+
+import (
+	"strings"
+	"time"
+
+	"github.com/birchdrift/birchdrift/core/logevent"
+)
+
+// Why a model was not resident when a call asked for it.
+
+type (
+	// A change is one change of an engine's models, from its placement to its end.
+	change struct {
+		engine  string
+		load    string
+		source  string
+		begun   time.Time
+		ordered time.Time // when its load was ordered; zero: it was not
+		ended   time.Time // zero: the log does not say
+		outcome string
+	}
+	changeKey struct{ instance, engine string }
+	orderKey  struct{ engine, model string }
+
+	// A missedCall is a call refused because its model was not resident.
+	missedCall struct {
+		call  *call
+		model string
+		at    time.Time
+	}
+)
+
+// done is the outcome of a change that came to its end.
+const done = "done"
+
+// takeChange takes in an event of a change.
+func (l *Log) takeChange(r record) {
+	model, isName := r.Load.(string)
+	key := changeKey{r.Instance, r.Engine}
+	switch {
+	case r.Event == logevent.Placed && isName:
+		c := &change{engine: r.Engine, load: model, source: r.Source, begun: r.Time}
+		l.changes = append(l.changes, c)
+		l.open[key] = c
+	case r.Event == logevent.PlaceEnded:
+		if c := l.open[key]; c != nil {
+			c.ended = r.Time
+			c.outcome = r.Detail
+			delete(l.open, key)
+		}
+	case r.Event == logevent.EngineOrder && r.Load == true:
+		k := orderKey{r.Engine, r.Item}
+		l.orders[k] = append(l.orders[k], r.Time)
+	}
+}
+
+// missed notes a call that found its model nowhere; the reason is known once the whole
+// log is read.
+func (c *call) missed(l *Log, r record) {
+	model := strings.Trim(firstQuoted(r.Detail), `"`)
+	model, _, _ = strings.Cut(model, "/")
+	if model == "" {
+		return
+	}
+	c.model = model
+	if strings.Contains(r.Detail, "cannot be loaded") {
+		c.reason = "its adapter cannot be loaded where its model is"
+		return
+	}
+	l.missed = append(l.missed, missedCall{call: c, model: model, at: r.Time})
+}
+
+// firstQuoted returns the first part of the text between double quotes.
+func firstQuoted(text string) string {
+	_, rest, _ := strings.Cut(text, `"`)
+	quoted, _, _ := strings.Cut(rest, `"`)
+	return quoted
+}
+
+// explainMissed finds why each missed model was not there.
+func (l *Log) explainMissed() {
+	for _, c := range l.changes {
+		for _, at := range l.orders[orderKey{c.engine, c.load}] {
+			if !at.Before(c.begun) && (c.ended.IsZero() || !at.After(c.ended)) {
+				c.ordered = at
+				break
+			}
+		}
+	}
+	since := map[string]time.Time{}
+	for _, m := range l.missed {
+		if _, ok := since[m.model]; !ok {
+			since[m.model] = m.at
+		}
+		m.call.reason = "not resident: " + l.absence(m.model, m.at, m.at.Sub(since[m.model]))
+	}
+}
+
+// soonMissed is how long a model may be missed before somebody should have begun to
+// load it. Not measured: a message to the placer, and its next look.
+const soonMissed = 300 * time.Millisecond
+
+// absence says why nobody had a model at that time, known being for how long calls had
+// missed it.
+func (l *Log) absence(model string, at time.Time, known time.Duration) string {
+	c := l.underWay(model, at)
+	switch {
+	case c == nil && !l.placed(at):
+		return "nobody places models"
+	case c == nil && known < soonMissed:
+		return "nobody had asked for it before"
+	case c == nil:
+		return "no change was begun for it"
+	case c.ended.IsZero():
+		return "the placer that began its change is gone"
+	case c.outcome != done:
+		return "its change came to nothing: " + c.outcome
+	case c.ordered.IsZero() || at.Before(c.ordered):
+		return "its load was not ordered yet"
+	default:
+		return "loading from " + c.source
+	}
+}
+
+// underWay returns the change that was to bring the model at that time, the one that
+// ended first if there were several, nil if there was none.
+func (l *Log) underWay(model string, at time.Time) *change {
+	var best *change
+	for _, c := range l.changes {
+		if c.load != model || c.begun.After(at) || !c.ended.IsZero() && c.ended.Before(at) {
+			continue
+		}
+		if best == nil || best.ended.IsZero() || !c.ended.IsZero() && c.ended.Before(best.ended) {
+			best = c
+		}
+	}
+	return best
+}
+
+// placed reports whether some instance had begun to place models by then.
+func (l *Log) placed(at time.Time) bool {
+	for _, began := range l.placers {
+		if !began.After(at) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/losses/report.go
@@ -0,0 +1,159 @@
+package losses
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+)
+
+const (
+	// window is the span of one row of the time table. Not measured: short enough to
+	// tell one trouble from the next.
+	window = 2 * time.Second
+	// barWidth is how many signs stand for all calls of a window. Not measured: it
+	// fits into 80 columns.
+	barWidth = 40
+	// topModels is how many models are listed. Not measured.
+	topModels = 10
+)
+
+// bars are the signs of the fates in a window's bar.
+const bars = "#~-x?"
+
+// Report prints where service was lost.
+func (l *Log) Report(out io.Writer) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	all := slices.SortedFunc(maps.Values(l.calls), func(a, b *call) int {
+		return cmp.Or(a.began.Compare(b.began), cmp.Compare(a.key, b.key))
+	})
+	fmt.Fprintf(w, "%d calls in %d lines, %s to %s; %d lines are not of an instance's log\n",
+		len(all), l.lines, l.first.Format(time.TimeOnly), l.last.Format(time.TimeOnly), l.skipped)
+	fmt.Fprintln(w, "\nBY REASON\tCALLS\tSHARE")
+	for _, row := range countBy(all, func(c *call) string { return label(c) }) {
+		fmt.Fprintf(w, "%s\t%d\t%.1f%%\n", row.key, row.total, 100*float64(row.total)/float64(max(1, len(all))))
+	}
+	table(w, "ZONE", countBy(all, func(c *call) string { return c.zone }))
+	table(w, "RANK", countBy(all, rankOf))
+	models := countBy(all, func(c *call) string { return c.model })
+	models = slices.DeleteFunc(models, func(r row) bool { return r.key == "" })
+	slices.SortStableFunc(models, func(a, b row) int { return cmp.Compare(b.lost(), a.lost()) })
+	table(w, "MODEL, MOST LOST", models[:min(topModels, len(models))])
+	l.windows(w, all)
+	return w.Flush()
+}
+
+// label names a call's fate and reason.
+func label(c *call) string {
+	if c.fate == inTime {
+		return c.fate.String()
+	}
+	return c.fate.String() + ": " + c.reason
+}
+
+// rankOf names a call's rank; one that was never sent has none in the log.
+func rankOf(c *call) string {
+	if c.sends == 0 {
+		return "never sent"
+	}
+	return fmt.Sprint(c.rank)
+}
+
+// A row counts the calls that have a key in common, by fate.
+type row struct {
+	key    string
+	total  int
+	byFate [fates]int
+}
+
+// lost returns how many were not answered in time.
+func (r row) lost() int { return r.total - r.byFate[inTime] }
+
+// countBy counts calls by a key, the most frequent first.
+func countBy(all []*call, key func(c *call) string) []row {
+	rows := map[string]*row{}
+	for _, c := range all {
+		k := key(c)
+		if rows[k] == nil {
+			rows[k] = &row{key: k}
+		}
+		rows[k].total++
+		rows[k].byFate[c.fate]++
+	}
+	var list []row
+	for _, r := range rows {
+		list = append(list, *r)
+	}
+	slices.SortFunc(list, func(a, b row) int { return cmp.Or(cmp.Compare(b.total, a.total), cmp.Compare(a.key, b.key)) })
+	return list
+}
+
+// table prints rows with a column for each fate.
+func table(w io.Writer, head string, rows []row) {
+	fmt.Fprintf(w, "\nBY %s\tCALLS", head)
+	for f := range fates {
+		fmt.Fprintf(w, "\t%s", strings.ToUpper(f.String()))
+	}
+	fmt.Fprintln(w)
+	for _, r := range rows {
+		fmt.Fprintf(w, "%s\t%d", r.key, r.total)
+		for _, n := range r.byFate {
+			fmt.Fprintf(w, "\t%d", n)
+		}
+		fmt.Fprintln(w)
+	}
+}
+
+// windows prints a bar for each span of time, and what was lost there most.
+func (l *Log) windows(w io.Writer, all []*call) {
+	fmt.Fprintf(w, "\nBY WINDOW\tCALLS\t%s\tMOST LOST BY\n", legend())
+	byWindow := map[int][]*call{}
+	for _, c := range all {
+		n := int(c.began.Sub(l.first) / window)
+		byWindow[n] = append(byWindow[n], c)
+	}
+	for _, n := range slices.Sorted(maps.Keys(byWindow)) {
+		calls := byWindow[n]
+		fmt.Fprintf(w, "%v\t%d\t%s\t%s\n", time.Duration(n)*window, len(calls), bar(calls), mostLost(calls))
+	}
+}
+
+// legend explains the signs of a bar.
+func legend() string {
+	parts := make([]string, fates)
+	for f := range fates {
+		parts[f] = fmt.Sprintf("%c %s", bars[f], f)
+	}
+	return strings.Join(parts, ", ")
+}
+
+// bar draws the fates of calls to scale.
+func bar(calls []*call) string {
+	var n [fates]int
+	for _, c := range calls {
+		n[c.fate]++
+	}
+	var b strings.Builder
+	drawn, sum := 0, 0
+	for f := range fates {
+		sum += n[f]
+		to := (sum*barWidth + len(calls)/2) / len(calls)
+		b.WriteString(strings.Repeat(string(bars[f]), to-drawn))
+		drawn = to
+	}
+	return b.String()
+}
+
+// mostLost names the most frequent reason for which calls were lost.
+func mostLost(calls []*call) string {
+	for _, r := range countBy(calls, label) {
+		if r.byFate[inTime] == 0 {
+			return fmt.Sprintf("%s (%d)", r.key, r.total)
+		}
+	}
+	return ""
+}
--- a/internal/own/modelapi/model.go
+++ b/internal/own/modelapi/model.go
@@ -227,7 +227,7 @@
 		m.mark(d)
 		entry.WriteJSON(m.w, http.StatusOK, m.form.whole(m.text.String(), p.Reason, m.call.PromptTokens, m.pieces-1))
 	}
-	s.Completed()
+	s.Completed(0)
 	m.handler.Metrics.Answered(int(code.OK), time.Since(m.begun))
 	return calls.AttemptFailed{}, true
 }
--- a/internal/own/modelapi/plain.go
+++ b/internal/own/modelapi/plain.go
@@ -134,7 +134,7 @@
 	p.w.WriteHeader(resp.StatusCode)
 	delivered, err := p.copy(resp.Body, watch)
 	if err == nil {
-		s.Completed()
+		s.Completed(0)
 		p.handler.Metrics.Answered(int(code.OK), time.Since(p.begun))
 		return true
 	}
--- a/internal/shell/shell.go
+++ b/internal/shell/shell.go
@@ -236,7 +236,7 @@
 func (c Session) AnswerBegan() { c.shell.post(calls.AnswerBegan{ID: c.ID}) }
 
 // Completed tells the machine that the answer is whole.
-func (c Session) Completed() { c.end(calls.Completed{ID: c.ID}) }
+func (c Session) Completed(pause time.Duration) { c.end(calls.Completed{ID: c.ID, Pause: pause}) }
 
 // CallerGone tells the machine that the caller is gone.
 func (c Session) CallerGone() { c.end(calls.CallerGone{ID: c.ID}) }
