Adapters that a former owner ordered take places

The ledger kept such an adapter only if it knew it already, so the new owner counted seven of eight places, and ordered a ninth adapter later. Change: what an engine says is on its way is taken in, whoever ordered it, and counts as ready 300 ms later. Test: TestAdaptersOnTheirWayTakeSlots, which failed before ("absent != loading").

--- a/core/orders/observe.go
+++ b/core/orders/observe.go
@@ -1,6 +1,8 @@
 package orders
 
 import (
+	"time"
+
 	"github.com/birchdrift/birchdrift/core/clock"
 	"github.com/birchdrift/birchdrift/core/pool"
 )
@@ -69,9 +71,8 @@
 		}
 	}
 	for _, item := range s.Coming {
-		if old, ok := e.items[item]; ok && next[item].model == "" {
-			old.phase = pool.Loading
-			next[item] = old
+		if next[item].model == "" {
+			next[item] = e.onItsWay(now, item)
 		}
 	}
 	for item, old := range e.items {
@@ -84,6 +85,24 @@
 	e.changes++
 }
 
+// comingTime is how long an adapter that another owner ordered is believed to be on its
+// way. Not measured: several times what adapters take, and the age of what an engine
+// says.
+const comingTime = 300 * time.Millisecond
+
+// onItsWay returns an adapter that the engine says is on its way. It takes a slot,
+// whoever ordered it.
+func (e *Engine) onItsWay(now clock.Instant, item string) held {
+	h, known := e.items[item]
+	if !known {
+		h.model, h.adapter = pool.SplitItem(item)
+		h.readyAt = now.Add(comingTime)
+		h.usedAt = now
+	}
+	h.phase = pool.Loading
+	return h
+}
+
 func (e *Engine) ready(now clock.Instant, model, adapter string) held {
 	h := e.items[pool.AdapterItem(model, adapter)]
 	if h.model == "" {
--- a/core/orders/orders_test.go
+++ b/core/orders/orders_test.go
@@ -181,3 +181,23 @@
 		})
 	}
 }
+
+// TestAdaptersOnTheirWayTakeSlots: an adapter that a former owner ordered is on its way
+// when the new owner first asks the engine. It once was passed over, so that the new
+// owner ordered one more than the engine has slots for, and the engine fell.
+func TestAdaptersOnTheirWayTakeSlots(t *testing.T) {
+	is := is.New(t)
+	e := New("e", "10.0.0.1:80", 7, start, Limits{MemoryMB: 3*modelMB + 8, AdapterSlots: 2}, sizes)
+	e.Observe(start, State{
+		Sequence: 2,
+		Models:   []pool.AnnouncedModel{{Name: "m", Adapters: []string{"a1"}}},
+		Coming:   []string{"m/a2"},
+	})
+	is.Equal(e.Phase("m/a2"), pool.Loading)
+	is.Equal(e.Check(load("m", "a2")), Coming)
+	is.Equal(e.Check(load("m", "a3")), NoRoom)
+	e.Settle(start.Add(comingTime - 1))
+	is.Equal(e.Phase("m/a2"), pool.Loading)
+	e.Settle(start.Add(comingTime))
+	is.Equal(e.Phase("m/a2"), pool.Ready)
+}
