Changes that nobody orders are withdrawn; a placer that stops hands its loads over

Ruled out: that a placer which stops is still at work (it writes so itself). Change: a change for which no order is carried out for 2 s is given up and its engine left out for 3 s, unless it waits for the store's rate. A placer that stops writes its record without a name and with the loads that it had left, less than none while it had to wait itself; the next one goes on with these at once.

--- a/core/instance/announced_world_test.go
+++ b/core/instance/announced_world_test.go
@@ -289,6 +289,9 @@
 			for _, o := range act.Give {
 				f.writeOwnership(o)
 			}
+			if p := act.Placer; p != nil {
+				f.writePlacer(*p, 0)
+			}
 			f.endLease(act.Lease)
 			return Tick{}, false
 		}, func(error) step.Event { return Tick{} }, reply)
@@ -441,19 +444,26 @@
 	return true
 }
 
+// writePlacer writes the placer's record under the condition of its revision, and
+// returns the new one, 0 if the condition did not hold.
+func (f *fleet) writePlacer(p registry.Placer, lease uint64) uint64 {
+	have := uint64(0)
+	if v := f.store.values["placer"]; v != nil {
+		have = v.revision
+	}
+	if have != p.Revision {
+		return 0
+	}
+	return f.change("placer", &fleetValue{data: &p, lease: lease})
+}
+
 func (f *fleet) write(a ownership.Write, sent clock.Instant) step.Event {
 	r := ownership.WriteReply{Write: a.Write}
 	if p := a.Write.Placer; p != nil {
-		have := uint64(0)
-		if v := f.store.values["placer"]; v != nil {
-			have = v.revision
-		}
-		if have != p.Revision || f.store.leases[a.Lease] == nil {
-			r.Conflict = true
-			return r
+		if f.store.leases[a.Lease] != nil {
+			r.Revision = f.writePlacer(*p, a.Lease)
 		}
-		q := *p
-		r.Revision = f.change("placer", &fleetValue{data: &q, lease: a.Lease})
+		r.Conflict = r.Revision == 0
 		return r
 	}
 	f.claims = max(f.claims, len(a.Write.Claim))
@@ -891,6 +901,44 @@
 	is.True(f.served > f.refused)
 }
 
+// TestStopsInSeriesKeepTheStoresRate: placers that are stopped one after the other hand
+// their loads over, so that the next one goes on at once and the rate is kept.
+func TestStopsInSeriesKeepTheStoresRate(t *testing.T) {
+	is := is.New(t)
+	for seed := range 6 {
+		f := newFleetWith(uint64(seed+1), 5, option.Disabled{}, true)
+		f.expire()
+		f.run(5 * time.Second)
+		f.callers(40 * time.Millisecond)
+		stopped := 0
+		f.again(4*time.Second, 2*time.Second, func() func() {
+			n := f.placer()
+			if n == nil {
+				return func() {}
+			}
+			stopped++
+			f.step(n, n.boot, Stop{})
+			f.at(time.Second, func() { n.dead = true })
+			return func() { f.start(n.id.Name) }
+		})
+		f.run(30 * time.Second)
+		is.Equal(f.broken, nil)
+		is.True(stopped >= 5)
+		is.True(len(f.loads) >= 8) // half of what the rate allows; without handing over there were 2
+	}
+}
+
+// placer returns the member that places models, nil if none does.
+func (f *fleet) placer() *fleetMember {
+	for _, name := range f.names {
+		n := f.members[name]
+		if !n.dead && !n.frozen && n.m.orders.registry.IsPlacer(clocktest.At(time.Hour+f.now)) {
+			return n
+		}
+	}
+	return nil
+}
+
 // TestClaimsFitIntoOneWrite: an instance that finds many engines unowned claims
 // no more at a time than a write of the store holds. Before, stores refused such
 // claims again and again, and the engines stayed without an owner.
--- a/core/instance/platform.go
+++ b/core/instance/platform.go
@@ -51,7 +51,7 @@
 			m.exchanges.StoreVersion(e.Version)
 			m.listing.Replied(now, e)
 		},
-		handOver: o.registry.Resign,
+		handOver: func(now clock.Instant) { o.registry.Resign(now, placer.LoadsLeft(now)) },
 		status:   func(clock.Instant, *Status) {},
 	}
 }
--- a/core/ownership/enrol.go
+++ b/core/ownership/enrol.go
@@ -109,11 +109,17 @@
 	}
 }
 
-// Resign gives the engines back and ends the lease, at a planned stop.
-func (g *Registry) Resign(now clock.Instant) {
+// Resign gives the engines and the placer's task back and ends the lease, at a
+// planned stop. loads is how many loads from the weight store the placer could begin
+// now; it matters only where this instance is that.
+func (g *Registry) Resign(now clock.Instant, loads float64) {
 	if !g.enrolment.held {
 		return
 	}
+	var placer *registry.Placer
+	if g.placer.held {
+		placer = &registry.Placer{Loads: loads, Revision: g.placer.record.Revision}
+	}
 	var give []registry.Ownership
 	for _, name := range g.Owned.Names() {
 		o := g.owners[name]
@@ -123,5 +129,5 @@
 	}
 	g.Owned.LoseAll(now, "this instance stops")
 	g.enrolment.held = false
-	g.Out.Do(Resign{Lease: g.enrolment.lease, Give: give})
+	g.Out.Do(Resign{Lease: g.enrolment.lease, Give: give, Placer: placer})
 }
--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -74,11 +74,13 @@
 		Version uint64 // of the store
 		Whole   bool   // Records are all that there are
 	}
-	// Resign is an action: write the ownerships that are given back, then end
+	// Resign is an action: write the ownerships that are given back, and the placer's
+	// record if that is, then end
 	// the lease.
 	Resign struct {
-		Lease uint64
-		Give  []registry.Ownership
+		Lease  uint64
+		Give   []registry.Ownership
+		Placer *registry.Placer // nil: this instance is not the placer
 	}
 )
 
@@ -278,11 +280,10 @@
 		g.Owned.Lose(now, engine, "its record went")
 	}
 	if c.Placer != nil {
-		g.takePlacer(*c.Placer)
+		g.takePlacer(now, *c.Placer)
 	}
 	if c.PlacerGone {
-		g.takePlacer(registry.Placer{})
-		g.placer.goneAt = now
+		g.takePlacer(now, registry.Placer{})
 	}
 }
 
--- a/core/ownership/placer.go
+++ b/core/ownership/placer.go
@@ -15,8 +15,9 @@
 // in it. The record hangs on its holder's lease and goes with it.
 type placer struct {
 	record  registry.Placer
-	goneAt  clock.Instant // when the last one's record went
-	held    bool          // by this instance, by its last write
+	goneAt  clock.Instant    // when the last one's record went
+	held    bool             // by this instance, by its last write
+	handed  *registry.Placer // the record by which the one before gave the task back; nil: it did not
 	seeking bool
 	seekDue clock.Instant
 }
@@ -48,11 +49,26 @@
 	if p.record.Name == "" && now.Before(free.Add(time.Duration(g.PlacerRank(now))*claimStep)) {
 		return
 	}
+	p.handed = nil
+	if p.record.Name == "" && p.record.Revision != 0 {
+		given := p.record
+		p.handed = &given
+	}
 	p.seeking = true
 	record := registry.Placer{Name: g.Self.Name, Boot: g.Self.Boot, Revision: p.record.Revision}
 	g.Out.Do(Write{Write: Records{Placer: &record}, Lease: g.enrolment.lease})
 }
 
+// HandedLoads returns how many loads from the weight store may begin at once, as the
+// placer before this instance left it; ok is false where it did not give the task back
+// and may still be at work.
+func (g *Registry) HandedLoads() (loads float64, ok bool) {
+	if g.placer.handed == nil {
+		return 0, false
+	}
+	return g.placer.handed.Loads, true
+}
+
 // PlacerRank returns how many instances come before this one as the placer.
 func (g *Registry) PlacerRank(now clock.Instant) int {
 	return placerRank(g.self(), g.candidates(now))
@@ -73,7 +89,10 @@
 }
 
 // takePlacer takes in who the records say the placer is.
-func (g *Registry) takePlacer(p registry.Placer) {
+func (g *Registry) takePlacer(now clock.Instant, p registry.Placer) {
+	if p.Name == "" {
+		g.placer.goneAt = now
+	}
 	g.placer.record = p
 	if p.Name != g.Self.Name || p.Boot != g.Self.Boot {
 		g.placer.held = false
--- a/core/placement/budget.go
+++ b/core/placement/budget.go
@@ -26,6 +26,22 @@
 
 func newLoadBudget(now clock.Instant) loadBudget { return loadBudget{begun: now, at: now} }
 
+// handedBudget returns the budget of a placer whose former one gave the task back,
+// with so many loads left, and is at work no more.
+func handedBudget(now clock.Instant, available float64, o *option.Options) loadBudget {
+	return loadBudget{begun: now.Add(-o.OrderValid), at: now, available: min(available, loadBurst)}
+}
+
+// left returns how many loads may begin at now, less than 0 while none may: as many
+// fewer as would have come in the time for which the former placer may be at work.
+func (b *loadBudget) left(now clock.Instant, rate float64, o *option.Options) float64 {
+	wait := o.OrderValid - now.Since(b.begun)
+	if wait > 0 {
+		return -loadShare * rate * wait.Seconds()
+	}
+	return b.available
+}
+
 // refill adds the loads that may have begun since the last time, at rate loads a
 // second. While the former placer may still be at work, there are none.
 func (b *loadBudget) refill(now clock.Instant, rate float64, o *option.Options) {
--- a/core/placement/budget_test.go
+++ b/core/placement/budget_test.go
@@ -36,3 +36,40 @@
 	b.refill(now, rate, &opt)
 	is.Equal(spent(&b), int(loadBurst))
 }
+
+// TestABudgetIsHandedOver: what a placer that stops leaves is what the next one begins
+// with, so that both together begin no more loads than one would; what the first still
+// had to wait for counts as loads that it owes.
+func TestABudgetIsHandedOver(t *testing.T) {
+	now := clocktest.At(time.Hour)
+	opt := option.Default()
+	const rate = 2.0
+	for _, tt := range []struct {
+		name  string
+		begun time.Duration // when the first placer began, before its stop
+		spent int
+		want  float64 // loads left
+	}{
+		{"a full budget", time.Minute, 0, loadBurst},
+		{"one spent", time.Minute, 1, loadBurst - 1},
+		{"while a former one may be at work", 0, 0, -loadShare * rate * opt.OrderValid.Seconds()},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			first := newLoadBudget(now.Add(-tt.begun))
+			first.refill(now, rate, &opt)
+			for range tt.spent {
+				is.True(first.spend())
+			}
+			is.Equal(first.left(now, rate, &opt), tt.want)
+			next := handedBudget(now, first.left(now, rate, &opt), &opt)
+			next.refill(now, rate, &opt)
+			for range int(max(0, tt.want)) {
+				is.True(next.spend())
+			}
+			is.True(!next.spend())
+			next.refill(now.Add(opt.OrderValid+2*time.Second), rate, &opt)
+			is.True(next.spend())
+		})
+	}
+}
--- a/core/placement/input.go
+++ b/core/placement/input.go
@@ -45,7 +45,7 @@
 		Zone:   r.Zone,
 		FreeMB: facts.MemoryMB,
 		Sound:  r.Usable() && !r.Vanished() && !r.Ejected(now),
-		Open:   p.changes[r.Name] == nil && p.Asks.OwnerReachable(now, r.Name),
+		Open:   p.changes[r.Name] == nil && !now.Before(p.closed[r.Name]) && p.Asks.OwnerReachable(now, r.Name),
 	}
 	newest := clock.Instant{}
 	for item, phase := range r.Items() {
--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -37,6 +37,14 @@
 	// changeTime is how long a change may take before it is given up. Not
 	// measured: the slowest load of the users' models takes 6.4 s.
 	changeTime = 10 * time.Second
+	// orderTime is how long a change may go without an order that is carried out: its
+	// engine's owner may have lost the right to order, or the way to the engine.
+	// Not measured: four tries, and above the time in which owners settle an order
+	// whose answer was lost.
+	orderTime = 2 * time.Second
+	// closedTime is how long an engine for which nobody gave orders is left out.
+	// Not measured: about the time in which another instance takes it over.
+	closedTime = 3 * time.Second
 	// changeRepeat is the least time between two requests for one order.
 	// Set in 7c7040a.
 	changeRepeat = 400 * time.Millisecond
@@ -83,6 +91,7 @@
 	loads    loadBudget
 	changes  map[string]*change        // under way, by engine
 	readyAt  map[copyKey]clock.Instant // since when a copy is seen ready
+	closed   map[string]clock.Instant  // until when an engine is left out
 }
 
 // A copyKey names a copy of a model on an engine.
@@ -90,7 +99,7 @@
 
 // New returns a placer that has placed nothing.
 func New(n Needs) *Placer {
-	return &Placer{Needs: n, changes: map[string]*change{}, readyAt: map[copyKey]clock.Instant{}}
+	return &Placer{Needs: n, changes: map[string]*change{}, readyAt: map[copyKey]clock.Instant{}, closed: map[string]clock.Instant{}}
 }
 
 // Tick seeks the placer's record while nobody holds it, and places models while
@@ -129,10 +138,21 @@
 	p.cutOff = cutOff
 	p.changes = map[string]*change{}
 	p.loads = newLoadBudget(now)
+	if left, ok := p.Registry.HandedLoads(); ok && !cutOff {
+		p.loads = handedBudget(now, left, p.Options)
+	}
 	p.demandAt = now
 	p.Out.Log(logevent.Placing, "orphan", cutOff, "revision", p.Registry.Placer().Revision)
 }
 
+// LoadsLeft returns how many loads from the weight store this instance could begin now
+// as the placer.
+func (p *Placer) LoadsLeft(now clock.Instant) float64 {
+	rate := p.loadRate()
+	p.loads.refill(now, rate, p.Options)
+	return p.loads.left(now, rate, p.Options)
+}
+
 // CutOff reports whether this instance owns engines and the placer does not
 // answer it.
 func (p *Placer) CutOff(now clock.Instant) bool {
@@ -164,7 +184,7 @@
 		for _, c := range Changes(p.input(now, svc)) {
 			p.Out.Log(logevent.Placed, "engine", c.Engine, "load", c.Load, "drop", c.Drop, "source", c.Source.String(),
 				"worth", c.Value, "cost", c.Cost, "work", c.Work, "copies", c.Copies)
-			ch := &change{Change: c, begun: now}
+			ch := &change{Change: c, begun: now, movedAt: now}
 			p.changes[c.Engine] = ch
 			p.advance(now, ch)
 		}
@@ -174,6 +194,7 @@
 // advance takes the next step of a change, and ends it if there is none.
 func (p *Placer) advance(now clock.Instant, c *change) {
 	engine := p.engineState(c.Engine)
+	c.observe(now, engine)
 	if o := c.outcome(now, engine); o != underWay {
 		p.end(now, c, o)
 		return
@@ -186,6 +207,7 @@
 	// and loads that were planned over seconds would begin together.
 	if request.Load && c.Source == pool.WeightStore && !c.counted {
 		if !p.loads.spend() {
+			c.movedAt = now // it waits for the store's rate
 			return
 		}
 		c.counted = true
@@ -205,6 +227,9 @@
 // end forgets a change that has ended.
 func (p *Placer) end(now clock.Instant, c *change, o outcome) {
 	delete(p.changes, c.Engine)
+	if o == notOrdered {
+		p.closed[c.Engine] = now.Add(closedTime)
+	}
 	fields := []any{"engine", c.Engine, "load", c.Load, "detail", string(o)}
 	if o == done {
 		fields = append(fields, "took", now.Since(c.begun).String())
--- a/core/placement/progress.go
+++ b/core/placement/progress.go
@@ -17,12 +17,14 @@
 	done        outcome = "done"
 	engineGone  outcome = "the engine is gone"
 	tookTooLong outcome = "it took too long"
+	notOrdered  outcome = "nobody orders the engine"
 )
 
 // A change is a Change under way.
 type change struct {
 	Change
 	begun   clock.Instant
+	movedAt clock.Instant // when it last was in order that no order was carried out, or one was
 	askedAt clock.Instant // when an order was asked for last; zero: none was yet
 	counted bool          // its load from the weight store was counted
 }
@@ -33,9 +35,21 @@
 	phase  func(model string) pool.ItemPhase // 0: the model is absent
 }
 
+// observe notes whether the engine carries out an order of the change now.
+func (c *change) observe(now clock.Instant, e engineState) {
+	if e.phase(c.Load) == pool.Loading {
+		c.movedAt = now
+	}
+	for _, model := range c.Drop {
+		if e.phase(model) == pool.Unloading {
+			c.movedAt = now
+		}
+	}
+}
+
 // outcome returns how the change ended, underWay if it has not. A change that
-// takes longer than any load is given up, so that the next placement begins from
-// what the engine holds.
+// takes longer than any load, or for which no order is carried out, is given up, so
+// that the next placement begins from what the engine holds.
 func (c *change) outcome(now clock.Instant, e engineState) outcome {
 	switch {
 	case !e.usable:
@@ -44,6 +58,8 @@
 		return tookTooLong
 	case e.phase(c.Load) == pool.Ready:
 		return done
+	case now.Since(c.movedAt) > orderTime:
+		return notOrdered
 	default:
 		return underWay
 	}
--- a/core/placement/progress_test.go
+++ b/core/placement/progress_test.go
@@ -26,6 +26,7 @@
 		gone    bool
 		holds   phases
 		begun   clock.Instant
+		movedAt clock.Instant // zero: now
 		askedAt clock.Instant
 		outcome outcome
 		order   *orders.Request
@@ -36,14 +37,21 @@
 		{name: "it shows no effect", begun: now, askedAt: ago(changeRepeat), order: load},
 		{name: "the load is under way", holds: phases{"new": pool.Loading}, begun: now, askedAt: ago(changeRepeat)},
 		{name: "the model is there", holds: phases{"new": pool.Ready}, begun: now, outcome: done},
+		{name: "no order is carried out, at the limit", holds: phases{"old": pool.Ready}, begun: ago(orderTime), movedAt: ago(orderTime), order: drop},
+		{name: "no order is carried out, above the limit", holds: phases{"old": pool.Ready}, begun: ago(orderTime + 1), movedAt: ago(orderTime + 1), outcome: notOrdered},
+		{name: "the unload waits for its runs", holds: phases{"old": pool.Unloading}, begun: ago(orderTime + 1), movedAt: ago(orderTime + 1), order: drop},
 		{name: "the engine is gone", gone: true, begun: now, outcome: engineGone},
 		{name: "at the limit", holds: phases{"old": pool.Ready}, begun: ago(changeTime), order: drop},
 		{name: "above the limit", holds: phases{"new": pool.Ready}, begun: ago(changeTime + 1), outcome: tookTooLong},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			c := &change{Change: Change{Load: "new", Drop: []string{"old"}}, begun: tt.begun, askedAt: tt.askedAt}
+			c := &change{Change: Change{Load: "new", Drop: []string{"old"}}, begun: tt.begun, movedAt: tt.movedAt, askedAt: tt.askedAt}
+			if tt.movedAt.IsZero() {
+				c.movedAt = now
+			}
 			e := engineState{usable: !tt.gone, phase: func(model string) pool.ItemPhase { return tt.holds[model] }}
+			c.observe(now, e)
 			is.Equal(c.outcome(now, e), tt.outcome)
 			if tt.outcome != underWay {
 				return
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -53,11 +53,15 @@
 const Returned = "-"
 
 // A Placer says which instance places models. Its record hangs on the lease of
-// that instance.
+// that instance. An empty name gave the task back, at a planned stop, and gives no
+// more orders; that record hangs on no lease.
 type Placer struct {
-	Name     string `json:"name"`
-	Boot     uint64 `json:"boot"`
-	Revision uint64 `json:"-"`
+	Name string `json:"name"`
+	Boot uint64 `json:"boot"`
+	// Loads is, of a task that was given back, how many loads from the weight store
+	// may begin at once; less than 0 while none may.
+	Loads    float64 `json:"loads,omitempty"`
+	Revision uint64  `json:"-"`
 }
 
 // MaxClaims is the most ownerships that one write holds: each is a condition
--- a/internal/environment/driver.go
+++ b/internal/environment/driver.go
@@ -125,6 +125,11 @@
 			d.host.Event(logevent.NotReturned, "what", "ownerships", "engines", len(chunk), "error", err.Error())
 		}
 	}
+	if p := a.Placer; p != nil {
+		if _, err := d.store.Commit(ctx, placerCommit(*p, 0)); err != nil {
+			d.host.Event(logevent.NotReturned, "what", "placer", "error", err.Error())
+		}
+	}
 	if err := d.store.End(ctx, a.Lease); err != nil {
 		d.host.Event(logevent.NotReturned, "what", "lease", "error", err.Error())
 	}
@@ -140,13 +145,21 @@
 	return c
 }
 
+// placerCommit returns the write of the placer's record, which hangs on the lease
+// unless that is 0.
+func placerCommit(p registry.Placer, lease uint64) Commit {
+	v := p.Value()
+	return Commit{
+		Conditions: []Condition{{Key: v.Key, Revision: p.Revision}},
+		Puts:       []Put{{Key: v.Key, Value: v.Data, Lease: lease}},
+	}
+}
+
 func (d *driver) writeRegistry(ctx context.Context, a ownership.Write) {
 	reply := ownership.WriteReply{Write: a.Write}
 	commit := claimCommit(a.Write.Claim)
 	if p := a.Write.Placer; p != nil {
-		v := p.Value()
-		commit.Conditions = append(commit.Conditions, Condition{Key: v.Key, Revision: p.Revision})
-		commit.Puts = append(commit.Puts, Put{Key: v.Key, Value: v.Data, Lease: a.Lease})
+		commit = placerCommit(*p, a.Lease)
 	}
 	d.host.PlatformCalled()
 	var err error
