Overloaded engines: refuse at once what cannot be in time, spare streams from prompts

Change: a call that even the best engine would answer later than 1.5 times its target, or whose prompt, behind others, would make the streams there late, is refused at once as not run, with when to come back. The choice of an engine counts the pause. Calls, like prompts, are counted and told to peers by rank, since engines put less urgent ones back.

--- /dev/null
+++ b/core/forwarding/overload_test.go
@@ -0,0 +1,79 @@
+package forwarding
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/birchdrift/birchdrift/core/attempt"
+	"github.com/birchdrift/birchdrift/core/calls"
+	"github.com/birchdrift/birchdrift/core/code"
+	"github.com/birchdrift/birchdrift/core/config"
+	"github.com/birchdrift/birchdrift/core/pool"
+	"github.com/birchdrift/birchdrift/core/route"
+)
+
+// TestProspects tables which calls the engines of their model cannot serve well.
+func TestProspects(t *testing.T) {
+	const ms = time.Millisecond
+	for _, tt := range []struct {
+		name          string
+		p             prospect
+		late, crowded bool
+	}{
+		{"an idle engine", prospect{expected: 30 * ms, target: 400 * ms, reading: 20 * ms, own: 20 * ms, gap: 250 * ms}, false, false},
+		{"as late as may be", prospect{expected: 600 * ms, target: 400 * ms}, false, false},
+		{"later", prospect{expected: 600*ms + 1, target: 400 * ms}, true, false},
+		{"no target", prospect{expected: time.Hour}, false, false},
+		{"as much to read as may be", prospect{reading: 250 * ms, own: 20 * ms, gap: 250 * ms}, false, false},
+		{"more to read", prospect{reading: 250*ms + 1, own: 20 * ms, gap: 250 * ms}, false, true},
+		{"a long prompt almost alone", prospect{reading: 375 * ms, own: 300 * ms, gap: 250 * ms}, false, false},
+		{"a long prompt behind others", prospect{reading: 376 * ms, own: 300 * ms, gap: 250 * ms}, false, true},
+		{"any pause will do", prospect{reading: time.Hour}, false, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(tt.p.late(), tt.late)
+			is.Equal(tt.p.crowded(), tt.crowded)
+		})
+	}
+}
+
+// TestOverloadIsRefusedAtOnce: a call that no engine can serve in time is refused as not
+// run, with a time to come back; one that may have run is not, and neither is one to a
+// plain service.
+func TestOverloadIsRefusedAtOnce(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		prepare func(c *calls.Call)
+		refused bool
+	}{
+		{"a call that was not sent", func(*calls.Call) {}, true},
+		{"a call that a replica refused", func(c *calls.Call) {
+			c.History = c.History.WithAttempt().WithBroken(attempt.Refused)
+		}, true},
+		{"a call that may have run", func(c *calls.Call) {
+			c.History = c.History.WithAttempt().WithBroken(attempt.MaybeSent)
+		}, false},
+		{"a call to a plain service", func(c *calls.Call) { c.Item = "" }, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			f := testForwarder(t)
+			c, _ := f.testCall(config.Stream, true)
+			c.Item = "m"
+			tt.prepare(c)
+			best := route.Estimate{Replica: &pool.Replica{}, Ahead: 3 * time.Second}
+			is.Equal(f.shed(start, c, best), tt.refused)
+			refused, _ := finished(f.Out)
+			r, ok := refused[c.ID]
+			is.Equal(ok, tt.refused)
+			if ok {
+				is.Equal(r.Code, code.TargetMissed)
+				is.Equal(r.Run, code.NotRun)
+				is.True(r.RetryAfter >= noReplicaRetryAfter)
+			}
+		})
+	}
+}
--- a/core/forwarding/place.go
+++ b/core/forwarding/place.go
@@ -28,6 +28,7 @@
 	switch {
 	case !ok:
 		f.noReplica(now, c)
+	case f.shed(now, c, best):
 	case c.Item != "" && best.Replica.Phase(c.Item) != pool.Ready:
 		f.fetch(now, c, best.Replica)
 	default:
@@ -41,6 +42,7 @@
 		Model:    s.target.weight,
 		Tokens:   c.PromptTokens,
 		Rank:     s.route.Priority,
+		Gap:      s.route.Gap,
 		Chain:    s.target.chain,
 		Tried:    s.progress.tried,
 		Salt:     uint64(c.ID) ^ f.Self.Boot,
--- a/core/pool/announced.go
+++ b/core/pool/announced.go
@@ -161,7 +161,7 @@
 			left = append(left, name)
 			p.touched++
 		}
-		if age >= forgetSpan && r.inFlight == 0 {
+		if age >= forgetSpan && len(r.inFlight) == 0 {
 			delete(p.replicas, name)
 			gone = true
 		}
--- a/core/pool/backlog_test.go
+++ b/core/pool/rank_test.go
@@ -20,12 +20,21 @@
 	r.StartPrefill(now, 1, Prefill{Rank: 0, Work: time.Second})
 	r.StartPrefill(now, 2, Prefill{Rank: 2, Work: 10 * time.Second})
 	r.StartPrefill(now, 3, Prefill{Rank: Ranks + 5, Work: 100 * time.Second})
-	p.ObserveUse(now, "peer", map[string]Use{"r": {Calls: 1, Prefill: Backlog{1: 2 * time.Second}}})
+	p.ObserveUse(now, "peer", map[string]Use{"r": {Calls: ByRank[int]{1: 4}, Prefill: ByRank[time.Duration]{1: 2 * time.Second}}})
 	for rank, want := range map[int]time.Duration{
 		0: time.Second, 1: 3 * time.Second, 2: 13 * time.Second, Ranks - 1: 113 * time.Second, Ranks: 113 * time.Second,
 	} {
-		is.Equal(r.Load(now).Prefill.Before(rank), want)
+		is.Equal(r.Load(now).Prefill.UpTo(rank), want)
 	}
+	is.Equal(r.Load(now).Calls.UpTo(0), 1)
+	is.Equal(r.Load(now).Calls.UpTo(1), 5)
+	is.Equal(r.Load(now).Calls.Sum(), 7)
 	r.First(now, 2, false) // its prompt is read
-	is.Equal(r.Load(now).Prefill.Before(2), 3*time.Second)
+	is.Equal(r.Load(now).Prefill.UpTo(2), 3*time.Second)
+	is.Equal(r.Load(now).Calls.UpTo(2), 6)
+	r.Forget(2)
+	is.Equal(r.Load(now).Calls.UpTo(2), 5)
+	r.Forget(2) // again, which changes nothing
+	is.Equal(r.Load(now).Calls.UpTo(2), 5)
+	is.Equal(r.InFlight(), 2)
 }
--- a/core/pool/replica.go
+++ b/core/pool/replica.go
@@ -74,9 +74,10 @@
 	report   heardReport
 	peers    map[string]peerUse // what other instances have in flight
 	used     []string           // items that own calls used lately, newest last
-	inFlight int
-	pending  []pendingCall // own calls whose first token has not come
-	first    time.Duration // peak EWMA of the time to first token
+	inFlight map[uint64]int     // ranks of own calls, by call
+	ownCalls ByRank[int]        // how many those are
+	pending  []pendingCall      // own calls whose first token has not come
+	first    time.Duration      // peak EWMA of the time to first token
 	firstAt  clock.Instant
 	hold     time.Duration // EWMA of the time a call occupies the replica
 }
@@ -125,7 +126,7 @@
 		Limit:   limit.NewConcurrency(f.Concurrent),
 		items:   map[string]ItemPhase{},
 		refused: map[string]clock.Instant{},
-		usage:   usage{first: defaultFirst, hold: hold},
+		usage:   usage{first: defaultFirst, hold: hold, inFlight: map[uint64]int{}},
 	}
 }
 
@@ -169,7 +170,7 @@
 }
 
 // InFlight returns this instance's own calls in flight.
-func (r *Replica) InFlight() int { return r.inFlight }
+func (r *Replica) InFlight() int { return len(r.inFlight) }
 
 // Leaving reports whether any source said that the replica is leaving. The
 // first source that says so wins; only a later boot takes it back, because the
@@ -187,14 +188,14 @@
 // was own then, and fade with the report's age.
 func (r *Replica) Sequences(now clock.Instant) float64 {
 	if r.Announced {
-		return float64(r.Load(now).Calls)
+		return float64(r.Load(now).Calls.Sum())
 	}
 	others := float64(max(0, r.load.Running+r.load.Waiting-r.ownAtRep))
 	if !r.loadAt.IsZero() {
 		age := now.Since(r.loadAt)
 		others *= decay(age, loadHalfLife)
 	}
-	return float64(r.inFlight) + others
+	return float64(len(r.inFlight)) + others
 }
 
 // FirstToken returns the measured time to first token: the peak EWMA, or the
@@ -233,8 +234,10 @@
 
 // StartPrefill is Start for a call with a prompt.
 func (r *Replica) StartPrefill(now clock.Instant, id uint64, p Prefill) {
-	r.inFlight++
-	r.pending = append(r.pending, pendingCall{id: id, rank: RankOf(p.Rank), since: now, prefill: p.Work, expected: p.Expected})
+	rank := RankOf(p.Rank)
+	r.inFlight[id] = rank
+	r.ownCalls[rank]++
+	r.pending = append(r.pending, pendingCall{id: id, rank: rank, since: now, prefill: p.Work, expected: p.Expected})
 }
 
 // First notes that the call's first token came. late says that it came later
@@ -262,8 +265,7 @@
 
 // End notes that the call no longer occupies the replica.
 func (r *Replica) End(now clock.Instant, id uint64, started clock.Instant, failed bool) {
-	r.inFlight = max(0, r.inFlight-1)
-	r.settle(id)
+	r.leave(id)
 	if !failed {
 		r.hold = mix(r.hold, now.Since(started), holdAlpha)
 		return
@@ -276,7 +278,15 @@
 
 // Forget notes that a call ended for a reason that says nothing of the replica.
 func (r *Replica) Forget(id uint64) {
-	r.inFlight = max(0, r.inFlight-1)
+	r.leave(id)
+}
+
+// leave takes an own call out of what is in flight.
+func (r *Replica) leave(id uint64) {
+	if rank, ok := r.inFlight[id]; ok {
+		delete(r.inFlight, id)
+		r.ownCalls[rank]--
+	}
 	r.settle(id)
 }
 
--- a/core/pool/use.go
+++ b/core/pool/use.go
@@ -8,11 +8,11 @@
 
 // A Use is what one instance has in flight at a replica.
 type Use struct {
-	Calls   int
-	Prefill Backlog  // work on prompts that it believes is still to be done there
-	Waiting int      // calls without a first event that are not in Prefill
-	Items   []string // items that its calls used lately
-	Down    bool     // nothing answered there a moment ago
+	Calls   ByRank[int]
+	Prefill ByRank[time.Duration] // work on prompts that it believes is still to be done there
+	Waiting int                   // calls without a first event that are not in Prefill
+	Items   []string              // items that its calls used lately
+	Down    bool                  // nothing answered there a moment ago
 }
 
 // useSpan is how long another instance's report of its calls is believed.
@@ -46,8 +46,8 @@
 func (p *Pool) OwnUse(now clock.Instant) map[string]Use {
 	uses := map[string]Use{}
 	for name, r := range p.replicas {
-		if r.inFlight > 0 || len(r.used) > 0 || r.Down(now) {
-			uses[name] = Use{Calls: r.inFlight, Prefill: r.ownPrefill(), Items: r.recent(), Down: r.Down(now)}
+		if len(r.inFlight) > 0 || len(r.used) > 0 || r.Down(now) {
+			uses[name] = Use{Calls: r.ownCalls, Prefill: r.ownPrefill(), Items: r.recent(), Down: r.Down(now)}
 		}
 	}
 	return uses
@@ -81,8 +81,8 @@
 }
 
 // ownPrefill returns the work on prompts of own calls without a first token.
-func (r *Replica) ownPrefill() Backlog {
-	var work Backlog
+func (r *Replica) ownPrefill() ByRank[time.Duration] {
+	var work ByRank[time.Duration]
 	for _, c := range r.pending {
 		work[c.rank] += c.prefill
 	}
@@ -94,7 +94,7 @@
 	var sum Use
 	for _, u := range r.peers {
 		if now.Since(u.at) <= useSpan {
-			sum.Calls += u.Calls
+			sum.Calls.add(u.Calls)
 			sum.Prefill.add(u.Prefill)
 		}
 	}
@@ -120,11 +120,11 @@
 func (r *Replica) Load(now clock.Instant) Use {
 	u := r.others(now)
 	if r.ReportAge(now) <= reportSpan {
-		u.Calls = r.report.running
-		u.Prefill = Backlog{}
+		u.Calls = ByRank[int]{r.report.running} // of ranks that it does not say
+		u.Prefill = ByRank[time.Duration]{}
 		u.Waiting = r.report.waiting
 	}
-	u.Calls += r.inFlight
+	u.Calls.add(r.ownCalls)
 	u.Prefill.add(r.ownPrefill())
 	return u
 }
@@ -161,7 +161,7 @@
 	r.report = heardReport{
 		at:      now,
 		waiting: max(0, said.Queued-waiting),
-		running: max(0, said.Queued+said.Running-r.inFlight),
+		running: max(0, said.Queued+said.Running-len(r.inFlight)),
 	}
 }
 
--- a/core/route/forward.go
+++ b/core/route/forward.go
@@ -33,13 +33,14 @@
 
 // A Query is what the choice needs to know of one forwarded call.
 type Query struct {
-	Zone   string   // zone of this instance
-	Model  Weight   // the zero value for a plain service
-	Tokens int      // of the prompt
-	Rank   int      // of urgency, 0 first
-	Chain  Chain    // of the prompt's parts
-	Tried  []string // replicas that failed the call, passed over
-	Salt   uint64   // of the call, to tell apart replicas that seem alike
+	Zone   string        // zone of this instance
+	Model  Weight        // the zero value for a plain service
+	Tokens int           // of the prompt
+	Gap    time.Duration // longest pause between events that keeps a stream in time; 0: any
+	Rank   int           // of urgency, 0 first
+	Chain  Chain         // of the prompt's parts
+	Tried  []string      // replicas that failed the call, passed over
+	Salt   uint64        // of the call, to tell apart replicas that seem alike
 	// LoadCost returns what must happen at a replica before it can serve the
 	// call, as time; ok is false if it cannot. nil: nothing must.
 	LoadCost func(r *pool.Replica) (cost time.Duration, ok bool)
@@ -57,6 +58,7 @@
 	Other   time.Duration // way, crowd, slowness
 	Cached  int           // prompt tokens believed to be kept there
 	Calls   int           // in flight there
+	Reading time.Duration // prompts to be read there without a break, this one too
 }
 
 // Total returns the expected time.
@@ -217,7 +219,7 @@
 
 func (f *Router) estimate(now clock.Instant, q Query, r *pool.Replica, head bool) Estimate {
 	load := r.Load(now)
-	e := Estimate{Replica: r, Calls: load.Calls}
+	e := Estimate{Replica: r, Calls: load.Calls.Sum()}
 	if r.Zone != q.Zone {
 		e.Other += crossZone
 	}
@@ -239,7 +241,7 @@
 		e.Other += late
 	}
 	if q.Model.Model == "" {
-		e.plain(r, load)
+		e.plain(r)
 		return e
 	}
 	e.Cached = min(f.caches[r.Name].Cached(q.Chain), q.Tokens)
@@ -248,14 +250,42 @@
 	if head {
 		e.Prefill -= time.Duration(headBonus * float64(e.Prefill))
 	}
-	e.Ahead = load.Prefill.Before(q.Rank) + time.Duration(load.Waiting)*waitingTokens*perToken
-	e.Other += perSequence * time.Duration(load.Calls)
-	if excess := load.Calls - r.Concurrent; excess >= 0 {
+	e.Reading = load.Prefill.Sum() + e.Prefill
+	e.Other += q.disturbance(e.Reading, e.Calls)
+	e.Ahead = load.Prefill.UpTo(q.Rank) + time.Duration(load.Waiting)*waitingTokens*perToken
+	e.Other += perSequence * time.Duration(e.Calls)
+	if excess := load.Calls.UpTo(q.Rank) - r.Concurrent; excess >= 0 {
 		e.Ahead += time.Duration(excess+1) * r.ServiceTime() / time.Duration(max(1, r.Concurrent))
 	}
 	return e
 }
 
+const (
+	// quietShare is the share of the longest pause that engines may read prompts
+	// without a break before that counts. Not measured by itself:
+	// docs/dala-skript.md, round 5.
+	quietShare = 0.3
+	// fullShare is the share from which the streams that run there are believed to be
+	// late. Not measured by itself: docs/dala-skript.md, round 5.
+	fullShare = 0.8
+	// streamCost is what one stream made late counts for. Not measured by itself:
+	// docs/dala-skript.md, round 5.
+	streamCost = 10 * time.Millisecond
+)
+
+// disturbance returns the cost of the pause that reading prompts for so long makes in
+// the streams that run at an engine. Between two tokens of every stream an engine
+// reads a piece of a prompt, so prompts that follow each other without a break, of
+// whatever rank, stretch the time between events for all streams there.
+func (q Query) disturbance(reading time.Duration, running int) time.Duration {
+	if q.Gap == 0 {
+		return 0
+	}
+	share := float64(reading) / float64(q.Gap)
+	harm := min(1, max(0, (share-quietShare)/(fullShare-quietShare)))
+	return time.Duration(harm * float64(running) * float64(streamCost))
+}
+
 // overdueSlack is how late a first event may be before that speaks against its
 // replica. Set in 4387df2.
 const overdueSlack = 150 * time.Millisecond
@@ -274,15 +304,15 @@
 
 // plain estimates a plain replica: its own usual time, longer in proportion to
 // the calls beyond its slots.
-func (e *Estimate) plain(r *pool.Replica, load pool.Use) {
+func (e *Estimate) plain(r *pool.Replica) {
 	hold := min(r.ServiceTime(), maxPlainHold)
 	slots := max(1, r.Concurrent)
 	e.Prefill = hold
-	if load.Calls >= slots {
-		e.Ahead = time.Duration(load.Calls-slots+1) * hold / time.Duration(slots)
+	if e.Calls >= slots {
+		e.Ahead = time.Duration(e.Calls-slots+1) * hold / time.Duration(slots)
 	}
 	// Replicas slow down as they fill.
-	e.Other += time.Duration(load.Calls) * hold / time.Duration(fullSlowdown*slots)
+	e.Other += time.Duration(e.Calls) * hold / time.Duration(fullSlowdown*slots)
 }
 
 // maxPlainHold bounds what a plain replica's usual time counts for, so that one
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -38,34 +38,33 @@
 	out.HasUses = m.Uses != nil
 	for name, u := range m.Uses {
 		out.Uses = append(out.Uses, &peerpb.Use{
-			Replica: name, Calls: uint32(u.Calls), PrefillUs: encodeBacklog(u.Prefill), Items: u.Items, Down: u.Down,
+			Replica: name, Calls: encodeByRank(u.Calls, 1), PrefillUs: encodeByRank(u.Prefill, time.Microsecond), Items: u.Items, Down: u.Down,
 		})
 	}
 	return out
 }
 
-// encodeBacklog returns the work by rank in microseconds, up to the last rank that
-// has some.
-func encodeBacklog(b pool.Backlog) []uint32 {
-	var us []uint32
-	for rank, work := range b {
-		if work == 0 {
+// encodeByRank returns amounts by rank in a unit, up to the last rank that has some.
+func encodeByRank[T int | time.Duration](amounts pool.ByRank[T], unit T) []uint32 {
+	var out []uint32
+	for rank, amount := range amounts {
+		if amount == 0 {
 			continue
 		}
-		us = append(us, make([]uint32, rank-len(us))...)
-		us = append(us, uint32(min(work.Microseconds(), math.MaxUint32)))
+		out = append(out, make([]uint32, rank-len(out))...)
+		out = append(out, uint32(min(int64(amount/unit), math.MaxUint32)))
 	}
-	return us
+	return out
 }
 
-// decodeBacklog returns the work by rank; ranks that this version does not know
+// decodeByRank returns the amounts by rank; ranks that this version does not know
 // count as the last.
-func decodeBacklog(us []uint32) pool.Backlog {
-	var b pool.Backlog
-	for rank, work := range us {
-		b[pool.RankOf(rank)] += time.Duration(work) * time.Microsecond
+func decodeByRank[T int | time.Duration](in []uint32, unit T) pool.ByRank[T] {
+	var amounts pool.ByRank[T]
+	for rank, amount := range in {
+		amounts[pool.RankOf(rank)] += T(amount) * unit
 	}
-	return b
+	return amounts
 }
 
 // encodeRecords adds the records to the message.
@@ -161,7 +160,7 @@
 	}
 	for _, u := range m.GetUses() {
 		out.Uses[u.GetReplica()] = pool.Use{
-			Calls: int(u.GetCalls()), Prefill: decodeBacklog(u.GetPrefillUs()), Items: u.GetItems(), Down: u.GetDown(),
+			Calls: decodeByRank(u.GetCalls(), 1), Prefill: decodeByRank(u.GetPrefillUs(), time.Microsecond), Items: u.GetItems(), Down: u.GetDown(),
 		}
 	}
 	return out
