A stop before any configuration ends the instance as any other

Change: without a configuration there is nothing to hand over. Test: TestAStopBeforeAnyConfiguration, which panicked before; internal/server passes.

--- a/core/instance/announced_world_test.go
+++ b/core/instance/announced_world_test.go
@@ -901,6 +901,16 @@
 	is.True(f.served > f.refused)
 }
 
+// TestAStopBeforeAnyConfiguration: an instance that is stopped before it heard of a
+// configuration ends as any other; it once fell over what it would hand over as the placer.
+func TestAStopBeforeAnyConfiguration(t *testing.T) {
+	opt := option.Default()
+	opt.Environment = option.Platform
+	m := New(member.Identity{Name: "i", Zone: "z", Address: "i", Boot: 1}, opt, 1)
+	m.Step(clocktest.At(time.Hour), Tick{})
+	m.Step(clocktest.At(time.Hour+time.Millisecond), Stop{})
+}
+
 // TestStopsInSeriesKeepTheStoresRate: placers that are stopped one after the other hand
 // their loads over, so that the next one goes on at once and the rate is kept.
 func TestStopsInSeriesKeepTheStoresRate(t *testing.T) {
--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -146,8 +146,11 @@
 }
 
 // LoadsLeft returns how many loads from the weight store this instance could begin now
-// as the placer.
+// as the placer; without a configuration there is nothing to load.
 func (p *Placer) LoadsLeft(now clock.Instant) float64 {
+	if !p.Config.Known() {
+		return 0
+	}
 	rate := p.loadRate()
 	p.loads.refill(now, rate, p.Options)
 	return p.loads.left(now, rate, p.Options)
