--- a/core/forwarding/overload.go
+++ b/core/forwarding/overload.go
@@ -35,7 +35,10 @@
 
 // A prospect is what awaits a call at the best engine for it.
 type prospect struct {
-	expected time.Duration // from the call's arrival to its first event
+	// expected is the time from the call's arrival to its first event. What speaks against
+	// the engine counts as the time that it may cost: without it, days under faults are
+	// worth 0.012 less (24 pairs, standard error 0.004). docs/dala-skript.md, round 17.
+	expected time.Duration
 	target   time.Duration // in which that is due; 0: any time
 	reading  time.Duration // prompts that the engine reads without a break, with the call's own
 	own      time.Duration // the call's own
--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -177,6 +177,7 @@
 	}
 	p.loads.refill(now, p.loadRate(), p.Options)
 	p.trackReady(now)
+	maps.DeleteFunc(p.closed, func(_ string, until clock.Instant) bool { return !now.Before(until) })
 	for _, engine := range slices.Sorted(maps.Keys(p.changes)) {
 		p.advance(now, p.changes[engine])
 	}
