A call without a target is sent to crowded engines

Cause, found reading the change: a route without a target is never late, yet its calls were refused before crowded engines, since they had no time to wait within. Change: they are sent. Test: a row of TestWhoWaitsBeforeCrowdedEngines, which failed before (refused).

--- a/core/forwarding/overload.go
+++ b/core/forwarding/overload.go
@@ -11,7 +11,8 @@
 	"github.com/birchdrift/birchdrift/core/step"
 )
 
-// Which calls are refused at once since the engines of their model are overloaded.
+// Which calls wait, or are refused at once, since the engines of their model are
+// overloaded.
 //
 // A queue that has grown beyond the target makes every later call late, and the engine
 // spends its time on prompts whose callers leave before the first event. Refusing what
@@ -73,12 +74,13 @@
 )
 
 // verdict decides what becomes of the call; waited says that it was held before. One
-// that has waited as long as it may is sent if it can be in time.
+// that has waited as long as it may is sent if it can be in time, and so is one without
+// a target, which is never late.
 func (p prospect) verdict(waited bool) verdict {
 	switch {
 	case p.late():
 		return refuseIt
-	case !p.crowded():
+	case !p.crowded(), p.target == 0:
 		return sendIt
 	case p.mayWait():
 		return holdIt
--- a/core/forwarding/overload_test.go
+++ b/core/forwarding/overload_test.go
@@ -64,7 +64,9 @@
 			is.Equal(p.verdict(tt.waited), tt.want)
 		})
 	}
-	is.New(t).Equal(prospect{expected: 100 * ms, target: 400 * ms}.verdict(false), sendIt)
+	is := is.New(t)
+	is.Equal(prospect{expected: 100 * ms, target: 400 * ms}.verdict(false), sendIt)
+	is.Equal(prospect{expected: time.Hour, reading: 400 * ms, gap: 250 * ms}.verdict(false), sendIt) // no target
 }
 
 // TestOverloadIsRefusedAtOnce: a call that no engine can serve in time is refused as not
--- a/core/placement/progress.go
+++ b/core/placement/progress.go
@@ -24,7 +24,7 @@
 type change struct {
 	Change
 	begun   clock.Instant
-	movedAt clock.Instant // when it last was in order that no order was carried out, or one was
+	movedAt clock.Instant // when its engine last carried out an order of it, or it waited for the store's rate
 	askedAt clock.Instant // when an order was asked for last; zero: none was yet
 	counted bool          // its load from the weight store was counted
 }
