Logs show which tries are the same request, and how an attempt ended

Cause: a try is logged by the id that its caller gave it, so nothing showed which tries are the same request; a stream that broke off was not told from a replica that ended. Change: a fingerprint of method, host, target, credentials and body, in call_sent, call_retried and call_not_repeated; attempts say whether their connection was severed and whether nothing listens at the address. For it small bodies in chunks are kept as those with a length are, so they can be sent again; of large ones the beginning is kept.

--- a/core/calls/call.go
+++ b/core/calls/call.go
@@ -12,6 +12,7 @@
 package calls
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/birchdrift/birchdrift/core/attempt"
@@ -25,6 +26,13 @@
 // An ID names one call on one instance.
 type ID uint64
 
+// A Fingerprint identifies a request over all its tries: a caller that tries again
+// gives the try another name, and may come to another instance. 0: not known.
+type Fingerprint uint64
+
+// String returns the fingerprint as logs show it.
+func (f Fingerprint) String() string { return fmt.Sprintf("%016x", uint64(f)) }
+
 // A Request is what the machine needs to know of a call that arrives.
 type Request struct {
 	ID             ID
@@ -43,13 +51,15 @@
 
 // A Forwarded is what a forwarded call says of itself.
 type Forwarded struct {
-	Name       string // the caller's identity of the call, for logs
-	Host       string
-	Model      string // "" if the call names none
-	Adapter    string
-	Parts      []route.Part // shared parts of the prompt, in order
-	LengthHint int
-	Deadline   time.Duration // how long the caller will wait; 0 if it does not say
+	Name string // the caller's identity of the call, for logs
+	// Fingerprint is the same for all tries of one request.
+	Fingerprint Fingerprint
+	Host        string
+	Model       string // "" if the call names none
+	Adapter     string
+	Parts       []route.Part // shared parts of the prompt, in order
+	LengthHint  int
+	Deadline    time.Duration // how long the caller will wait; 0 if it does not say
 	// Ignored are the headers that made no sense and count as absent.
 	Ignored []string
 }
--- a/core/calls/event.go
+++ b/core/calls/event.go
@@ -20,12 +20,18 @@
 	}
 	// AttemptFailed says that an attempt ended otherwise.
 	AttemptFailed struct {
-		ID           ID
-		Attempt      int
-		Phase        attempt.Phase
-		Delivered    int  // pieces or bytes that reached the caller
-		Resumable    bool // the replica may still hold the sequence
-		Stalled      bool // the replica fell silent
+		ID        ID
+		Attempt   int
+		Phase     attempt.Phase
+		Delivered int  // pieces or bytes that reached the caller
+		Resumable bool // the replica may still hold the sequence
+		Stalled   bool // the replica fell silent
+		// Severed says that the connection ended before the answer did, by the
+		// replica's doing or by that of its machine.
+		Severed bool
+		// Unreachable says that the replica's machine answers and that nothing
+		// listens at the replica's address.
+		Unreachable  bool
 		BodyConsumed bool // the call's body cannot be sent again
 		Leaving      bool // the replica said that it is leaving
 		Status       int  // the replica's HTTP status, 0 if none came
--- a/core/forwarding/attempts.go
+++ b/core/forwarding/attempts.go
@@ -45,11 +45,13 @@
 	c.Replica = ""
 	s.progress.add(former, b)
 	if reason := f.mayRepeat(now, c, b); reason != repeatAllowed {
-		f.Out.Log(logevent.CallNotRepeated, "call", c.Forward.Name, "replica", former, "reason", reason.String())
+		f.Out.Log(logevent.CallNotRepeated, "call", c.Forward.Name, "fingerprint", c.Forward.Fingerprint.String(),
+			"replica", former, "severed", b.Severed, "reason", reason.String())
 		f.end(c, s, b.Status, b.Detail)
 		return
 	}
-	f.Out.Log(logevent.CallRetried, "call", c.Forward.Name, "replica", former, "status", b.Status, "detail", b.Detail)
+	f.Out.Log(logevent.CallRetried, "call", c.Forward.Name, "fingerprint", c.Forward.Fingerprint.String(),
+		"replica", former, "severed", b.Severed, "unreachable", b.Unreachable, "status", b.Status, "detail", b.Detail)
 	c.Phase = calls.Waiting
 	s.probe = probe{}
 	f.findReplica(now, c)
--- a/core/forwarding/place.go
+++ b/core/forwarding/place.go
@@ -130,7 +130,7 @@
 		e.Replica.Use(c.Item)
 		f.Used(now, c.Replica, c.Item)
 	}
-	f.Out.Log(logevent.CallSent, "call", c.Forward.Name, "service", c.Service, "item", c.Item, "attempt", c.History.Attempts,
+	f.Out.Log(logevent.CallSent, "call", c.Forward.Name, "fingerprint", c.Forward.Fingerprint.String(), "service", c.Service, "item", c.Item, "attempt", c.History.Attempts,
 		"rank", s.route.Priority, "target_ms", c.Target.Milliseconds(), "gap_ms", s.route.Gap.Milliseconds(), "tokens", c.PromptTokens,
 		"replica", c.Replica, "waited_ms", now.Since(c.Arrived).Milliseconds(), "ahead_ms", e.Ahead.Milliseconds(),
 		"prefill_ms", e.Prefill.Milliseconds(), "other_ms", e.Other.Milliseconds(), "cached", e.Cached, "calls_there", e.Calls,
--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -7,55 +7,70 @@
 	"sync/atomic"
 )
 
-// smallBody is the largest body that is kept, so that it can be sent again
-// after an attempt that certainly did not run. Larger ones are streamed.
-// Set in 2fb8517.
-const smallBody = 256 << 10
+const (
+	// smallBody is the largest body that is kept whole, in bytes, so that it can be
+	// sent again after an attempt that certainly did not run. Of larger ones the
+	// beginning is kept, and the rest is streamed. Set in 2fb8517.
+	smallBody = 256 << 10
+	// largeHead is how much is kept of a body that says that it is larger, in bytes:
+	// enough to tell requests apart. Not measured: a quarter of smallBody, since
+	// many large bodies may be under way at once.
+	largeHead = 64 << 10
+)
 
-// A Body is the body of a call: kept if it is small and
-// its length is known, else streamed through once.
+// A Body is the body of a call: kept if it is small, else its beginning is kept and
+// the rest is streamed through once.
 type Body struct {
-	kept     []byte
-	stream   io.ReadCloser
-	streamed bool
-	begun    atomic.Bool // a part of the stream was read
+	kept     []byte        // the whole, or the beginning
+	rest     io.ReadCloser // what follows; nil if kept is the whole
+	restRead atomic.Bool   // a part of rest was read
 }
 
-// ReadBody reads a small body whole and leaves a larger one to be streamed.
+// ReadBody reads a small body whole, and the beginning of a larger one. A body of
+// unknown length is small if it comes to its end in time.
 func ReadBody(r *http.Request) (*Body, error) {
-	if r.ContentLength < 0 || r.ContentLength > smallBody {
-		return &Body{stream: r.Body, streamed: true}, nil
+	if r.ContentLength > smallBody {
+		head, err := io.ReadAll(io.LimitReader(r.Body, largeHead))
+		return &Body{kept: head, rest: r.Body}, err
+	}
+	data, err := io.ReadAll(io.LimitReader(r.Body, smallBody+1))
+	b := &Body{kept: data}
+	if len(data) > smallBody {
+		b.rest = r.Body
 	}
-	data, err := io.ReadAll(io.LimitReader(r.Body, smallBody))
-	return &Body{kept: data}, err
+	return b, err
 }
 
-// Streamed reports whether the body can be sent only once.
-func (b *Body) Streamed() bool { return b.streamed }
+// Streamed reports whether a part of the body can be sent only once.
+func (b *Body) Streamed() bool { return b.rest != nil }
 
 // Spent reports whether the body cannot be sent again.
-func (b *Body) Spent() bool { return b.streamed && b.begun.Load() }
+func (b *Body) Spent() bool { return b.restRead.Load() }
 
 // Next returns the body for one attempt.
 func (b *Body) Next(watch *Watchdog) io.ReadCloser {
-	if !b.streamed {
+	if !b.Streamed() {
 		return io.NopCloser(bytes.NewReader(b.kept))
 	}
-	return &watchedBody{body: b, watch: watch}
+	return &watchedBody{head: bytes.NewReader(b.kept), body: b, watch: watch}
 }
 
-// A watchedBody puts the watchdog off while the caller is still sending. It
-// leaves the caller's body open: an attempt that never read it may be followed
-// by one that does.
+// A watchedBody is a streamed body for one attempt. It puts the watchdog off while
+// the caller is still sending. It leaves the caller's body open: an attempt that
+// read none of the rest may be followed by another.
 type watchedBody struct {
+	head  *bytes.Reader
 	body  *Body
 	watch *Watchdog
 }
 
 // Read implements io.Reader.
 func (w *watchedBody) Read(data []byte) (int, error) {
-	w.body.begun.Store(true)
-	n, err := w.body.stream.Read(data)
+	if w.head.Len() > 0 {
+		return w.head.Read(data)
+	}
+	w.body.restRead.Store(true)
+	n, err := w.body.rest.Read(data)
 	w.watch.Alive()
 	return n, err
 }
--- /dev/null
+++ b/internal/entry/fingerprint_test.go
@@ -0,0 +1,100 @@
+package entry
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/birchdrift/birchdrift/core/calls"
+)
+
+// TestFingerprint tables which tries are the same request.
+func TestFingerprint(t *testing.T) {
+	of := func(method, target, body string, change func(r *http.Request)) calls.Fingerprint {
+		r := httptest.NewRequest(method, target, strings.NewReader(body))
+		if change != nil {
+			change(r)
+		}
+		b, err := ReadBody(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return fingerprint(r, b)
+	}
+	const target = "http://host/path?a=1"
+	large := strings.Repeat("x", smallBody+1)
+	cases := []struct {
+		name string
+		one  calls.Fingerprint
+		two  calls.Fingerprint
+		same bool
+	}{
+		{"another name, deadline and address", of("POST", target, "body", nil), of("POST", target, "body", func(r *http.Request) {
+			r.Header.Set("Birchdrift-Call", "2")
+			r.Header.Set("Birchdrift-Deadline", "100")
+			r.RemoteAddr = "10.0.0.9:1"
+		}), true},
+		{"in chunks", of("POST", target, "body", nil), of("POST", target, "body", func(r *http.Request) { r.ContentLength = -1 }), true},
+		{"another method", of("POST", target, "body", nil), of("PUT", target, "body", nil), false},
+		{"another host", of("POST", target, "body", nil), of("POST", "http://other/path?a=1", "body", nil), false},
+		{"another query", of("POST", target, "body", nil), of("POST", "http://host/path?a=2", "body", nil), false},
+		{"another caller", of("POST", target, "body", nil), of("POST", target, "body", func(r *http.Request) {
+			r.Header.Set("Authorization", "Bearer other")
+		}), false},
+		{"another body", of("POST", target, "body", nil), of("POST", target, "bodY", nil), false},
+		{"parts that move", of("POST", "http://host/ab", "c", nil), of("POST", "http://host/a", "bc", nil), false},
+		{"a large body, another length", of("POST", target, large, nil), of("POST", target, large+"x", nil), false},
+		{"a large body, another beginning", of("POST", target, large, nil), of("POST", target, "y"+large[1:], nil), false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(c.one == c.two, c.same)
+			is.True(c.one != 0)
+		})
+	}
+}
+
+// TestBodies: whatever its length and framing, each attempt sends the whole body, and
+// one that can be sent again says so.
+func TestBodies(t *testing.T) {
+	cases := []struct {
+		name     string
+		length   int
+		chunked  bool
+		streamed bool
+	}{
+		{"none", 0, false, false},
+		{"small", 1000, false, false},
+		{"small, in chunks", 1000, true, false},
+		{"as large as is kept", smallBody, true, false},
+		{"large", smallBody + 1, false, true},
+		{"large, in chunks", 3 * smallBody, true, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			want := strings.Repeat("b", c.length)
+			r := httptest.NewRequest("POST", "/x", strings.NewReader(want))
+			if c.chunked {
+				r.ContentLength = -1
+			}
+			b, err := ReadBody(r)
+			is.NoErr(err)
+			is.Equal(b.Streamed(), c.streamed)
+			watch := NewWatchdog(0, func() {})
+			defer watch.Stop()
+			// An attempt that read only the beginning does not use the body up.
+			_, _ = b.Next(watch).Read(make([]byte, 10))
+			is.True(!b.Spent())
+			got, err := io.ReadAll(b.Next(watch))
+			is.NoErr(err)
+			is.Equal(string(got), want)
+			is.Equal(b.Spent(), c.streamed)
+		})
+	}
+}
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -45,14 +45,14 @@
 		f.refuse(code.Refusal{Code: code.BadRequest, Run: code.NotRun, Detail: err.Error()})
 		return
 	}
-	f.call = forwardedCall(h.NextID(), r, req, !f.body.Streamed())
+	f.call = forwardedCall(h.NextID(), r, req, f.body)
 	f.lastEvent = req.LastEvent
 	span.SetAttributes(attribute.String("call", req.CallID))
 	f.run(ctx, h.Shell.Begin(f.call))
 }
 
 // forwardedCall words a request for the machine.
-func forwardedCall(id calls.ID, r *http.Request, req forward.Request, replayable bool) calls.Request {
+func forwardedCall(id calls.ID, r *http.Request, req forward.Request, body *Body) calls.Request {
 	parts := make([]route.Part, 0, len(req.Parts))
 	for _, p := range req.Parts {
 		parts = append(parts, route.Part(p))
@@ -61,18 +61,19 @@
 	return calls.Request{
 		ID:           id,
 		Path:         path,
-		Replayable:   replayable,
+		Replayable:   !body.Streamed(),
 		PromptTokens: req.PromptTokens,
 		MaxTokens:    req.MaxTokens,
 		Forward: &calls.Forwarded{
-			Name:       req.CallID,
-			Host:       r.Host,
-			Model:      req.Model,
-			Adapter:    req.Adapter,
-			Parts:      parts,
-			LengthHint: req.LengthHint,
-			Deadline:   req.Deadline,
-			Ignored:    req.Ignored,
+			Name:        req.CallID,
+			Fingerprint: fingerprint(r, body),
+			Host:        r.Host,
+			Model:       req.Model,
+			Adapter:     req.Adapter,
+			Parts:       parts,
+			LengthHint:  req.LengthHint,
+			Deadline:    req.Deadline,
+			Ignored:     req.Ignored,
 		},
 	}
 }
@@ -183,7 +184,7 @@
 	var progress upstream.Progress
 	resp, err := f.handler.Service.Exchange(ctx, f.outgoing(d, watch), &progress)
 	if err != nil {
-		return f.broke(s, d, &progress, watch, calls.AttemptFailed{Detail: err.Error()})
+		return f.broke(s, d, &progress, watch, failureOf(err, 0))
 	}
 	defer resp.Body.Close()
 	return f.answer(s, d, resp, &progress, watch)
@@ -211,6 +212,17 @@
 	}
 }
 
+// failureOf words an error of the connection to a replica; status is that of its
+// answer, 0 if none came.
+func failureOf(err error, status int) calls.AttemptFailed {
+	return calls.AttemptFailed{
+		Status:      status,
+		Severed:     upstream.Severed(err) || errors.Is(err, forward.ErrPartial),
+		Unreachable: upstream.NothingListens(err),
+		Detail:      err.Error(),
+	}
+}
+
 // broke tells the machine how an attempt ended and reports whether the call is
 // over, which it only is when the caller is gone.
 func (f *forwardCall) broke(s shell.Session, d calls.Dispatch, progress *upstream.Progress, watch *Watchdog, b calls.AttemptFailed) bool {
@@ -282,7 +294,7 @@
 func (f *forwardCall) whole(s shell.Session, d calls.Dispatch, resp *http.Response, progress *upstream.Progress, watch *Watchdog) bool {
 	data, err := io.ReadAll(io.LimitReader(resp.Body, smallAnswer))
 	if err != nil {
-		return f.broke(s, d, progress, watch, calls.AttemptFailed{Status: resp.StatusCode, Detail: err.Error()})
+		return f.broke(s, d, progress, watch, failureOf(err, resp.StatusCode))
 	}
 	s.AnswerBegan()
 	if len(data) < smallAnswer && resp.ContentLength < 0 {
@@ -305,7 +317,7 @@
 	if err == nil {
 		return f.done(s)
 	}
-	f.broke(s, d, progress, watch, calls.AttemptFailed{Status: resp.StatusCode, Detail: err.Error()})
+	f.broke(s, d, progress, watch, failureOf(err, resp.StatusCode))
 	f.handler.Metrics.Answered(int(code.StreamCut), time.Since(f.begun))
 	panic(http.ErrAbortHandler)
 }
@@ -335,7 +347,7 @@
 			err = errSeries
 		}
 		if err != nil {
-			return f.broke(s, d, progress, watch, calls.AttemptFailed{Status: resp.StatusCode, Detail: err.Error()})
+			return f.broke(s, d, progress, watch, failureOf(err, resp.StatusCode))
 		}
 		watch.Alive()
 		now := time.Now()
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -13,6 +13,7 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -131,6 +132,17 @@
 // Phase returns how far the attempt has come.
 func (p *Progress) Phase() attempt.Phase { return attempt.Phase(p.phase.Load()) }
 
+// Severed reports whether err says that the other end of a connection ended it,
+// rather than that nothing came for too long.
+func Severed(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
+		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
+// NothingListens reports whether err says that the machine at the address answered
+// and that no process listens there.
+func NothingListens(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
 // Headers by which upstreams speak about themselves and their answers.
 const (
 	// HeaderRun is "not_run" on an answer of an upstream that did not run the
--- /dev/null
+++ b/internal/upstream/upstream_test.go
@@ -0,0 +1,75 @@
+package upstream
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/matryer/is"
+)
+
+// serve answers connections at a port of its own with answer, and returns the address.
+func serve(t *testing.T, answer func(c *net.TCPConn)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = c.Read(make([]byte, 4096))
+			answer(c.(*net.TCPConn))
+		}
+	}()
+	return l.Addr().String()
+}
+
+// TestHowAnAttemptEnds tables what is told of an attempt by the error of its
+// connection: a replica that ended it, nobody at its address, or silence.
+func TestHowAnAttemptEnds(t *testing.T) {
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = closed.Close()
+	const half = "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf"
+	cases := []struct {
+		name    string
+		address string
+		severed bool
+		nobody  bool
+	}{
+		{"closed without an answer", serve(t, func(c *net.TCPConn) { _ = c.Close() }), true, false},
+		{"closed in the middle", serve(t, func(c *net.TCPConn) { _, _ = io.WriteString(c, half); _ = c.Close() }), true, false},
+		{"reset", serve(t, func(c *net.TCPConn) { _ = c.SetLinger(0); _ = c.Close() }), true, false},
+		{"nobody there", closed.Addr().String(), false, true},
+		{"silence", serve(t, func(*net.TCPConn) {}), false, false},
+	}
+	transports := NewTransports()
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			ctx, done := context.WithTimeout(context.Background(), 300*time.Millisecond)
+			defer done()
+			req, err := http.NewRequestWithContext(ctx, "POST", "http://"+c.address+"/", nil)
+			is.NoErr(err)
+			resp, err := transports.Fresh.RoundTrip(req)
+			if err == nil {
+				_, err = io.ReadAll(resp.Body)
+				_ = resp.Body.Close()
+			}
+			is.True(err != nil)
+			is.Equal(Severed(trace.Wrap(err)), c.severed)
+			is.Equal(NothingListens(trace.Wrap(err)), c.nobody)
+		})
+	}
+}
