--- a/core/calls/call.go
+++ b/core/calls/call.go
@@ -12,12 +12,12 @@
 package calls
 
 import (
-	"fmt"
 	"time"
 
 	"github.com/birchdrift/birchdrift/core/attempt"
 	"github.com/birchdrift/birchdrift/core/clock"
 	"github.com/birchdrift/birchdrift/core/code"
+	"github.com/birchdrift/birchdrift/core/crash"
 	"github.com/birchdrift/birchdrift/core/own/choose"
 	"github.com/birchdrift/birchdrift/core/pool"
 	"github.com/birchdrift/birchdrift/core/route"
@@ -26,13 +26,6 @@
 // An ID names one call on one instance.
 type ID uint64
 
-// A Fingerprint identifies a request over all its tries: a caller that tries again
-// gives the try another name, and may come to another instance. 0: not known.
-type Fingerprint uint64
-
-// String returns the fingerprint as logs show it.
-func (f Fingerprint) String() string { return fmt.Sprintf("%016x", uint64(f)) }
-
 // A Request is what the machine needs to know of a call that arrives.
 type Request struct {
 	ID             ID
@@ -53,7 +46,7 @@
 type Forwarded struct {
 	Name string // the caller's identity of the call, for logs
 	// Fingerprint is the same for all tries of one request.
-	Fingerprint Fingerprint
+	Fingerprint crash.Request
 	Host        string
 	Model       string // "" if the call names none
 	Adapter     string
--- /dev/null
+++ b/core/crash/crash.go
@@ -0,0 +1,57 @@
+// Package crash provides what instances tell each other of replicas that ended under
+// their calls, and which request that is blamed on.
+//
+// Nobody sees why a replica ended. What is seen is which requests it had in flight, and
+// an engine has dozens. But one that ends the replicas that run it is in flight at all
+// of them, and the others are so by chance: so the request that the most ends have in
+// common explains them, and what they say of the others is explained with them. A
+// request that was served whole afterwards is not one that ends replicas.
+//
+// Each instance reports the requests that it had in flight itself. Reports only grow, so
+// they may arrive in any order, by any way and more than once.
+package crash
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/birchdrift/birchdrift/core/clock"
+)
+
+// A Request identifies a request over all its tries, by a digest of what its caller
+// sent: a caller that tries again gives the try another name, and may come to another
+// instance. 0: not known.
+type Request uint64
+
+// String returns the request as logs and keys of the store show it.
+func (r Request) String() string { return fmt.Sprintf("%016x", uint64(r)) }
+
+// A Moment is when something was: by the clocks of this instance in At, and in a message
+// by how long ago it was then in Age.
+type Moment struct {
+	At  clock.Instant
+	Age time.Duration
+}
+
+// Sent returns the moment as it travels in a message sent at now.
+func (m Moment) Sent(now clock.Instant) Moment { return Moment{Age: max(0, now.Elapsed(m.At))} }
+
+// Received returns a moment that arrived in a message at now.
+func (m Moment) Received(now clock.Instant) Moment { return Moment{At: now.Add(-m.Age)} }
+
+// A Report says which requests one instance had in flight at a replica that ended
+// without a word.
+type Report struct {
+	Observer string // the instance
+	Boot     uint64 // of the instance
+	Seq      uint64 // rises with each replica that ended under the instance's calls
+	Replica  string
+	Requests []Request // rising
+	Moment
+}
+
+// A Success says that a request was served whole.
+type Success struct {
+	Request Request
+	Moment
+}
--- /dev/null
+++ b/core/crash/crash_test.go
@@ -0,0 +1,121 @@
+package crash
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/birchdrift/birchdrift/core/clock"
+	"github.com/birchdrift/birchdrift/core/clock/clocktest"
+)
+
+// start is when the first replica ends in these tests; each further one ends 10 s later.
+var start = clocktest.At(time.Hour)
+
+const apart = 10 * time.Second
+
+// ended are the reports of one replica after the other, with what was in flight.
+func ended(requests ...[]Request) []Report {
+	var reports []Report
+	for n, inFlight := range requests {
+		reports = append(reports, Report{
+			Observer: "i", Seq: uint64(n + 1), Replica: string(rune('a' + n)), Requests: inFlight, Moment: Moment{At: start.Add(time.Duration(n) * apart)},
+		})
+	}
+	return reports
+}
+
+func blamed(reports []Report, served map[Request]clock.Instant, limits map[Request]int) []Request {
+	limit := func(r Request) int {
+		if n, ok := limits[r]; ok {
+			return n
+		}
+		return Limit
+	}
+	var out []Request
+	for _, c := range Blame(reports, func(r Request) clock.Instant { return served[r] }, limit, start.Add(time.Hour)) {
+		out = append(out, c.Request)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// TestBlame tables which requests the ends of replicas are put down to. 1 and 2 are
+// requests that end replicas, the others harm nobody.
+func TestBlame(t *testing.T) {
+	type in = []Request
+	repeat := func(n int, requests ...Request) []in {
+		return slices.Repeat([]in{requests}, n)
+	}
+	cases := []struct {
+		name    string
+		reports []Report
+		served  map[Request]clock.Instant
+		limits  map[Request]int
+		want    []Request
+	}{
+		{"two replicas are too few", ended(repeat(2, 1)...), nil, nil, nil},
+		{"three replicas", ended(in{1, 8}, in{1, 9}, in{1, 7}), nil, nil, []Request{1}},
+		{"beside another at two of them", ended(in{1, 9}, in{1, 9}, in{1}), nil, nil, []Request{1}},
+		{"beside another at all of them", ended(repeat(3, 1, 9)...), nil, nil, nil},
+		{"a fourth tells them apart", ended(in{1, 9}, in{1, 9}, in{1, 9}, in{1}), nil, nil, []Request{1}},
+		{"as many, some the same", ended(in{1}, in{1, 9}, in{1, 9}, in{9}), nil, nil, nil},
+		{"together for so long that it is no chance", ended(repeat(4, 1, 2)...), nil, nil, []Request{1, 2}},
+		{"two, one after the other", ended(in{1, 9}, in{1}, in{1, 8}, in{2, 9}, in{2}, in{2, 8}), nil, nil, []Request{1, 2}},
+		{"its ends are another's", ended(in{1, 9}, in{1, 9}, in{1, 9}, in{1}, in{1}), nil, nil, []Request{1}},
+		{"served since", ended(repeat(3, 1)...), map[Request]clock.Instant{1: start.Add(2 * apart).Add(1)}, nil, nil},
+		{"served in between", ended(repeat(4, 1)...), map[Request]clock.Instant{1: start.Add(1)}, nil, []Request{1}},
+		{"blamed before", ended(in{1}), nil, map[Request]int{1: 1}, []Request{1}},
+		{"requests that are not known", ended(repeat(4, 0)...), nil, nil, nil},
+		{"one end in two reports", append(ended(repeat(2, 1)...), Report{
+			Observer: "j", Replica: "b", Requests: in{1}, Moment: Moment{At: start.Add(apart).Add(time.Second)},
+		}), nil, nil, nil},
+		{"one end in two reports, the clock set in between", append(ended(repeat(2, 1)...), Report{
+			Observer: "j", Replica: "b", Requests: in{1}, Moment: Moment{At: clock.Instant{Mono: start.Mono + apart, Wall: start.Wall.Add(time.Minute)}},
+		}), nil, nil, nil},
+		{"one end in two reports, the machine asleep in between", append(ended(repeat(2, 1)...), Report{
+			Observer: "j", Replica: "b", Requests: in{1}, Moment: Moment{At: clock.Instant{Mono: start.Mono, Wall: start.Wall.Add(apart)}},
+		}), nil, nil, nil},
+		{"a replica that came back under its name", append(ended(repeat(2, 1)...), Report{
+			Observer: "j", Replica: "b", Requests: in{1}, Moment: Moment{At: start.Add(5 * apart)},
+		}), nil, nil, []Request{1}},
+		{"reports of others complete an end", append(ended(in{9}, in{1, 9}, in{1, 9}, in{1}), Report{
+			Observer: "j", Replica: "a", Requests: in{1}, Moment: Moment{At: start},
+		}), nil, nil, []Request{1}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(blamed(c.reports, c.served, c.limits), c.want)
+			slices.Reverse(c.reports)
+			is.Equal(blamed(c.reports, c.served, c.limits), c.want) // in any order
+		})
+	}
+}
+
+// TestReportsCountOnceTheyAreSettled: before that those of other instances may be
+// missing, and a request that was there by chance would be blamed.
+func TestReportsCountOnceTheyAreSettled(t *testing.T) {
+	is := is.New(t)
+	reports := ended(slices.Repeat([][]Request{{1}}, 3)...)
+	never := func(Request) clock.Instant { return clock.Instant{} }
+	limit := func(Request) int { return Limit }
+	third := reports[2].At
+	is.Equal(len(Blame(reports, never, limit, third.Add(-1))), 0)
+	is.Equal(Blame(reports, never, limit, third), []Case{{Request: 1, Replicas: []string{"a", "b", "c"}}})
+}
+
+// TestAgesTravel: what a message says of the past is as old on arrival as it was when
+// it was sent, by the receiver's own clocks.
+func TestAgesTravel(t *testing.T) {
+	is := is.New(t)
+	sent := Moment{At: start}.Sent(start.Add(7 * time.Second))
+	is.Equal(sent, Moment{Age: 7 * time.Second})
+	there := clocktest.At(time.Minute)
+	is.Equal(sent.Received(there), Moment{At: there.Add(-7 * time.Second)})
+	// A machine that slept since counts the sleep.
+	asleep := clock.Instant{Mono: start.Mono, Wall: start.Wall.Add(time.Minute)}
+	is.Equal(Moment{At: start}.Sent(asleep).Age, time.Minute)
+}
--- a/core/exchange/exchange.go
+++ b/core/exchange/exchange.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/birchdrift/birchdrift/core/clock"
+	"github.com/birchdrift/birchdrift/core/crash"
 	"github.com/birchdrift/birchdrift/core/demand"
 	"github.com/birchdrift/birchdrift/core/logevent"
 	"github.com/birchdrift/birchdrift/core/member"
@@ -87,6 +88,9 @@
 	// Listed and Registered take in records; from is who told of them.
 	Listed     func(now clock.Instant, from string, l share.Listed)
 	Registered func(now clock.Instant, from string, records []registry.Record)
+	// Crashed takes in what a peer told of replicas that ended under its calls, or
+	// others' calls, and of requests that were served since.
+	Crashed func(now clock.Instant, from string, reports []crash.Report, served []crash.Success)
 	// Used notes that an item of an engine is in use.
 	Used func(now clock.Instant, engine, item string)
 }
@@ -167,7 +171,7 @@
 		Stamp:        x.Records.Stamp(),
 		AckBoot:      known.boot,
 		Ack:          known.stamp,
-		Records:      x.Records.Since(known.acked, peer, sameZone, known.store),
+		Records:      x.Records.News(now, known.acked, peer, sameZone, known.store),
 	}
 	msg.Demand = x.DemandFor(now, peer)
 	if x.Options.MeshEvery > 0 {
@@ -250,6 +254,9 @@
 		x.Records.AddHolder(from, h)
 	}
 	x.Registered(now, from, r.Registered)
+	if len(r.Crashes)+len(r.Successes) > 0 {
+		x.Crashed(now, from, r.Crashes, r.Successes)
+	}
 }
 
 // LogLeaving logs that an engine says for the first time that it is leaving.
--- a/core/forwarding/attempts.go
+++ b/core/forwarding/attempts.go
@@ -8,6 +8,7 @@
 	"github.com/birchdrift/birchdrift/core/clock"
 	"github.com/birchdrift/birchdrift/core/code"
 	"github.com/birchdrift/birchdrift/core/config"
+	"github.com/birchdrift/birchdrift/core/crash"
 	"github.com/birchdrift/birchdrift/core/logevent"
 )
 
@@ -31,6 +32,7 @@
 // served logs an answer that is whole, and how long its parts took.
 func (f *Forwarder) served(now clock.Instant, c *calls.Call, e calls.Completed) {
 	s := stateOf(c)
+	f.Quarantine.Served(now, c.Forward.Fingerprint)
 	f.Out.Log(logevent.CallServed, "call", c.Forward.Name, "replica", c.Replica, "attempts", c.History.Attempts,
 		"waited_ms", c.Started.Since(c.Arrived).Milliseconds(), "first_ms", s.sent.firstAt.Since(c.Started).Milliseconds(),
 		"pause_ms", e.Pause.Milliseconds(), "total_ms", now.Since(c.Arrived).Milliseconds())
@@ -106,6 +108,7 @@
 	switch {
 	case b.Misdirected && b.Incarnation != "" && b.Incarnation != c.Replica:
 		r.Forget(uint64(c.ID))
+		f.Quarantine.Ended(now, c.Replica)
 		f.Pool.MarkGone(c.Replica)
 		f.Out.Log(logevent.Leaving, "upstream", c.Replica, "source", "another replica has its address", "now", b.Incarnation)
 	case b.Misdirected:
@@ -118,11 +121,17 @@
 	case b.Phase == attempt.NotSent:
 		r.Forget(uint64(c.ID))
 		r.SetDown(now)
+		if b.Unreachable {
+			f.Quarantine.Ended(now, c.Replica)
+		}
 	case b.Relayable:
 		// The replica works; that it failed a call may lie in the call.
 		r.End(now, uint64(c.ID), c.Started, false)
 	default:
 		f.Pool.Failed(now, r, uint64(c.ID), c.Started)
+		if b.Severed {
+			f.Quarantine.Severed(now, c.Forward.Fingerprint, r)
+		}
 	}
 }
 
@@ -141,15 +150,40 @@
 	}
 }
 
-func (f *Forwarder) expire(c *calls.Call) {
+// quarantined returns the refusal of a call whose request is not run for so long.
+func quarantined(left time.Duration) code.Refusal {
+	return calls.NotRun(code.Quarantined, "", left)
+}
+
+// Cut ends the calls of a request that is not to be run any more. A replica that has not
+// begun to run one drops it when its connection closes, and is spared so.
+func (f *Forwarder) Cut(request crash.Request, left time.Duration) {
+	for _, c := range f.Calls.All() {
+		if c.Forward == nil || c.Forward.Fingerprint != request {
+			continue
+		}
+		f.abandon(c)
+		f.Calls.Refuse(c, quarantined(left))
+	}
+}
+
+// abandon notes that a call's attempt, if one is under way, is not waited for.
+func (f *Forwarder) abandon(c *calls.Call) {
 	if c.Phase != calls.Running {
-		f.Calls.Refuse(c, calls.NotRun(code.TargetMissed, "it waited until its time was over", f.Calls.RetryAfter(0)))
 		return
 	}
 	if r := f.Pool.Get(c.Replica); r != nil {
 		r.Forget(uint64(c.ID))
 	}
 	c.History = c.History.WithBroken(attempt.MaybeSent)
+}
+
+func (f *Forwarder) expire(c *calls.Call) {
+	if c.Phase != calls.Running {
+		f.Calls.Refuse(c, calls.NotRun(code.TargetMissed, "it waited until its time was over", f.Calls.RetryAfter(0)))
+		return
+	}
+	f.abandon(c)
 	num := code.TimedOut
 	if stateOf(c).progress.opened {
 		num = code.StreamCut
--- a/core/forwarding/forwarding.go
+++ b/core/forwarding/forwarding.go
@@ -25,6 +25,7 @@
 	"github.com/birchdrift/birchdrift/core/logevent"
 	"github.com/birchdrift/birchdrift/core/policy"
 	"github.com/birchdrift/birchdrift/core/pool"
+	"github.com/birchdrift/birchdrift/core/quarantine"
 	"github.com/birchdrift/birchdrift/core/retrybudget"
 	"github.com/birchdrift/birchdrift/core/route"
 	"github.com/birchdrift/birchdrift/core/shared"
@@ -40,6 +41,8 @@
 	Asks   *asks.Asks
 	Roster *watchers.Roster
 	Demand *demand.Tracker
+	// Quarantine knows which requests are not to be run.
+	Quarantine *quarantine.Tracker
 	// Used notes that a call uses an item of an engine.
 	Used func(now clock.Instant, engine, item string)
 	// Missed notes that a call found its model nowhere.
@@ -139,6 +142,9 @@
 	if !ok || service.Announced == nil {
 		return calls.NotRun(code.NoReplica, fmt.Sprintf("no service %q", name), calls.LeastRetryAfter), false
 	}
+	if left := f.Quarantine.Left(now, c.Forward.Fingerprint); left > 0 {
+		return quarantined(left), false
+	}
 	limit := rule.Timeout
 	if d := c.Forward.Deadline; d > 0 && d < limit {
 		limit = d
--- a/core/forwarding/place.go
+++ b/core/forwarding/place.go
@@ -18,6 +18,10 @@
 // findReplica sends the call to the best replica, has what it needs loaded there
 // first, lets it wait for its model, or refuses it.
 func (f *Forwarder) findReplica(now clock.Instant, c *calls.Call) {
+	if left := f.Quarantine.Left(now, c.Forward.Fingerprint); left > 0 {
+		f.Calls.Refuse(c, quarantined(left))
+		return
+	}
 	s := stateOf(c)
 	query := f.query(now, c, s)
 	candidates := f.Pool.Serving(c.Service)
--- a/core/instance/build.go
+++ b/core/instance/build.go
@@ -1,9 +1,12 @@
 package instance
 
 import (
+	"time"
+
 	"github.com/birchdrift/birchdrift/core/asks"
 	"github.com/birchdrift/birchdrift/core/calls"
 	"github.com/birchdrift/birchdrift/core/clock"
+	"github.com/birchdrift/birchdrift/core/crash"
 	"github.com/birchdrift/birchdrift/core/demand"
 	"github.com/birchdrift/birchdrift/core/exchange"
 	"github.com/birchdrift/birchdrift/core/forwarding"
@@ -13,6 +16,7 @@
 	"github.com/birchdrift/birchdrift/core/orders"
 	"github.com/birchdrift/birchdrift/core/owned"
 	"github.com/birchdrift/birchdrift/core/ownership"
+	"github.com/birchdrift/birchdrift/core/quarantine"
 	"github.com/birchdrift/birchdrift/core/retrybudget"
 	"github.com/birchdrift/birchdrift/core/shared"
 	"github.com/birchdrift/birchdrift/core/shutdown"
@@ -34,6 +38,7 @@
 	tracker, totals := demand.NewTracker(), demand.NewTotals()
 	m.buildCalls()
 	m.buildOrders()
+	m.buildQuarantine()
 	m.buildExchanges()
 	m.buildForwarding(tracker)
 	switch opt.Environment {
@@ -88,6 +93,17 @@
 	}
 }
 
+func (m *Machine) buildQuarantine() {
+	m.quarantine = quarantine.New(quarantine.Needs{
+		State:  m.state,
+		Stored: m.state.Options.Environment == option.Platform,
+		Tell:   func(now clock.Instant) { m.exchanges.TellAll(now) },
+		Direct: m.orders.roster.FullMesh,
+		Cut:    func(request crash.Request, left time.Duration) { m.forwarding.Cut(request, left) },
+	})
+	m.orders.registry.Quarantined = m.quarantine.Recalled
+}
+
 // buildExchanges builds the exchanges and the list of what is there. What differs
 // between environments is set by them.
 func (m *Machine) buildExchanges() {
@@ -102,6 +118,7 @@
 		Stopping:   m.stop.Begun,
 		Listed:     m.listing.Heard,
 		Registered: m.orders.registry.Merge,
+		Crashed:    m.quarantine.Heard,
 		Used:       m.orders.owned.Used,
 	})
 }
@@ -110,6 +127,7 @@
 	m.forwarding = forwarding.New(forwarding.Needs{
 		State: m.state,
 		Calls: m.calls, Budget: m.budget, Asks: m.orders.asks, Roster: m.orders.roster, Demand: tracker,
-		Used: m.orders.owned.Used,
+		Quarantine: m.quarantine,
+		Used:       m.orders.owned.Used,
 	})
 }
--- a/core/instance/machine.go
+++ b/core/instance/machine.go
@@ -9,6 +9,7 @@
 //
 // Who does what:
 //   - core/calls, core/forwarding: calls in progress and forwarded calls;
+//   - core/quarantine: requests that are not run, since replicas end under them;
 //   - core/watch, core/watchers: who watches the platform, and the watch;
 //   - core/listing: replicas and instances that the platform lists;
 //   - core/exchange: what instances tell each other;
@@ -41,6 +42,7 @@
 	"github.com/birchdrift/birchdrift/core/listing"
 	"github.com/birchdrift/birchdrift/core/owned"
 	"github.com/birchdrift/birchdrift/core/ownership"
+	"github.com/birchdrift/birchdrift/core/quarantine"
 	"github.com/birchdrift/birchdrift/core/retrybudget"
 	"github.com/birchdrift/birchdrift/core/shared"
 	"github.com/birchdrift/birchdrift/core/shutdown"
@@ -52,6 +54,7 @@
 	state      shared.State
 	calls      *calls.Table
 	budget     *retrybudget.Budget
+	quarantine *quarantine.Tracker
 	forwarding *forwarding.Forwarder
 	listing    *listing.List
 	exchanges  *exchange.Exchanges
@@ -132,6 +135,10 @@
 		m.calls.CallerGone(e)
 	case forwarding.ProbeReply:
 		m.forwarding.ProbeReplied(now, e)
+	case quarantine.Checked:
+		m.quarantine.Checked(now, e)
+	case quarantine.Recorded:
+		m.quarantine.Recorded(now, e)
 	case calls.Arrived:
 		if e.Call.Forward == nil {
 			return false
@@ -187,6 +194,7 @@
 func (m *Machine) tick(now clock.Instant) {
 	m.forwarding.Expire(now)
 	m.listing.Tick(now)
+	m.quarantine.Tick(now)
 	for _, tick := range m.env.tickFirst {
 		tick(now)
 	}
--- a/core/logevent/logevent.go
+++ b/core/logevent/logevent.go
@@ -13,57 +13,61 @@
 
 // The log events. Catalogue holds the meaning and the remedy of each.
 const (
-	Started           Number = 1001
-	Stopping          Number = 1002
-	Stopped           Number = 1003
-	Listening         Number = 1004
-	Reloaded          Number = 1005
-	ReloadRefused     Number = 1006
-	Installed         Number = 1101
-	OlderIgnored      Number = 1102
-	ConfigFailed      Number = 1103
-	PlatformDown      Number = 1201
-	PlatformBack      Number = 1202
-	LeaseGained       Number = 1301
-	LeaseLost         Number = 1302
-	LeaseDoubt        Number = 1303
-	IntentsLost       Number = 1304
-	Enrolled          Number = 1311
-	EnrolmentLost     Number = 1312
-	EngineTaken       Number = 1313
-	EngineLost        Number = 1314
-	NotReturned       Number = 1315
-	RecordUnreadable  Number = 1316
-	Watching          Number = 1317
-	Order             Number = 1401
-	OrderRefused      Number = 1402
-	OrderLost         Number = 1403
-	OrderFenced       Number = 1404
-	OvercommitAvert   Number = 1405
-	Placing           Number = 1321
-	Placed            Number = 1322
-	PlaceEnded        Number = 1323
-	EngineOrder       Number = 1411
-	EngineAnswer      Number = 1412
-	EngineState       Number = 1413
-	OrderWaits        Number = 1414
-	EngineStateFailed Number = 1415
-	Leaving           Number = 1501
-	Announced         Number = 1502
-	Vanished          Number = 1503
-	PeerFailed        Number = 1601
-	PolicyFailed      Number = 1701
-	CallFailed        Number = 1801
-	CallRetried       Number = 1802
-	CallResumed       Number = 1803
-	CallSent          Number = 1804
-	CallServed        Number = 1805
-	CallWaits         Number = 1806
-	ProbeFailed       Number = 1807
-	CancelFailed      Number = 1808
-	HeaderIgnored     Number = 1809
-	CallNotRepeated   Number = 1810
-	Bug               Number = 1901
+	Started            Number = 1001
+	Stopping           Number = 1002
+	Stopped            Number = 1003
+	Listening          Number = 1004
+	Reloaded           Number = 1005
+	ReloadRefused      Number = 1006
+	Installed          Number = 1101
+	OlderIgnored       Number = 1102
+	ConfigFailed       Number = 1103
+	PlatformDown       Number = 1201
+	PlatformBack       Number = 1202
+	LeaseGained        Number = 1301
+	LeaseLost          Number = 1302
+	LeaseDoubt         Number = 1303
+	IntentsLost        Number = 1304
+	Enrolled           Number = 1311
+	EnrolmentLost      Number = 1312
+	EngineTaken        Number = 1313
+	EngineLost         Number = 1314
+	NotReturned        Number = 1315
+	RecordUnreadable   Number = 1316
+	Watching           Number = 1317
+	Order              Number = 1401
+	OrderRefused       Number = 1402
+	OrderLost          Number = 1403
+	OrderFenced        Number = 1404
+	OvercommitAvert    Number = 1405
+	Placing            Number = 1321
+	Placed             Number = 1322
+	PlaceEnded         Number = 1323
+	EngineOrder        Number = 1411
+	EngineAnswer       Number = 1412
+	EngineState        Number = 1413
+	OrderWaits         Number = 1414
+	EngineStateFailed  Number = 1415
+	Leaving            Number = 1501
+	Announced          Number = 1502
+	Vanished           Number = 1503
+	ReplicaEnded       Number = 1504
+	PeerFailed         Number = 1601
+	PolicyFailed       Number = 1701
+	CallFailed         Number = 1801
+	CallRetried        Number = 1802
+	CallResumed        Number = 1803
+	CallSent           Number = 1804
+	CallServed         Number = 1805
+	CallWaits          Number = 1806
+	ProbeFailed        Number = 1807
+	CancelFailed       Number = 1808
+	HeaderIgnored      Number = 1809
+	CallNotRepeated    Number = 1810
+	RequestQuarantined Number = 1811
+	RequestReleased    Number = 1812
+	QuarantineNotKept  Number = 1813
+	Bug                Number = 1901
 )
 
 // names are the catalogue's names by number.
@@ -131,6 +135,7 @@
 	{Leaving, "upstream_leaving", "An upstream is leaving and gets no new work.", "None."},
 	{Announced, "upstream_announced", "A replica announced itself in the platform's list.", "None."},
 	{Vanished, "upstream_vanished", "A replica's entry is gone from the platform's list; it is used for a moment more where nothing better is there.", "None; many at once mean that the platform lost its leases."},
+	{ReplicaEnded, "upstream_ended", "A replica ended without a word while it had calls of this instance; they are reported to all instances.", "Many: look for 1811, which names the request that is blamed."},
 	{PeerFailed, "peer_failed", "An exchange with a peer failed.", "Check the network between the instances if it lasts."},
 	{PolicyFailed, "policy_failed", "A policy expression failed at run time; its declared default was used.", "Mend the expression."},
 	{CallFailed, "call_failed", "A call got a final answer that is not its upstream's.", "Look the code up in docs/codes.md."},
@@ -143,5 +148,8 @@
 	{CancelFailed, "cancel_failed", "A replica could not be told to drop a call; it notices the closed connection.", "None; many for one upstream: check it."},
 	{HeaderIgnored, "header_ignored", "A forwarded call's header makes no sense and counts as absent; it only steers decisions.", "Mend the caller that sends it."},
 	{CallNotRepeated, "call_not_repeated", "A forwarded call's attempt failed and it does not go to another replica; `reason` says why.", "Many with the retry budget used up: an upstream is failing."},
+	{RequestQuarantined, "request_quarantined", "A request is not run for `term`, since the replicas named in `upstreams` ended under it.", "Find the calls by their `fingerprint` in 1804, and what in them ends the replicas."},
+	{RequestReleased, "request_released", "A request is run again: it was served, or the ends of replicas are put down to another.", "None."},
+	{QuarantineNotKept, "quarantine_not_kept", "A quarantine could not be written to the platform's store; it is tried again. All instances that run know of it.", "Check the platform if it lasts."},
 	{Bug, "bug", "The program met a state that it holds impossible.", "Report it with the line."},
 }
--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -118,6 +118,8 @@
 	Stopping func() bool
 	// TellSoon is called when records became known that peers are to be told of.
 	TellSoon func(now clock.Instant)
+	// Quarantined is told of requests that are not run.
+	Quarantined func(now clock.Instant, q registry.Quarantine)
 }
 
 // A Registry is what an instance knows of the records, and its own part in them.
@@ -279,6 +281,9 @@
 		delete(g.owners, engine)
 		g.Owned.Lose(now, engine, "its record went")
 	}
+	for _, q := range c.Quarantines {
+		g.Quarantined(now, q)
+	}
 	if c.Placer != nil {
 		g.takePlacer(now, *c.Placer)
 	}
--- /dev/null
+++ b/core/quarantine/evidence.go
@@ -0,0 +1,133 @@
+package quarantine
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/birchdrift/birchdrift/core/clock"
+	"github.com/birchdrift/birchdrift/core/crash"
+	"github.com/birchdrift/birchdrift/core/logevent"
+	"github.com/birchdrift/birchdrift/core/pool"
+)
+
+// What tells a replica that ended from one that cannot be reached, drops connections or
+// leaves: its machine answers, nothing listens at its address, and it did not say that
+// it would leave.
+
+const (
+	// checkAfter is how long after a call was severed the replica is looked for, if no
+	// other call shows that it is gone. Not measured: a process that ends closes its
+	// connections one after the other, its listener among them.
+	checkAfter = 30 * time.Millisecond
+	// endSpan is how long the calls that one end severs may take to show it. Not
+	// measured: below the seconds that a replica takes to come back.
+	endSpan = 2 * time.Second
+)
+
+type (
+	// Check is an action: see whether a process listens at a replica's address.
+	Check struct {
+		Replica string
+		Address string // IP:port
+	}
+	// Checked is the event that answers a Check.
+	Checked struct {
+		Replica string
+		Ended   bool // the machine answered that nothing listens there
+	}
+)
+
+// IsAction implements step.Action.
+func (Check) IsAction() {}
+
+// IsEvent implements step.Event.
+func (Checked) IsEvent() {}
+
+// An evidence is what this instance's calls show of one end of a replica.
+type evidence struct {
+	at       clock.Instant // when it showed first
+	address  string
+	requests []crash.Request // whose calls were severed; rising
+	ended    bool            // the replica's process is not there any more
+	asked    bool            // a Check was sent
+	seq      uint64          // of the report, 0 before there is one
+}
+
+// Severed notes that the connection of a request's call was ended by its replica, or by
+// the replica's machine, before the answer was whole.
+func (t *Tracker) Severed(now clock.Instant, request crash.Request, r *pool.Replica) {
+	if request == 0 || r.Leaving() {
+		return // what leaves may end as it likes
+	}
+	e := t.evidenceOf(now, r.Name)
+	e.address = r.Address
+	i, found := slices.BinarySearch(e.requests, request)
+	if found || len(e.requests) == maxRequests {
+		return
+	}
+	e.requests = slices.Insert(e.requests, i, request)
+	if e.ended {
+		t.report(now, r.Name, e)
+	}
+}
+
+// Ended notes that a replica's process is not there any more.
+func (t *Tracker) Ended(now clock.Instant, replica string) {
+	e := t.evidenceOf(now, replica)
+	if e.ended {
+		return
+	}
+	e.ended = true
+	if len(e.requests) > 0 {
+		t.report(now, replica, e)
+	}
+}
+
+// evidenceOf returns the evidence of the end that shows now.
+func (t *Tracker) evidenceOf(now clock.Instant, replica string) *evidence {
+	e := t.evidence[replica]
+	if e == nil || now.Elapsed(e.at) >= endSpan {
+		e = &evidence{at: now}
+		t.evidence[replica] = e
+	}
+	return e
+}
+
+// report tells all instances of the requests that were in flight.
+func (t *Tracker) report(now clock.Instant, replica string, e *evidence) {
+	if e.seq == 0 {
+		t.seq++
+		e.seq = t.seq
+		t.Out.Log(logevent.ReplicaEnded, "upstream", replica, "calls", len(e.requests))
+	}
+	t.suspect(e.requests)
+	t.Records.AddCrash("", crash.Report{
+		Observer: t.Self.Name, Boot: t.Self.Boot, Seq: e.seq, Replica: replica, Requests: slices.Clone(e.requests),
+		Moment: crash.Moment{At: e.at},
+	})
+	t.news(now, true)
+}
+
+// check looks for the replicas that severed calls a moment ago.
+func (t *Tracker) check(now clock.Instant) {
+	for _, replica := range slices.Sorted(maps.Keys(t.evidence)) {
+		e := t.evidence[replica]
+		if e.ended || e.asked || now.Before(e.at.Add(checkAfter)) {
+			continue
+		}
+		e.asked = true
+		t.Out.Do(Check{Replica: replica, Address: e.address})
+	}
+}
+
+// Checked takes in what came of a Check.
+func (t *Tracker) Checked(now clock.Instant, e Checked) {
+	if e.Ended {
+		t.Ended(now, e.Replica)
+	}
+}
+
+func (t *Tracker) pruneEvidence(now clock.Instant) {
+	maps.DeleteFunc(t.evidence, func(_ string, e *evidence) bool { return now.Elapsed(e.at) >= endSpan })
+}
--- /dev/null
+++ b/core/quarantine/quarantine.go
@@ -0,0 +1,172 @@
+// Package quarantine keeps requests from running under which replicas end.
+//
+// A request may end every replica that begins to run it, by a fault that its content
+// brings about. Its caller, who sees a broken connection, sends it again, and the limits
+// of one try do not hold that back: each try has another name, and comes to any
+// instance. So what is known of requests is kept over their tries and shared by all
+// instances:
+//
+//  1. An instance whose call is severed checks whether the replica's process is still
+//     there (evidence.go). A cut, a broken connection or a planned end is no crash.
+//  2. It reports the requests that it had in flight there to all instances, which each
+//     judge the reports by the same rule (core/crash).
+//  3. A request that is blamed is not run for a while: calls under way are cut, further
+//     tries refused at once (verdict.go).
+//  4. Verdicts are kept in the platform's store as well, for instances that start
+//     later (record.go). All else works without the store.
+//
+// A request that was in flight by chance goes on as any other until its ends are
+// explained by another's, or it is served.
+package quarantine
+
+import (
+	"slices"
+	"time"
+
+	"github.com/birchdrift/birchdrift/core/clock"
+	"github.com/birchdrift/birchdrift/core/crash"
+	"github.com/birchdrift/birchdrift/core/shared"
+)
+
+const (
+	// memory is how long reports of replicas that ended count. Not measured: a request
+	// that comes back every few minutes is still found.
+	memory = 10 * time.Minute
+	// maxReports bounds the reports that are kept, the newest first; with maxRequests
+	// they take 0.5 MB at most. Not measured: twenty replicas that each instance of a
+	// small site had calls at.
+	maxReports = 256
+	// maxRequests bounds the requests of one report. Not measured: above what one
+	// instance has in flight at one replica.
+	maxRequests = 256
+	// settle is how long reports of other instances may take to arrive, a check of
+	// evidence and a few hops included. Judged earlier, a request that was in flight
+	// by chance is blamed where the instance that had the other has not spoken yet.
+	// Not measured: within the users' three seconds.
+	settle = 400 * time.Millisecond
+	// tellEvery spaces the news of replicas that ended. Not measured: all calls that
+	// were severed together are told together, and ten times a second at most.
+	tellEvery = 100 * time.Millisecond
+	// pruneEvery spaces the looks for what is too old. Not measured.
+	pruneEvery = time.Second
+)
+
+// Needs are what a Tracker needs of the other modules. The functions must be set before
+// the first event.
+type Needs struct {
+	shared.State
+	// Stored says that the environment has a store for verdicts.
+	Stored bool
+	// Tell has all peers, or the neighbours in a large fleet, told at once.
+	Tell func(now clock.Instant)
+	// Direct reports whether every instance tells every other itself.
+	Direct func() bool
+	// Cut ends the calls of a request that are under way here.
+	Cut func(request crash.Request, left time.Duration)
+}
+
+// A Tracker knows which requests are not to be run.
+type Tracker struct {
+	Needs
+	evidence map[string]*evidence // by replica
+	seq      uint64               // of the last own report
+	suspects map[crash.Request]bool
+	verdicts map[crash.Request]*verdict
+	records  records
+
+	judgeDue clock.Instant // zero: nothing to judge
+	tellDue  clock.Instant // zero: nothing to tell
+	toldAt   clock.Instant
+	pruneDue clock.Instant
+}
+
+// New returns a tracker that knows of no request.
+func New(n Needs) *Tracker {
+	return &Tracker{
+		Needs: n, evidence: map[string]*evidence{}, suspects: map[crash.Request]bool{}, verdicts: map[crash.Request]*verdict{},
+	}
+}
+
+// Served notes that a request was served whole: replicas did not end by it.
+func (t *Tracker) Served(now clock.Instant, request crash.Request) {
+	if !t.suspects[request] {
+		return
+	}
+	if t.Records.AddSuccess("", crash.Success{Request: request, Moment: crash.Moment{At: now}}) {
+		t.news(now, true)
+	}
+}
+
+// Heard takes in what a peer told.
+func (t *Tracker) Heard(now clock.Instant, from string, reports []crash.Report, served []crash.Success) {
+	news := false
+	for _, r := range reports {
+		r.Moment = r.Received(now)
+		if now.Elapsed(r.At) < memory && len(r.Requests) <= maxRequests && t.Records.AddCrash(from, r) {
+			t.suspect(r.Requests)
+			news = true
+		}
+	}
+	for _, s := range served {
+		s.Moment = s.Received(now)
+		news = t.Records.AddSuccess(from, s) || news
+	}
+	if news {
+		t.news(now, !t.Direct())
+	}
+}
+
+// news has what is new judged once it is settled, and told to others if it must be.
+func (t *Tracker) news(now clock.Instant, tell bool) {
+	if t.judgeDue.IsZero() {
+		t.judgeDue = now.Add(settle)
+	}
+	if tell && t.tellDue.IsZero() {
+		t.tellDue = clock.Latest(now, t.toldAt.Add(tellEvery))
+	}
+}
+
+func (t *Tracker) suspect(requests []crash.Request) {
+	for _, r := range requests {
+		t.suspects[r] = true
+	}
+}
+
+// Tick does what is due.
+func (t *Tracker) Tick(now clock.Instant) {
+	t.check(now)
+	if due(now, t.judgeDue) {
+		t.judge(now)
+	}
+	if due(now, t.tellDue) {
+		t.tellDue = clock.Instant{}
+		t.toldAt = now
+		t.Tell(now)
+	}
+	t.record(now)
+	if !now.Before(t.pruneDue) {
+		t.pruneDue = now.Add(pruneEvery)
+		t.prune(now)
+	}
+}
+
+func due(now, at clock.Instant) bool { return !at.IsZero() && !now.Before(at) }
+
+// prune forgets what is too old.
+func (t *Tracker) prune(now clock.Instant) {
+	t.Records.ForgetCrashes(now, memory, maxReports)
+	clear(t.suspects)
+	for _, r := range t.Records.Crashes() {
+		t.suspect(r.Requests)
+	}
+	t.pruneEvidence(now)
+	t.pruneVerdicts(now)
+}
+
+// observed reports whether this instance itself had the request in flight at a replica
+// that ended.
+func (t *Tracker) observed(request crash.Request) bool {
+	return slices.ContainsFunc(t.Records.Crashes(), func(r crash.Report) bool {
+		return r.Observer == t.Self.Name && slices.Contains(r.Requests, request)
+	})
+}
--- /dev/null
+++ b/core/quarantine/record.go
@@ -0,0 +1,102 @@
+package quarantine
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/birchdrift/birchdrift/core/clock"
+	"github.com/birchdrift/birchdrift/core/crash"
+	"github.com/birchdrift/birchdrift/core/logevent"
+	"github.com/birchdrift/birchdrift/core/registry"
+	"github.com/birchdrift/birchdrift/core/step"
+)
+
+// The verdicts' records in the platform's store. Without them a fleet whose instances
+// all start anew at once would let each request end three more replicas.
+
+const (
+	// longestLease bounds a record's lease. Not measured: the longest that the users'
+	// platform grants.
+	longestLease = 10 * time.Minute
+	// recordAgain is how long a write that failed is put off. Not measured.
+	recordAgain = time.Second
+)
+
+type (
+	// Record is an action: write a verdict, unless it stands in the store already, on a
+	// lease of so long a term.
+	Record struct {
+		Quarantine registry.Quarantine
+		Term       time.Duration
+	}
+	// Recorded is the event that answers a Record.
+	Recorded struct {
+		Request crash.Request
+		Err     error // nil also where the record stood there already
+	}
+	// Unrecord is an action: remove a verdict that does not hold any more.
+	Unrecord struct{ Quarantine registry.Quarantine }
+)
+
+// IsAction implements step.Action.
+func (Record) IsAction() {}
+
+// IsAction implements step.Action.
+func (Unrecord) IsAction() {}
+
+// IsEvent implements step.Event.
+func (Recorded) IsEvent() {}
+
+// A recording says how far the record of a verdict is.
+type recording int
+
+// The states of a record.
+const (
+	leftToOthers recording = iota // instances that had its calls write it
+	toRecord
+	recorded
+)
+
+// records is the writing of records: one at a time, so that many verdicts at once do
+// not use up the store's rate.
+type records struct{ job step.Job }
+
+// record writes the next verdict that is to be.
+func (t *Tracker) record(now clock.Instant) {
+	if !t.records.job.Ready(now) || t.Outage.Down() {
+		return
+	}
+	for _, request := range slices.Sorted(maps.Keys(t.verdicts)) {
+		v := t.verdicts[request]
+		if v.recording != toRecord || v.left(now) == 0 {
+			continue
+		}
+		t.records.job.Begin(now)
+		t.Out.Do(Record{
+			Quarantine: registry.Quarantine{Request: request, Replicas: v.replicas},
+			Term:       min(v.left(now), longestLease),
+		})
+		return
+	}
+}
+
+// Recorded takes in what came of a Record.
+func (t *Tracker) Recorded(now clock.Instant, e Recorded) {
+	if e.Err != nil {
+		t.Out.Log(logevent.QuarantineNotKept, "fingerprint", e.Request.String(), "error", e.Err.Error())
+		t.records.job.End(now.Add(step.Jitter(t.Rand, recordAgain)))
+		return
+	}
+	t.records.job.End(now)
+	if v := t.verdicts[e.Request]; v != nil {
+		v.recording = recorded
+	}
+}
+
+// unrecord removes the record of a verdict that this instance wrote or read.
+func (t *Tracker) unrecord(v *verdict, request crash.Request) {
+	if v.recording == recorded {
+		t.Out.Do(Unrecord{Quarantine: registry.Quarantine{Request: request, Replicas: v.replicas}})
+	}
+}
--- /dev/null
+++ b/core/quarantine/verdict.go
@@ -0,0 +1,174 @@
+package quarantine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/birchdrift/birchdrift/core/clock"
+	"github.com/birchdrift/birchdrift/core/crash"
+	"github.com/birchdrift/birchdrift/core/logevent"
+	"github.com/birchdrift/birchdrift/core/registry"
+)
+
+// Which requests are not run, and for how long.
+
+const (
+	// firstTerm is how long a request is not run that is blamed for the first time.
+	// Not measured: replicas may have been mended by then, and a caller that tries
+	// again each second has been refused 600 times.
+	firstTerm = 10 * time.Minute
+	// longestTerm bounds the terms of a request that is blamed again and again, each of
+	// which is twice the one before. Not measured.
+	longestTerm = 8 * time.Hour
+	// maxVerdicts bounds the requests that are known, the newest first; they take
+	// 0.1 MB. Not measured: three replicas end for each.
+	maxVerdicts = 1024
+)
+
+// A verdict says that a request is not run.
+type verdict struct {
+	since    clock.Instant
+	term     time.Duration
+	replicas int // that ended under it
+	judged   bool
+	// recording says how far its record in the platform's store is.
+	recording recording
+}
+
+// left returns for how long the request is not run, 0 if it may be.
+func (v *verdict) left(now clock.Instant) time.Duration {
+	if v == nil {
+		return 0
+	}
+	return max(0, v.term-now.Elapsed(v.since))
+}
+
+// remembered reports whether a request whose term is over is still known: one more
+// replica that ends under it is enough then.
+func (v *verdict) remembered(now clock.Instant) bool { return now.Elapsed(v.since) < 2*v.term }
+
+// Left returns for how long a request is not run, 0 if it may be.
+func (t *Tracker) Left(now clock.Instant, request crash.Request) time.Duration {
+	return t.verdicts[request].left(now)
+}
+
+// Suspected reports whether so many replicas ended under a request that it would be
+// blamed for them, but for others that were in flight there too. It is not sent to a
+// second replica by one try then: what the first shows must reach all instances before.
+func (t *Tracker) Suspected(request crash.Request) bool {
+	return t.suspects[request] && len(replicasUnder(request, t.Records.Crashes())) >= crash.Limit
+}
+
+// limit returns how many replicas must have ended under a request for it to be blamed.
+func (t *Tracker) limit(request crash.Request) int {
+	if t.verdicts[request] != nil {
+		return 1
+	}
+	return crash.Limit
+}
+
+// judge blames requests for the ends that were reported, and releases those that
+// another one explains or that were served since.
+func (t *Tracker) judge(now clock.Instant) {
+	settled := now.Add(-settle)
+	reports := t.Records.Crashes()
+	cases := crash.Blame(reports, t.Records.ServedAt, t.limit, settled)
+	blamed := map[crash.Request]bool{}
+	explained := map[string]bool{}
+	for _, c := range cases {
+		blamed[c.Request] = true
+		t.blame(now, c)
+		for _, replica := range c.Replicas {
+			explained[replica] = true
+		}
+	}
+	for _, request := range slices.Sorted(maps.Keys(t.verdicts)) {
+		if !blamed[request] && t.cleared(request, replicasUnder(request, reports), explained) {
+			t.release(request)
+		}
+	}
+	t.judgeDue = clock.Instant{}
+	if slices.ContainsFunc(reports, func(r crash.Report) bool { return settled.Before(r.At) }) {
+		t.judgeDue = now.Add(settle)
+	}
+}
+
+// blame has a request not run from now on.
+func (t *Tracker) blame(now clock.Instant, c crash.Case) {
+	v := t.verdicts[c.Request]
+	if v.left(now) > 0 {
+		v.judged = true
+		return
+	}
+	next := &verdict{since: now, term: firstTerm, replicas: len(c.Replicas), judged: true}
+	if v != nil {
+		next.term = min(2*v.term, longestTerm)
+	}
+	if t.Stored && t.observed(c.Request) {
+		next.recording = toRecord
+	}
+	t.impose(c.Request, next)
+	t.Out.Log(logevent.RequestQuarantined, "fingerprint", c.Request.String(), "upstreams", c.Replicas, "term", next.term.String())
+}
+
+// Recalled takes in a verdict that stands in the platform's store.
+func (t *Tracker) Recalled(now clock.Instant, q registry.Quarantine) {
+	if t.Left(now, q.Request) > 0 || t.verdicts[q.Request] != nil {
+		return
+	}
+	t.impose(q.Request, &verdict{since: now, term: firstTerm, replicas: q.Replicas, recording: recorded})
+	t.Out.Log(logevent.RequestQuarantined, "fingerprint", q.Request.String(), "source", "the store", "term", firstTerm.String())
+}
+
+func (t *Tracker) impose(request crash.Request, v *verdict) {
+	t.verdicts[request] = v
+	t.Cut(request, v.term)
+}
+
+// cleared reports whether a request that is not blamed any more may be run again: it was
+// served since, or others explain the ends of all the replicas that ended under it. That
+// reports were forgotten, or that another request may be to blame as well, clears nobody.
+func (t *Tracker) cleared(request crash.Request, under []string, explained map[string]bool) bool {
+	v := t.verdicts[request]
+	if v.since.Before(t.Records.ServedAt(request)) {
+		return true
+	}
+	unexplained := slices.ContainsFunc(under, func(replica string) bool { return !explained[replica] })
+	return v.judged && len(under) >= v.replicas && !unexplained
+}
+
+// replicasUnder returns the replicas that are reported to have ended under a request,
+// by name.
+func replicasUnder(request crash.Request, reports []crash.Report) []string {
+	var under []string
+	for _, r := range reports {
+		if slices.Contains(r.Requests, request) {
+			under = append(under, r.Replica)
+		}
+	}
+	slices.Sort(under)
+	return slices.Compact(under)
+}
+
+// release has a request run again.
+func (t *Tracker) release(request crash.Request) {
+	t.Out.Log(logevent.RequestReleased, "fingerprint", request.String())
+	t.unrecord(t.verdicts[request], request)
+	delete(t.verdicts, request)
+	t.Pool.Touch()
+}
+
+func (t *Tracker) pruneVerdicts(now clock.Instant) {
+	maps.DeleteFunc(t.verdicts, func(_ crash.Request, v *verdict) bool { return !v.remembered(now) })
+	if len(t.verdicts) <= maxVerdicts {
+		return
+	}
+	byAge := slices.SortedFunc(maps.Keys(t.verdicts), func(a, b crash.Request) int {
+		return cmp.Or(cmp.Compare(t.verdicts[b].since.Mono, t.verdicts[a].since.Mono), cmp.Compare(a, b))
+	})
+	for _, request := range byAge[maxVerdicts:] {
+		delete(t.verdicts, request)
+	}
+}
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -1,5 +1,6 @@
 // Package registry provides the records that instances keep in the platform's
-// store: who is there, who orders which engine, and who places models.
+// store: who is there, who orders which engine, who places models, and which requests
+// are not run.
 //
 // The idea: a record is a key with a small JSON value. An instance's own record
 // hangs on its lease and goes with it. An ownership outlives its owner, so that
@@ -11,7 +12,10 @@
 
 import (
 	"encoding/json"
+	"strconv"
 	"strings"
+
+	"github.com/birchdrift/birchdrift/core/crash"
 )
 
 // Keys of the records, below the product's own part of the store.
@@ -19,6 +23,7 @@
 	instancePrefix = "instances/"
 	ownerPrefix    = "owners/"
 	placerKey      = "placer"
+	quarantineKeys = "quarantine/"
 )
 
 // An Instance is the record of one entry instance.
@@ -64,6 +69,13 @@
 	Revision uint64  `json:"-"`
 }
 
+// A Quarantine says that a request is not run, since replicas ended under it. Its
+// record hangs on a lease of its own, and goes when the quarantine is over.
+type Quarantine struct {
+	Request  crash.Request `json:"-"`
+	Replicas int           `json:"replicas"` // that ended
+}
+
 // MaxClaims is the most ownerships that one write holds: each is a condition
 // and a value, and stores bound the two together. Set in 04d16fa.
 const MaxClaims = 15
@@ -84,6 +96,7 @@
 	GoneOwners    []string
 	Placer        *Placer // set if it changed
 	PlacerGone    bool
+	Quarantines   []Quarantine
 	Unreadable    []string // keys of records that cannot be read, and are passed over
 }
 
@@ -111,6 +124,8 @@
 		c.addPlacer(r.Data, r.Revision, r.Gone)
 	case strings.HasPrefix(r.Key, instancePrefix):
 		c.addInstance(strings.TrimPrefix(r.Key, instancePrefix), r.Data, r.Gone)
+	case strings.HasPrefix(r.Key, quarantineKeys):
+		c.addQuarantine(r.Key, r.Data, r.Gone)
 	case strings.HasPrefix(r.Key, ownerPrefix):
 		c.addOwner(strings.TrimPrefix(r.Key, ownerPrefix), r.Data, r.Revision, r.Gone)
 	}
@@ -142,6 +157,21 @@
 	c.Instances = append(c.Instances, i)
 }
 
+// addQuarantine reads a quarantine's record. One that went says nothing: each instance
+// knows itself when a quarantine is over.
+func (c *Change) addQuarantine(key string, value []byte, gone bool) {
+	if gone {
+		return
+	}
+	request, err := strconv.ParseUint(strings.TrimPrefix(key, quarantineKeys), 16, 64)
+	q := Quarantine{Request: crash.Request(request)}
+	if err != nil || request == 0 || json.Unmarshal(value, &q) != nil {
+		c.Unreadable = append(c.Unreadable, key)
+		return
+	}
+	c.Quarantines = append(c.Quarantines, q)
+}
+
 func (c *Change) addOwner(engine string, value []byte, revision uint64, gone bool) {
 	if gone {
 		c.GoneOwners = append(c.GoneOwners, engine)
@@ -170,6 +200,9 @@
 // Value returns the placer's record.
 func (p Placer) Value() Value { return value(placerKey, p) }
 
+// Value returns the quarantine's record.
+func (q Quarantine) Value() Value { return value(quarantineKeys+q.Request.String(), q) }
+
 func value(key string, record any) Value {
 	data, err := json.Marshal(record)
 	if err != nil {
--- a/core/share/share.go
+++ b/core/share/share.go
@@ -14,10 +14,15 @@
 package share
 
 import (
+	"cmp"
+	"fmt"
+	"maps"
 	"slices"
 	"sort"
 	"time"
 
+	"github.com/birchdrift/birchdrift/core/clock"
+	"github.com/birchdrift/birchdrift/core/crash"
 	"github.com/birchdrift/birchdrift/core/demand"
 	"github.com/birchdrift/birchdrift/core/pool"
 	"github.com/birchdrift/birchdrift/core/registry"
@@ -71,6 +76,19 @@
 	Listed      []Listed
 	Holders     []Holder
 	Registered  []registry.Record
+	Crashes     []crash.Report
+	Successes   []crash.Success
+}
+
+// withAges returns the records as they travel in a message sent at now.
+func (r Records) withAges(now clock.Instant) Records {
+	for i, c := range r.Crashes {
+		r.Crashes[i].Moment = c.Sent(now)
+	}
+	for i, s := range r.Successes {
+		r.Successes[i].Moment = s.Sent(now)
+	}
+	return r
 }
 
 // A Message is one side of an exchange.
@@ -113,6 +131,8 @@
 	listed      map[string]stamped[Listed]
 	holders     map[string]stamped[Holder]
 	registered  map[string]stamped[registry.Record]
+	crashes     map[string]stamped[crash.Report]
+	successes   map[string]stamped[crash.Success]
 }
 
 // A stamped is a record with the Stamp of the set when it became new here.
@@ -130,6 +150,8 @@
 		listed:      map[string]stamped[Listed]{},
 		holders:     map[string]stamped[Holder]{},
 		registered:  map[string]stamped[registry.Record]{},
+		crashes:     map[string]stamped[crash.Report]{},
+		successes:   map[string]stamped[crash.Success]{},
 	}
 }
 
@@ -176,6 +198,53 @@
 	return put(s, s.registered, r.Key, from, r, func(old registry.Record) bool { return r.Revision > old.Revision })
 }
 
+// AddCrash stores the report, or what is new in it, and reports whether it was news.
+func (s *Set) AddCrash(from string, r crash.Report) bool {
+	name := fmt.Sprintf("%s/%d/%d", r.Observer, r.Boot, r.Seq)
+	return put(s, s.crashes, name, from, r, func(old crash.Report) bool { return len(r.Requests) > len(old.Requests) })
+}
+
+// AddSuccess stores the record and reports whether it was news. Ages that travelled
+// differ a little, so one that is hardly later is none.
+func (s *Set) AddSuccess(from string, x crash.Success) bool {
+	return put(s, s.successes, x.Request.String(), from, x, func(old crash.Success) bool { return x.At.Since(old.At) > successApart })
+}
+
+// successApart is the least time between two successes of a request of which the
+// second is news. Not measured: above what a message takes, below what a caller needs
+// to try again after a failure.
+const successApart = time.Second
+
+// Crashes returns the reports of replicas that ended under calls, in no order.
+func (s *Set) Crashes() []crash.Report {
+	out := make([]crash.Report, 0, len(s.crashes))
+	for _, x := range s.crashes {
+		out = append(out, x.record)
+	}
+	return out
+}
+
+// ServedAt returns when a request was last served whole, as far as records tell.
+func (s *Set) ServedAt(r crash.Request) clock.Instant { return s.successes[r.String()].record.At }
+
+// ForgetCrashes drops the reports of crashes that are older than age, the oldest beyond
+// the newest keep of them, and the successes that are older than age.
+func (s *Set) ForgetCrashes(now clock.Instant, age time.Duration, keep int) {
+	names := slices.SortedFunc(maps.Keys(s.crashes), func(a, b string) int {
+		return cmp.Or(cmp.Compare(s.crashes[b].record.At.Mono, s.crashes[a].record.At.Mono), cmp.Compare(a, b))
+	})
+	for i, name := range names {
+		if i >= keep || now.Elapsed(s.crashes[name].record.At) > age {
+			delete(s.crashes, name)
+		}
+	}
+	for name, x := range s.successes {
+		if now.Elapsed(x.record.At) > age {
+			delete(s.successes, name)
+		}
+	}
+}
+
 // Missing returns the registry's records that a listing of the whole registry at
 // revision at does not have, as records that are gone.
 func (s *Set) Missing(whole []registry.Record, at uint64) []registry.Record {
@@ -208,6 +277,11 @@
 	return l.record, ok
 }
 
+// News returns Since as it travels in a message sent at now.
+func (s *Set) News(now clock.Instant, stamp uint64, to string, withLoads bool, known uint64) Records {
+	return s.Since(stamp, to, withLoads, known).withAges(now)
+}
+
 // Since returns the records that became new after stamp, without those that to
 // told of itself; loads only if withLoads. Of what the platform's store holds,
 // only what changed there after known.
@@ -217,6 +291,8 @@
 	r.Listed = after(s.listed, stamp, to)
 	r.Holders = after(s.holders, stamp, to)
 	r.Registered = after(s.registered, stamp, to)
+	r.Crashes = after(s.crashes, stamp, to)
+	r.Successes = after(s.successes, stamp, to)
 	if known > 0 {
 		r.Listed = slices.DeleteFunc(r.Listed, func(l Listed) bool { return l.Version <= known })
 		r.Registered = slices.DeleteFunc(r.Registered, func(g registry.Record) bool { return g.Revision <= known })
--- a/internal/environment/driver.go
+++ b/internal/environment/driver.go
@@ -13,6 +13,7 @@
 	"github.com/birchdrift/birchdrift/core/orders"
 	"github.com/birchdrift/birchdrift/core/owned"
 	"github.com/birchdrift/birchdrift/core/ownership"
+	"github.com/birchdrift/birchdrift/core/quarantine"
 	"github.com/birchdrift/birchdrift/core/registry"
 	"github.com/birchdrift/birchdrift/core/step"
 	"github.com/birchdrift/birchdrift/core/watch"
@@ -58,6 +59,10 @@
 		return func(ctx context.Context) { d.resign(ctx, act) }
 	case ownership.Write:
 		return func(ctx context.Context) { d.writeRegistry(ctx, act) }
+	case quarantine.Record:
+		return func(ctx context.Context) { d.recordQuarantine(ctx, act) }
+	case quarantine.Unrecord:
+		return func(ctx context.Context) { d.removeQuarantine(ctx, act) }
 	case owned.SendOrder:
 		return func(ctx context.Context) { d.engineOrder(ctx, act) }
 	case owned.AskState:
@@ -171,6 +176,46 @@
 	d.host.Post(reply)
 }
 
+// recordQuarantine writes a verdict under a lease of its own, with which it goes.
+func (d *driver) recordQuarantine(ctx context.Context, a quarantine.Record) {
+	reply := quarantine.Recorded{Request: a.Quarantine.Request}
+	d.host.PlatformCalled()
+	lease, err := d.store.Grant(ctx, a.Term)
+	if err != nil {
+		reply.Err = err
+		d.host.Post(reply)
+		return
+	}
+	v := a.Quarantine.Value()
+	d.host.PlatformCalled()
+	_, err = d.store.Commit(ctx, Commit{
+		Conditions: []Condition{{Key: v.Key}},
+		Puts:       []Put{{Key: v.Key, Value: v.Data, Lease: lease}},
+	})
+	if err == nil {
+		d.host.Post(reply)
+		return
+	}
+	// The lease is of no use then; one that is not given back goes with its term.
+	d.host.PlatformCalled()
+	if end := d.store.End(ctx, lease); end != nil {
+		d.host.Event(logevent.NotReturned, "what", "lease", "error", end.Error())
+	}
+	if !errors.Is(err, ErrConflict) {
+		reply.Err = err
+	}
+	d.host.Post(reply)
+}
+
+// removeQuarantine removes a verdict that does not hold any more. A failure leaves it to
+// its lease.
+func (d *driver) removeQuarantine(ctx context.Context, a quarantine.Unrecord) {
+	d.host.PlatformCalled()
+	if _, err := d.store.Commit(ctx, Commit{Removes: []string{a.Quarantine.Value().Key}}); err != nil {
+		d.host.Event(logevent.NotReturned, "what", "quarantine", "error", err.Error())
+	}
+}
+
 func (d *driver) engineOrder(ctx context.Context, a owned.SendOrder) {
 	answer, detail := d.engines.Order(ctx, d.host.Self.Name, a.Order)
 	d.host.Post(owned.OrderReply{Engine: a.Engine, Fence: a.Fence, Answer: answer, Detail: detail})
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/birchdrift/birchdrift/core/crash"
 	"github.com/birchdrift/birchdrift/core/demand"
 	"github.com/birchdrift/birchdrift/core/pool"
 	"github.com/birchdrift/birchdrift/core/registry"
@@ -25,7 +26,7 @@
 		Ack:          m.Ack,
 		WantConfig:   m.WantConfig,
 		Config:       m.Config,
-		StoreAgeMs:   uint32(min(m.StoreAge.Milliseconds(), math.MaxUint32)),
+		StoreAgeMs:   milliseconds(m.StoreAge),
 		StoreVersion: m.StoreVersion,
 	}
 	encodeRecords(m.Records, out)
@@ -86,11 +87,43 @@
 			Leaving: l.Leaving, Gone: l.Gone, Version: l.Version, Announced: encodeAnnounced(l.Announced),
 		})
 	}
+	for _, c := range records.Crashes {
+		out.Crashes = append(out.Crashes, encodeCrash(c))
+	}
+	for _, s := range records.Successes {
+		out.Successes = append(out.Successes, &peerpb.Success{Request: uint64(s.Request), AgeMs: milliseconds(s.Age)})
+	}
 	for _, h := range records.Holders {
 		out.Holders = append(out.Holders, &peerpb.Holder{Zone: h.Zone, Instance: h.Instance, Fence: h.Fence})
 	}
 }
 
+func encodeCrash(c crash.Report) *peerpb.Crash {
+	out := &peerpb.Crash{Observer: c.Observer, Boot: c.Boot, Seq: c.Seq, Replica: c.Replica, AgeMs: milliseconds(c.Age)}
+	for _, r := range c.Requests {
+		out.Requests = append(out.Requests, uint64(r))
+	}
+	return out
+}
+
+func decodeCrash(c *peerpb.Crash) crash.Report {
+	out := crash.Report{
+		Observer: c.GetObserver(), Boot: c.GetBoot(), Seq: c.GetSeq(), Replica: c.GetReplica(),
+		Moment: age(c.GetAgeMs()),
+	}
+	for _, r := range c.GetRequests() {
+		out.Requests = append(out.Requests, crash.Request(r))
+	}
+	return out
+}
+
+// age returns a moment of so many milliseconds ago.
+func age(ms uint32) crash.Moment { return crash.Moment{Age: time.Duration(ms) * time.Millisecond} }
+
+// milliseconds returns a span as it travels; one that is too long counts as the
+// longest.
+func milliseconds(d time.Duration) uint32 { return uint32(min(d.Milliseconds(), math.MaxUint32)) }
+
 func encodeAnnounced(a *pool.Announcement) *peerpb.Announced {
 	if a == nil {
 		return nil
@@ -188,6 +221,14 @@
 			Leaving: l.GetLeaving(), Gone: l.GetGone(), Version: l.GetVersion(), Announced: decodeAnnounced(l.GetAnnounced()),
 		})
 	}
+	for _, c := range m.GetCrashes() {
+		out.Crashes = append(out.Crashes, decodeCrash(c))
+	}
+	for _, s := range m.GetSuccesses() {
+		out.Successes = append(out.Successes, crash.Success{
+			Request: crash.Request(s.GetRequest()), Moment: age(s.GetAgeMs()),
+		})
+	}
 	for _, h := range m.GetHolders() {
 		out.Holders = append(out.Holders, share.Holder{
 			Zone: h.GetZone(), Instance: h.GetInstance(), Fence: h.GetFence(),
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/birchdrift/birchdrift/core/crash"
 	"github.com/birchdrift/birchdrift/core/demand"
 	"github.com/birchdrift/birchdrift/core/pool"
 	"github.com/birchdrift/birchdrift/core/registry"
@@ -31,6 +32,10 @@
 				{Key: "owners/e", Data: []byte("{}"), Revision: 14},
 				{Key: "owners/f", Revision: 15, Gone: true},
 			},
+			Crashes: []crash.Report{{
+				Observer: "a", Boot: 18, Seq: 19, Replica: "e", Requests: []crash.Request{20, 1 << 63}, Moment: crash.Moment{Age: 21 * time.Millisecond},
+			}},
+			Successes: []crash.Success{{Request: 22, Moment: crash.Moment{Age: 23 * time.Millisecond}}},
 		},
 		Demand: []demand.Item{{Name: "m", Rate: 0.5, Concurrent: 0.25, Weight: 2, Waiting: 13, Unmet: time.Second, Idle: time.Minute}},
 		Uses: map[string]pool.Use{"e": {
--- a/internal/shell/actions.go
+++ b/internal/shell/actions.go
@@ -13,10 +13,12 @@
 	"github.com/birchdrift/birchdrift/core/logevent"
 	"github.com/birchdrift/birchdrift/core/orders"
 	"github.com/birchdrift/birchdrift/core/owned"
+	"github.com/birchdrift/birchdrift/core/quarantine"
 	"github.com/birchdrift/birchdrift/core/share"
 	"github.com/birchdrift/birchdrift/core/shutdown"
 	"github.com/birchdrift/birchdrift/core/step"
 	"github.com/birchdrift/birchdrift/internal/peer"
+	"github.com/birchdrift/birchdrift/internal/upstream"
 )
 
 // Time limits of single requests to peers.
@@ -46,6 +48,8 @@
 			reply <- act.Message
 			delete(s.asks, act.Token)
 		}
+	case quarantine.Check:
+		s.work(func(ctx context.Context) { s.check(ctx, act) })
 	case asks.Ask:
 		s.work(func(ctx context.Context) { s.askOrder(ctx, act) })
 	case owned.Answer:
@@ -143,6 +147,12 @@
 	s.post(exchange.Reply{Peer: a.Peer, Address: a.Address, Message: reply, Err: err})
 }
 
+// check sees whether a process listens at a replica's address.
+func (s *Shell) check(ctx context.Context, a quarantine.Check) {
+	err := upstream.Reach(ctx, a.Address)
+	s.post(quarantine.Checked{Replica: a.Replica, Ended: upstream.NothingListens(err)})
+}
+
 // askTime bounds how long the owner of an engine is waited for.
 // Set in fd5c1f7.
 const askTime = time.Second
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -143,6 +143,16 @@
 // and that no process listens there.
 func NothingListens(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
 
+// Reach connects to an upstream's address (IP:port) and closes the connection again.
+func Reach(ctx context.Context, address string) error {
+	conn, err := newDialer().DialContext(ctx, "tcp", address)
+	if err != nil {
+		return err
+	}
+	_ = conn.Close() // nothing was sent
+	return nil
+}
+
 // Headers by which upstreams speak about themselves and their answers.
 const (
 	// HeaderRun is "not_run" on an answer of an upstream that did not run the
