A request that may be blamed soon is sent by one instance after the other

Cause: a request that was in flight at three replicas that ended was blamed where no other explained them. Ruled out: leaving out calls whose answer had gone on for long (a request may end its replica late); telling them apart by how long they were there (calls that move on with a bad one are there as briefly). Change: with three ends a request is blamed only if nothing else ended in the ten seconds before that it does not explain, and none was at as many of them; with four always, which is more than the tries of a caller bring a harmless one to. Between the two its tries take turns, by instance, each after the one before is judged.

--- a/core/crash/blame.go
+++ b/core/crash/blame.go
@@ -18,6 +18,10 @@
 	// attempts each, bring a request that harms nobody to no more, so one that has as
 	// many and comes again is none.
 	sureLimit = 4
+	// chanceSpan is how long before the last end of a request there must have been none
+	// that it does not explain: where replicas end for another reason, three of them may
+	// end under any request. Not measured: some tries of a caller.
+	chanceSpan = 10 * time.Second
 	// sameEnd is how far apart, by the nearer of both clocks, two reports of a replica
 	// may lie that tell of one end. Not measured: above what a message takes, below the
 	// seconds that a replica takes to come back.
@@ -42,7 +46,8 @@
 // takes for a request. Reports count up to settled only: before that, those of other
 // instances may be missing.
 func Blame(reports []Report, served func(Request) clock.Instant, limit func(Request) int, settled clock.Instant) []Case {
-	under := endsUnder(merge(reports, settled), served, limit)
+	ends := merge(reports, settled)
+	under := endsUnder(ends, served, limit)
 	explained := map[*end]bool{}
 	var cases []Case
 	blame := func(request Request) {
@@ -58,7 +63,7 @@
 		}
 	}
 	for {
-		request, ok := strongest(under, explained, limit)
+		request, ok := strongest(ends, under, explained, limit)
 		if !ok {
 			return cases
 		}
@@ -118,8 +123,8 @@
 
 // strongest returns the request with the most ends that no other explains, if these are
 // enough to blame it. Where others that have as many were in flight at some of the same,
-// more ends have to tell them apart.
-func strongest(under map[Request][]*end, explained map[*end]bool, limit func(Request) int) (Request, bool) {
+// or it may have been there by chance, more ends have to tell.
+func strongest(ends []*end, under map[Request][]*end, explained map[*end]bool, limit func(Request) int) (Request, bool) {
 	open := map[Request][]*end{}
 	for request, ends := range under {
 		left := slices.DeleteFunc(slices.Clone(ends), func(e *end) bool { return explained[e] })
@@ -136,7 +141,10 @@
 			continue
 		}
 		if !slices.ContainsFunc(byEnds, func(other Request) bool { return rivals(request, other, open) }) {
-			return request, true
+			if !byChance(open[request], ends, explained) {
+				return request, true
+			}
+			continue
 		}
 		for _, e := range open[request] {
 			disputed[e] = true
@@ -145,6 +153,19 @@
 	return 0, false
 }
 
+// byChance reports whether, in the time before the last of a request's own ends, there
+// were others that nothing explains.
+func byChance(own, ends []*end, explained map[*end]bool) bool {
+	last := own[0].at
+	for _, e := range own {
+		last = clock.Latest(last, e.at)
+	}
+	return slices.ContainsFunc(ends, func(e *end) bool {
+		age := last.Since(e.at)
+		return age >= 0 && age < chanceSpan && !explained[e] && !slices.Contains(own, e)
+	})
+}
+
 // rivals reports whether another request has as many ends, some of them the same.
 func rivals(request, other Request, open map[Request][]*end) bool {
 	return request != other && len(open[other]) == len(open[request]) &&
--- a/core/crash/crash_test.go
+++ b/core/crash/crash_test.go
@@ -27,6 +27,18 @@
 	return reports
 }
 
+// others are reports of replicas that ended for another reason until so long after start.
+func others(until time.Duration, n int) []Report {
+	var reports []Report
+	for i := range n {
+		reports = append(reports, Report{
+			Observer: "i", Seq: uint64(100 + i), Replica: "other" + string(rune('a'+i)), Requests: []Request{Request(100 + i)},
+			Moment: Moment{At: start.Add(until - time.Duration(i)*time.Second)},
+		})
+	}
+	return reports
+}
+
 func blamed(reports []Report, served map[Request]clock.Instant, limits map[Request]int) []Request {
 	limit := func(r Request) int {
 		if n, ok := limits[r]; ok {
@@ -64,6 +76,10 @@
 		{"as many, some the same", ended(in{1}, in{1, 9}, in{1, 9}, in{9}), nil, nil, nil},
 		{"together for so long that it is no chance", ended(repeat(4, 1, 2)...), nil, nil, []Request{1, 2}},
 		{"two, one after the other", ended(in{1, 9}, in{1}, in{1, 8}, in{2, 9}, in{2}, in{2, 8}), nil, nil, []Request{1, 2}},
+		{"among many that end for another reason", append(ended(in{1}, in{1}, in{1}), others(2*apart, 4)...), nil, nil, nil},
+		{"a fourth among many", append(ended(in{1}, in{1}, in{1}, in{1}), others(3*apart, 4)...), nil, nil, []Request{1}},
+		{"beside one that ended for another reason", append(ended(in{1}, in{1}, in{1}), others(2*apart, 1)...), nil, nil, nil},
+		{"long after others that ended", append(ended(in{1}, in{1}, in{1}), others(0, 4)...), nil, nil, []Request{1}},
 		{"its ends are another's", ended(in{1, 9}, in{1, 9}, in{1, 9}, in{1}, in{1}), nil, nil, []Request{1}},
 		{"served since", ended(repeat(3, 1)...), map[Request]clock.Instant{1: start.Add(2 * apart).Add(1)}, nil, nil},
 		{"served in between", ended(repeat(4, 1)...), map[Request]clock.Instant{1: start.Add(1)}, nil, []Request{1}},
--- a/core/forwarding/attempts.go
+++ b/core/forwarding/attempts.go
@@ -56,6 +56,7 @@
 		"replica", former, "severed", b.Severed, "unreachable", b.Unreachable, "status", b.Status, "detail", b.Detail)
 	c.Phase = calls.Waiting
 	s.probe = probe{}
+	s.notBefore = clock.Instant{}
 	f.findReplica(now, c)
 }
 
--- a/core/forwarding/forwarding.go
+++ b/core/forwarding/forwarding.go
@@ -67,6 +67,9 @@
 	fetches  int  // orders that it waited for
 	missed   bool // it found its model on no engine
 	probe    probe
+	// notBefore is when it may be sent, if replicas ended under its request; zero: that
+	// was not looked at yet.
+	notBefore clock.Instant
 }
 
 // A target is what a forwarded call asks of an engine; the zero value is that of
--- a/core/forwarding/place.go
+++ b/core/forwarding/place.go
@@ -1,12 +1,14 @@
 package forwarding
 
 import (
+	"slices"
 	"time"
 
 	"github.com/birchdrift/birchdrift/core/asks"
 	"github.com/birchdrift/birchdrift/core/calls"
 	"github.com/birchdrift/birchdrift/core/clock"
 	"github.com/birchdrift/birchdrift/core/config"
+	"github.com/birchdrift/birchdrift/core/crash"
 	"github.com/birchdrift/birchdrift/core/logevent"
 	"github.com/birchdrift/birchdrift/core/orders"
 	"github.com/birchdrift/birchdrift/core/pool"
@@ -23,6 +25,10 @@
 		return
 	}
 	s := stateOf(c)
+	if f.pauses(now, c, s) {
+		f.Calls.Wait(c)
+		return
+	}
 	query := f.query(now, c, s)
 	candidates := f.Pool.Serving(c.Service)
 	if f.probeEngines(now, c, query, candidates) {
@@ -40,6 +46,27 @@
 	}
 }
 
+// pauses reports whether a call is not to be sent yet, since replicas ended under its
+// request.
+func (f *Forwarder) pauses(now clock.Instant, c *calls.Call, s *state) bool {
+	pause := f.Quarantine.Pause(c.Forward.Fingerprint)
+	if pause == 0 {
+		return false
+	}
+	if s.notBefore.IsZero() {
+		s.notBefore = now.Add(pause)
+		f.Out.Log(logevent.CallWaits, "call", c.Forward.Name, "for", "other tries of its request, under which replicas ended")
+	}
+	return now.Before(s.notBefore) || f.running(c.Forward.Fingerprint)
+}
+
+// running reports whether a call of the request is at a replica.
+func (f *Forwarder) running(request crash.Request) bool {
+	return slices.ContainsFunc(f.Calls.All(), func(c *calls.Call) bool {
+		return c.Phase == calls.Running && c.Forward != nil && c.Forward.Fingerprint == request
+	})
+}
+
 func (f *Forwarder) query(now clock.Instant, c *calls.Call, s *state) route.Query {
 	query := route.Query{
 		Zone:     f.Self.Zone,
--- a/core/forwarding/repeat.go
+++ b/core/forwarding/repeat.go
@@ -36,15 +36,14 @@
 	refusedTooOften               // by replicas that did not run it
 	unsentTooOften                // nothing answered at replicas
 	noTimeLeft
-	endsReplicas // or others do that it runs beside
-	overBudget   // the fleet's repeats of the service are used up
+	overBudget // the fleet's repeats of the service are used up
 )
 
 // String names the reason for the log.
 func (v repeatVerdict) String() string {
 	return [...]string{
 		"allowed", "it may have run", "the stream cannot be resumed", "its body cannot be sent again", "all attempts are used",
-		"refused too often", "nothing answered too often", "no time is left", "too many replicas ended under its request", "the retry budget is used up",
+		"refused too often", "nothing answered too often", "no time is left", "the retry budget is used up",
 	}[v]
 }
 
@@ -70,8 +69,6 @@
 		return unsentTooOften
 	case !now.Add(leastLeft).Before(c.Expires):
 		return noTimeLeft
-	case b.Severed && f.Quarantine.Suspected(c.Forward.Fingerprint):
-		return endsReplicas
 	case b.Phase != attempt.NotSent && !f.Budget.Spend(now, c.Service):
 		return overBudget
 	default:
--- a/core/quarantine/verdict.go
+++ b/core/quarantine/verdict.go
@@ -10,6 +10,7 @@
 	"github.com/birchdrift/birchdrift/core/crash"
 	"github.com/birchdrift/birchdrift/core/logevent"
 	"github.com/birchdrift/birchdrift/core/registry"
+	"github.com/birchdrift/birchdrift/core/rendezvous"
 )
 
 // Which requests are not run, and for how long.
@@ -22,6 +23,9 @@
 	// longestTerm bounds the terms of a request that is blamed again and again, each of
 	// which is twice the one before. Not measured.
 	longestTerm = 8 * time.Hour
+	// turns is in how many turns the tries of a request are sent that may be blamed soon.
+	// Not measured: the instances of a small site; in a large fleet several share one.
+	turns = 8
 	// maxVerdicts bounds the requests that are known, the newest first; they take
 	// 0.1 MB. Not measured: three replicas end for each.
 	maxVerdicts = 1024
@@ -53,11 +57,29 @@
 	return t.verdicts[request].left(now)
 }
 
-// Suspected reports whether so many replicas ended under a request that it would be
-// blamed for them, but for others that were in flight there too. It is not sent to a
-// second replica by one try then: what the first shows must reach all instances before.
-func (t *Tracker) Suspected(request crash.Request) bool {
-	return t.suspects[request] && len(replicasUnder(request, t.Records.Crashes())) >= crash.Limit
+// Pause returns how long a call of a request waits before it is sent: 0, but for one
+// under which so many replicas ended that the next end decides. Its tries at all
+// instances are sent one after the other then, each after what the one before showed
+// has been judged. A request that harms nobody is late by that; of one that does, one
+// more replica ends instead of one at each instance.
+func (t *Tracker) Pause(request crash.Request) time.Duration {
+	if !t.suspects[request] || len(replicasUnder(request, t.Records.Crashes())) < crash.Limit {
+		return 0
+	}
+	return time.Duration(t.turn(request)+1) * decided
+}
+
+// turn returns which in the row of instances this one is for a request.
+func (t *Tracker) turn(request crash.Request) int {
+	key := rendezvous.Key(request.String())
+	own := rendezvous.Score(key, t.Self.Name)
+	before := 0
+	for _, p := range t.Members.Peers() {
+		if rendezvous.Score(key, p.Name) > own {
+			before++
+		}
+	}
+	return before % turns
 }
 
 // limit returns how many replicas must have ended under a request for it to be blamed.
