--- a/core/instance/crash_test.go
+++ b/core/instance/crash_test.go
@@ -22,6 +22,7 @@
 
 	"github.com/birchdrift/birchdrift/core/attempt"
 	"github.com/birchdrift/birchdrift/core/calls"
+	"github.com/birchdrift/birchdrift/core/clock/clocktest"
 	"github.com/birchdrift/birchdrift/core/code"
 	"github.com/birchdrift/birchdrift/core/crash"
 	"github.com/birchdrift/birchdrift/core/option"
@@ -502,3 +503,56 @@
 	o := l.f.store.values["owners/"+e.name].data.(*registry.Ownership)
 	return l.f.members[o.Owner]
 }
+
+// TestAllInstancesKnowInTime: once one instance does not run a request any more, none does
+// a moment later, in a small fleet and a large one, also without the store.
+func TestAllInstancesKnowInTime(t *testing.T) {
+	const limit = time.Second
+	cases := []struct {
+		name    string
+		members int
+		engines int
+		down    bool
+	}{
+		{"a small fleet", 8, 16, false},
+		{"a small fleet, the store down", 8, 16, true},
+		{"a large fleet", 2 * watchers.FullMeshLimit, 64, false},
+		{"a large fleet, the store down", 2 * watchers.FullMeshLimit, 64, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range *crashSeeds {
+				l := newCrashLab(newFleetOf(uint64(seed+1), c.members, c.engines, option.Disabled{}, false))
+				l.f.expire()
+				l.f.run(8 * time.Second)
+				l.f.store.down = c.down
+				l.poison(1000, 0, 200*time.Millisecond)
+				first := l.until(1)
+				last := l.until(c.members)
+				ended := l.ended[1000]
+				t.Logf("seed %d: refused first %v after the last of %d ends, by all %v after that", seed, first-ended[len(ended)-1], len(ended), last-first)
+				if last-first > limit {
+					t.Errorf("seed %d: the last instance refused it %v after the first", seed, last-first)
+				}
+			}
+		})
+	}
+}
+
+// until runs the fleet until so many members refuse request 1000, and returns when.
+func (l *crashLab) until(members int) time.Duration {
+	for range 3000 {
+		n := 0
+		for _, m := range l.f.members {
+			if m.m.quarantine.Left(clocktest.At(time.Hour+l.f.now), 1000) > 0 {
+				n++
+			}
+		}
+		if n >= members {
+			break
+		}
+		l.f.run(10 * time.Millisecond)
+	}
+	return l.f.now
+}
