Time that a machine sleeps counts, also when its wall clock is set back meanwhile

Cause: the steady reading was Go's, which stands still while a machine sleeps; the owners' rights were judged by the wall clock as well, so a clock set back by as much hid the sleep, and an owner ordered its engines on waking though others had taken them. Ruled out: judging more spans by both clocks (80 places ask the steady one, and a clock that is set back deceives both). Change: the steady reading is the system's time since boot, sleep included, everywhere; Go's own where there is none, with a log line. Storms of the core's fleet with sleeps, clocks that are set, and both with the store down.

--- a/core/instance/announced_world_test.go
+++ b/core/instance/announced_world_test.go
@@ -65,6 +65,8 @@
 	lost       float64 // share of writes of the store whose answers are lost
 	// crashes is what runs at engines that may end; nil: calls are served at once.
 	crashes *crashLab
+	// steady has members read a steady clock that stands still while they sleep.
+	steady bool
 	// cut are zones without a way to other zones and to the store.
 	cut map[string]bool
 }
@@ -75,6 +77,8 @@
 	id      member.Identity
 	boot    uint64
 	since   time.Duration // when it was last started or thawed
+	lag     time.Duration // by how much its steady clock is behind
+	set     time.Duration // by how much its wall clock was set forward
 	dead    bool
 	frozen  bool
 	held    []func()
@@ -263,11 +267,30 @@
 		n.held = append(n.held, func() { f.step(n, boot, ev) })
 		return
 	}
-	for _, a := range slices.Clone(n.m.Step(clocktest.At(time.Hour+f.now), ev)) {
+	for _, a := range slices.Clone(n.m.Step(f.clock(n), ev)) {
 		f.do(n, boot, a)
 	}
 }
 
+// clock returns what a member's clocks read.
+func (f *fleet) clock(n *fleetMember) clock.Instant {
+	at := clocktest.At(time.Hour + f.now)
+	return clock.Instant{Mono: at.Mono - n.lag, Wall: at.Wall.Add(n.set)}
+}
+
+// sleep has a member's machine sleep for a while, its wall clock set back meanwhile by so
+// much.
+func (f *fleet) sleep(n *fleetMember, span, back time.Duration) {
+	n.frozen = true
+	f.at(span, func() {
+		n.set -= back
+		if f.steady {
+			n.lag += span
+		}
+		f.thaw(n)
+	})
+}
+
 func (f *fleet) thaw(n *fleetMember) {
 	n.frozen = false
 	n.since = f.now
@@ -286,9 +309,9 @@
 	case watch.Begin:
 		f.at(fleetWay, func() { f.watch(n, boot, act.Wait) })
 	case ownership.Enrol:
-		f.storeCall(n, func() (step.Event, bool) { return f.enrol(act), true }, func(err error) step.Event { return ownership.EnrolReply{Err: err} }, reply)
+		f.storeCall(n, func() (step.Event, bool) { return f.enrol(n, act), true }, func(err error) step.Event { return ownership.EnrolReply{Err: err} }, reply)
 	case ownership.KeepEnrolled:
-		sent := clocktest.At(time.Hour + f.now)
+		sent := f.clock(n)
 		f.storeCall(n, func() (step.Event, bool) {
 			l := f.store.leases[act.Lease]
 			if l == nil {
@@ -309,7 +332,7 @@
 			return Tick{}, false
 		}, func(error) step.Event { return Tick{} }, reply)
 	case ownership.Write:
-		sent := clocktest.At(time.Hour + f.now)
+		sent := f.clock(n)
 		f.storeCall(n, func() (step.Event, bool) { return f.write(act, sent), true }, func(err error) step.Event { return ownership.WriteReply{Write: act.Write, Err: err} }, reply)
 	case quarantine.Check:
 		e := f.engines[act.Replica]
@@ -423,13 +446,13 @@
 	f.change("servers/"+e.name, &fleetValue{data: a})
 }
 
-func (f *fleet) enrol(a ownership.Enrol) step.Event {
+func (f *fleet) enrol(n *fleetMember, a ownership.Enrol) step.Event {
 	f.store.next++
 	lease := f.store.next
 	f.store.leases[lease] = &fleetLease{expires: f.now + a.Term, term: a.Term}
 	i := a.Instance
 	f.change("instances/"+i.Name, &fleetValue{data: &i, lease: lease})
-	return ownership.EnrolReply{Sent: clocktest.At(time.Hour + f.now), Lease: lease}
+	return ownership.EnrolReply{Sent: f.clock(n), Lease: lease}
 }
 
 // leaseOf returns the lease on which the member's record hangs, 0 if it has none.
@@ -902,6 +925,34 @@
 			return func() { n.noStore = false }
 		})
 	}},
+	{"members sleep", func(f *fleet) {
+		f.again(16*time.Second, time.Hour, func() func() {
+			f.sleep(f.giver(), 14*time.Second, 0)
+			return func() {}
+		})
+	}},
+	{"members sleep, their clocks set back meanwhile", func(f *fleet) {
+		f.again(5*time.Second, time.Hour, func() func() {
+			f.sleep(f.giver(), 14*time.Second, 14*time.Second)
+			return func() {}
+		})
+	}},
+	{"clocks are set", func(f *fleet) {
+		f.again(5*time.Second, 3*time.Second, func() func() {
+			n := f.giver()
+			by := time.Duration(f.rng.IntN(20)-10) * time.Second
+			n.set += by
+			return func() { n.set -= by }
+		})
+	}},
+	{"clocks are set, members sleep and the store is down", func(f *fleet) {
+		f.again(11*time.Second, 5*time.Second, func() func() {
+			f.store.down = true
+			f.sleep(f.giver(), 6*time.Second, 3*time.Second)
+			f.anyMember().set += 5 * time.Second
+			return func() { f.store.down = false }
+		})
+	}},
 	{"planned stops", func(f *fleet) {
 		f.again(8*time.Second, 4*time.Second, func() func() {
 			n := f.giver()
@@ -1103,15 +1154,18 @@
 		name    string
 		disable option.Disabled
 		empty   bool
+		steady  bool
 	}{
-		{"waiting for the former owner's orders", option.Disabled{TurnWait: true}, false},
-		{"the rate of the weight store", option.Disabled{Rate: true}, true},
+		{"waiting for the former owner's orders", option.Disabled{TurnWait: true}, false, false},
+		{"the rate of the weight store", option.Disabled{Rate: true}, true, false},
+		{"a clock that counts sleep", option.Disabled{}, false, true},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			for _, s := range fleetStorms {
 				for seed := range 3 {
 					f := newFleetWith(uint64(seed+1), 5, c.disable, c.empty)
+					f.steady = c.steady
 					f.expire()
 					f.run(5 * time.Second)
 					f.callers(40 * time.Millisecond)
--- a/core/logevent/logevent.go
+++ b/core/logevent/logevent.go
@@ -18,6 +18,7 @@
 	Stopped            Number = 1003
 	Listening          Number = 1004
 	Reloaded           Number = 1005
+	SleepUncounted     Number = 1007
 	ReloadRefused      Number = 1006
 	Installed          Number = 1101
 	OlderIgnored       Number = 1102
@@ -103,6 +104,7 @@
 	{Listening, "listening", "A listener accepts connections.", "None."},
 	{Reloaded, "settings_reloaded", "Changed settings are in force; those that need a restart keep their old value until then.", "None."},
 	{ReloadRefused, "settings_refused", "The changed settings are wrong; the old ones stay in force.", "Mend what the detail names."},
+	{SleepUncounted, "sleep_uncounted", "The system offers no clock that counts the time for which the machine sleeps; rights are judged by the wall clock as well, which may be set back.", "Keep the machine from being suspended, or its wall clock from being set back."},
 	{Installed, "configuration_installed", "A configuration revision is in force on this instance.", "None."},
 	{OlderIgnored, "older_configuration_ignored", "Somebody offered a revision that is not newer than the one in force.", "None; a burst after a zone heals is usual."},
 	{ConfigFailed, "configuration_failed", "A stored configuration could not be taken over; the one in force stays.", "Apply a good one with `birchctl apply`."},
--- /dev/null
+++ b/internal/shell/clocks.go
@@ -0,0 +1,57 @@
+package shell
+
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"github.com/birchdrift/birchdrift/core/clock"
+)
+
+// firstReading is what the steady clock shows at the start, so that no instant is zero.
+// Not measured: any time would do.
+const firstReading = time.Second
+
+// clocks reads the machine's clocks.
+type clocks struct {
+	start  time.Time                     // of the process
+	booted time.Duration                 // what sinceBoot returned then
+	boot   func() (time.Duration, error) // sinceBoot, a seam for tests
+}
+
+func newClocks() *clocks {
+	c := &clocks{start: time.Now(), boot: sinceBoot}
+	booted, err := c.boot()
+	if err != nil {
+		c.boot = nil
+	}
+	c.booted = booted
+	return c
+}
+
+// counting reports whether the steady reading counts the time that the machine sleeps.
+func (c *clocks) counting() bool { return c.boot != nil }
+
+// now reads both clocks. The steady one goes on while the machine sleeps, unlike Go's own,
+// where the system offers such a clock: rights that lapse meanwhile have lapsed on
+// waking, also if somebody set the wall clock back. The wall reading is stripped of Go's
+// monotonic one, or the two could never differ.
+func (c *clocks) now() clock.Instant {
+	t := time.Now()
+	mono := t.Sub(c.start)
+	if c.counting() {
+		if since, err := c.boot(); err == nil {
+			mono = since - c.booted
+		}
+	}
+	return clock.Instant{Mono: mono + firstReading, Wall: t.Round(0)}
+}
+
+// sinceBoot returns the time since the machine started, its sleep included.
+func sinceBoot() (time.Duration, error) {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		return 0, err
+	}
+	return time.Duration(ts.Nano()), nil
+}
--- a/internal/shell/shell.go
+++ b/internal/shell/shell.go
@@ -76,7 +76,7 @@
 	peers       *peer.Client
 	log         logr.Logger
 	metrics     *telemetry.Metrics
-	start       time.Time
+	clocks      *clocks
 
 	events   chan func(*Shell) step.Event
 	calls    map[calls.ID]*callBox
@@ -98,7 +98,7 @@
 		peers:   peers,
 		log:     log,
 		metrics: metrics,
-		start:   time.Now(),
+		clocks:  newClocks(),
 		events:  make(chan func(*Shell) step.Event, eventQueue),
 		calls:   map[calls.ID]*callBox{},
 		asks:    map[uint64]chan share.Message{},
@@ -106,6 +106,9 @@
 		exited:  make(chan shutdown.Exit, 1),
 		ctx:     ctx,
 	}
+	if !s.clocks.counting() {
+		s.event(logevent.SleepUncounted)
+	}
 	s.environment = join(Host{
 		Self: self, Now: s.Now, Post: s.post, PostConfig: s.postConfig, Config: s.Config,
 		PlatformCalled: metrics.PlatformCall, Event: s.event,
@@ -118,12 +121,8 @@
 	s.log.Info(n.Name(), append([]any{"event", int(n)}, fields...)...)
 }
 
-// Now reads both clocks. The wall reading is stripped of Go's own monotonic
-// one, or the two could never differ.
-func (s *Shell) Now() clock.Instant {
-	t := time.Now()
-	return clock.Instant{Mono: t.Sub(s.start) + time.Second, Wall: t.Round(0)}
-}
+// Now reads both clocks.
+func (s *Shell) Now() clock.Instant { return s.clocks.now() }
 
 // Run owns the machine until the shell's context ends, then waits for the
 // workers.
--- a/internal/shell/shell_test.go
+++ b/internal/shell/shell_test.go
@@ -120,12 +120,35 @@
 	})
 }
 
+// TestSleepIsCounted: the steady reading goes on with the time since the machine started,
+// whatever Go's own clock says, and falls back on that where there is no such clock.
+func TestSleepIsCounted(t *testing.T) {
+	is := is.New(t)
+	c := newClocks()
+	is.True(c.counting())
+	before := c.now()
+	time.Sleep(20 * time.Millisecond)
+	after := c.now()
+	is.True(after.Since(before) >= 20*time.Millisecond)
+	is.True(after.Since(before) < 10*time.Second)
+
+	booted, err := sinceBoot()
+	is.NoErr(err)
+	slept := &clocks{start: time.Now(), booted: booted, boot: func() (time.Duration, error) { return booted + time.Hour, nil }}
+	is.Equal(slept.now().Mono, time.Hour+firstReading)
+
+	without := &clocks{start: time.Now()}
+	is.True(!without.counting())
+	is.True(without.now().Mono >= firstReading)
+	is.True(without.now().Mono < time.Minute)
+}
+
 // TestWallReadingHasNoMonotonicPart: with Go's own monotonic reading left in,
 // the two clocks of an Instant could never differ, and a suspended machine
 // would go on believing in its lease.
 func TestWallReadingHasNoMonotonicPart(t *testing.T) {
 	is := is.New(t)
-	s := &Shell{start: time.Now()}
+	s := &Shell{clocks: newClocks()}
 	now := s.Now()
 	is.Equal(now.Wall, now.Wall.Round(0)) // == compares the monotonic part too
 	later := clock.Instant{Mono: now.Mono, Wall: now.Wall.Add(time.Hour)}
