Entries of replicas that make no sense change nothing

Cause: any entry with an address passed: a state that is not known counted as ready, an entry without a service or zone was taken in, and one that could not be read any more was missing from a reading of the whole, which counted its replica as gone. Ruled out: taking over the fields that can be read (a replica would be used by half of what was said of it). Change: an entry needs a service, a zone, an address with a port, a known state, no names that are empty and no negative figures; anything else is named in the log and says nothing, also in a reading of the whole. What was known of the replica stays until its entry goes.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Nothing but Go, make and the module proxy is needed.
 MODULES := . core standin
 
-.PHONY: build demo test race lint docs fmt
+.PHONY: build demo test race fuzz lint docs fmt
 
 build:
 	go build -o bin/ ./cmd/...
@@ -19,6 +19,11 @@
 	cd core && go test -race ./instance/... ./own/book/...
 	go test -race ./internal/...
 
+# Some seconds of the decoder of what others write into the store; longer by hand:
+# go test ./platform -run '^$' -fuzz FuzzEntry -fuzztime 10m
+fuzz:
+	go test ./platform -run '^$$' -fuzz FuzzEntry -fuzztime 5s
+
 # staticcheck and deadcode are pinned by the tool directives in go.mod. deadcode
 # counts what only tests reach as dead in the product, but not in the stand-ins,
 # which are there for the tests.
--- a/core/listing/listing.go
+++ b/core/listing/listing.go
@@ -20,8 +20,11 @@
 type Reply struct {
 	Entries []share.Listed
 	Version uint64
-	Whole   bool // Entries are all that the list has
-	Err     error
+	Whole   bool // Entries are all that the list has, but for Unreadable
+	// Unreadable are upstreams whose entries make no sense. They say nothing: what was
+	// known of the upstream stays until its entry goes or can be read again.
+	Unreadable []string
+	Err        error
 }
 
 // IsEvent implements step.Event.
@@ -50,7 +53,7 @@
 	l.version = e.Version
 	entries := e.Entries
 	if e.Whole {
-		entries = append(entries, l.missing(entries, e.Version)...)
+		entries = append(entries, l.missing(e)...)
 	}
 	for _, entry := range entries {
 		l.add(now, "", entry)
@@ -129,15 +132,18 @@
 
 // missing returns the announced replicas that a whole list no longer has, as
 // entries that are gone.
-func (l *List) missing(entries []share.Listed, version uint64) []share.Listed {
-	has := make(map[string]bool, len(entries))
-	for _, entry := range entries {
+func (l *List) missing(e Reply) []share.Listed {
+	has := make(map[string]bool, len(e.Entries))
+	for _, entry := range e.Entries {
 		has[entry.Name] = true
 	}
+	for _, name := range e.Unreadable {
+		has[name] = true
+	}
 	var gone []share.Listed
 	for _, r := range l.Pool.All() {
 		if r.Announced && !r.Vanished() && !has[r.Name] {
-			gone = append(gone, share.Listed{Name: r.Name, Kind: share.Upstream, Zone: r.Zone, Gone: true, Version: version})
+			gone = append(gone, share.Listed{Name: r.Name, Kind: share.Upstream, Zone: r.Zone, Gone: true, Version: e.Version})
 		}
 	}
 	return gone
--- a/core/logevent/logevent.go
+++ b/core/logevent/logevent.go
@@ -119,7 +119,7 @@
 	{EngineTaken, "engine_taken", "This instance orders the engine from now on, at the earliest after `wait`.", "None."},
 	{EngineLost, "engine_lost", "This instance no longer orders the engine.", "None."},
 	{NotReturned, "not_returned", "At a planned stop, or after a call that did not run, something could not be given back to the platform; others wait until it lapses.", "Check the platform if it lasts."},
-	{RecordUnreadable, "record_unreadable", "A record in the platform's store cannot be read and is passed over.", "See who wrote the key; a replica's entry without an address counts too."},
+	{RecordUnreadable, "record_unreadable", "A record in the platform's store cannot be read and is passed over.", "See who wrote the key. A replica's entry that lacks a service, zone, address or state, or has one that is not known, counts too; what was known of the replica stays."},
 	{Watching, "watching", "This instance watches the platform's store from now on, or no longer does (`keeps`), and why.", "None; one that begins again and again hears too late from its peers."},
 	{Placing, "placing", "This instance places models from now on.", "None."},
 	{Placed, "placement", "A model is to be loaded on an engine, and others to make way for it.", "None; `worth` and `cost` say why."},
--- a/internal/environment/driver.go
+++ b/internal/environment/driver.go
@@ -90,7 +90,9 @@
 		d.host.PostConfig(pack(change.Config), instance.PlatformSource)
 	}
 	if len(change.Listed) > 0 || change.Whole {
-		d.host.Post(listing.Reply{Entries: change.Listed, Version: change.Version, Whole: change.Whole})
+		d.host.Post(listing.Reply{
+			Entries: change.Listed, Version: change.Version, Whole: change.Whole, Unreadable: change.UnreadableReplicas,
+		})
 	}
 	if len(change.Records) > 0 || change.Whole {
 		d.host.Post(ownership.Heard{Records: change.Records, Version: change.Version, Whole: change.Whole})
--- a/internal/environment/store.go
+++ b/internal/environment/store.go
@@ -34,10 +34,13 @@
 	Config  []byte // the newest configuration as the store holds it; nil if it did not change
 	Listed  []share.Listed
 	Records []registry.Record // the product's own values
-	// Unreadable are keys whose values make no sense, and are passed over.
-	Unreadable []string
-	Whole      bool // Listed and Records are all that there is
-	Version    uint64
+	// Unreadable are keys whose values make no sense, and are passed over;
+	// UnreadableReplicas are the names of the replicas among them, of which nothing is
+	// said then.
+	Unreadable         []string
+	UnreadableReplicas []string
+	Whole              bool // Listed and Records are all that there is
+	Version            uint64
 }
 
 // A Condition holds while a key's last change is Revision; 0: while there is no
