Connections that go silent: callers' and peers' are probed, tests for each kind

Cause: connections that others open had the system's defaults: one whose other end went silent held its descriptor for 2.5 minutes, and unread bytes for longer. Ruled out: shorter limits for callers (a slow reader pauses), shorter ones for replicas (to be measured first).

--- /dev/null
+++ b/internal/server/listen_test.go
@@ -0,0 +1,36 @@
+package server
+
+import (
+	"net"
+	"testing"
+
+	"github.com/matryer/is"
+	"golang.org/x/sys/unix"
+)
+
+// TestAcceptedConnectionsNoticeSilence: the system probes connections that callers and
+// peers opened, and ends those that do not acknowledge, as the limits say.
+func TestAcceptedConnectionsNoticeSilence(t *testing.T) {
+	is := is.New(t)
+	l, err := listen("127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	client, err := net.Dial("tcp", l.Addr().String())
+	is.NoErr(err)
+	defer client.Close()
+	accepted, err := l.Accept()
+	is.NoErr(err)
+	defer accepted.Close()
+	raw, err := accepted.(*net.TCPConn).SyscallConn()
+	is.NoErr(err)
+	option := func(level, name int) (value int) {
+		is.NoErr(raw.Control(func(fd uintptr) { value, err = unix.GetsockoptInt(int(fd), level, name) }))
+		is.NoErr(err)
+		return value
+	}
+	is.Equal(option(unix.SOL_SOCKET, unix.SO_KEEPALIVE), 1)
+	is.Equal(option(unix.IPPROTO_TCP, unix.TCP_KEEPIDLE), int(acceptedIdle.Seconds()))
+	is.Equal(option(unix.IPPROTO_TCP, unix.TCP_KEEPINTVL), int(acceptedEvery.Seconds()))
+	is.Equal(option(unix.IPPROTO_TCP, unix.TCP_KEEPCNT), acceptedCount)
+	is.Equal(option(unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT), int(acceptedUnacked.Milliseconds()))
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -124,7 +124,7 @@
 	for _, l := range []struct{ name, address string }{
 		{"callers", s.set.Callers}, {"peers", s.set.Peers}, {"operations", s.set.Operations},
 	} {
-		bound, err := net.Listen("tcp", l.address)
+		bound, err := listen(l.address)
 		if err != nil {
 			for _, open := range s.listeners {
 				_ = open.net.Close() // the process ends anyhow
--- a/internal/shell/shell_test.go
+++ b/internal/shell/shell_test.go
@@ -27,6 +27,7 @@
 	"github.com/birchdrift/birchdrift/internal/peer"
 	"github.com/birchdrift/birchdrift/internal/telemetry"
 	"github.com/birchdrift/birchdrift/internal/upstream"
+	"github.com/birchdrift/birchdrift/internal/upstream/proxytest"
 )
 
 // nobody returns an address at which nobody listens.
@@ -154,3 +155,32 @@
 	later := clock.Instant{Mono: now.Mono, Wall: now.Wall.Add(time.Hour)}
 	is.Equal(later.Elapsed(now), time.Hour)
 }
+
+// TestSilentConnectionsToPeers: an exchange on a connection that went silent fails within
+// its limit, and a later one goes over another.
+func TestSilentConnectionsToPeers(t *testing.T) {
+	is := is.New(t)
+	var exchanges atomic.Int64
+	other := httptest.NewServer(peer.Server{Take: func(context.Context, share.Message) (share.Message, error) {
+		exchanges.Add(1)
+		return share.Message{}, nil
+	}}.Handler(""))
+	defer other.Close()
+	proxy := proxytest.New(t, other.Listener.Addr().String())
+	running(t, proxy.Address())
+	await := func(n int64) {
+		t.Helper()
+		deadline := time.Now().Add(exchangeTimeout + 5*time.Second)
+		for exchanges.Load() < n {
+			if time.Now().After(deadline) {
+				t.Fatalf("%d exchanges", exchanges.Load())
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+	await(2)
+	before := proxy.Accepted()
+	proxy.Silence()
+	await(exchanges.Load() + 2)
+	is.True(proxy.Accepted() > before)
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -61,13 +61,19 @@
 	return &net.Dialer{
 		Timeout:         dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeEvery, Interval: probeEvery, Count: probeCount},
-		Control: func(_, _ string, raw syscall.RawConn) error {
-			var set error
-			err := raw.Control(func(fd uintptr) {
-				set = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTime.Milliseconds()))
-			})
-			return errors.Join(err, set)
-		},
+		Control:         LimitUnacked(unackedTime),
+	}
+}
+
+// LimitUnacked returns the control function of a dialer or listener whose connections
+// end when bytes that were sent stay unacknowledged for so long.
+func LimitUnacked(limit time.Duration) func(network, address string, raw syscall.RawConn) error {
+	return func(_, _ string, raw syscall.RawConn) error {
+		var set error
+		err := raw.Control(func(fd uintptr) {
+			set = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(limit.Milliseconds()))
+		})
+		return errors.Join(err, set)
 	}
 }
 
