A suspected request pauses again only after it was severed

Cause: its pause began anew after each attempt, also one that found nobody at its replica, which shows nothing; where replicas are down such a call waited again and again. Ruled out: one pause for all attempts (what the last one showed must be judged first). Change: the pause begins anew after a severed connection. Names in tests.

--- a/core/forwarding/attempts.go
+++ b/core/forwarding/attempts.go
@@ -56,7 +56,9 @@
 		"replica", former, "severed", b.Severed, "unreachable", b.Unreachable, "status", b.Status, "detail", b.Detail)
 	c.Phase = calls.Waiting
 	s.probe = probe{}
-	s.notBefore = clock.Instant{}
+	if b.Severed {
+		s.notBefore = clock.Instant{} // the replica may have ended under it
+	}
 	f.findReplica(now, c)
 }
 
--- a/core/forwarding/forwarding_test.go
+++ b/core/forwarding/forwarding_test.go
@@ -12,10 +12,12 @@
 	"github.com/birchdrift/birchdrift/core/clock/clocktest"
 	"github.com/birchdrift/birchdrift/core/code"
 	"github.com/birchdrift/birchdrift/core/config"
+	"github.com/birchdrift/birchdrift/core/crash"
 	"github.com/birchdrift/birchdrift/core/demand"
 	"github.com/birchdrift/birchdrift/core/member"
 	"github.com/birchdrift/birchdrift/core/option"
 	"github.com/birchdrift/birchdrift/core/pool"
+	"github.com/birchdrift/birchdrift/core/quarantine"
 	"github.com/birchdrift/birchdrift/core/retrybudget"
 	"github.com/birchdrift/birchdrift/core/shared"
 	"github.com/birchdrift/birchdrift/core/step"
@@ -35,6 +37,9 @@
 	return New(Needs{
 		State: state, Calls: table, Budget: &retrybudget.Budget{Options: state.Options, Members: state.Members},
 		Demand: demand.NewTracker(), Missed: func(clock.Instant) {},
+		Quarantine: quarantine.New(quarantine.Needs{
+			State: state, Tell: func(clock.Instant) {}, Direct: func() bool { return true }, Cut: func(crash.Request, time.Duration) {},
+		}),
 	})
 }
 
@@ -204,3 +209,37 @@
 		})
 	}
 }
+
+// TestTriesOfASuspectedRequestPause: one under which replicas ended that another may
+// explain waits before it is sent, and again after one more connection was severed; not
+// after an attempt that found nobody, which shows nothing new. Nor is it sent while
+// another of its tries runs here.
+func TestTriesOfASuspectedRequestPause(t *testing.T) {
+	is := is.New(t)
+	f := testForwarder(t)
+	c, s := f.testCall(config.Stream, true)
+	c.Expires = start.Add(time.Minute)
+	c.Forward.Fingerprint = 7
+	is.True(!f.pauses(start, c, s))
+	for seq := range uint64(crash.Limit) {
+		report := crash.Report{Observer: "i", Seq: seq, Replica: string(rune('a' + seq)), Requests: []crash.Request{7, 8}}
+		f.Quarantine.Heard(start, "i", []crash.Report{report}, nil)
+	}
+	is.True(f.pauses(start, c, s))
+	after := start.Add(f.Quarantine.Pause(7))
+	c.Phase = calls.Waiting
+	is.True(!f.pauses(after, c, s))
+	fails := func(b calls.AttemptFailed) {
+		c.Phase = calls.Running
+		f.attemptFailed(after, c, b)
+		c.Phase = calls.Waiting
+	}
+	fails(calls.AttemptFailed{Phase: attempt.NotSent, Unreachable: true})
+	is.True(!f.pauses(after, c, s))
+	fails(calls.AttemptFailed{Phase: attempt.MaybeSent, Severed: true})
+	is.True(f.pauses(after, c, s))
+	later := after.Add(f.Quarantine.Pause(7))
+	is.True(!f.pauses(later, c, s))
+	f.Calls.Add(&calls.Call{Request: calls.Request{ID: 2, Forward: &calls.Forwarded{Fingerprint: 7}}, Phase: calls.Running})
+	is.True(f.pauses(later, c, s))
+}
--- a/core/instance/announced_world_test.go
+++ b/core/instance/announced_world_test.go
@@ -133,7 +133,7 @@
 	fence    uint64
 	gone     bool
 	dead     bool // its process ended without a word
-	knocks   int  // orders that came to its address since then
+	afterEnd int  // orders that came to its address since then
 }
 
 const (
@@ -679,7 +679,7 @@
 	model, adapter := r.Model, r.Item()
 	switch {
 	case e.dead:
-		e.knocks++
+		e.afterEnd++
 		return orders.AnswerNotSent
 	case e.gone:
 		return orders.AnswerMisdirected
--- a/core/instance/crash_test.go
+++ b/core/instance/crash_test.go
@@ -490,8 +490,8 @@
 		l.f.step(owner, owner.boot, owned.Asked{Token: owner.token, Engine: e.name, Request: request})
 	}
 	l.f.run(100 * time.Millisecond)
-	t.Logf("%d orders to an engine that had ended", e.knocks)
-	is.Equal(e.knocks, 1)
+	t.Logf("%d orders to an engine that had ended", e.afterEnd)
+	is.Equal(e.afterEnd, 1)
 	is.Equal(len(answers), 3)
 	for _, a := range answers {
 		is.Equal(a.Outcome, owned.Refused)
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -21,19 +21,19 @@
 // bad is the request that ends replicas in these tests.
 const bad = crash.Request(7)
 
-// A bench is a tracker with what it does.
-type bench struct {
+// A fixture is a tracker with what it does.
+type fixture struct {
 	*Tracker
 	now  clock.Instant
 	told int
 	cut  []crash.Request
 }
 
-func newBench() *bench { return newBenchOf("i") }
+func newFixture() *fixture { return newFixtureOf("i") }
 
-// newBenchOf returns the tracker of the instance with this name.
-func newBenchOf(name string) *bench {
-	b := &bench{now: clocktest.At(time.Hour)}
+// newFixtureOf returns the tracker of the instance with this name.
+func newFixtureOf(name string) *fixture {
+	b := &fixture{now: clocktest.At(time.Hour)}
 	b.Tracker = New(Needs{
 		State:  shared.New(member.Identity{Name: name, Zone: "z", Boot: 1}, option.Default(), 1),
 		Stored: true,
@@ -45,13 +45,13 @@
 }
 
 // replica announces a replica.
-func (b *bench) replica(name string, leaving bool) *pool.Replica {
+func (b *fixture) replica(name string, leaving bool) *pool.Replica {
 	b.Pool.Announce(b.now, name, pool.Announcement{Service: "s", Address: name, Slots: 1, Leaving: leaving})
 	return b.Pool.Get(name)
 }
 
 // pass lets time go by, with ticks, and returns the actions.
-func (b *bench) pass(span time.Duration) []step.Action {
+func (b *fixture) pass(span time.Duration) []step.Action {
 	b.Out.Reset()
 	for end := b.now.Add(span); b.now.Before(end); b.now = b.now.Add(10 * time.Millisecond) {
 		b.Tick(b.now)
@@ -60,7 +60,7 @@
 }
 
 // end has a replica end under requests.
-func (b *bench) end(name string, requests ...crash.Request) {
+func (b *fixture) end(name string, requests ...crash.Request) {
 	r := b.replica(name, false)
 	for _, request := range requests {
 		b.Severed(b.now, request, r)
@@ -83,42 +83,42 @@
 func TestWhatCountsAsAnEnd(t *testing.T) {
 	cases := []struct {
 		name    string
-		happens func(b *bench)
+		happens func(b *fixture)
 		want    int // requests reported
 	}{
-		{"severed, and nothing listens there", func(b *bench) { b.end("r", bad, 8) }, 2},
-		{"nothing listens, then severed", func(b *bench) {
+		{"severed, and nothing listens there", func(b *fixture) { b.end("r", bad, 8) }, 2},
+		{"nothing listens, then severed", func(b *fixture) {
 			r := b.replica("r", false)
 			b.Ended(b.now, "r")
 			b.Severed(b.now, bad, r)
 		}, 1},
-		{"severed, and a check finds nobody", func(b *bench) {
+		{"severed, and a check finds nobody", func(b *fixture) {
 			b.Severed(b.now, bad, b.replica("r", false))
 			b.pass(2 * checkAfter)
 			b.Checked(b.now, Checked{Replica: "r", Ended: true})
 		}, 1},
-		{"severed, and a check finds it", func(b *bench) {
+		{"severed, and a check finds it", func(b *fixture) {
 			b.Severed(b.now, bad, b.replica("r", false))
 			b.pass(2 * checkAfter)
 			b.Checked(b.now, Checked{Replica: "r"})
 		}, 0},
-		{"severed, and nobody knows", func(b *bench) { b.Severed(b.now, bad, b.replica("r", false)) }, 0},
-		{"nothing listens, and nothing was severed", func(b *bench) { b.Ended(b.now, "r") }, 0},
-		{"it had said that it leaves", func(b *bench) {
+		{"severed, and nobody knows", func(b *fixture) { b.Severed(b.now, bad, b.replica("r", false)) }, 0},
+		{"nothing listens, and nothing was severed", func(b *fixture) { b.Ended(b.now, "r") }, 0},
+		{"it had said that it leaves", func(b *fixture) {
 			b.Severed(b.now, bad, b.replica("r", true))
 			b.Ended(b.now, "r")
 		}, 0},
-		{"it ended long after", func(b *bench) {
+		{"it ended long after", func(b *fixture) {
 			b.Severed(b.now, bad, b.replica("r", false))
 			b.pass(2 * endSpan)
 			b.Ended(b.now, "r")
 		}, 0},
-		{"a request that is not known", func(b *bench) { b.end("r", 0) }, 0},
+		{"a request that is not known", func(b *fixture) { b.end("r", 0) }, 0},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			b := newBench()
+			b := newFixture()
 			c.happens(b)
 			reported := 0
 			for _, r := range b.Records.Crashes() {
@@ -133,7 +133,7 @@
 // where a call shows that it is gone.
 func TestOneCheckForAllCalls(t *testing.T) {
 	is := is.New(t)
-	b := newBench()
+	b := newFixture()
 	r := b.replica("r", false)
 	for request := range crash.Request(20) {
 		b.Severed(b.now, request+1, r)
@@ -146,7 +146,7 @@
 // under it, and for twice as long then; in the end it is forgotten.
 func TestTerms(t *testing.T) {
 	is := is.New(t)
-	b := newBench()
+	b := newFixture()
 	for _, name := range []string{"a", "b", "c"} {
 		is.Equal(b.Left(b.now, bad), time.Duration(0))
 		b.end(name, bad)
@@ -169,7 +169,7 @@
 // steady clock stood still.
 func TestSleepCounts(t *testing.T) {
 	is := is.New(t)
-	b := newBench()
+	b := newFixture()
 	for _, name := range []string{"a", "b", "c"} {
 		b.end(name, bad)
 		b.pass(time.Second)
@@ -182,15 +182,15 @@
 func TestReleases(t *testing.T) {
 	cases := []struct {
 		name     string
-		happens  func(b *bench)
+		happens  func(b *fixture)
 		released bool
 	}{
-		{"nothing", func(*bench) {}, false},
-		{"a call that was under way is served", func(b *bench) { b.Served(b.now, bad) }, true},
-		{"another instance served it", func(b *bench) {
+		{"nothing", func(*fixture) {}, false},
+		{"a call that was under way is served", func(b *fixture) { b.Served(b.now, bad) }, true},
+		{"another instance served it", func(b *fixture) {
 			b.Heard(b.now, "j", nil, []crash.Success{{Request: bad}})
 		}, true},
-		{"another was in flight there and at more", func(b *bench) {
+		{"another was in flight there and at more", func(b *fixture) {
 			var late []crash.Report
 			for n, replica := range []string{"a", "b", "c", "d"} {
 				late = append(late, crash.Report{
@@ -199,7 +199,7 @@
 			}
 			b.Heard(b.now, "j", late, nil)
 		}, true},
-		{"another was in flight there", func(b *bench) {
+		{"another was in flight there", func(b *fixture) {
 			var late []crash.Report
 			for n, replica := range []string{"a", "b", "c"} {
 				late = append(late, crash.Report{
@@ -212,7 +212,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			b := newBench()
+			b := newFixture()
 			for _, name := range []string{"a", "b", "c"} {
 				b.end(name, bad)
 				b.pass(time.Second)
@@ -230,7 +230,7 @@
 // any more.
 func TestRecords(t *testing.T) {
 	is := is.New(t)
-	b := newBench()
+	b := newFixture()
 	const other = crash.Request(9)
 	for _, name := range []string{"a", "b", "c", "d"} {
 		b.end(name, bad)
@@ -255,7 +255,7 @@
 	b.Served(b.now, bad)
 	is.Equal(only[Unrecord](b.pass(2*settle)), []Unrecord{{Quarantine: registry.Quarantine{Request: bad, Replicas: 4}}})
 
-	late := newBench()
+	late := newFixture()
 	late.Recalled(late.now, registry.Quarantine{Request: bad, Replicas: 3})
 	is.Equal(late.cut, []crash.Request{bad})
 	is.True(late.Left(late.now, bad) > 0)
@@ -266,7 +266,7 @@
 // where instances do not tell each other directly.
 func TestNewsIsTold(t *testing.T) {
 	is := is.New(t)
-	b := newBench()
+	b := newFixture()
 	b.end("a", bad)
 	b.Tick(b.now)
 	is.Equal(b.told, 1)
@@ -293,7 +293,7 @@
 }
 
 // flood has many replicas end, each with so many requests of its own and a bad one.
-func (b *bench) flood(replicas, requests int) {
+func (b *fixture) flood(replicas, requests int) {
 	next := crash.Request(1000)
 	for n := range replicas {
 		inFlight := []crash.Request{bad + crash.Request(n/crash.Limit)}
@@ -310,7 +310,7 @@
 // remembered stays within its bounds.
 func TestAFloodIsBounded(t *testing.T) {
 	is := is.New(t)
-	b := newBench()
+	b := newFixture()
 	b.flood(maxReports+20, maxRequests+20)
 	b.pass(2 * pruneEvery)
 	is.True(len(b.Records.Crashes()) <= maxReports)
@@ -329,7 +329,7 @@
 // BenchmarkJudge measures one judgement of as many reports as are kept, each with what a
 // busy engine has in flight.
 func BenchmarkJudge(b *testing.B) {
-	x := newBench()
+	x := newFixture()
 	x.flood(maxReports, 64)
 	b.ReportAllocs()
 	for b.Loop() {
@@ -344,7 +344,7 @@
 	names := []string{"i", "j", "k", "l"}
 	pauses := map[time.Duration]bool{}
 	for _, self := range names {
-		b := newBenchOf(self)
+		b := newFixtureOf(self)
 		for _, other := range names {
 			b.Members.Learn(other, "z", other)
 		}
