Ends of replicas: one of each name, and callers that had just left

Cause: an instance that stood still for over two seconds reported an end anew, which counted as another one; a caller that left just before its replica ended took the only trace of its request along. Change: reports of one name tell of one end. A call whose caller left up to half a second before counts as in flight. A request is blamed for three ends only if nothing else at all ended within ten seconds. Requests of a report are sorted where they are decoded.

--- a/core/calls/call.go
+++ b/core/calls/call.go
@@ -98,6 +98,8 @@
 	AttemptFailed func(now clock.Instant, c *Call, b AttemptFailed)
 	// Served takes in that the answer is whole.
 	Served func(now clock.Instant, c *Call, e Completed)
+	// Left is told of a call whose caller left while the replica had it.
+	Left func(now clock.Instant, c *Call, r *pool.Replica)
 	// Cancel has a replica drop what it does for the call.
 	Cancel func(c *Call, r *pool.Replica)
 	// NotRun is told of a call that ends and certainly did not run.
--- a/core/calls/table.go
+++ b/core/calls/table.go
@@ -105,7 +105,7 @@
 }
 
 // CallerGone takes in that a call's caller is gone.
-func (t *Table) CallerGone(e CallerGone) {
+func (t *Table) CallerGone(now clock.Instant, e CallerGone) {
 	c := t.calls[e.ID]
 	if c == nil {
 		return
@@ -114,6 +114,7 @@
 	case Running:
 		if r := t.Pool.Get(c.Replica); r != nil {
 			r.Forget(uint64(c.ID))
+			c.Kind.Left(now, c, r)
 			c.Kind.Cancel(c, r)
 		}
 	case Waiting:
--- a/core/crash/blame.go
+++ b/core/crash/blame.go
@@ -19,20 +19,17 @@
 	// many and comes again is none.
 	sureLimit = 4
 	// chanceSpan is how long before the last end of a request there must have been none
-	// that it does not explain: where replicas end for another reason, three of them may
+	// but its own: where replicas end for another reason, three of them may
 	// end under any request. Not measured: some tries of a caller.
 	chanceSpan = 10 * time.Second
-	// sameEnd is how far apart, by the nearer of both clocks, two reports of a replica
-	// may lie that tell of one end. Not measured: above what a message takes, below the
-	// seconds that a replica takes to come back.
-	sameEnd = 2 * time.Second
 )
 
-// An end is one replica that ended, as all reports of it tell together.
+// An end is one replica that ended, as all reports of it tell together. A replica that
+// starts again has another name, so there is one of each name.
 type end struct {
 	replica  string
-	at       clock.Instant
-	requests []Request // rising
+	at       clock.Instant // of the first report
+	requests []Request     // rising
 }
 
 // A Case is a request with the replicas that ended under it.
@@ -73,33 +70,31 @@
 
 // merge puts the reports of each end together.
 func merge(reports []Report, settled clock.Instant) []*end {
-	sorted := slices.SortedFunc(slices.Values(reports), func(a, b Report) int {
-		return cmp.Or(cmp.Compare(a.Replica, b.Replica), cmp.Compare(a.At.Mono, b.At.Mono), cmp.Compare(a.Observer, b.Observer))
-	})
-	var ends []*end
-	for _, r := range sorted {
-		if len(ends) > 0 {
-			if last := ends[len(ends)-1]; last.replica == r.Replica && same(last.at, r.At) {
-				last.requests = append(last.requests, r.Requests...)
-				continue
-			}
+	byReplica := map[string]*end{}
+	for _, r := range reports {
+		e := byReplica[r.Replica]
+		if e == nil {
+			e = &end{replica: r.Replica, at: r.At}
+			byReplica[r.Replica] = e
 		}
-		ends = append(ends, &end{replica: r.Replica, at: r.At, requests: slices.Clone(r.Requests)})
+		if r.At.Before(e.at) {
+			e.at = r.At
+		}
+		e.requests = append(e.requests, r.Requests...)
 	}
-	ends = slices.DeleteFunc(ends, func(e *end) bool { return settled.Before(e.at) })
-	for _, e := range ends {
+	var ends []*end
+	for _, name := range slices.Sorted(maps.Keys(byReplica)) {
+		e := byReplica[name]
+		if settled.Before(e.at) {
+			continue
+		}
 		slices.Sort(e.requests)
 		e.requests = slices.Compact(e.requests)
+		ends = append(ends, e)
 	}
 	return ends
 }
 
-// same reports whether two instants may be those of one end. One clock alone is not
-// asked: one stops while the machine sleeps, the other may be set.
-func same(a, b clock.Instant) bool {
-	return min(a.Since(b).Abs(), a.Wall.Sub(b.Wall).Abs()) < sameEnd
-}
-
 // endsUnder returns the ends by request, without those after which the request was
 // served, of the requests with enough ends to be blamed. Nearly all requests have one
 // end, and are left out at once.
@@ -141,7 +136,7 @@
 			continue
 		}
 		if !slices.ContainsFunc(byEnds, func(other Request) bool { return rivals(request, other, open) }) {
-			if !byChance(open[request], ends, explained) {
+			if !byChance(open[request], ends) {
 				return request, true
 			}
 			continue
@@ -154,15 +149,16 @@
 }
 
 // byChance reports whether, in the time before the last of a request's own ends, there
-// were others that nothing explains.
-func byChance(own, ends []*end, explained map[*end]bool) bool {
+// were others, explained or not: where replicas end for another reason, some request may
+// have been at four of them, and be taken for their explanation.
+func byChance(own, ends []*end) bool {
 	last := own[0].at
 	for _, e := range own {
 		last = clock.Latest(last, e.at)
 	}
 	return slices.ContainsFunc(ends, func(e *end) bool {
 		age := last.Since(e.at)
-		return age >= 0 && age < chanceSpan && !explained[e] && !slices.Contains(own, e)
+		return age >= 0 && age < chanceSpan && !slices.Contains(own, e)
 	})
 }
 
--- a/core/forwarding/attempts.go
+++ b/core/forwarding/attempts.go
@@ -10,6 +10,7 @@
 	"github.com/birchdrift/birchdrift/core/config"
 	"github.com/birchdrift/birchdrift/core/crash"
 	"github.com/birchdrift/birchdrift/core/logevent"
+	"github.com/birchdrift/birchdrift/core/pool"
 )
 
 // What becomes of a call once it is sent.
@@ -153,6 +154,11 @@
 	}
 }
 
+// left takes in that a call's caller left while the replica had it.
+func (f *Forwarder) left(now clock.Instant, c *calls.Call, r *pool.Replica) {
+	f.Quarantine.Departed(now, c.Forward.Fingerprint, r)
+}
+
 // quarantined returns the refusal of a call whose request is not run for so long.
 func quarantined(left time.Duration) code.Refusal {
 	return calls.NotRun(code.Quarantined, "", left)
--- a/core/forwarding/forwarding.go
+++ b/core/forwarding/forwarding.go
@@ -106,6 +106,7 @@
 		AnswerBegan:   f.answerBegan,
 		AttemptFailed: f.attemptFailed,
 		Served:        f.served,
+		Left:          f.left,
 		Cancel:        func(*calls.Call, *pool.Replica) {}, // closing the connection is all there is
 		NotRun:        func(*calls.Call) {},
 		LeftQueue:     func(*calls.Call) {},
--- a/core/instance/machine.go
+++ b/core/instance/machine.go
@@ -132,7 +132,7 @@
 	case calls.AttemptFailed:
 		m.calls.AttemptFailed(now, e)
 	case calls.CallerGone:
-		m.calls.CallerGone(e)
+		m.calls.CallerGone(now, e)
 	case forwarding.ProbeReply:
 		m.forwarding.ProbeReplied(now, e)
 	case quarantine.Checked:
--- a/core/own/modelcalls/modelcalls.go
+++ b/core/own/modelcalls/modelcalls.go
@@ -78,6 +78,7 @@
 		AnswerBegan:   h.answerBegan,
 		AttemptFailed: h.attemptFailed,
 		Served:        h.served,
+		Left:          func(clock.Instant, *calls.Call, *pool.Replica) {},
 		Cancel:        h.cancel,
 		NotRun:        h.releaseClaim,
 		LeftQueue:     h.leftQueue,
--- a/core/quarantine/evidence.go
+++ b/core/quarantine/evidence.go
@@ -23,6 +23,10 @@
 	// endSpan is how long the calls that one end severs may take to show it. Not
 	// measured: below the seconds that a replica takes to come back.
 	endSpan = 2 * time.Second
+	// departedSpan is how long before its replica's end a caller may have left for its
+	// call to count as in flight there. Not measured: a replica needs a moment to notice,
+	// and the end one to show.
+	departedSpan = 500 * time.Millisecond
 )
 
 type (
@@ -48,7 +52,7 @@
 type evidence struct {
 	at       clock.Instant // when it showed first
 	address  string
-	requests []crash.Request // whose calls were severed; rising
+	requests []crash.Request // whose calls were in flight; rising
 	ended    bool            // the replica's process is not there any more
 	asked    bool            // a Check was sent
 	seq      uint64          // of the report, 0 before there is one
@@ -62,16 +66,43 @@
 	}
 	e := t.evidenceOf(now, r.Name)
 	e.address = r.Address
+	if e.add(request) && e.ended {
+		t.report(now, r.Name, e)
+	}
+}
+
+// add notes that a request was in flight, and reports whether that is new.
+func (e *evidence) add(request crash.Request) bool {
 	i, found := slices.BinarySearch(e.requests, request)
 	if found || len(e.requests) == maxRequests {
-		return
+		return false
 	}
 	e.requests = slices.Insert(e.requests, i, request)
-	if e.ended {
-		t.report(now, r.Name, e)
+	return true
+}
+
+// A departure is a call whose caller left while a replica had it.
+type departure struct {
+	request crash.Request
+	at      clock.Instant
+}
+
+// Departed notes that the caller of a request's call left while a replica had it: the
+// replica may end by it all the same.
+func (t *Tracker) Departed(now clock.Instant, request crash.Request, r *pool.Replica) {
+	if request == 0 || r.Leaving() {
+		return
+	}
+	recent := slices.DeleteFunc(t.departed[r.Name], func(d departure) bool { return d.past(now) })
+	if len(recent) < maxRequests {
+		recent = append(recent, departure{request: request, at: now})
 	}
+	t.departed[r.Name] = recent
 }
 
+// past reports whether no end that shows from now on can have come of the departed call.
+func (d departure) past(now clock.Instant) bool { return now.Elapsed(d.at) > departedSpan }
+
 // Ended notes that a replica's process is not there any more.
 func (t *Tracker) Ended(now clock.Instant, replica string) {
 	e := t.evidenceOf(now, replica)
@@ -79,6 +110,11 @@
 		return
 	}
 	e.ended = true
+	for _, d := range t.departed[replica] {
+		if !d.past(e.at) {
+			e.add(d.request)
+		}
+	}
 	if len(e.requests) > 0 {
 		t.report(now, replica, e)
 	}
@@ -129,5 +165,8 @@
 }
 
 func (t *Tracker) pruneEvidence(now clock.Instant) {
+	maps.DeleteFunc(t.departed, func(_ string, left []departure) bool {
+		return !slices.ContainsFunc(left, func(d departure) bool { return now.Elapsed(d.at) < endSpan })
+	})
 	maps.DeleteFunc(t.evidence, func(_ string, e *evidence) bool { return now.Elapsed(e.at) >= endSpan })
 }
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -71,8 +71,9 @@
 // A Tracker knows which requests are not to be run.
 type Tracker struct {
 	Needs
-	evidence map[string]*evidence // by replica
-	seq      uint64               // of the last own report
+	evidence map[string]*evidence   // by replica
+	departed map[string][]departure // by replica, the oldest first
+	seq      uint64                 // of the last own report
 	suspects map[crash.Request]bool
 	verdicts map[crash.Request]*verdict
 	records  records
@@ -86,7 +87,7 @@
 // New returns a tracker that knows of no request.
 func New(n Needs) *Tracker {
 	return &Tracker{
-		Needs: n, evidence: map[string]*evidence{}, suspects: map[crash.Request]bool{}, verdicts: map[crash.Request]*verdict{},
+		Needs: n, evidence: map[string]*evidence{}, departed: map[string][]departure{}, suspects: map[crash.Request]bool{}, verdicts: map[crash.Request]*verdict{},
 	}
 }
 
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -113,6 +113,21 @@
 			b.pass(2 * endSpan)
 			b.Ended(b.now, "r")
 		}, 0},
+		{"its caller had just left", func(b *fixture) {
+			b.Departed(b.now, bad, b.replica("r", false))
+			b.pass(100 * time.Millisecond)
+			b.end("r", 8)
+		}, 2},
+		{"its caller had just left, and nothing else was there", func(b *fixture) {
+			b.Departed(b.now, bad, b.replica("r", false))
+			b.pass(100 * time.Millisecond)
+			b.Ended(b.now, "r")
+		}, 1},
+		{"its caller had left long before", func(b *fixture) {
+			b.Departed(b.now, bad, b.replica("r", false))
+			b.pass(2 * departedSpan)
+			b.end("r", 8)
+		}, 1},
 		{"a request that is not known", func(b *fixture) { b.end("r", 0) }, 0},
 	}
 	for _, c := range cases {
@@ -318,6 +333,14 @@
 		is.True(len(r.Requests) <= maxRequests)
 	}
 	is.True(len(b.suspects) <= maxReports*maxRequests)
+	busy := b.replica("busy", false)
+	for n := range crash.Request(4 * maxRequests) {
+		b.Departed(b.now, n+1, busy)
+		b.now = b.now.Add(time.Millisecond)
+	}
+	is.True(len(b.departed["busy"]) <= maxRequests)
+	b.pass(endSpan + 2*pruneEvery)
+	is.Equal(len(b.departed), 0)
 	is.True(len(b.evidence) <= maxReports)
 	for n := range crash.Request(2 * maxVerdicts) {
 		b.Recalled(b.now, registry.Quarantine{Request: n + 1_000_000, Replicas: 3})
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/birchdrift/birchdrift/core/crash"
@@ -114,6 +115,7 @@
 	for _, r := range c.GetRequests() {
 		out.Requests = append(out.Requests, crash.Request(r))
 	}
+	slices.Sort(out.Requests) // they are looked up as such, whoever sent them
 	return out
 }
 
