A request that was served since its replicas ended is not held back

Cause: the pause of a request that may be blamed soon counted all ends of ten minutes, so a request that many callers send alike, and that is served all the time, would have gone one by one after three replicas had ended somewhere under it. Ruled out: forgetting reports sooner (a request that comes every few minutes is found by them). Change: only ends since its last success count.

--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -380,6 +380,8 @@
 		is.Equal(b.Pause(bad), b.Pause(bad))
 		is.Equal(b.Pause(9), time.Duration(0))
 		pauses[b.Pause(bad)] = true
+		b.Served(b.now.Add(time.Millisecond), bad)
+		is.Equal(b.Pause(bad), time.Duration(0)) // what is served harms nobody
 	}
 	is.Equal(len(pauses), len(names)) // no two at once
 	for pause := range pauses {
--- a/core/quarantine/verdict.go
+++ b/core/quarantine/verdict.go
@@ -63,7 +63,10 @@
 // has been judged. A request that harms nobody is late by that; of one that does, one
 // more replica ends instead of one at each instance.
 func (t *Tracker) Pause(request crash.Request) time.Duration {
-	if !t.suspects[request] || len(replicasUnder(request, t.Records.Crashes())) < crash.Limit {
+	if !t.suspects[request] {
+		return 0
+	}
+	if under := replicasUnder(request, t.Records.Crashes(), t.Records.ServedAt(request)); len(under) < crash.Limit {
 		return 0
 	}
 	return time.Duration(t.turn(request)+1) * decided
@@ -106,7 +109,7 @@
 		}
 	}
 	for _, request := range slices.Sorted(maps.Keys(t.verdicts)) {
-		if !blamed[request] && t.cleared(request, replicasUnder(request, reports), explained) {
+		if !blamed[request] && t.cleared(request, replicasUnder(request, reports, clock.Instant{}), explained) {
 			t.release(request)
 		}
 	}
@@ -160,12 +163,12 @@
 	return v.judged && len(under) >= v.replicas && !unexplained
 }
 
-// replicasUnder returns the replicas that are reported to have ended under a request,
-// by name.
-func replicasUnder(request crash.Request, reports []crash.Report) []string {
+// replicasUnder returns the replicas that are reported to have ended under a request
+// since an instant, by name.
+func replicasUnder(request crash.Request, reports []crash.Report, since clock.Instant) []string {
 	var under []string
 	for _, r := range reports {
-		if r.Has(request) {
+		if since.Before(r.At) && r.Has(request) {
 			under = append(under, r.Replica)
 		}
 	}
