Reports of ends: bounds for large fleets, rivals found by their ends

Cause: in a large fleet a replica that ends is reported by as many instances as it has places, so 256 reports were four ends of large engines, and the first ends of a request could be forgotten while it went on. Judging compared each request with each other. Ruled out: a bound by ends (an end's reports come one by one). Change: 1,024 reports of at most 128 requests, 1 MB; rivals are looked for at the same ends.

--- a/core/crash/blame.go
+++ b/core/crash/blame.go
@@ -121,10 +121,15 @@
 // or it may have been there by chance, more ends have to tell.
 func strongest(ends []*end, under map[Request][]*end, explained map[*end]bool, limit func(Request) int) (Request, bool) {
 	open := map[Request][]*end{}
+	at := map[*end][]Request{}
 	for request, ends := range under {
 		left := slices.DeleteFunc(slices.Clone(ends), func(e *end) bool { return explained[e] })
-		if len(left) >= limit(request) {
-			open[request] = left
+		if len(left) < limit(request) {
+			continue
+		}
+		open[request] = left
+		for _, e := range left {
+			at[e] = append(at[e], request)
 		}
 	}
 	byEnds := slices.SortedFunc(maps.Keys(open), func(a, b Request) int {
@@ -135,7 +140,7 @@
 		if slices.ContainsFunc(open[request], func(e *end) bool { return disputed[e] }) {
 			continue
 		}
-		if !slices.ContainsFunc(byEnds, func(other Request) bool { return rivals(request, other, open) }) {
+		if !hasRival(request, open, at) {
 			if !byChance(open[request], ends) {
 				return request, true
 			}
@@ -162,10 +167,14 @@
 	})
 }
 
-// rivals reports whether another request has as many ends, some of them the same.
-func rivals(request, other Request, open map[Request][]*end) bool {
-	return request != other && len(open[other]) == len(open[request]) &&
-		slices.ContainsFunc(open[other], func(e *end) bool { return slices.Contains(open[request], e) })
+// hasRival reports whether another request has as many ends, some of them the same. at
+// are the requests of each end.
+func hasRival(request Request, open map[Request][]*end, at map[*end][]Request) bool {
+	return slices.ContainsFunc(open[request], func(e *end) bool {
+		return slices.ContainsFunc(at[e], func(other Request) bool {
+			return other != request && len(open[other]) == len(open[request])
+		})
+	})
 }
 
 func names(ends []*end) []string {
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -33,12 +33,12 @@
 	// that comes back every few minutes is still found.
 	memory = 10 * time.Minute
 	// maxReports bounds the reports that are kept, the newest first; with maxRequests
-	// they take 0.5 MB at most. Not measured: twenty replicas that each instance of a
-	// small site had calls at.
-	maxReports = 256
-	// maxRequests bounds the requests of one report. Not measured: above what one
-	// instance has in flight at one replica.
-	maxRequests = 256
+	// they take 1 MB at most. Not measured: in a large fleet each replica that ends is
+	// reported by as many instances as it has places, so sixteen such ends.
+	maxReports = 1024
+	// maxRequests bounds the requests of one report. Not measured: twice the places of
+	// a large engine, all taken by one instance.
+	maxRequests = 128
 	// settle is how long reports of other instances may take to arrive, a check of
 	// evidence and a few hops included. Judged earlier, a request that was in flight
 	// by chance is blamed where the instance that had the other has not spoken yet.
@@ -87,7 +87,11 @@
 // New returns a tracker that knows of no request.
 func New(n Needs) *Tracker {
 	return &Tracker{
-		Needs: n, evidence: map[string]*evidence{}, departed: map[string][]departure{}, suspects: map[crash.Request]bool{}, verdicts: map[crash.Request]*verdict{},
+		Needs:    n,
+		evidence: map[string]*evidence{},
+		departed: map[string][]departure{},
+		suspects: map[crash.Request]bool{},
+		verdicts: map[crash.Request]*verdict{},
 	}
 }
 
