In a large fleet only ends that may decide on a request are told at once

Change: news of which one more end may decide keeps its pace; other ends are told once a second by those who saw them, and passed on by the usual exchanges.

--- a/core/quarantine/evidence.go
+++ b/core/quarantine/evidence.go
@@ -138,11 +138,12 @@
 		t.Out.Log(logevent.ReplicaEnded, "upstream", replica, "calls", len(e.requests))
 	}
 	t.suspect(e.requests)
-	t.Records.AddCrash("", crash.Report{
+	r := crash.Report{
 		Observer: t.Self.Name, Boot: t.Self.Boot, Seq: e.seq, Replica: replica, Requests: slices.Clone(e.requests),
 		Moment: crash.Moment{At: e.at},
-	})
-	t.news(now, true)
+	}
+	t.Records.AddCrash("", r)
+	t.news(now, true, t.ownSpacing(r))
 }
 
 // check looks for the replicas that severed calls a moment ago.
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -50,6 +50,11 @@
 	// tellEvery spaces the news of replicas that ended. Not measured: all calls that
 	// were severed together are told together, and ten times a second at most.
 	tellEvery = 100 * time.Millisecond
+	// tellEveryLarge is the same in a fleet whose instances pass news on to each other,
+	// for ends that decide on no request yet. At tellEvery, exchanges filled links of 10 Mbit/s on a day on which replicas end:
+	// 2,972 of them failed in 40 s instead of 77, with 86 instances, and 0.074 of the
+	// worth was lost (2 pairs, standard error 0.008).
+	tellEveryLarge = time.Second
 	// pruneEvery spaces the looks for what is too old. Not measured.
 	pruneEvery = time.Second
 )
@@ -101,18 +106,19 @@
 		return
 	}
 	if t.Records.AddSuccess("", crash.Success{Request: request, Moment: crash.Moment{At: now}}) {
-		t.news(now, true)
+		t.news(now, true, tellEvery)
 	}
 }
 
 // Heard takes in what a peer told.
 func (t *Tracker) Heard(now clock.Instant, from string, reports []crash.Report, served []crash.Success) {
-	news := false
+	news, pressing := false, false
 	for _, r := range reports {
 		r.Moment = r.Received(now)
 		if now.Elapsed(r.At) < memory && len(r.Requests) <= maxRequests && t.Records.AddCrash(from, r) {
 			t.suspect(r.Requests)
 			news = true
+			pressing = pressing || t.pressing(r)
 		}
 	}
 	for _, s := range served {
@@ -120,17 +126,35 @@
 		news = t.Records.AddSuccess(from, s) || news
 	}
 	if news {
-		t.news(now, !t.Direct())
+		t.news(now, pressing && !t.Direct(), tellEvery)
 	}
 }
 
-// news has what is new judged once it is settled, and told to others if it must be.
-func (t *Tracker) news(now clock.Instant, tell bool) {
+// ownSpacing is how long after the last telling this instance tells of its own report.
+func (t *Tracker) ownSpacing(r crash.Report) time.Duration {
+	if t.Direct() || t.pressing(r) {
+		return tellEvery
+	}
+	return tellEveryLarge
+}
+
+// pressing reports whether one more end may decide on a request of the report. Other
+// news goes its usual way, with the next exchanges.
+func (t *Tracker) pressing(r crash.Report) bool {
+	all := t.Records.Crashes()
+	return slices.ContainsFunc(r.Requests, func(request crash.Request) bool {
+		return len(replicasUnder(request, all, t.Records.ServedAt(request))) >= crash.Limit-1
+	})
+}
+
+// news has what is new judged once it is settled, and told to others if it must be, at
+// the earliest a spacing after the last telling.
+func (t *Tracker) news(now clock.Instant, tell bool, spacing time.Duration) {
 	if t.judgeDue.IsZero() {
 		t.judgeDue = now.Add(settle)
 	}
-	if tell && t.tellDue.IsZero() {
-		t.tellDue = clock.Latest(now, t.toldAt.Add(tellEvery))
+	if due := clock.Latest(now, t.toldAt.Add(spacing)); tell && (t.tellDue.IsZero() || due.Before(t.tellDue)) {
+		t.tellDue = due
 	}
 }
 
