--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -53,7 +53,7 @@
 	// tellEveryLarge is the same in a fleet whose instances pass news on to each other,
 	// for ends that decide on no request yet. At tellEvery, exchanges filled links of 10 Mbit/s on a day on which replicas end:
 	// 2,972 of them failed in 40 s instead of 77, with 86 instances, and 0.074 of the
-	// worth was lost (2 pairs, standard error 0.008).
+	// worth was lost (2 pairs, standard error 0.008). docs/design/quarantine.md.
 	tellEveryLarge = time.Second
 	// pruneEvery spaces the looks for what is too old. Not measured.
 	pruneEvery = time.Second
