The test of requests that end their engines counts every instance's arrivals again

Cause: with the mend the count had been narrowed to arrivals from instances that had run for three seconds, since some storms of kills and freezes failed then. Ruled out: keeping it narrower (the users' rule counts only those, but all hold by now). Conclusion: the test is as strict as before the mend.

--- a/core/instance/announced_world_test.go
+++ b/core/instance/announced_world_test.go
@@ -76,7 +76,6 @@
 	m       *Machine
 	id      member.Identity
 	boot    uint64
-	since   time.Duration // when it was last started or thawed
 	lag     time.Duration // by how much its steady clock is behind
 	set     time.Duration // by how much its wall clock was set forward
 	dead    bool
@@ -238,7 +237,6 @@
 func (f *fleet) start(name string) {
 	n := f.members[name]
 	n.boot++
-	n.since = f.now
 	n.dead = false
 	n.frozen = false
 	n.held = nil
@@ -293,7 +291,6 @@
 
 func (f *fleet) thaw(n *fleetMember) {
 	n.frozen = false
-	n.since = f.now
 	held := n.held
 	n.held = nil
 	for _, do := range held {
--- a/core/instance/crash_test.go
+++ b/core/instance/crash_test.go
@@ -59,7 +59,7 @@
 	calls    map[calls.ID]*labCall
 	runs     map[string][]*labRun // by engine
 	ended    map[crash.Request][]time.Duration
-	arrivals map[crash.Request][]labArrival
+	arrivals map[crash.Request][]time.Duration
 	lives    map[string]int // engines that ran at an address
 	calm     time.Duration  // since when no zone was cut off
 	refused  map[crash.Request]int
@@ -84,15 +84,10 @@
 	over  bool
 }
 
-type labArrival struct {
-	at      time.Duration
-	inTouch bool // it was sent by an instance that had run long enough to know
-}
-
 func newCrashLab(f *fleet) *crashLab {
 	l := &crashLab{
 		f: f, calls: map[calls.ID]*labCall{}, runs: map[string][]*labRun{},
-		ended: map[crash.Request][]time.Duration{}, arrivals: map[crash.Request][]labArrival{},
+		ended: map[crash.Request][]time.Duration{}, arrivals: map[crash.Request][]time.Duration{},
 		lives: map[string]int{}, refused: map[crash.Request]int{},
 	}
 	f.crashes = l
@@ -142,7 +137,7 @@
 	}
 	c.ran = true
 	if c.poison {
-		l.arrivals[c.request.Forward.Fingerprint] = append(l.arrivals[c.request.Forward.Fingerprint], labArrival{l.f.now, l.f.now-n.since >= labContact})
+		l.arrivals[c.request.Forward.Fingerprint] = append(l.arrivals[c.request.Forward.Fingerprint], l.f.now)
 	}
 	r := &labRun{call: c, reply: reply, d: d}
 	l.runs[e.name] = append(l.runs[e.name], r)
@@ -276,7 +271,7 @@
 }
 
 // late returns how often a request reached engines later than labContact after the
-// third had ended under it, sent by instances that had run for as long.
+// third had ended under it.
 func (l *crashLab) late(request crash.Request) int {
 	at := l.ended[request]
 	if len(at) < labLimit {
@@ -285,7 +280,7 @@
 	bound := max(at[labLimit-1], l.calm) + labContact
 	late := 0
 	for _, a := range l.arrivals[request] {
-		if a.inTouch && a.at > bound {
+		if a > bound {
 			late++
 		}
 	}
