--- a/core/logevent/logevent.go
+++ b/core/logevent/logevent.go
@@ -18,8 +18,8 @@
 	Stopped            Number = 1003
 	Listening          Number = 1004
 	Reloaded           Number = 1005
-	SleepUncounted     Number = 1007
 	ReloadRefused      Number = 1006
+	SleepUncounted     Number = 1007
 	Installed          Number = 1101
 	OlderIgnored       Number = 1102
 	ConfigFailed       Number = 1103
