--- a/core/crash/blame.go
+++ b/core/crash/blame.go
@@ -137,17 +137,15 @@
 	})
 	disputed := map[*end]bool{}
 	for _, request := range byEnds {
-		if slices.ContainsFunc(open[request], func(e *end) bool { return disputed[e] }) {
-			continue
-		}
-		if !hasRival(request, open, at) {
-			if !byChance(open[request], ends) {
-				return request, true
+		own := open[request]
+		switch {
+		case slices.ContainsFunc(own, func(e *end) bool { return disputed[e] }):
+		case hasRival(request, open, at):
+			for _, e := range own {
+				disputed[e] = true
 			}
-			continue
-		}
-		for _, e := range open[request] {
-			disputed[e] = true
+		case !byChance(own, ends):
+			return request, true
 		}
 	}
 	return 0, false
