--- a/core/instance/announced_world_test.go
+++ b/core/instance/announced_world_test.go
@@ -82,6 +82,8 @@
 	steady bool
 	// cut are zones without a way to other zones and to the store.
 	cut map[string]bool
+	// leaves is which engines leave, and what reaches them after that; nil: none.
+	leaves *leaveLab
 }
 
 // A fleetMember is one machine with what is wrong with it.
@@ -98,7 +100,8 @@
 	noStore bool
 	deaf    bool       // its watches hear nothing, nor do its exchanges
 	after   era.Number // the watch's position; 0 reads the whole
-	known   era.Era    // the latest in which the store answered it
+	waiting []*fleetWatch
+	known   era.Era // the latest in which the store answered it
 	asked   map[uint64]func(owned.Answer)
 	answers map[uint64]func(share.Message)
 	permits map[uint64]func(permits.Verdict)
@@ -108,8 +111,9 @@
 // A fleetStore is the platform's store.
 type fleetStore struct {
 	down     bool
-	closed   bool    // it is down, and its machine says so to whoever connects
-	era      era.Era // 0: it tells of none
+	closed   bool          // it is down, and its machine says so to whoever connects
+	mute     time.Duration // until when watches hear of no change
+	era      era.Era       // 0: it tells of none
 	revision uint64
 	values   map[string]*fleetValue
 	log      []fleetChange
@@ -153,6 +157,8 @@
 	gone     bool
 	dead     bool // its process ended without a word
 	afterEnd int  // orders that came to its address since then
+	leaving  bool // it says so
+	silent   bool // it leaves and does not say so: its entry went
 }
 
 const (
@@ -267,6 +273,7 @@
 	n.dead = false
 	n.frozen = false
 	n.held = nil
+	n.waiting = nil
 	n.after = 0
 	n.known = 0
 	n.id.Boot = n.boot
@@ -430,6 +437,9 @@
 			do(act.Message)
 		}
 	case calls.Dispatch:
+		if f.leaves != nil {
+			f.leaves.sent(n, act)
+		}
 		if f.crashes != nil {
 			f.crashes.serve(n, act, reply)
 			return
@@ -543,7 +553,7 @@
 }
 
 func (f *fleet) announce(e *fleetEngine) {
-	a := &pool.Announcement{Service: "llm", Address: cmp.Or(e.address, e.name), Zone: e.zone, Slots: 8, Engine: true, Born: fmt.Sprint(e.born)}
+	a := &pool.Announcement{Service: "llm", Address: cmp.Or(e.address, e.name), Zone: e.zone, Slots: 8, Engine: true, Born: fmt.Sprint(e.born), Leaving: e.leaving}
 	for _, m := range sortedKeys(e.models) {
 		a.Models = append(a.Models, pool.AnnouncedModel{Name: m})
 	}
@@ -696,40 +706,72 @@
 	return r
 }
 
-// watch answers when something changed, or when the wait is over.
+// A fleetWatch is a watch that waits at the store.
+type fleetWatch struct {
+	boot  uint64
+	until time.Duration // when the store answers it even if nothing changed
+	limit time.Duration // when its member gives it up
+	hung  bool          // nothing comes on its connection any more
+	cut   bool          // its connection is reset
+}
+
+// watchLimit is how long beyond its wait a member waits for the answer to a watch.
+const watchLimit = 600 * time.Millisecond
+
+// watch begins a watch, which answers when something changed or when the wait is over.
 func (f *fleet) watch(n *fleetMember, boot uint64, wait time.Duration) {
+	w := &fleetWatch{boot: boot, until: f.now + wait, limit: f.now + wait + watchLimit}
+	n.waiting = append(n.waiting, w)
+	f.poll(n, w)
+}
+
+// poll looks if a watch has an answer.
+func (f *fleet) poll(n *fleetMember, w *fleetWatch) {
+	fails := func(at time.Duration, why string) {
+		n.waiting = slices.DeleteFunc(n.waiting, func(x *fleetWatch) bool { return x == w })
+		f.at(max(fleetWay, at-f.now), func() { f.step(n, w.boot, watch.Reply{Err: errors.New(why)}) })
+	}
 	switch {
-	case n.dead || n.boot != boot:
+	case n.dead || n.boot != w.boot:
+		return
+	case w.hung:
+		fails(w.limit, "no answer")
 		return
-	case f.store.closed && !n.noStore && !n.deaf && !f.cut[n.id.Zone]:
-		f.at(fleetWay, func() { f.step(n, boot, watch.Reply{Err: errors.New("refused")}) })
+	case w.cut, f.store.closed && !n.noStore && !n.deaf && !f.cut[n.id.Zone]:
+		fails(f.now, "refused")
 		return
 	case n.noStore || n.deaf || f.store.down || f.cut[n.id.Zone]:
-		f.at(wait+time.Second, func() { f.step(n, boot, watch.Reply{Err: errors.New("no answer")}) })
+		fails(w.limit, "no answer")
 		return
 	}
 	f.watches++
 	whole := n.after == 0 || n.after.Era() != f.store.era
-	var changes []fleetChange
+	changes := f.changesFor(n, whole)
+	if (len(changes) == 0 || f.now < f.store.mute && !whole) && f.now < w.until {
+		f.at(20*time.Millisecond, func() { f.poll(n, w) })
+		return
+	}
+	n.waiting = slices.DeleteFunc(n.waiting, func(x *fleetWatch) bool { return x == w })
+	n.known = f.store.era
+	n.after = f.number(f.store.revision)
+	at := n.after
+	f.at(fleetWay, func() { f.deliver(n, w.boot, changes, at, whole) })
+}
+
+// changesFor returns what a member's watch has not brought yet.
+func (f *fleet) changesFor(n *fleetMember, whole bool) (changes []fleetChange) {
 	if whole {
 		for _, key := range sortedKeys(f.store.values) {
 			changes = append(changes, fleetChange{key: key, value: f.store.values[key], revision: f.store.values[key].revision})
 		}
-	} else {
-		for _, c := range f.store.log {
-			if c.revision > n.after.Raw() {
-				changes = append(changes, c)
-			}
-		}
+		return changes
 	}
-	if len(changes) == 0 && wait > 0 {
-		f.at(20*time.Millisecond, func() { f.watch(n, boot, wait-20*time.Millisecond) })
-		return
+	for _, c := range f.store.log {
+		if c.revision > n.after.Raw() {
+			changes = append(changes, c)
+		}
 	}
-	n.known = f.store.era
-	n.after = f.number(f.store.revision)
-	at := n.after
-	f.at(fleetWay, func() { f.deliver(n, boot, changes, at, whole) })
+	return changes
 }
 
 func (f *fleet) deliver(n *fleetMember, boot uint64, changes []fleetChange, at era.Number, whole bool) {
--- /dev/null
+++ b/core/instance/leaving_test.go
@@ -0,0 +1,385 @@
+package instance
+
+// Seen: a request reached a replica 2.2 s after the store had acknowledged that it leaves; 2 s
+// are allowed.
+//
+// How and why: docs/incidents/2026-12-03-signaturbron-leaving.md.
+
+import (
+	"flag"
+	"fmt"
+	"maps"
+	"testing"
+	"time"
+
+	"github.com/birchdrift/birchdrift/core/calls"
+	"github.com/birchdrift/birchdrift/core/option"
+)
+
+var (
+	leaveSeeds = flag.Int("leave.seeds", 2, "seeds of each storm in which engines leave")
+	leaveSizes = flag.Bool("leave.sizes", false, "play engines that leave in fleets of 46 and 370 instances too")
+)
+
+// A leaveBounds is what the users bound in a fleet of some size.
+type leaveBounds struct {
+	leave   time.Duration // from the store's word that a replica leaves to the last request there
+	contact time.Duration // without a disturbance, after which the rule binds an instance
+}
+
+// Bounds of the users' deployments.
+var (
+	smallBounds = leaveBounds{leave: 2 * time.Second, contact: 3 * time.Second}
+	largeBounds = leaveBounds{leave: 3 * time.Second, contact: 4 * time.Second}
+)
+
+// linger is how long an engine serves on after it said that it leaves, or its entry went:
+// longer than any bound, so that each request that comes too late is seen.
+const linger = 6 * time.Second
+
+// A leaveLab has engines leave, and counts the calls that reach them too late.
+type leaveLab struct {
+	f      *fleet
+	bounds leaveBounds
+	words  map[*fleetEngine]leaveWord
+	// When the store, and each member, was disturbed last.
+	storeBad  time.Duration
+	memberBad map[string]time.Duration
+	boots     map[string]uint64
+	next      int // number of the next engine
+	late      []string
+	left      int // engines that left under a stable store
+}
+
+// A leaveWord is when the store took that an engine leaves.
+type leaveWord struct {
+	at     time.Duration
+	stable bool // the store was, for some time
+}
+
+func newLeaveLab(f *fleet, bounds leaveBounds) *leaveLab {
+	l := &leaveLab{
+		f: f, bounds: bounds, words: map[*fleetEngine]leaveWord{}, memberBad: map[string]time.Duration{},
+		boots: map[string]uint64{}, next: len(f.engines), storeBad: -time.Hour,
+	}
+	f.leaves = l
+	l.observe()
+	return l
+}
+
+// observe notes who is disturbed, again and again. A watch that hangs, is cut or does not hear
+// of changes is no disturbance: the rule binds all the same.
+func (l *leaveLab) observe() {
+	f := l.f
+	if f.store.down || f.store.closed || f.lost > 0 {
+		l.storeBad = f.now
+	}
+	for _, name := range f.names {
+		n := f.members[name]
+		if n.dead || n.frozen || n.noStore || n.deaf || f.cut[n.id.Zone] || n.boot != l.boots[name] {
+			l.memberBad[name] = f.now
+			l.boots[name] = n.boot
+		}
+	}
+	f.at(4*time.Millisecond, l.observe)
+}
+
+// stable reports whether the store was not disturbed for a while.
+func (l *leaveLab) stable() bool { return l.f.now-l.storeBad >= l.bounds.contact }
+
+// bound reports whether the rule binds a member.
+func (l *leaveLab) bound(n *fleetMember) bool {
+	return l.stable() && l.f.now-l.memberBad[n.id.Name] >= l.bounds.contact
+}
+
+// sent takes in that a member sends a call to an engine.
+func (l *leaveLab) sent(n *fleetMember, d calls.Dispatch) {
+	e := l.f.engines[d.Replica]
+	l.f.at(fleetWay, func() {
+		w, ok := l.words[e]
+		if !ok || !w.stable || l.f.now-w.at <= l.bounds.leave || !l.bound(n) || e.gone {
+			return
+		}
+		l.late = append(l.late, fmt.Sprintf("%v: a call of %s reached %s %v after the store had taken that it leaves", l.f.now, n.id.Name, e.name, l.f.now-w.at))
+	})
+}
+
+// any returns an engine that does not leave.
+func (l *leaveLab) any() *fleetEngine {
+	names := sortedKeys(l.f.engines)
+	for {
+		e := l.f.engines[names[l.f.rng.IntN(len(names))]]
+		if _, leaves := l.words[e]; !leaves {
+			return e
+		}
+	}
+}
+
+// leave has an engine leave, by its word or without one, and another one take its place at
+// once.
+func (l *leaveLab) leave(e *fleetEngine, silent bool) {
+	f := l.f
+	l.replace(e)
+	if f.store.down {
+		return // its word is not taken
+	}
+	l.took(e)
+	e.silent = silent
+	e.leaving = !silent
+	if silent {
+		f.change("servers/"+e.name, nil)
+	} else {
+		f.announce(e)
+	}
+	f.at(linger, func() {
+		e.gone = true
+		f.change("servers/"+e.name, nil)
+	})
+}
+
+// took notes that the store takes at this moment that an engine leaves.
+func (l *leaveLab) took(e *fleetEngine) {
+	l.words[e] = leaveWord{at: l.f.now, stable: l.stable()}
+	if l.stable() {
+		l.left++
+	}
+}
+
+// anyLeave has some engine leave.
+func (l *leaveLab) anyLeave() { l.leave(l.any(), l.f.rng.IntN(3) == 0) }
+
+// replace starts an engine that holds what another one does.
+func (l *leaveLab) replace(e *fleetEngine) {
+	f := l.f
+	added := &fleetEngine{
+		name: fmt.Sprintf("e%d", l.next), zone: e.zone,
+		models: maps.Clone(e.models), adapters: map[string]bool{}, onDisk: maps.Clone(e.onDisk),
+	}
+	l.next++
+	f.engines[added.name] = added
+	f.announce(added)
+}
+
+// hang has nothing come any more on the connections of all watches that wait.
+func (l *leaveLab) hang(members ...*fleetMember) {
+	for _, n := range members {
+		for _, w := range n.waiting {
+			w.hung = true
+		}
+	}
+}
+
+// everyone returns all members.
+func (l *leaveLab) everyone() (members []*fleetMember) {
+	for _, name := range l.f.names {
+		members = append(members, l.f.members[name])
+	}
+	return members
+}
+
+// forget has watches hear of no change for a second, then the store forget its history: all
+// watches are cut, with a reset or without a word, and go on from the whole.
+func (l *leaveLab) forget(silent bool) {
+	f := l.f
+	f.store.mute = f.now + time.Second
+	f.at(time.Second, func() {
+		for _, n := range l.everyone() {
+			n.after = 0
+			for _, w := range n.waiting {
+				w.hung = silent
+				w.cut = !silent
+			}
+		}
+	})
+}
+
+// soon has an engine leave within a span.
+func (l *leaveLab) soon(span time.Duration) {
+	l.f.at(time.Duration(l.f.rng.Int64N(int64(span))), l.anyLeave)
+}
+
+// down has the store be away for a while, with a word to whoever connects or without one.
+func (l *leaveLab) down(span time.Duration, closed bool) {
+	l.f.store.down = true
+	l.f.store.closed = closed
+	l.f.at(span, func() {
+		l.f.store.down = false
+		l.f.store.closed = false
+	})
+}
+
+// soonAfter has engines leave as soon as the rule binds again, span from now.
+func (l *leaveLab) soonAfter(span time.Duration) {
+	l.f.at(span+l.bounds.contact+8*time.Millisecond, l.anyLeave)
+	l.f.at(span+l.bounds.contact+700*time.Millisecond, l.anyLeave)
+}
+
+// A leaveStorm is what goes wrong beside engines that leave.
+type leaveStorm struct {
+	name string
+	do   func(l *leaveLab)
+}
+
+// every has something done again and again.
+func (l *leaveLab) every(span time.Duration, do func()) {
+	l.f.again(span, time.Hour, func() func() { do(); return func() {} })
+}
+
+var leaveStorms = []leaveStorm{
+	{"calm", func(l *leaveLab) { l.every(1300*time.Millisecond, l.anyLeave) }},
+	{"the watches of some hang", func(l *leaveLab) {
+		l.every(2300*time.Millisecond, func() {
+			l.hang(l.f.anyMember(), l.f.anyMember())
+			l.soon(400 * time.Millisecond)
+		})
+	}},
+	{"the watches of all hang", func(l *leaveLab) {
+		l.every(4100*time.Millisecond, func() {
+			l.hang(l.everyone()...)
+			l.soon(300 * time.Millisecond)
+		})
+	}},
+	{"history is dropped", func(l *leaveLab) {
+		l.every(3700*time.Millisecond, func() {
+			l.forget(false)
+			l.soon(time.Second)
+		})
+	}},
+	{"history is dropped without a word", func(l *leaveLab) {
+		l.every(4700*time.Millisecond, func() {
+			l.forget(true)
+			l.soon(time.Second)
+		})
+	}},
+	{"the store is down", func(l *leaveLab) {
+		l.every(11*time.Second, func() {
+			span := time.Duration(1+l.f.rng.IntN(5)) * time.Second
+			l.down(span, true)
+			l.soonAfter(span)
+		})
+	}},
+	{"the store is silent", func(l *leaveLab) {
+		l.every(12*time.Second, func() {
+			span := time.Duration(1+l.f.rng.IntN(6)) * time.Second
+			l.down(span, false)
+			l.soonAfter(span)
+		})
+	}},
+	{"the store steps back", func(l *leaveLab) {
+		l.f.keepCopies()
+		l.every(9*time.Second, func() {
+			l.anyLeave()
+			l.f.at(time.Second, func() {
+				l.f.stepBack(l.f.anySpan())
+				l.soonAfter(restoring)
+			})
+		})
+	}},
+	{"replicas that leave are said to be ready", func(l *leaveLab) {
+		l.every(2900*time.Millisecond, func() {
+			e := l.any()
+			l.leave(e, false)
+			l.f.at(time.Second, func() { // a write of before is carried out late
+				e.leaving = false
+				l.f.announce(e)
+			})
+		})
+	}},
+	{"members are killed", func(l *leaveLab) {
+		l.every(1700*time.Millisecond, l.anyLeave)
+		l.f.again(5*time.Second, time.Second, func() func() {
+			n := l.f.anyMember()
+			n.dead = true
+			return func() { l.f.start(n.id.Name) }
+		})
+	}},
+	{"members are frozen", func(l *leaveLab) {
+		l.every(1900*time.Millisecond, l.anyLeave)
+		l.f.again(6*time.Second, 2*time.Second, func() func() {
+			n := l.f.anyMember()
+			n.frozen = true
+			return func() { l.f.thaw(n) }
+		})
+	}},
+	{"members are cut from the store", func(l *leaveLab) {
+		l.every(1700*time.Millisecond, l.anyLeave)
+		l.f.again(9*time.Second, 4*time.Second, func() func() {
+			n, m := l.f.anyMember(), l.f.anyMember()
+			n.noStore, m.noStore = true, true
+			return func() { n.noStore, m.noStore = false, false }
+		})
+	}},
+	{"a zone is cut off", func(l *leaveLab) {
+		l.f.cut = map[string]bool{}
+		l.every(1700*time.Millisecond, l.anyLeave)
+		l.f.again(10*time.Second, 4*time.Second, func() func() {
+			l.f.cut["z1"] = true
+			return func() { delete(l.f.cut, "z1") }
+		})
+	}},
+}
+
+// play plays a storm, alone or beside another, on a fleet of some size.
+func (s leaveStorm) play(seed uint64, size fleetSize, beside ...leaveStorm) *leaveLab {
+	f := newFleetOf(seed, size.members, size.engines, option.Disabled{}, false)
+	f.adapters = 0.1
+	f.expire()
+	l := newLeaveLab(f, size.bounds)
+	f.run(8 * time.Second)
+	f.callers(size.callEvery)
+	f.run(2 * time.Second)
+	s.do(l)
+	for _, b := range beside {
+		b.do(l)
+	}
+	f.run(size.span)
+	return l
+}
+
+// A fleetSize is how large a fleet is, and how long it is played.
+type fleetSize struct {
+	members, engines int
+	bounds           leaveBounds
+	callEvery        time.Duration
+	span             time.Duration
+}
+
+var fleetSizes = []fleetSize{
+	{8, 2 * fleetEngines, smallBounds, 10 * time.Millisecond, 40 * time.Second},
+	{46, 4 * fleetEngines, largeBounds, 2 * time.Millisecond, 25 * time.Second},
+	{370, 100, largeBounds, time.Millisecond, 15 * time.Second},
+}
+
+// check reports what broke.
+func (l *leaveLab) check(t *testing.T, seed int) {
+	t.Helper()
+	if len(l.late) > 0 {
+		t.Errorf("seed %d: %d calls too late; %s", seed+1, len(l.late), l.late[0])
+	}
+	for _, b := range l.f.broken[:min(3, len(l.f.broken))] {
+		t.Errorf("seed %d: %s", seed+1, b)
+	}
+	if l.left == 0 || l.f.served < 9*l.f.refused {
+		t.Errorf("seed %d: %d left, %d served, %d refused", seed+1, l.left, l.f.served, l.f.refused)
+	}
+}
+
+// TestLeavingReplicasGetNoCalls: whatever fails beside it, no call reaches a replica later than
+// the bound after the store took that it leaves, or lost its entry, and calls go on being
+// served.
+func TestLeavingReplicasGetNoCalls(t *testing.T) {
+	sizes := fleetSizes[:1]
+	if *leaveSizes {
+		sizes = fleetSizes
+	}
+	for _, size := range sizes {
+		for _, s := range leaveStorms {
+			t.Run(fmt.Sprintf("%d instances, %s", size.members, s.name), func(t *testing.T) {
+				t.Parallel()
+				for seed := range *leaveSeeds {
+					s.play(uint64(seed+1), size).check(t, seed)
+				}
+			})
+		}
+	}
+}
--- a/core/instance/stepback_test.go
+++ b/core/instance/stepback_test.go
@@ -27,6 +27,8 @@
 	restoring = 300 * time.Millisecond
 	// heartbeat is the longest time until a replica writes its entry again.
 	heartbeat = 1200 * time.Millisecond
+	// entryTerm is after how long of a replica's silence its entry goes.
+	entryTerm = 3 * heartbeat
 )
 
 // A fleetCopy is the store as it was at some moment.
@@ -89,6 +91,10 @@
 	}
 	for _, name := range sortedKeys(f.engines) {
 		e := f.engines[name]
+		if e.silent || e.gone {
+			f.comesBack(e)
+			continue
+		}
 		f.at(time.Duration(f.rng.Int64N(int64(heartbeat))), func() {
 			if !e.dead && !e.gone {
 				f.announce(e)
@@ -97,6 +103,27 @@
 	}
 }
 
+// comesBack has the entry of an engine that does not write it any more stand for a while, if
+// the copy has it: the store has lost that it went.
+func (f *fleet) comesBack(e *fleetEngine) {
+	key := "servers/" + e.name
+	if f.store.values[key] == nil {
+		return
+	}
+	if f.leaves != nil {
+		delete(f.leaves.words, e)
+	}
+	f.at(entryTerm, func() {
+		if f.store.values[key] == nil {
+			return
+		}
+		f.change(key, nil)
+		if f.leaves != nil {
+			f.leaves.took(e)
+		}
+	})
+}
+
 // anySpan draws by how much the store goes back.
 func (f *fleet) anySpan() time.Duration {
 	return time.Duration(f.rng.Int64N(int64(10 * time.Second)))
