How old the platform's list is at each send is logged and measured

Change: call_sent has list_age_ms, the metrics address a histogram birchdrift_list_age_seconds; 1319 list_old is logged once when the list is older than a sound platform and peers would let it be, though the platform isn't known to be down, and 1320 list_current when that is over. core/bounds states the users' bounds (settings leave-bound, settle-time) and the parts that add up to them. A list is as old as the end of the wait of the watch that last brought it, not as its beginning: a watch that waits is answered when something changes.

--- /dev/null
+++ b/core/bounds/bounds_test.go
@@ -0,0 +1,59 @@
+package bounds
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// small and large are the bounds and the spacing of exchanges of the users' deployments.
+var (
+	small = Bounds{Leave: 2 * time.Second, Settle: 3 * time.Second}
+	large = Bounds{Leave: 3 * time.Second, Settle: 4 * time.Second}
+)
+
+const exchange = 500 * time.Millisecond
+
+// TestPartsComeToLessThanTheBound: the waits that were worked out leave something over of the
+// bound, whatever it is and however the fleet hears of news.
+func TestPartsComeToLessThanTheBound(t *testing.T) {
+	for _, b := range []Bounds{small, large, {Leave: 10 * time.Second, Settle: 10 * time.Second}} {
+		for _, mesh := range []bool{true, false} {
+			is := is.New(t)
+			r := Rhythm{Mesh: mesh, Exchange: exchange}
+			p := b.Parts(r)
+			is.True(p.Sum() <= b.Leave)
+			is.NoErr(b.Check(r))
+			is.True(p.Wait >= leastWait)
+			// An instance that asks the store itself, since its news is old, is in time too,
+			// and does not do so while all is well.
+			is.True(b.StoreSilence()+p.Read+p.Dial+p.Send <= b.Leave)
+			is.True(p.FirstHand() <= b.StoreSilence())
+			// After an outage the list is there before the bound binds again.
+			is.True(b.LongWait()+p.Read < b.Settle)
+		}
+	}
+}
+
+// TestSettingsThatBreakTheSumAreRefused: the error names the sum and its parts.
+func TestSettingsThatBreakTheSumAreRefused(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		bounds Bounds
+		rhythm Rhythm
+		want   string
+	}{
+		{"a long wait", small, Rhythm{Mesh: true, Wait: 1500 * time.Millisecond}, "calls for 2.8s, and 2s are allowed"},
+		{"a long pause", small, Rhythm{Mesh: true, Pause: time.Second, Wait: 600 * time.Millisecond}, "pause 1s"},
+		{"a short bound", Bounds{Leave: 500 * time.Millisecond}, Rhythm{Mesh: true}, "dial 500ms"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			err := tt.bounds.Check(tt.rhythm)
+			is.True(err != nil)
+			is.True(strings.Contains(err.Error(), tt.want))
+		})
+	}
+}
--- a/core/calls/event.go
+++ b/core/calls/event.go
@@ -74,6 +74,7 @@
 	}
 	// A ForwardAttempt is what a Dispatch of a forwarded call adds.
 	ForwardAttempt struct {
+		ListAge  time.Duration // of the platform's list by which the replica was chosen
 		Left     time.Duration // of the caller's deadline; 0 if there is none
 		Priority int           // -1 if the replica is not to be told
 		Stream   bool          // the answer is a series of events
--- a/core/clock/clock.go
+++ b/core/clock/clock.go
@@ -48,6 +48,14 @@
 	return a
 }
 
+// Earliest returns the earlier of two instants.
+func Earliest(a, b Instant) Instant {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // A Moment is when something was: by the clocks of this instance in At, and in a message
 // by how long ago it was then in Age.
 type Moment struct {
--- a/core/exchange/exchange.go
+++ b/core/exchange/exchange.go
@@ -112,7 +112,7 @@
 	inFlight map[string]bool // exchanges under way, by address
 
 	storeVersion era.Number    // up to where the platform's store was heard at first hand
-	storeAt      clock.Instant // when the newest news of the store, from whomever, left it
+	storeAt      clock.Instant // up to when everything in it is known, by whomever
 }
 
 // A peerState is what a peer said of itself last.
@@ -132,14 +132,17 @@
 // SetSeeds takes over changed addresses of peers known from settings.
 func (x *Exchanges) SetSeeds(seeds []string) { x.seeds = seeds }
 
-// StoreHeard notes that the platform's store was heard at first hand: of
-// everything up to version, by a watch that was sent at sent.
-func (x *Exchanges) StoreHeard(sent clock.Instant) { x.storeAt = clock.Latest(x.storeAt, sent) }
+// StoreHeard notes that everything in the platform's store up to a moment was heard at first
+// hand.
+func (x *Exchanges) StoreHeard(upTo clock.Instant) { x.storeAt = clock.Latest(x.storeAt, upTo) }
 
 // StoreVersion notes up to where the store was heard at first hand.
 func (x *Exchanges) StoreVersion(version era.Number) { x.storeVersion = version }
 
-// StoreAge returns how old the newest news of the store is.
+// StoreAt returns up to when everything in the store is known, by whomever.
+func (x *Exchanges) StoreAt() clock.Instant { return x.storeAt }
+
+// StoreAge returns how old what is known of the store is.
 func (x *Exchanges) StoreAge(now clock.Instant) time.Duration { return now.Since(x.storeAt) }
 
 // With begins an exchange with a peer, if there is one and none is under way.
--- a/core/forwarding/forwarding.go
+++ b/core/forwarding/forwarding.go
@@ -47,6 +47,8 @@
 	Permits    *permits.Permits
 	// Used notes that a call uses an item of an engine.
 	Used func(now clock.Instant, engine, item string)
+	// ListAge returns how old the platform's list is here.
+	ListAge func(now clock.Instant) time.Duration
 	// Missed notes that a call found its model nowhere.
 	Missed func(now clock.Instant)
 }
--- a/core/forwarding/forwarding_test.go
+++ b/core/forwarding/forwarding_test.go
@@ -41,7 +41,8 @@
 	f = New(Needs{
 		State: state, Calls: table, Budget: &retrybudget.Budget{Options: state.Options, Members: state.Members},
 		Demand: demand.NewTracker(), Missed: func(clock.Instant) {}, Used: func(clock.Instant, string, string) {},
-		Roster: &watchers.Roster{Self: state.Self, Options: state.Options, Members: state.Members},
+		ListAge: func(clock.Instant) time.Duration { return 0 },
+		Roster:  &watchers.Roster{Self: state.Self, Options: state.Options, Members: state.Members},
 		Quarantine: quarantine.New(quarantine.Needs{
 			State: state, Tell: func(clock.Instant) {}, Direct: func() bool { return true }, Cut: func(crash.Request, time.Duration) {},
 		}),
--- a/core/forwarding/place.go
+++ b/core/forwarding/place.go
@@ -198,7 +198,7 @@
 		"rank", s.route.Priority, "target_ms", c.Target.Milliseconds(), "gap_ms", s.route.Gap.Milliseconds(), "tokens", c.PromptTokens,
 		"replica", c.Replica, "waited_ms", now.Since(c.Arrived).Milliseconds(), "ahead_ms", e.Ahead.Milliseconds(),
 		"prefill_ms", e.Prefill.Milliseconds(), "other_ms", e.Other.Milliseconds(), "cached", e.Cached, "calls_there", e.Calls,
-		"announced_ago_ms", now.Since(e.Replica.AnnouncedAt()).Milliseconds(), "revision", f.Config.Revision())
+		"announced_ago_ms", now.Since(e.Replica.AnnouncedAt()).Milliseconds(), "list_age_ms", f.ListAge(now).Milliseconds(), "revision", f.Config.Revision())
 	f.Out.Do(f.attempt(now, c, e.Replica))
 }
 
@@ -228,6 +228,7 @@
 	d.Model = s.target.model
 	d.Adapter = s.target.adapter
 	d.Forward = &calls.ForwardAttempt{
+		ListAge:  f.ListAge(now),
 		Left:     left,
 		Priority: priority,
 		Stream:   s.route.Kind == config.Stream,
--- a/core/instance/announced_world_test.go
+++ b/core/instance/announced_world_test.go
@@ -24,6 +24,7 @@
 	"github.com/birchdrift/birchdrift/core/exchange"
 	"github.com/birchdrift/birchdrift/core/forwarding"
 	"github.com/birchdrift/birchdrift/core/listing"
+	"github.com/birchdrift/birchdrift/core/logevent"
 	"github.com/birchdrift/birchdrift/core/member"
 	"github.com/birchdrift/birchdrift/core/option"
 	"github.com/birchdrift/birchdrift/core/orders"
@@ -81,7 +82,8 @@
 	// steady has members read a steady clock that stands still while they sleep.
 	steady bool
 	// cut are zones without a way to other zones and to the store.
-	cut map[string]bool
+	cut    map[string]bool
+	logged map[logevent.Number]int
 	// leaves is which engines leave, and what reaches them after that; nil: none.
 	leaves *leaveLab
 }
@@ -209,6 +211,7 @@
 		store:       fleetStore{values: map[string]*fleetValue{}, leases: map[uint64]*fleetLease{}, next: firstLease},
 		engines:     map[string]*fleetEngine{},
 		members:     map[string]*fleetMember{},
+		logged:      map[logevent.Number]int{},
 	}
 	f.opt.Disable = disable
 	f.opt.Environment = option.Platform
@@ -343,6 +346,8 @@
 func (f *fleet) do(n *fleetMember, boot uint64, a step.Action) {
 	reply := func(d time.Duration, ev step.Event) { f.at(d, func() { f.step(n, boot, ev) }) }
 	switch act := a.(type) {
+	case step.Log:
+		f.logged[act.Event]++
 	case watch.Begin:
 		f.at(fleetWay, func() { f.watch(n, boot, act.Wait) })
 	case ownership.Enrol:
@@ -789,7 +794,7 @@
 	}
 	f.step(n, boot, list)
 	f.step(n, boot, reg)
-	f.step(n, boot, watch.Reply{})
+	f.step(n, boot, watch.Reply{Whole: whole})
 }
 
 func addFleetChange(list *listing.Reply, reg *ownership.Heard, c fleetChange, in era.Era) {
--- a/core/instance/build.go
+++ b/core/instance/build.go
@@ -158,6 +158,7 @@
 		State: m.state,
 		Calls: m.calls, Budget: m.budget, Asks: m.orders.asks, Roster: m.orders.roster, Demand: tracker,
 		Quarantine: m.quarantine, Permits: m.permits,
-		Used: m.orders.owned.Used,
+		ListAge: m.exchanges.StoreAge,
+		Used:    m.orders.owned.Used,
 	})
 }
--- a/core/instance/leaving_test.go
+++ b/core/instance/leaving_test.go
@@ -12,7 +12,10 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"github.com/birchdrift/birchdrift/core/calls"
+	"github.com/birchdrift/birchdrift/core/logevent"
 	"github.com/birchdrift/birchdrift/core/option"
 )
 
@@ -48,7 +51,8 @@
 	boots     map[string]uint64
 	next      int // number of the next engine
 	late      []string
-	left      int // engines that left under a stable store
+	left      int           // engines that left under a stable store
+	oldest    time.Duration // list by which a member that the rule binds sent a call
 }
 
 // A leaveWord is when the store took that an engine leaves.
@@ -95,6 +99,9 @@
 // sent takes in that a member sends a call to an engine.
 func (l *leaveLab) sent(n *fleetMember, d calls.Dispatch) {
 	e := l.f.engines[d.Replica]
+	if l.bound(n) {
+		l.oldest = max(l.oldest, d.Forward.ListAge)
+	}
 	l.f.at(fleetWay, func() {
 		w, ok := l.words[e]
 		if !ok || !w.stable || l.f.now-w.at <= l.bounds.leave || !l.bound(n) || e.gone {
@@ -383,3 +390,28 @@
 		}
 	}
 }
+
+// TestAnOldListIsLogged: a list that is older than it should be is logged once, and once when it
+// is young again; on a calm day nothing is.
+func TestAnOldListIsLogged(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		do   func(l *leaveLab)
+		old  bool
+	}{
+		{"calm", func(*leaveLab) {}, false},
+		{"watches hang", func(l *leaveLab) { l.every(5*time.Second, func() { l.hang(l.everyone()...) }) }, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(1, 5)
+			f.expire()
+			f.run(8 * time.Second)
+			f.logged = map[logevent.Number]int{}
+			tt.do(newLeaveLab(f, smallBounds))
+			f.run(19 * time.Second)
+			is.Equal(f.logged[logevent.ListOld] > 0, tt.old)
+			is.Equal(f.logged[logevent.ListOld], f.logged[logevent.ListCurrent])
+		})
+	}
+}
--- a/core/logevent/logevent.go
+++ b/core/logevent/logevent.go
@@ -37,6 +37,8 @@
 	RecordUnreadable   Number = 1316
 	Watching           Number = 1317
 	StoreSteppedBack   Number = 1318
+	ListOld            Number = 1319
+	ListCurrent        Number = 1320
 	Order              Number = 1401
 	OrderRefused       Number = 1402
 	OrderLost          Number = 1403
@@ -128,6 +130,8 @@
 	{RecordUnreadable, "record_unreadable", "A record in the platform's store cannot be read and is passed over.", "See who wrote the key. A replica's entry that lacks a service, zone, address or state, or has one that is not known, counts too; what was known of the replica stays."},
 	{Watching, "watching", "This instance watches the platform's store from now on, or no longer does (`keeps`), and why.", "None; one that begins again and again hears too late from its peers."},
 	{StoreSteppedBack, "store_stepped_back", "The platform's store came back from an older copy of itself. This instance begins a new lease and claims the `engines` again that it orders; calls go on.", "Ask the platform's operators. See docs/OPERATIONS.md, \"The store came back from an older copy\"."},
+	{ListOld, "list_old", "What this instance knows of the platform's list is older than a sound platform and sound peers would let it be (`age_ms`, `most_ms`), though the platform is not known to be down. Calls go on.", "See whether `platform_down` or `peer_failed` follows; else connections hang. Calls that reach a replica too late after it left have such an age in `call_sent`."},
+	{ListCurrent, "list_current", "The list is as young again as it should be; `oldest_ms` is how old it became.", "None."},
 	{Placing, "placing", "This instance places models from now on.", "None."},
 	{Placed, "placement", "A model is to be loaded on an engine, and others to make way for it.", "None; `worth` and `cost` say why."},
 	{PlaceEnded, "placement_ended", "A placement is done, or was given up.", "None."},
--- a/core/option/option.go
+++ b/core/option/option.go
@@ -3,7 +3,11 @@
 // read; a change of settings replaces it between two steps.
 package option
 
-import "time"
+import (
+	"time"
+
+	"github.com/birchdrift/birchdrift/core/bounds"
+)
 
 // Options are the tunables of a machine, all in one table. The zero value is not usable; start
 // from Default.
@@ -65,6 +69,8 @@
 	// ProbeWait is how long a forwarded call waits for engines to say how busy
 	// they are, in a fleet too large to exchange pairwise; 0: it does not ask.
 	ProbeWait time.Duration
+	// Bounds are the times that a platform's users rely on.
+	Bounds bounds.Bounds
 	// Environment says what the instance runs in. It is read once, when the
 	// machine is put together.
 	Environment Environment
@@ -124,5 +130,6 @@
 		OrderValid:    4 * time.Second,
 		TurnGap:       3 * time.Second,
 		AbsentFor:     time.Second,
+		Bounds:        bounds.Default(),
 	}
 }
--- a/core/watch/watch.go
+++ b/core/watch/watch.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/birchdrift/birchdrift/core/bounds"
 	"github.com/birchdrift/birchdrift/core/clock"
 	"github.com/birchdrift/birchdrift/core/exchange"
 	"github.com/birchdrift/birchdrift/core/logevent"
@@ -33,7 +34,10 @@
 	Begin struct{ Wait time.Duration }
 	// Reply is the event that ends a Begin, after the events for what it
 	// brought.
-	Reply struct{ Err error }
+	Reply struct {
+		Whole bool // it brought everything, read after the Begin
+		Err   error
+	}
 )
 
 // IsAction implements step.Action.
@@ -103,6 +107,19 @@
 
 	job    step.Job
 	logged reason // that was logged last
+	old    oldList
+}
+
+// An oldList is what was noted of a list that is older than it should be.
+type oldList struct {
+	noted  bool
+	oldest time.Duration
+}
+
+// parts returns the waits on the way from the store's word to a call.
+func (w *Watch) parts() bounds.Parts {
+	o := w.Options
+	return o.Bounds.Parts(bounds.Rhythm{Mesh: w.Roster.FullMesh(), Exchange: o.ExchangeEvery, Pause: o.WatchEvery, Wait: o.WatchWait})
 }
 
 // view gathers what decides now.
@@ -130,6 +147,7 @@
 	if w.Stopping() {
 		return
 	}
+	w.noteAge(now)
 	why := w.view(now).reason()
 	w.log(why)
 	if why == notNeeded || !w.job.Ready(now) {
@@ -145,11 +163,38 @@
 	if e.Err == nil {
 		sent := w.job.SentAt()
 		w.Registry.WatchAnswered(sent)
-		w.Exchanges.StoreHeard(sent)
+		w.Exchanges.StoreHeard(answeredAt(now, sent, w.Options.WatchWait, e.Whole))
 	}
 	w.job.End(now.Add(max(w.Options.WatchEvery, w.Outage.Wait(w.Rand))))
 }
 
+// answeredAt returns up to when an answer that came at now has everything. One that does not
+// have the whole was given when something changed, or when its wait was over.
+func answeredAt(now, sent clock.Instant, wait time.Duration, whole bool) clock.Instant {
+	if waited := sent.Add(wait); !whole {
+		return clock.Earliest(now, waited)
+	}
+	return sent
+}
+
+// noteAge logs when the list becomes older than it should be, and when that is over.
+func (w *Watch) noteAge(now clock.Instant) {
+	age := w.Exchanges.StoreAge(now)
+	most := max(w.Options.Bounds.Leave/2, w.parts().FirstHand())
+	switch {
+	case w.Exchanges.StoreAt().IsZero():
+	case age > most:
+		if !w.old.noted && !w.Outage.Down() {
+			w.old = oldList{noted: true}
+			w.Out.Log(logevent.ListOld, "age_ms", age.Milliseconds(), "most_ms", most.Milliseconds())
+		}
+		w.old.oldest = max(w.old.oldest, age)
+	case w.old.noted:
+		w.Out.Log(logevent.ListCurrent, "oldest_ms", w.old.oldest.Milliseconds())
+		w.old = oldList{}
+	}
+}
+
 // log notes that the instance begins to watch, or no longer does.
 func (w *Watch) log(why reason) {
 	if (why == notNeeded) == (w.logged == notNeeded) {
--- a/internal/environment/driver.go
+++ b/internal/environment/driver.go
@@ -101,7 +101,7 @@
 	if len(change.Records) > 0 || change.Whole {
 		d.host.Post(ownership.Heard{Records: change.Records, Version: change.Version, Whole: change.Whole})
 	}
-	d.host.Post(watch.Reply{})
+	d.host.Post(watch.Reply{Whole: change.Whole})
 }
 
 // enrol begins a lease and writes the instance's record under it.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -19,6 +19,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"github.com/birchdrift/birchdrift/core/bounds"
 	"github.com/birchdrift/birchdrift/core/code"
 	"github.com/birchdrift/birchdrift/core/option"
 )
@@ -63,6 +64,8 @@
 	MeshEvery   time.Duration
 	LoadWait    time.Duration
 	TurnGap     time.Duration
+	LeaveBound  time.Duration
+	SettleTime  time.Duration
 }
 
 // A Setting is one row of the table.
@@ -120,6 +123,8 @@
 	{"mesh-every", "0s", "0s to 24h", "Spacing of the exchanges with every peer of a small fleet; 0 for none.", false, duration(func(s *Settings) *time.Duration { return &s.MeshEvery }, 0)},
 	{"load-wait", "0s", "0s to 1s", "How long a forwarded call waits for announced engines to say how busy they are, in a fleet too large to exchange pairwise; 0: it does not ask.", false, atMost(time.Second, duration(func(s *Settings) *time.Duration { return &s.LoadWait }, 0), func(s *Settings) time.Duration { return s.LoadWait })},
 	{"turn-gap", "3s", "0s to 24h", "Least time between the orders of two instances to one announced engine.", false, duration(func(s *Settings) *time.Duration { return &s.TurnGap }, 0)},
+	{"leave-bound", "2s", "100ms to 24h", "Longest time from the platform's word that a replica leaves to the last call that reaches it. How often the platform is watched follows from it.", false, duration(func(s *Settings) *time.Duration { return &s.LeaveBound }, 100*time.Millisecond)},
+	{"settle-time", "3s", "100ms to 24h", "How long nothing must have been disturbed for that bound to hold. How soon the platform is called again after an outage follows from it.", false, duration(func(s *Settings) *time.Duration { return &s.SettleTime }, 100*time.Millisecond)},
 	{"processor", "1", "0 to 1024", "Cores, or the share of one, that the process may use. Duties for the fleet go to the instances that have most.", false, number(func(s *Settings) *float64 { return &s.Processor }, 0, 1024)},
 	{"memory-limit", "0", "0 to 1048576", "Memory in MiB that the process should stay within; 0 sets no limit.", false, integer(func(s *Settings) *int64 { return &s.MemoryLimit }, 0, 1<<20)},
 }
@@ -191,6 +196,7 @@
 	opt.MeshEvery = s.MeshEvery
 	opt.TurnGap = s.TurnGap
 	opt.ProbeWait = s.LoadWait
+	opt.Bounds = bounds.Bounds{Leave: s.LeaveBound, Settle: s.SettleTime}
 	if s.Environment != EnvironmentOwn {
 		opt.Environment = option.Platform
 	}
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -9,6 +9,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/birchdrift/birchdrift/core/calls"
 	"github.com/birchdrift/birchdrift/core/logevent"
 	"github.com/birchdrift/birchdrift/core/own/planner"
 	"github.com/birchdrift/birchdrift/core/step"
@@ -27,6 +28,7 @@
 	policyFails   *metrics.Counter
 	logDropped    *metrics.Counter
 	unreadHeaders *metrics.Counter
+	listAge       *metrics.Histogram
 }
 
 // NewMetrics returns measures that have counted nothing.
@@ -44,6 +46,7 @@
 		policyFails:   set.NewCounter("birchdrift_policy_failures_total"),
 		logDropped:    set.NewCounter("birchdrift_log_lines_dropped_total"),
 		unreadHeaders: set.NewCounter("birchdrift_unread_headers_total"),
+		listAge:       set.NewHistogram("birchdrift_list_age_seconds"),
 	}
 }
 
@@ -64,6 +67,7 @@
 	{"birchdrift_orders_total{op}", "Orders sent to engines.", "Loads and unloads are the moves."},
 	{"birchdrift_log_lines_dropped_total", "Log lines dropped because they came faster than they may be written.", "Rising: set `--log-level` to warn, or look at what fails so often."},
 	{"birchdrift_unread_headers_total", "Answers of replicas and of the platform's store with a header that nothing here reads.", "Look for event 1507, which names it: the platform may have a new word."},
+	{"birchdrift_list_age_seconds", "How old the platform's list was here when a call was sent by it.", "Near `--leave-bound`: replicas that leave may get calls. See event 1319."},
 	{"birchdrift_notes_total{event}", "Log events by number.", "Look the number up in docs/events.md."},
 }
 
@@ -94,6 +98,10 @@
 // Action counts what the machine asked for, where that is worth a metric.
 func (m *Metrics) Action(a step.Action) {
 	switch act := a.(type) {
+	case calls.Dispatch:
+		if act.Forward != nil {
+			m.listAge.Update(act.Forward.ListAge.Seconds())
+		}
 	case planner.SendOrder:
 		m.set.GetOrCreateCounter(fmt.Sprintf(`birchdrift_orders_total{op="%s"}`, act.Order.Op)).Inc()
 	case step.Log:
