That an entry says its replica leaves holds for that life, at all instances

What callers saw, in the core's fleet: calls went on to a replica without end, 88 to 283 of them in 40 s, after the store had taken that it leaves, where the store showed a write by which it is ready once more.

Cause: pool.Announce took over whether a replica leaves from each entry, so a later one of the same life that says ready took the word back. Such entries come from writes that are carried out late, pages that are older, and copies from which the store came back; no replica goes back to ready.

Change: leaving, once an entry of a life said so, holds for that life. An instance that hears so from the list tells its peers as it does for a replica's own word in an answer, so that one that starts while the store shows the older entry knows too. Whoever was told by a peer doesn't use the replica as a last resort: how long the others have known isn't known.

Ruled out: entries that went and came back. They went without a word, also from sound replicas, and count as they say.

TestLeavingIsNotTakenBack. What is left of both tests is red where watches hang.

--- a/core/instance/leaving_test.go
+++ b/core/instance/leaving_test.go
@@ -9,6 +9,7 @@
 	"flag"
 	"fmt"
 	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -326,6 +327,24 @@
 	}},
 }
 
+// pairs are storms that are played beside each other.
+var leavePairs = [][2]string{
+	{"replicas that leave are said to be ready", "members are killed"},
+	{"the store steps back", "members are killed"},
+	{"the store steps back", "the watches of all hang"},
+	{"history is dropped without a word", "members are frozen"},
+	{"history is dropped", "members are cut from the store"},
+	{"the store is down", "the watches of some hang"},
+	{"the store is silent", "members are killed"},
+	{"a zone is cut off", "the watches of all hang"},
+}
+
+// stormOf returns the storm of a name.
+func stormOf(name string) leaveStorm {
+	i := slices.IndexFunc(leaveStorms, func(s leaveStorm) bool { return s.name == name })
+	return leaveStorms[i]
+}
+
 // play plays a storm, alone or beside another, on a fleet of some size.
 func (s leaveStorm) play(seed uint64, size fleetSize, beside ...leaveStorm) *leaveLab {
 	f := newFleetOf(seed, size.members, size.engines, option.Disabled{}, false)
@@ -391,6 +410,24 @@
 	}
 }
 
+// TestLeavingReplicasGetNoCallsInPairsOfStorms is the same where two things go wrong at once.
+func TestLeavingReplicasGetNoCallsInPairsOfStorms(t *testing.T) {
+	sizes := fleetSizes[:1]
+	if *leaveSizes {
+		sizes = fleetSizes
+	}
+	for _, size := range sizes {
+		for _, p := range leavePairs {
+			t.Run(fmt.Sprintf("%d instances, %s, %s", size.members, p[0], p[1]), func(t *testing.T) {
+				t.Parallel()
+				for seed := range *leaveSeeds {
+					stormOf(p[0]).play(uint64(seed+1), size, stormOf(p[1])).check(t, seed)
+				}
+			})
+		}
+	}
+}
+
 // TestAnOldListIsLogged: a list that is older than it should be is logged once, and once when it
 // is young again; on a calm day nothing is.
 func TestAnOldListIsLogged(t *testing.T) {
--- a/core/notice/notice.go
+++ b/core/notice/notice.go
@@ -162,20 +162,25 @@
 		}
 		n.TellSoon(now)
 		r := n.Pool.Get(l.Name)
-		if r != nil && r.Incarnation() == l.Incarnation && n.Pool.MarkLeaving(now, l.Name) {
-			n.Out.Log(logevent.Leaving, "upstream", l.Name, "source", "itself", "told", from)
+		if r != nil && r.Incarnation() == l.Incarnation && n.Pool.TellLeaving(l.Name) {
+			n.Out.Log(logevent.Leaving, "upstream", l.Name, "source", "a peer", "told", from)
 		}
 	}
 }
 
-// Announced has what is known of this life of a replica that was announced hold for it.
+// Announced has what is known of this life of a replica that was announced hold for it. That an
+// entry says that it leaves is told to all instances, as its own word is: the store may lose that
+// entry, and instances that start then would take the replica for ready.
 func (n *Notices) Announced(now clock.Instant, name string) {
 	r := n.Pool.Get(name)
 	if r == nil {
 		return
 	}
-	if n.Records.IsLeaving(r.Incarnation()) && n.Pool.MarkLeaving(now, name) {
-		n.Out.Log(logevent.Leaving, "upstream", name, "source", "itself")
+	if n.Records.IsLeaving(r.Incarnation()) && n.Pool.TellLeaving(name) {
+		n.Out.Log(logevent.Leaving, "upstream", name, "source", "a peer")
+	}
+	if r.AnnouncedLeaving() && n.Records.AddLeaving("", share.Leaving{Incarnation: r.Incarnation(), At: now}) {
+		n.TellSoon(now)
 	}
 	if w, ok := n.Records.Limit(r.Incarnation()); ok {
 		n.Pool.TellLimit(r.Incarnation(), w)
--- a/core/pool/announced.go
+++ b/core/pool/announced.go
@@ -126,7 +126,10 @@
 	r.announced = a
 	r.announcedAt = now
 	r.vanishedAt = clock.Instant{}
-	r.listedLeaving = a.Leaving
+	// An entry that says otherwise later is an older one: it was written late, or comes from
+	// a copy of the store. A replica that said that it leaves ends.
+	r.announcedLeaving = r.announcedLeaving || a.Leaving
+	r.listedLeaving = r.announcedLeaving
 	if a.Leaving && a.Remaining > 0 {
 		r.endsAt = now.Add(a.Remaining)
 	}
--- a/core/pool/notice.go
+++ b/core/pool/notice.go
@@ -106,6 +106,18 @@
 	return true
 }
 
+// TellLeaving notes that a replica leaves by what others know, and reports whether that is news.
+// How long they have known it is not known, so it is no last resort.
+func (p *Pool) TellLeaving(name string) bool {
+	r := p.replicas[name]
+	if r == nil || r.Leaving() {
+		return false
+	}
+	r.saidLeaving = true
+	p.touched++
+	return true
+}
+
 // AnswerBegan notes that the first piece of the answer to a call came.
 func (p *Pool) AnswerBegan(now clock.Instant, r *Replica, call uint64) {
 	if r.rest.trial == call && call != 0 {
--- a/core/pool/replica.go
+++ b/core/pool/replica.go
@@ -107,10 +107,13 @@
 // A leaving says who called a replica leaving.
 type leaving struct {
 	listedLeaving bool
-	leavingBoot   uint64 // boot that was told to be leaving
-	saidLeaving   bool
-	leavingAt     clock.Instant // when it said so itself first, if it did
-	ended         bool          // it is not there any more
+	// announcedLeaving says that an entry of this life said so; listedLeaving is also set when
+	// the entry went.
+	announcedLeaving bool
+	leavingBoot      uint64 // boot that was told to be leaving
+	saidLeaving      bool
+	leavingAt        clock.Instant // when it said so itself first, if it did
+	ended            bool          // it is not there any more
 }
 
 // A pendingCall is one own call in flight without a first token.
@@ -197,6 +200,9 @@
 // list lags behind the upstream's own report.
 func (r *Replica) Leaving() bool { return r.saidLeaving || r.listedLeaving }
 
+// AnnouncedLeaving reports whether an entry of this life said that the replica leaves.
+func (r *Replica) AnnouncedLeaving() bool { return r.announcedLeaving }
+
 // Ejected reports whether failures keep the replica out of the choice at now.
 func (r *Replica) Ejected(now clock.Instant) bool { return now.Before(r.ejectedTo) }
 
--- a/core/pool/replica_test.go
+++ b/core/pool/replica_test.go
@@ -63,3 +63,29 @@
 	p.Expire(now.Add(forgetSpan), VanishSpan)
 	is.True(p.Get("r") == nil)
 }
+
+// TestLeavingIsNotTakenBack: an entry that says ready does not take back that the same life of
+// its replica leaves; one of another life does, and so does one that comes back after it went.
+func TestLeavingIsNotTakenBack(t *testing.T) {
+	is := is.New(t)
+	p := New()
+	now := clocktest.At(time.Hour)
+	say := func(born string, leaving bool) {
+		p.Announce(now, "r", Announcement{Service: "s", Address: "r", Zone: "z", Slots: 1, Born: born, Leaving: leaving})
+	}
+	say("1", false)
+	is.True(p.Get("r").Usable())
+	say("1", true)
+	say("1", false)
+	is.True(!p.Get("r").Usable())
+	p.Vanish(now, "r")
+	say("1", false)
+	is.True(!p.Get("r").Usable())
+	say("2", false)
+	is.True(p.Get("r").Usable())
+	p.Vanish(now, "r")
+	p.Expire(now.Add(VanishSpan), VanishSpan)
+	is.True(!p.Get("r").Usable())
+	say("2", false)
+	is.True(p.Get("r").Usable())
+}
--- a/core/share/share.go
+++ b/core/share/share.go
@@ -63,7 +63,7 @@
 	Announced *pool.Announcement
 }
 
-// A Leaving tells that a life of a replica said itself that it leaves.
+// A Leaving tells that a life of a replica said that it leaves, in an answer or in its entry.
 type Leaving struct {
 	pool.Incarnation
 	At clock.Instant // when this instance heard of it; it does not travel
