A watch that hangs is found by a second call, in time for the bound; all waits follow from it

What callers saw: a request reached a replica 2.17 s after the store had acknowledged that it leaves; 2 s are allowed.

Cause: between the store's word and a call stand several waits, each set by itself, that no line of the code added up: 0.4 s between two watches, 1.5 s that a watch waits, 0.6 s until one that hangs is given up, 0.2 to 0.4 s after that failure, a read of the list, a connection. After an outage the next watch waited up to 5 s for its own backoff, though the store answered other calls of the same instance. One change ends the watches of all instances, so all hang together and no peer knows sooner. The class: a bound of the users that is a sum, of which each summand is somebody's own.

Ruled out: calls chosen before the word and sent late (the core looks again whenever a call has waited; the record's request took 4 ms); a peer's older news (numbers of the store order it).

Change: - core/bounds states the bound and works the waits out from it; settings that break the sum are refused at the start with its parts. watch-every and watch-wait are worked out unless set: 0.4 and 0.6 s of 2 s, where each instance watches. - An answer that is late by a twentieth of the bound is followed by a read of everything over a connection of its own, beside the watch that hangs; connections that are kept aren't used for 5 s. - A watch that is cut is followed by another call at once; after an outage the next call comes at the latest half of the settle time later, and as soon as the store answers any other call. - Watches are shorter by up to a fifth, at random, so that not all hang together. - A list that was read beside a watch is no ground to take a newer entry for gone. - In a large fleet an instance asks the store itself once its news leaves no more time than that takes (1.3 of 2 s; it was 4 s).

--- a/core/exchange/exchange.go
+++ b/core/exchange/exchange.go
@@ -137,7 +137,7 @@
 func (x *Exchanges) StoreHeard(upTo clock.Instant) { x.storeAt = clock.Latest(x.storeAt, upTo) }
 
 // StoreVersion notes up to where the store was heard at first hand.
-func (x *Exchanges) StoreVersion(version era.Number) { x.storeVersion = version }
+func (x *Exchanges) StoreVersion(version era.Number) { x.storeVersion = max(x.storeVersion, version) }
 
 // StoreAt returns up to when everything in the store is known, by whomever.
 func (x *Exchanges) StoreAt() clock.Instant { return x.storeAt }
--- a/core/exchange/rhythm.go
+++ b/core/exchange/rhythm.go
@@ -46,7 +46,7 @@
 		x.contactSeeds(now)
 		return
 	}
-	every := x.Options.ExchangeEvery
+	every := x.Options.ExchangeRound()
 	if r.news > 0 {
 		r.news--
 		every = min(every, newsSpacing)
--- a/core/instance/platform.go
+++ b/core/instance/platform.go
@@ -28,10 +28,10 @@
 		Registry: o.registry, Asks: o.asks, Roster: o.roster, OwnDemand: tracker, AllDemand: totals,
 		Stopping: m.stop.Begun, Tell: m.exchanges.With, NextWatcher: m.exchanges.NextWatcher,
 	})
-	w := &watch.Watch{
+	w := watch.New(watch.Needs{
 		Options: m.state.Options, Rand: m.state.Rand, Out: m.state.Out, Outage: m.state.Outage, Roster: o.roster, Registry: o.registry,
 		Exchanges: m.exchanges, Stopping: m.stop.Begun,
-	}
+	})
 	m.forwarding.Missed = placer.Missed
 	m.exchanges.DemandFor = placer.DemandFor
 	m.exchanges.DemandHeard = placer.DemandHeard
--- a/core/listing/listing.go
+++ b/core/listing/listing.go
@@ -69,11 +69,11 @@
 	if e.Version.Era() < l.version.Era() {
 		return // it was on its way while the store went back
 	}
-	l.version = e.Version
 	entries := e.Entries
 	if e.Whole {
 		entries = append(entries, l.missing(e)...)
 	}
+	l.version = max(l.version, e.Version)
 	for _, entry := range entries {
 		l.add(now, "", entry)
 	}
@@ -202,7 +202,8 @@
 	}
 	var gone []share.Listed
 	for _, r := range l.Pool.All() {
-		if r.Announced && !r.Vanished() && !has[r.Name] {
+		newer := l.Records.ListedVersion(r.Name) > e.Version // the list was read beside a watch
+		if r.Announced && !r.Vanished() && !has[r.Name] && !newer {
 			gone = append(gone, share.Listed{Name: r.Name, Kind: share.Upstream, Zone: r.Zone, Gone: true, Version: e.Version})
 		}
 	}
--- a/core/option/option.go
+++ b/core/option/option.go
@@ -24,7 +24,8 @@
 	BusyReadEvery time.Duration
 	// PlanEvery spaces the residency plans.
 	PlanEvery time.Duration
-	// WatchWait is how long one watch call waits at the platform.
+	// WatchWait is how long one watch call waits at the platform. On a users' platform, 0 means
+	// that it follows from Bounds.
 	WatchWait time.Duration
 	// Stall is how long an upstream may send nothing before its attempt counts
 	// as broken.
@@ -50,7 +51,8 @@
 	// watched as one and the fleet is small, all do.
 	Watchers int
 	// WatchEvery is the least time between two watch calls of one kind, so
-	// that changes that come together are heard together.
+	// that changes that come together are heard together. On a users' platform, 0 means that
+	// it follows from Bounds.
 	WatchEvery time.Duration
 	// EnrolTerm is the term of the lease on which an instance's record hangs,
 	// KeepEvery the spacing of its renewals.
@@ -106,6 +108,14 @@
 	Intents      bool // order engines that check nothing without writing it down
 }
 
+// ExchangeRound returns the spacing of exchanges where news of the platform travels by them.
+func (o Options) ExchangeRound() time.Duration {
+	if o.Environment != Platform {
+		return o.ExchangeEvery
+	}
+	return o.Bounds.Round(o.ExchangeEvery)
+}
+
 // Default returns the product's defaults.
 func Default() Options {
 	return Options{
--- a/core/outage/outage.go
+++ b/core/outage/outage.go
@@ -15,9 +15,8 @@
 	"github.com/birchdrift/birchdrift/core/step"
 )
 
-// Bounds of the time between two calls of one kind after failures: the first is
-// fifty times an answer's usual 4 ms; with the last, 370 instances that find the
-// service down call it some 140 times a second.
+// Bounds of the time between two calls of one kind after failures, where a platform states no
+// bound from which the longest follows.
 const (
 	firstWait = 200 * time.Millisecond
 	LongWait  = 5 * time.Second
@@ -28,18 +27,21 @@
 	out     *step.Output
 	down    bool
 	since   clock.Instant // when it was first found down
+	backAt  clock.Instant // when it was last found to answer again
 	backoff backoff.Backoff
 }
 
-// New returns the tracker of a service that has not been called yet.
-func New(out *step.Output) *Tracker {
-	return &Tracker{out: out, backoff: backoff.New(firstWait, LongWait)}
+// New returns the tracker of a service that has not been called yet, and is called again at
+// the latest longest after a failure.
+func New(out *step.Output, longest time.Duration) *Tracker {
+	return &Tracker{out: out, backoff: backoff.New(min(firstWait, longest), longest)}
 }
 
 // Observe takes in the outcome of one call: nil if the service answered.
 func (t *Tracker) Observe(now clock.Instant, err error) {
 	if err == nil {
 		if t.down {
+			t.backAt = now
 			t.out.Log(logevent.PlatformBack, "after", now.Since(t.since).String())
 		}
 		t.down = false
@@ -54,6 +56,10 @@
 	t.backoff = t.backoff.WithFailure()
 }
 
+// BackAt returns when the service was last found to answer again after failures, zero if it
+// never was.
+func (t *Tracker) BackAt() clock.Instant { return t.backAt }
+
 // Down reports whether the last call failed.
 func (t *Tracker) Down() bool { return t.down }
 
--- a/core/share/share.go
+++ b/core/share/share.go
@@ -358,6 +358,9 @@
 	return gone
 }
 
+// ListedVersion returns the version of the newest entry of a name, 0 if there was none.
+func (s *Set) ListedVersion(name string) era.Number { return s.listed[name].record.Version }
+
 // Holder returns who plans for the zone, "" if nobody is known to.
 func (s *Set) Holder(zone string) Holder { return s.holders[zone].record }
 
--- a/core/shared/shared.go
+++ b/core/shared/shared.go
@@ -5,6 +5,7 @@
 
 import (
 	"math/rand/v2"
+	"time"
 
 	"github.com/birchdrift/birchdrift/core/config"
 	"github.com/birchdrift/birchdrift/core/member"
@@ -30,6 +31,14 @@
 	Outage  *outage.Tracker
 }
 
+// longestWait returns after how long the platform is called again at the latest after a failure.
+func longestWait(opt option.Options) time.Duration {
+	if opt.Environment == option.Platform {
+		return opt.Bounds.LongWait()
+	}
+	return outage.LongWait
+}
+
 // New returns the state of an instance that knows nothing yet. Its random draws
 // come from seed.
 func New(self member.Identity, opt option.Options, seed uint64) State {
@@ -43,6 +52,6 @@
 		Pool:    pool.New(),
 		Records: share.NewSet(),
 		Config:  &config.Current{},
-		Outage:  outage.New(out),
+		Outage:  outage.New(out, longestWait(opt)),
 	}
 }
--- a/core/watch/watch.go
+++ b/core/watch/watch.go
@@ -1,5 +1,6 @@
 // Package watch decides when this instance watches the platform's store, and
-// keeps one watch under way while it does.
+// keeps one watch under way while it does. A watch that hangs is found by a second
+// call beside it, in time for the bounds (core/bounds).
 //
 // The instances of core/watchers watch. Any other does too while it owns engines
 // or places models, and whenever it would otherwise not hear of changes in time.
@@ -9,6 +10,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/birchdrift/birchdrift/core/backoff"
 	"github.com/birchdrift/birchdrift/core/bounds"
 	"github.com/birchdrift/birchdrift/core/clock"
 	"github.com/birchdrift/birchdrift/core/exchange"
@@ -21,20 +23,30 @@
 )
 
 const (
-	// storeSilence is how old the newest news of the store may be before an
-	// instance watches it whoever else should.
-	storeSilence = 4 * time.Second
 	// BehindLimit is how long peers may be ahead of this instance with the
 	// configuration before it asks the store itself.
 	BehindLimit = 1200 * time.Millisecond
+	// distrustSpan is for how long connections that are kept are not used after a watch hung:
+	// until they have been idle for so long that they were closed.
+	distrustSpan = 5 * time.Second
+	// waitJitter is the part of its wait by which a watch may be shorter, so that those of
+	// all instances, which one change ends together, do not hang together.
+	waitJitter = 0.2
 )
 
 type (
-	// Begin is an action: wait for whatever changes in the store.
-	Begin struct{ Wait time.Duration }
+	// Begin is an action: call the store. It is answered by the Reply of the same ID.
+	Begin struct {
+		ID uint64
+		// Wait is how long to wait for whatever changes; 0: read everything.
+		Wait time.Duration
+		// Fresh asks for a connection of its own: those that are kept may hang.
+		Fresh bool
+	}
 	// Reply is the event that ends a Begin, after the events for what it
 	// brought.
 	Reply struct {
+		ID    uint64
 		Whole bool // it brought everything, read after the Begin
 		Err   error
 	}
@@ -66,7 +78,8 @@
 	onRoster bool          // it is one of its zone's watchers
 	engines  int           // that it owns
 	placer   bool          // it places models
-	newsAge  time.Duration // of the newest news of the store, from whomever
+	newsAge  time.Duration // of what is known of the store, from whomever
+	silence  time.Duration // the age from which this instance asks the store itself
 	behind   time.Duration // how long peers have had a newer configuration; 0: they have not
 }
 
@@ -83,7 +96,7 @@
 		return ownsEngines
 	case v.placer:
 		return placesNow
-	case v.newsAge > storeSilence:
+	case v.newsAge > v.silence:
 		return newsTooOld
 	case v.behind > BehindLimit:
 		return peersAhead
@@ -92,9 +105,8 @@
 	}
 }
 
-// A Watch is one instance's watch of the store. The fields must be set before its
-// use.
-type Watch struct {
+// Needs are what a Watch needs of the other modules.
+type Needs struct {
 	Options   *option.Options
 	Rand      *rand.Rand
 	Out       *step.Output
@@ -104,12 +116,33 @@
 	Exchanges *exchange.Exchanges
 	// Stopping reports whether a planned stop has begun.
 	Stopping func() bool
+}
 
-	job    step.Job
+// A Watch is one instance's watch of the store.
+type Watch struct {
+	Needs
+	calls  map[uint64]call // that were not answered yet
+	last   uint64          // number of the newest call
+	due    clock.Instant   // of the next call, also beside one that hangs
+	trust  clock.Instant   // from when on connections that are kept are used
+	failed failures
 	logged reason // that was logged last
 	old    oldList
 }
 
+// A call is one call of the store.
+type call struct {
+	sent clock.Instant
+	wait time.Duration
+}
+
+// A failures is what came of calls since the last one that was answered.
+type failures struct {
+	count  int
+	at     clock.Instant   // when the last one failed
+	beside backoff.Backoff // spaces calls beside others that hang
+}
+
 // An oldList is what was noted of a list that is older than it should be.
 type oldList struct {
 	noted  bool
@@ -122,6 +155,13 @@
 	return o.Bounds.Parts(bounds.Rhythm{Mesh: w.Roster.FullMesh(), Exchange: o.ExchangeEvery, Pause: o.WatchEvery, Wait: o.WatchWait})
 }
 
+// New returns the watch of an instance that has not called the store yet.
+func New(n Needs) *Watch {
+	w := &Watch{Needs: n, calls: map[uint64]call{}}
+	w.resetFailures()
+	return w
+}
+
 // view gathers what decides now.
 func (w *Watch) view(now clock.Instant) view {
 	alone := w.Exchanges.Alone(now)
@@ -132,6 +172,7 @@
 		engines:  w.Registry.Owned.Len(),
 		placer:   w.Registry.HoldsPlacer(),
 		newsAge:  w.Exchanges.StoreAge(now),
+		silence:  w.Options.Bounds.StoreSilence(),
 		behind:   behind,
 	}
 }
@@ -142,7 +183,8 @@
 // Brings reports whether this instance hears of changes from the store itself.
 func (w *Watch) Brings(now clock.Instant) bool { return w.Keeps(now) && !w.Outage.Down() }
 
-// Tick begins the next watch if it is due.
+// Tick begins the next call if it is due: another watch, or a read of everything beside a call
+// that hangs or after one that failed.
 func (w *Watch) Tick(now clock.Instant) {
 	if w.Stopping() {
 		return
@@ -150,31 +192,97 @@
 	w.noteAge(now)
 	why := w.view(now).reason()
 	w.log(why)
-	if why == notNeeded || !w.job.Ready(now) {
+	if why == notNeeded {
+		return
+	}
+	w.returnSoon(now)
+	if now.Before(w.due) {
+		return
+	}
+	w.begin(now)
+}
+
+// returnSoon brings the next call forward once the store answers other calls of this instance
+// again.
+func (w *Watch) returnSoon(now clock.Instant) {
+	if w.failed.count == 0 || !w.failed.at.Before(w.Outage.BackAt()) {
 		return
 	}
-	w.job.Begin(now)
-	w.Out.Do(Begin{Wait: w.Options.WatchWait})
+	w.failed.at = now
+	soon := time.Duration(w.Rand.Float64() * float64(w.parts().Read))
+	w.due = clock.Earliest(w.due, now.Add(soon))
 }
 
-// Replied notes that a watch is over.
+// begin calls the store.
+func (w *Watch) begin(now clock.Instant) {
+	parts := w.parts()
+	w.last++
+	b := Begin{ID: w.last, Fresh: now.Before(w.trust)}
+	switch {
+	case len(w.calls) > 0: // and none of them was answered in time
+		b.Fresh = true
+		w.trust = now.Add(distrustSpan)
+		w.failed.beside = w.failed.beside.WithFailure()
+		w.due = now.Add(w.failed.beside.Wait(w.Rand))
+	case w.failed.count > 0:
+		b.Fresh = true
+		w.due = now.Add(parts.Read)
+	default:
+		b.Wait = time.Duration((1 - waitJitter*w.Rand.Float64()) * float64(parts.Wait))
+		w.due = now.Add(b.Wait + parts.Overdue)
+	}
+	w.calls[w.last] = call{sent: now, wait: b.Wait}
+	w.Out.Do(b)
+}
+
+// Replied notes that a call is over. An answer ends the calls beside it too: what they bring
+// later is older, or the same.
 func (w *Watch) Replied(now clock.Instant, e Reply) {
-	w.Outage.Observe(now, e.Err)
-	if e.Err == nil {
-		sent := w.job.SentAt()
-		w.Registry.WatchAnswered(sent)
-		w.Exchanges.StoreHeard(answeredAt(now, sent, w.Options.WatchWait, e.Whole))
+	c, ok := w.calls[e.ID]
+	if !ok {
+		return
+	}
+	delete(w.calls, e.ID)
+	if e.Err != nil {
+		w.callFailed(now, e.Err)
+		return
 	}
-	w.job.End(now.Add(max(w.Options.WatchEvery, w.Outage.Wait(w.Rand))))
+	w.Outage.Observe(now, nil)
+	w.Registry.WatchAnswered(c.sent)
+	w.Exchanges.StoreHeard(answeredAt(now, c, e.Whole))
+	clear(w.calls)
+	w.resetFailures()
+	w.due = now.Add(w.parts().Pause)
+}
+
+// callFailed plans the next call after one that failed. A watch that is cut says nothing of the
+// store, so the first failure is followed by another call at once.
+func (w *Watch) callFailed(now clock.Instant, err error) {
+	w.failed.count++
+	w.failed.at = now
+	if w.failed.count == 1 && !w.Outage.Down() {
+		w.due = now
+		return
+	}
+	w.Outage.Observe(now, err)
+	if len(w.calls) > 0 {
+		return // another one is under way
+	}
+	w.due = now.Add(w.Outage.Wait(w.Rand))
+}
+
+func (w *Watch) resetFailures() {
+	b := w.Options.Bounds
+	w.failed = failures{beside: backoff.New(w.parts().Read, b.LongWait())}
 }
 
 // answeredAt returns up to when an answer that came at now has everything. One that does not
 // have the whole was given when something changed, or when its wait was over.
-func answeredAt(now, sent clock.Instant, wait time.Duration, whole bool) clock.Instant {
-	if waited := sent.Add(wait); !whole {
-		return clock.Earliest(now, waited)
+func answeredAt(now clock.Instant, c call, whole bool) clock.Instant {
+	if whole {
+		return c.sent
 	}
-	return sent
+	return clock.Earliest(now, c.sent.Add(c.wait))
 }
 
 // noteAge logs when the list becomes older than it should be, and when that is over.
--- a/internal/environment/driver.go
+++ b/internal/environment/driver.go
@@ -81,9 +81,9 @@
 // watchPlatform waits for whatever changes in the environment's store and
 // posts it as one event for each kind of news.
 func (d *driver) watchPlatform(ctx context.Context, a watch.Begin) {
-	change, err := d.store.Watch(ctx, a.Wait)
+	change, err := d.change(ctx, a)
 	if err != nil {
-		d.host.Post(watch.Reply{Err: err})
+		d.host.Post(watch.Reply{ID: a.ID, Err: err})
 		return
 	}
 	d.host.PlatformCalled()
@@ -101,7 +101,19 @@
 	if len(change.Records) > 0 || change.Whole {
 		d.host.Post(ownership.Heard{Records: change.Records, Version: change.Version, Whole: change.Whole})
 	}
-	d.host.Post(watch.Reply{Whole: change.Whole})
+	d.host.Post(watch.Reply{ID: a.ID, Whole: change.Whole})
+}
+
+// change calls the store for what changed.
+func (d *driver) change(ctx context.Context, a watch.Begin) (Change, error) {
+	switch {
+	case a.Wait == 0:
+		return d.store.Read(ctx)
+	case a.Fresh:
+		return d.store.WatchFresh(ctx, a.Wait)
+	default:
+		return d.store.Watch(ctx, a.Wait)
+	}
 }
 
 // enrol begins a lease and writes the instance's record under it.
--- a/internal/environment/store.go
+++ b/internal/environment/store.go
@@ -94,6 +94,11 @@
 	// time and whenever the store has forgotten in between. It waits at most
 	// wait for a change.
 	Watch func(ctx context.Context, wait time.Duration) (Change, error)
+	// WatchFresh does the same over a connection that was never used before.
+	WatchFresh func(ctx context.Context, wait time.Duration) (Change, error)
+	// Read returns the whole, over a connection that was never used before. It may
+	// be called beside a watch.
+	Read func(ctx context.Context) (Change, error)
 	// Grant begins a lease.
 	Grant func(ctx context.Context, term time.Duration) (lease era.Lease, err error)
 	// Keep renews a lease.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -118,8 +118,8 @@
 	{"retry-window", "10s", "100ms to 24h", "Span over which repeats of calls are counted.", false, duration(func(s *Settings) *time.Duration { return &s.RetryWindow }, 100*time.Millisecond)},
 	{"retry-slack", "50", "0 to 1000000", "Repeats of a service's calls that all instances together may make beyond the share.", false, number(func(s *Settings) *float64 { return &s.RetrySlack }, 0, 1e6)},
 	{"watchers", "2", "1 to 1000", "Instances of a zone that watch the platform; the others hear from them. On the users' platform all do in a fleet of up to 16.", false, count(func(s *Settings) *int { return &s.Watchers }, 1, 1000)},
-	{"watch-wait", "25s", "100ms to 24h", "How long one watch call waits at the platform for a change. Where watches may be dropped without any message, this bounds how late that is noticed.", false, duration(func(s *Settings) *time.Duration { return &s.WatchWait }, 100*time.Millisecond)},
-	{"watch-every", "0s", "0s to 24h", "Least time between two watch calls, so that changes that come together are heard together.", false, duration(func(s *Settings) *time.Duration { return &s.WatchEvery }, 0)},
+	{"watch-wait", "0s", "0s to 24h", "How long one watch call waits at the platform for a change; 0: as follows from `--leave-bound` on the users' platform, 25s in the product's own environment.", false, duration(func(s *Settings) *time.Duration { return &s.WatchWait }, 0)},
+	{"watch-every", "0s", "0s to 24h", "Least time between two watch calls, so that changes that come together are heard together; 0: as follows from `--leave-bound` on the users' platform, none in the product's own environment.", false, duration(func(s *Settings) *time.Duration { return &s.WatchEvery }, 0)},
 	{"mesh-every", "0s", "0s to 24h", "Spacing of the exchanges with every peer of a small fleet; 0 for none.", false, duration(func(s *Settings) *time.Duration { return &s.MeshEvery }, 0)},
 	{"load-wait", "0s", "0s to 1s", "How long a forwarded call waits for announced engines to say how busy they are, in a fleet too large to exchange pairwise; 0: it does not ask.", false, atMost(time.Second, duration(func(s *Settings) *time.Duration { return &s.LoadWait }, 0), func(s *Settings) time.Duration { return s.LoadWait })},
 	{"turn-gap", "3s", "0s to 24h", "Least time between the orders of two instances to one announced engine.", false, duration(func(s *Settings) *time.Duration { return &s.TurnGap }, 0)},
@@ -173,9 +173,31 @@
 		}
 		faults = append(faults, code.Errorf(code.BadSetting, "--%s (%s) is %s; allowed: %s", row.Name, row.Env(), shown, row.Allowed))
 	}
+	if len(faults) == 0 {
+		faults = append(faults, s.checkBounds()...)
+	}
 	return s, faults
 }
 
+// checkBounds returns an error for settings that together break the bound for replicas that
+// leave, in a fleet of either kind.
+func (s Settings) checkBounds() []*code.Error {
+	if s.Environment != EnvironmentPlatform {
+		return nil
+	}
+	r := bounds.Rhythm{Mesh: true, Exchange: s.Exchange, Pause: s.WatchEvery, Wait: s.WatchWait}
+	for _, r.Mesh = range []bool{true, false} {
+		if err := s.bounds().Check(r); err != nil {
+			return []*code.Error{code.Errorf(code.BadSetting, "--leave-bound (%s), --watch-every, --watch-wait: %v", Setting{Name: "leave-bound"}.Env(), err)}
+		}
+	}
+	return nil
+}
+
+func (s Settings) bounds() bounds.Bounds {
+	return bounds.Bounds{Leave: s.LeaveBound, Settle: s.SettleTime}
+}
+
 // Options returns the machine's tunables.
 func (s Settings) Options() option.Options {
 	opt := option.Default()
@@ -192,11 +214,13 @@
 	opt.RetrySlack = s.RetrySlack
 	opt.Watchers = s.Watchers
 	opt.WatchEvery = s.WatchEvery
-	opt.WatchWait = s.WatchWait
+	if s.WatchWait > 0 || s.Environment == EnvironmentPlatform {
+		opt.WatchWait = s.WatchWait
+	}
 	opt.MeshEvery = s.MeshEvery
 	opt.TurnGap = s.TurnGap
 	opt.ProbeWait = s.LoadWait
-	opt.Bounds = bounds.Bounds{Leave: s.LeaveBound, Settle: s.SettleTime}
+	opt.Bounds = s.bounds()
 	if s.Environment != EnvironmentOwn {
 		opt.Environment = option.Platform
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -49,3 +49,34 @@
 	is.Equal(len(faults), 0)
 	is.True(!strings.Contains(s.String(), "hush"))
 }
+
+// TestSettingsThatBreakABoundAreRefused: settings each of which is allowed, and by which
+// together a replica that leaves could get calls for too long.
+func TestSettingsThatBreakABoundAreRefused(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		changed map[string]string
+		want    string // of the error; "": there is none
+	}{
+		{"the defaults", nil, ""},
+		{"a longer bound", map[string]string{"leave-bound": "3s", "watch-wait": "400ms"}, ""},
+		{"watches that wait long", map[string]string{"watch-wait": "1500ms"}, "could get calls for 2.8s, and 2s are allowed"},
+		{"long pauses between watches", map[string]string{"watch-every": "1s"}, "could get calls for 2"},
+		{"a bound shorter than a connection takes", map[string]string{"leave-bound": "400ms"}, "dial 500ms"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			changed := map[string]string{"environment": EnvironmentPlatform}
+			for k, v := range tt.changed {
+				changed[k] = v
+			}
+			_, faults := Parse(values(changed))
+			if tt.want == "" {
+				is.Equal(faults, nil)
+				return
+			}
+			is.Equal(len(faults), 1)
+			is.True(strings.Contains(faults[0].Error(), tt.want))
+		})
+	}
+}
