A replica whose entry went gets no calls later than the bound, however late that is heard

What callers saw, in the core's fleet: instances would send calls to a replica 2 s after the store had lost its entry; few did, since a replica whose entry went comes last.

Cause: such a replica counted as leaving a second after this instance heard of it, on top of the time until then: 1 s in which watches hear nothing, 0.4 s until the next one. Nor did an instance that read the whole list take over that an entry was missing which a peer had told it of before.

Change: it counts as leaving when what is left of the bound, since the list was known last, is needed for the connection and the call; at once where a whole list lacks it. Neither holds after calls to the store that failed: an outage takes entries of sound replicas, which are back within seconds, and then the second counts as before.

Evidence: the fleet checks at the end of the bound that no member would send a call. TestEntriesThatWentInTime.

--- a/core/bounds/bounds.go
+++ b/core/bounds/bounds.go
@@ -129,6 +129,10 @@
 	return b.Leave - b.share(readShare) - b.share(sendShare) - Dial
 }
 
+// Unlisted returns for how long a replica may still be used after its entry was last known to
+// stand, if no outage of the store may be why it went.
+func (b Bounds) Unlisted() time.Duration { return b.Leave - b.share(sendShare) - Dial }
+
 // LongWait returns after how long the store is called again at the latest, after calls that
 // failed.
 func (b Bounds) LongWait() time.Duration { return time.Duration(settleShare * float64(b.Settle)) }
--- a/core/instance/build.go
+++ b/core/instance/build.go
@@ -133,7 +133,9 @@
 // between environments is set by them.
 func (m *Machine) buildExchanges() {
 	m.listing = &listing.List{
-		Out: m.state.Out, Members: m.state.Members, Pool: m.state.Pool, Records: m.state.Records,
+		Options: m.state.Options, Out: m.state.Out, Members: m.state.Members, Pool: m.state.Pool, Records: m.state.Records,
+		Outage:    m.state.Outage,
+		KnownAt:   func() clock.Instant { return m.exchanges.StoreAt() },
 		Announced: m.orders.owned.Announced,
 		Present:   m.notices.Announced,
 		Restarted: func(now clock.Instant, replica string) { m.forwarding.Restarted(now, replica) },
--- a/core/instance/leaving_test.go
+++ b/core/instance/leaving_test.go
@@ -147,9 +147,26 @@
 
 // took notes that the store takes at this moment that an engine leaves.
 func (l *leaveLab) took(e *fleetEngine) {
-	l.words[e] = leaveWord{at: l.f.now, stable: l.stable()}
-	if l.stable() {
-		l.left++
+	w := leaveWord{at: l.f.now, stable: l.stable()}
+	l.words[e] = w
+	if !w.stable {
+		return
+	}
+	l.left++
+	l.f.at(l.bounds.leave, func() {
+		if l.words[e] == w {
+			l.checkUnused(e)
+		}
+	})
+}
+
+// checkUnused checks that no member that the rule binds would send a call to an engine.
+func (l *leaveLab) checkUnused(e *fleetEngine) {
+	for _, n := range l.everyone() {
+		r := n.m.state.Pool.Get(e.name)
+		if l.bound(n) && r != nil && (r.Usable() || r.LastResort(l.f.clock(n))) {
+			l.late = append(l.late, fmt.Sprintf("%v: %s would send calls to %s %v after the store had taken that it leaves", l.f.now, n.id.Name, e.name, l.bounds.leave))
+		}
 	}
 }
 
--- a/core/listing/listing.go
+++ b/core/listing/listing.go
@@ -12,6 +12,8 @@
 	"github.com/birchdrift/birchdrift/core/era"
 	"github.com/birchdrift/birchdrift/core/logevent"
 	"github.com/birchdrift/birchdrift/core/member"
+	"github.com/birchdrift/birchdrift/core/option"
+	"github.com/birchdrift/birchdrift/core/outage"
 	"github.com/birchdrift/birchdrift/core/pool"
 	"github.com/birchdrift/birchdrift/core/share"
 	"github.com/birchdrift/birchdrift/core/step"
@@ -45,10 +47,14 @@
 // A List is what is known of the platform's list. The fields must be set before
 // its use.
 type List struct {
+	Options *option.Options
 	Out     *step.Output
 	Members *member.Table
 	Pool    *pool.Pool
 	Records *share.Set
+	Outage  *outage.Tracker
+	// KnownAt returns up to when everything in the list is known.
+	KnownAt func() clock.Instant
 	// Announced is told which models an engine announced that it holds.
 	Announced func(now clock.Instant, engine string, models []pool.AnnouncedModel)
 	// Restarted is told of a replica that was announced in another life than before.
@@ -69,13 +75,24 @@
 	if e.Version.Era() < l.version.Era() {
 		return // it was on its way while the store went back
 	}
-	entries := e.Entries
+	l.version = max(l.version, e.Version)
+	for _, entry := range e.Entries {
+		l.add(now, "", entry)
+	}
 	if e.Whole {
-		entries = append(entries, l.missing(e)...)
+		l.takeMissing(now, e)
 	}
-	l.version = max(l.version, e.Version)
-	for _, entry := range entries {
+}
+
+// takeMissing takes in that a whole list no longer has some replicas. Unless an outage may have
+// taken their entries they leave at once: nobody knows for how long the watch did not hear of it.
+func (l *List) takeMissing(now clock.Instant, e Reply) {
+	outage := l.Outage.FailedSince(l.KnownAt())
+	for _, entry := range l.missing(e) {
 		l.add(now, "", entry)
+		if !outage {
+			l.Pool.Vanish(now, entry.Name, now)
+		}
 	}
 }
 
@@ -134,12 +151,23 @@
 func (l *List) applyAnnounced(now clock.Instant, entry share.Listed) {
 	if entry.Gone {
 		l.Out.Log(logevent.Vanished, "upstream", entry.Name, "version", entry.Version)
-		l.Pool.Vanish(now, entry.Name)
+		l.Pool.Vanish(now, entry.Name, l.leavesBy(now))
 		return
 	}
 	l.announce(now, entry.Name, *entry.Announced, entry.Version)
 }
 
+// leavesBy returns when a replica whose entry went counts as leaving at the latest, zero if that
+// is open. The entry may have gone just after the list was known last. An outage takes entries of
+// sound replicas too, and binds nobody to that.
+func (l *List) leavesBy(now clock.Instant) clock.Instant {
+	known := l.KnownAt()
+	if now.Since(known) > l.Options.Bounds.Leave || l.Outage.FailedSince(known) {
+		return clock.Instant{}
+	}
+	return known.Add(l.Options.Bounds.Unlisted())
+}
+
 // announce takes over what a replica says of itself; version is that of its entry, 0 if it
 // said so when it was asked.
 func (l *List) announce(now clock.Instant, name string, a pool.Announcement, version era.Number) {
@@ -190,8 +218,8 @@
 	}
 }
 
-// missing returns the announced replicas that a whole list no longer has, as
-// entries that are gone.
+// missing returns the announced replicas that a whole list no longer has and that do not count
+// as leaving yet, as entries that are gone.
 func (l *List) missing(e Reply) []share.Listed {
 	has := make(map[string]bool, len(e.Entries))
 	for _, entry := range e.Entries {
@@ -203,7 +231,7 @@
 	var gone []share.Listed
 	for _, r := range l.Pool.All() {
 		newer := l.Records.ListedVersion(r.Name) > e.Version // the list was read beside a watch
-		if r.Announced && !r.Vanished() && !has[r.Name] && !newer {
+		if r.Announced && !r.Leaving() && !has[r.Name] && !newer {
 			gone = append(gone, share.Listed{Name: r.Name, Kind: share.Upstream, Zone: r.Zone, Gone: true, Version: e.Version})
 		}
 	}
--- a/core/outage/outage.go
+++ b/core/outage/outage.go
@@ -28,6 +28,7 @@
 	down    bool
 	since   clock.Instant // when it was first found down
 	backAt  clock.Instant // when it was last found to answer again
+	failed  clock.Instant // when a call failed last
 	backoff backoff.Backoff
 }
 
@@ -48,6 +49,7 @@
 		t.backoff = t.backoff.WithSuccess()
 		return
 	}
+	t.failed = now
 	if !t.down {
 		t.since = now
 		t.out.Log(logevent.PlatformDown, "error", err.Error())
@@ -60,6 +62,11 @@
 // never was.
 func (t *Tracker) BackAt() clock.Instant { return t.backAt }
 
+// FailedSince reports whether a call failed at a moment or later.
+func (t *Tracker) FailedSince(at clock.Instant) bool {
+	return !t.failed.IsZero() && !t.failed.Before(at)
+}
+
 // Down reports whether the last call failed.
 func (t *Tracker) Down() bool { return t.down }
 
--- a/core/pool/announced.go
+++ b/core/pool/announced.go
@@ -126,6 +126,7 @@
 	r.announced = a
 	r.announcedAt = now
 	r.vanishedAt = clock.Instant{}
+	r.leavesBy = clock.Instant{}
 	// An entry that says otherwise later is an older one: it was written late, or comes from
 	// a copy of the store. A replica that said that it leaves ends.
 	r.announcedLeaving = r.announcedLeaving || a.Leaving
@@ -183,9 +184,17 @@
 	}
 }
 
-// Vanish notes that the list no longer has the replica.
-func (p *Pool) Vanish(now clock.Instant, name string) {
-	if r := p.replicas[name]; r != nil && r.Announced && r.vanishedAt.IsZero() {
+// Vanish notes that the list no longer has the replica. It counts as leaving after a span, but
+// at by at the latest unless that is zero.
+func (p *Pool) Vanish(now clock.Instant, name string, by clock.Instant) {
+	r := p.replicas[name]
+	if r == nil || !r.Announced {
+		return
+	}
+	if !by.IsZero() && (r.leavesBy.IsZero() || by.Before(r.leavesBy)) {
+		r.leavesBy = by
+	}
+	if r.vanishedAt.IsZero() {
 		r.vanishedAt = now
 		p.touched++
 	}
@@ -201,7 +210,8 @@
 			continue
 		}
 		age := now.Since(r.vanishedAt)
-		if age >= span && !r.listedLeaving {
+		due := age >= span || !r.leavesBy.IsZero() && !now.Before(r.leavesBy)
+		if due && !r.listedLeaving {
 			r.listedLeaving = true
 			left = append(left, name)
 			p.touched++
--- a/core/pool/replica.go
+++ b/core/pool/replica.go
@@ -100,6 +100,7 @@
 	announcedAt clock.Instant // when it was last announced
 	reportedAt  clock.Instant // when its owner's report was last heard
 	vanishedAt  clock.Instant // when the list lost it; zero while it is listed
+	leavesBy    clock.Instant // when it counts as leaving then at the latest; zero: that is open
 	endsAt      clock.Instant // when it is taken away, if that is known
 	former      []string      // births of its former lives, the latest last
 }
--- a/core/pool/replica_test.go
+++ b/core/pool/replica_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/birchdrift/birchdrift/core/clock"
 	"github.com/birchdrift/birchdrift/core/clock/clocktest"
 )
 
@@ -51,7 +52,7 @@
 	p.Announce(now, "r", Announcement{Service: "s", Address: "r", Zone: "z", Slots: 4})
 	r := p.Get("r")
 	r.Start(now, 1)
-	p.Vanish(now, "r")
+	p.Vanish(now, "r", clock.Instant{})
 	is.True(r.Vanished())
 	is.Equal(p.Expire(now.Add(VanishSpan-1), VanishSpan), nil)
 	is.True(r.Usable())
@@ -78,14 +79,28 @@
 	say("1", true)
 	say("1", false)
 	is.True(!p.Get("r").Usable())
-	p.Vanish(now, "r")
+	p.Vanish(now, "r", clock.Instant{})
 	say("1", false)
 	is.True(!p.Get("r").Usable())
 	say("2", false)
 	is.True(p.Get("r").Usable())
-	p.Vanish(now, "r")
+	p.Vanish(now, "r", clock.Instant{})
 	p.Expire(now.Add(VanishSpan), VanishSpan)
 	is.True(!p.Get("r").Usable())
 	say("2", false)
 	is.True(p.Get("r").Usable())
 }
+
+// TestEntriesThatWentInTime: a replica whose entry went counts as leaving by the moment that
+// leaves calls enough time, also if that is sooner than usual.
+func TestEntriesThatWentInTime(t *testing.T) {
+	is := is.New(t)
+	now := clocktest.At(time.Hour)
+	p := New()
+	p.Announce(now, "r", Announcement{Service: "s", Address: "r", Zone: "z", Slots: 4})
+	p.Vanish(now, "r", now.Add(VanishSpan/4))
+	is.Equal(p.Expire(now.Add(VanishSpan/4-1), VanishSpan), nil)
+	is.Equal(p.Expire(now.Add(VanishSpan/4), VanishSpan), []string{"r"})
+	p.Announce(now, "r", Announcement{Service: "s", Address: "r", Zone: "z", Slots: 4})
+	is.True(p.Get("r").Usable())
+}
