Peers are told that a replica whose entry went counts as leaving now

Cause: they heard of the lost entry from a peer and counted what is left of the bound from when the list was known last. That was told by watches that the store answered with nothing while it had changes, so it was a second too late. The watching instance, which had read the whole list, knew that the entry had gone before and told only that it went.

Change: an entry that a whole list lacks, with no outage that may explain it, is told as one that counts as leaving; for whoever had only heard that it went, that is news.

--- a/core/instance/announced_world_test.go
+++ b/core/instance/announced_world_test.go
@@ -15,6 +15,7 @@
 	"github.com/matryer/is"
 
 	"github.com/birchdrift/birchdrift/core/asks"
+	"github.com/birchdrift/birchdrift/core/bounds"
 	"github.com/birchdrift/birchdrift/core/calls"
 	"github.com/birchdrift/birchdrift/core/clock"
 	"github.com/birchdrift/birchdrift/core/clock/clocktest"
@@ -201,6 +202,11 @@
 
 // newFleetOf returns a fleet with so many engines.
 func newFleetOf(seed uint64, members, engines int, disable option.Disabled, empty bool) *fleet {
+	return newFleetWithin(seed, members, engines, disable, empty, bounds.Default())
+}
+
+// newFleetWithin returns a fleet whose users rely on bounds.
+func newFleetWithin(seed uint64, members, engines int, disable option.Disabled, empty bool, b bounds.Bounds) *fleet {
 	f := &fleet{
 		engineCount: engines,
 		rng:         rand.New(rand.NewPCG(seed, 77)),
@@ -214,6 +220,7 @@
 		members:     map[string]*fleetMember{},
 		logged:      map[logevent.Number]int{},
 	}
+	f.opt.Bounds = b
 	f.opt.Disable = disable
 	f.opt.Environment = option.Platform
 	f.opt.MeshEvery = 250 * time.Millisecond
--- a/core/instance/leaving_test.go
+++ b/core/instance/leaving_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/birchdrift/birchdrift/core/bounds"
 	"github.com/birchdrift/birchdrift/core/calls"
 	"github.com/birchdrift/birchdrift/core/logevent"
 	"github.com/birchdrift/birchdrift/core/option"
@@ -25,16 +26,10 @@
 	leaveSizes = flag.Bool("leave.sizes", false, "play engines that leave in fleets of 46 and 370 instances too")
 )
 
-// A leaveBounds is what the users bound in a fleet of some size.
-type leaveBounds struct {
-	leave   time.Duration // from the store's word that a replica leaves to the last request there
-	contact time.Duration // without a disturbance, after which the rule binds an instance
-}
-
 // Bounds of the users' deployments.
 var (
-	smallBounds = leaveBounds{leave: 2 * time.Second, contact: 3 * time.Second}
-	largeBounds = leaveBounds{leave: 3 * time.Second, contact: 4 * time.Second}
+	smallBounds = bounds.Bounds{Leave: 2 * time.Second, Settle: 3 * time.Second}
+	largeBounds = bounds.Bounds{Leave: 3 * time.Second, Settle: 4 * time.Second}
 )
 
 // linger is how long an engine serves on after it said that it leaves, or its entry went:
@@ -44,7 +39,7 @@
 // A leaveLab has engines leave, and counts the calls that reach them too late.
 type leaveLab struct {
 	f      *fleet
-	bounds leaveBounds
+	bounds bounds.Bounds
 	words  map[*fleetEngine]leaveWord
 	// When the store, and each member, was disturbed last.
 	storeBad  time.Duration
@@ -62,9 +57,9 @@
 	stable bool // the store was, for some time
 }
 
-func newLeaveLab(f *fleet, bounds leaveBounds) *leaveLab {
+func newLeaveLab(f *fleet, b bounds.Bounds) *leaveLab {
 	l := &leaveLab{
-		f: f, bounds: bounds, words: map[*fleetEngine]leaveWord{}, memberBad: map[string]time.Duration{},
+		f: f, bounds: b, words: map[*fleetEngine]leaveWord{}, memberBad: map[string]time.Duration{},
 		boots: map[string]uint64{}, next: len(f.engines), storeBad: -time.Hour,
 	}
 	f.leaves = l
@@ -90,11 +85,11 @@
 }
 
 // stable reports whether the store was not disturbed for a while.
-func (l *leaveLab) stable() bool { return l.f.now-l.storeBad >= l.bounds.contact }
+func (l *leaveLab) stable() bool { return l.f.now-l.storeBad >= l.bounds.Settle }
 
 // bound reports whether the rule binds a member.
 func (l *leaveLab) bound(n *fleetMember) bool {
-	return l.stable() && l.f.now-l.memberBad[n.id.Name] >= l.bounds.contact
+	return l.stable() && l.f.now-l.memberBad[n.id.Name] >= l.bounds.Settle
 }
 
 // sent takes in that a member sends a call to an engine.
@@ -105,7 +100,7 @@
 	}
 	l.f.at(fleetWay, func() {
 		w, ok := l.words[e]
-		if !ok || !w.stable || l.f.now-w.at <= l.bounds.leave || !l.bound(n) || e.gone {
+		if !ok || !w.stable || l.f.now-w.at <= l.bounds.Leave || !l.bound(n) || e.gone {
 			return
 		}
 		l.late = append(l.late, fmt.Sprintf("%v: a call of %s reached %s %v after the store had taken that it leaves", l.f.now, n.id.Name, e.name, l.f.now-w.at))
@@ -153,7 +148,7 @@
 		return
 	}
 	l.left++
-	l.f.at(l.bounds.leave, func() {
+	l.f.at(l.bounds.Leave, func() {
 		if l.words[e] == w {
 			l.checkUnused(e)
 		}
@@ -165,7 +160,7 @@
 	for _, n := range l.everyone() {
 		r := n.m.state.Pool.Get(e.name)
 		if l.bound(n) && r != nil && (r.Usable() || r.LastResort(l.f.clock(n))) {
-			l.late = append(l.late, fmt.Sprintf("%v: %s would send calls to %s %v after the store had taken that it leaves", l.f.now, n.id.Name, e.name, l.bounds.leave))
+			l.late = append(l.late, fmt.Sprintf("%v: %s would send calls to %s %v after the store had taken that it leaves", l.f.now, n.id.Name, e.name, l.bounds.Leave))
 		}
 	}
 }
@@ -235,8 +230,8 @@
 
 // soonAfter has engines leave as soon as the rule binds again, span from now.
 func (l *leaveLab) soonAfter(span time.Duration) {
-	l.f.at(span+l.bounds.contact+8*time.Millisecond, l.anyLeave)
-	l.f.at(span+l.bounds.contact+700*time.Millisecond, l.anyLeave)
+	l.f.at(span+l.bounds.Settle+8*time.Millisecond, l.anyLeave)
+	l.f.at(span+l.bounds.Settle+700*time.Millisecond, l.anyLeave)
 }
 
 // A leaveStorm is what goes wrong beside engines that leave.
@@ -364,7 +359,7 @@
 
 // play plays a storm, alone or beside another, on a fleet of some size.
 func (s leaveStorm) play(seed uint64, size fleetSize, beside ...leaveStorm) *leaveLab {
-	f := newFleetOf(seed, size.members, size.engines, option.Disabled{}, false)
+	f := newFleetWithin(seed, size.members, size.engines, option.Disabled{}, false, size.bounds)
 	f.adapters = 0.1
 	f.expire()
 	l := newLeaveLab(f, size.bounds)
@@ -382,7 +377,7 @@
 // A fleetSize is how large a fleet is, and how long it is played.
 type fleetSize struct {
 	members, engines int
-	bounds           leaveBounds
+	bounds           bounds.Bounds
 	callEvery        time.Duration
 	span             time.Duration
 }
@@ -402,6 +397,8 @@
 	for _, b := range l.f.broken[:min(3, len(l.f.broken))] {
 		t.Errorf("seed %d: %s", seed+1, b)
 	}
+	t.Logf("seed %d: oldest list at a send %v, %d engines left, %.3f of calls served", seed+1, l.oldest.Round(time.Millisecond), l.left,
+		float64(l.f.served)/float64(max(1, l.f.served+l.f.refused)))
 	if l.left == 0 || l.f.served < 9*l.f.refused {
 		t.Errorf("seed %d: %d left, %d served, %d refused", seed+1, l.left, l.f.served, l.f.refused)
 	}
--- a/core/listing/listing.go
+++ b/core/listing/listing.go
@@ -89,10 +89,8 @@
 func (l *List) takeMissing(now clock.Instant, e Reply) {
 	outage := l.Outage.FailedSince(l.KnownAt())
 	for _, entry := range l.missing(e) {
+		entry.Leaving = !outage
 		l.add(now, "", entry)
-		if !outage {
-			l.Pool.Vanish(now, entry.Name, now)
-		}
 	}
 }
 
@@ -151,7 +149,11 @@
 func (l *List) applyAnnounced(now clock.Instant, entry share.Listed) {
 	if entry.Gone {
 		l.Out.Log(logevent.Vanished, "upstream", entry.Name, "version", entry.Version)
-		l.Pool.Vanish(now, entry.Name, l.leavesBy(now))
+		by := l.leavesBy(now)
+		if entry.Leaving {
+			by = now
+		}
+		l.Pool.Vanish(now, entry.Name, by)
 		return
 	}
 	l.announce(now, entry.Name, *entry.Announced, entry.Version)
--- a/core/share/share.go
+++ b/core/share/share.go
@@ -219,7 +219,9 @@
 
 // AddListed stores the record and reports whether it was news.
 func (s *Set) AddListed(from string, l Listed) bool {
-	return put(s, s.listed, l.Name, from, l, func(old Listed) bool { return l.Version > old.Version })
+	return put(s, s.listed, l.Name, from, l, func(old Listed) bool {
+		return l.Version > old.Version || l.Version == old.Version && l.Gone && l.Leaving && !old.Leaving
+	})
 }
 
 // AddHolder stores the record and reports whether it was news.
