--- a/core/instance/announced_world_test.go
+++ b/core/instance/announced_world_test.go
@@ -54,6 +54,7 @@
 	store   fleetStore
 	copies  []fleetCopy     // of the store, the newest last
 	writes  []time.Duration // when the store was written to
+	called  []time.Duration // when the store was called; once for each page
 	engines map[string]*fleetEngine
 	members map[string]*fleetMember
 	names   []string
@@ -526,6 +527,7 @@
 		return
 	}
 	f.at(fleetWay, func() {
+		f.called = append(f.called, f.now)
 		if f.store.down {
 			reply(fleetWay, failed(errors.New("refused")))
 			return
@@ -730,6 +732,9 @@
 	cut   bool          // its connection is reset
 }
 
+// fleetPage is how many items a page of the whole has.
+const fleetPage = 500
+
 // watchLimit is how long beyond its wait a member waits for the answer to a watch.
 const watchLimit = 600 * time.Millisecond
 
@@ -743,6 +748,13 @@
 		w.limit = f.now + readLimit
 	}
 	n.waiting = append(n.waiting, w)
+	pages := 1
+	if w.whole {
+		pages += len(f.store.values) / fleetPage
+	}
+	for range pages {
+		f.called = append(f.called, f.now)
+	}
 	f.poll(n, w)
 }
 
--- /dev/null
+++ b/core/instance/outage_test.go
@@ -0,0 +1,96 @@
+package instance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/birchdrift/birchdrift/core/clock/clocktest"
+	"github.com/birchdrift/birchdrift/core/option"
+)
+
+// What the store of the users' deployments allows all instances together, in reading calls a
+// second.
+const (
+	smallRate = 2000
+	largeRate = 6000
+	largeFrom = 46 // instances from which the store allows the larger rate
+)
+
+// An outageEnd is what followed an outage that all instances shared.
+type outageEnd struct {
+	list, lease time.Duration // until the last instance had it again
+	busiest     int           // calls of the store in its busiest second
+	tenths      []int         // calls in each 100 ms
+}
+
+// untilAll returns after how long all members have something again, 0 if not within a span.
+func (f *fleet) untilAll(span time.Duration, has func(n *fleetMember) bool) time.Duration {
+	const look = 20 * time.Millisecond
+	for took := time.Duration(0); took < span; took += look {
+		missing := false
+		for _, name := range f.names {
+			missing = missing || !has(f.members[name])
+		}
+		if !missing {
+			return took
+		}
+		f.run(look)
+	}
+	return 0
+}
+
+// endOutage has the store come back after an outage that all members shared.
+func endOutage(f *fleet, closed bool) outageEnd {
+	f.store.down, f.store.closed = true, closed
+	f.run(5 * time.Second)
+	f.store.down, f.store.closed = false, false
+	back := clocktest.At(time.Hour + f.now)
+	from := f.now
+	f.called = nil
+	const span = 8 * time.Second
+	var e outageEnd
+	e.list = f.untilAll(span, func(n *fleetMember) bool { return !n.m.exchanges.StoreAt().Before(back) })
+	e.lease = e.list + f.untilAll(span, func(n *fleetMember) bool {
+		v := f.store.values["instances/"+n.id.Name]
+		return v != nil && f.store.leases[v.lease] != nil
+	})
+	f.run(from + 3*time.Second - f.now)
+	e.busiest = busiestSecond(f.called)
+	e.tenths = make([]int, 30)
+	for _, at := range f.called {
+		if i := int((at - from) / (100 * time.Millisecond)); i < len(e.tenths) {
+			e.tenths[i]++
+		}
+	}
+	return e
+}
+
+// TestTheListComesFirstAfterAnOutage: after an outage that all instances shared, each has the list
+// again before the bound for replicas that leave binds again, by no more calls than the store
+// allows.
+func TestTheListComesFirstAfterAnOutage(t *testing.T) {
+	sizes := []fleetSize{{members: 8, engines: fleetEngines, bounds: smallBounds}}
+	if *leaveSizes {
+		sizes = append(sizes, fleetSize{members: 23, engines: 24, bounds: largeBounds},
+			fleetSize{members: 46, engines: 48, bounds: largeBounds}, fleetSize{members: 370, engines: 850, bounds: largeBounds})
+	}
+	for _, size := range sizes {
+		for _, closed := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%d instances, refused %v", size.members, closed), func(t *testing.T) {
+				f := newFleetWithin(1, size.members, size.engines, option.Disabled{}, false, size.bounds)
+				f.expire()
+				f.run(20 * time.Second)
+				e := endOutage(f, closed)
+				rate := smallRate
+				if size.members >= largeFrom {
+					rate = largeRate
+				}
+				t.Logf("list after %v, leases after %v, at most %d calls a second; in each 100 ms %v", e.list, e.lease, e.busiest, e.tenths)
+				if e.list == 0 || e.list > size.bounds.Settle || e.lease == 0 || e.busiest > rate {
+					t.Errorf("list after %v, leases after %v, %d calls a second", e.list, e.lease, e.busiest)
+				}
+			})
+		}
+	}
+}
