The budget for replicas that leave is a page generated from the code; it leaves something over

Cause: in a large fleet the wait of a watch took all that was left of the bound, so the parts came to 3 s of 3 s, and nothing said so but the code.

The page docs/design/budgets.md lists the parts, their sum and what is derived beside it at 8, 46 and 370 instances, by the same code. Sums: 1.9 of 2 s, 2.85 of 3 s.

--- a/core/bounds/bounds.go
+++ b/core/bounds/bounds.go
@@ -8,6 +8,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 )
 
@@ -35,6 +36,7 @@
 	overdueShare  = 0.05 // for the answer to a watch whose wait is over
 	readShare     = 0.1  // for a read of the whole list from a sound store
 	sendShare     = 0.05 // for all that is done between the news and the call
+	reserveShare  = 0.05 // that the parts leave over where they can
 	roundShare    = 1. / 6
 )
 
@@ -82,10 +84,33 @@
 // those that tell it of the list.
 func (p Parts) FirstHand() time.Duration { return p.Pause + p.Wait + p.Overdue + p.Hop }
 
+// A Part is one of them.
+type Part struct {
+	Name    string
+	Meaning string
+	Longest time.Duration
+}
+
+// All lists the parts, in their order.
+func (p Parts) All() []Part {
+	return []Part{
+		{"pause", "from the answer to a watch to the next one", p.Pause},
+		{"wait", "of one watch at the store", p.Wait},
+		{"overdue", "until a watch without an answer counts as hanging", p.Overdue},
+		{"read", "of the whole list, beside it", p.Read},
+		{"hop", "to an instance that does not watch", p.Hop},
+		{"dial", "of a connection to a replica", p.Dial},
+		{"send", "news handled, call chosen and on its way", p.Send},
+	}
+}
+
 // String lists the parts.
 func (p Parts) String() string {
-	return fmt.Sprintf("pause %v, wait %v, overdue %v, read %v, hop %v, dial %v, send %v",
-		p.Pause, p.Wait, p.Overdue, p.Read, p.Hop, p.Dial, p.Send)
+	var words []string
+	for _, part := range p.All() {
+		words = append(words, fmt.Sprintf("%s %v", part.Name, part.Longest))
+	}
+	return strings.Join(words, ", ")
 }
 
 // Parts works the parts out.
@@ -104,7 +129,7 @@
 	if r.Pause > 0 {
 		p.Pause = r.Pause
 	}
-	p.Wait = min(b.share(waitShare), max(leastWait, b.Leave-p.Sum()))
+	p.Wait = min(b.share(waitShare), max(leastWait, b.Leave-b.share(reserveShare)-p.Sum()))
 	if r.Wait > 0 {
 		p.Wait = r.Wait
 	}
--- a/internal/pages/pages.go
+++ b/internal/pages/pages.go
@@ -4,8 +4,11 @@
 
 import (
 	"fmt"
+	"path/filepath"
 	"strings"
+	"time"
 
+	"github.com/birchdrift/birchdrift/core/bounds"
 	"github.com/birchdrift/birchdrift/core/code"
 	"github.com/birchdrift/birchdrift/core/logevent"
 	"github.com/birchdrift/birchdrift/internal/settings"
@@ -21,6 +24,8 @@
 		"events.md":   events(),
 		"settings.md": processSettings(),
 		"metrics.md":  metricRows(),
+
+		filepath.Join("design", "budgets.md"): budgets(),
 	}
 }
 
@@ -92,3 +97,55 @@
 	b.WriteString("\nMetrics are at `/metrics` on the operations listener, with the process's own beside them.\n")
 	return b.String()
 }
+
+// A budgetCase is a fleet for which docs/design/budgets.md adds the waits up.
+type budgetCase struct {
+	name   string
+	bounds bounds.Bounds
+	mesh   bool
+}
+
+// exchangeEvery is the setting exchange-every of the users' deployments.
+const exchangeEvery = 500 * time.Millisecond
+
+var budgetCases = []budgetCase{
+	{"8 instances", bounds.Bounds{Leave: 2 * time.Second, Settle: 3 * time.Second}, true},
+	{"46 and 370 instances", bounds.Bounds{Leave: 3 * time.Second, Settle: 4 * time.Second}, false},
+}
+
+func budgets() string {
+	var b strings.Builder
+	columns := []string{"part", "what it is"}
+	var parts []bounds.Parts
+	for _, c := range budgetCases {
+		columns = append(columns, c.name)
+		parts = append(parts, c.bounds.Parts(bounds.Rhythm{Mesh: c.mesh, Exchange: exchangeEvery}))
+	}
+	header(&b, "Budgets", columns...)
+	for i, part := range parts[0].All() {
+		cells := []string{part.Name, part.Meaning}
+		for _, p := range parts {
+			cells = append(cells, p.All()[i].Longest.String())
+		}
+		row(&b, cells...)
+	}
+	sum := []string{"**sum**", "from the store's word that a replica leaves, or its entry's end, to the last call there"}
+	bound := []string{"**bound**", "`--leave-bound`"}
+	silence := []string{"age of the list", "from which an instance that does not watch asks the store itself"}
+	unlisted := []string{"entry gone", "since it was last known to stand, until the replica counts as leaving"}
+	again := []string{"after an outage", "until the store is called again at the latest, of `--settle-time`"}
+	for i, c := range budgetCases {
+		sum = append(sum, parts[i].Sum().String())
+		bound = append(bound, c.bounds.Leave.String())
+		silence = append(silence, c.bounds.StoreSilence().String())
+		unlisted = append(unlisted, c.bounds.Unlisted().String())
+		again = append(again, fmt.Sprintf("%v of %v", c.bounds.LongWait(), c.bounds.Settle))
+	}
+	for _, cells := range [][]string{sum, bound, silence, unlisted, again} {
+		row(&b, cells...)
+	}
+	b.WriteString("\nEach part is at its longest in the sum. `core/bounds` works them out from the bound; settings\n" +
+		"that make the sum too long are refused at the start, with this list. A configuration comes\n" +
+		"by the same watch; only the bound for replicas that leave is added up yet.\n")
+	return b.String()
+}
