--- a/deploy/days/play.sh
+++ b/deploy/days/play.sh
@@ -5,8 +5,8 @@
 #   deploy/days/play.sh BENCH SITE [PATTERN]
 #
 # BENCH is the users' bench program, SITE a site file. JOBS days are played at a
-# time (4 unless set), each with the seed SEED where that is set. NAMES are the
-# site's names for what the days name, as "manifest-draft=hyra-granskning ...".
+# time (4 unless set), each with the seed SEED where that is set. Days name classes,
+# services and zones by their place (@c0, @s0, @z0), so that they fit every site.
 set -euo pipefail
 bench=$(realpath "$1")
 site=$(realpath "$2")
@@ -14,14 +14,7 @@
 cd "$(dirname "$0")/../.."
 out=$(mktemp -d)
 trap 'rm -rf "$out"' EXIT
-rename=(-e "")
-for pair in ${NAMES:-}; do
-  rename+=(-e "s/\"${pair%%=*}\"/\"${pair#*=}\"/g")
-done
-mkdir "$out/days" "$out/log"
-for day in deploy/days/$pattern.toml; do
-  sed "${rename[@]}" "$day" >"$out/days/$(basename "$day")"
-done
+mkdir "$out/log"
 "$bench" build >/dev/null
 play() {
   local name
@@ -34,4 +27,4 @@
 }
 export -f play
 export bench site out
-ls "$out"/days/*.toml | xargs -P "${JOBS:-4}" -I{} bash -c 'play {}' | sort
+ls deploy/days/$pattern.toml | xargs -P "${JOBS:-4}" -I{} bash -c 'play {}' | sort
