--- a/core/watch/watch.go
+++ b/core/watch/watch.go
@@ -121,13 +121,13 @@
 // A Watch is one instance's watch of the store.
 type Watch struct {
 	Needs
-	calls  map[uint64]call // that were not answered yet
-	last   uint64          // number of the newest call
-	due    clock.Instant   // of the next call, also beside one that hangs
-	trust  clock.Instant   // from when on connections that are kept are used
-	failed failures
-	logged reason // that was logged last
-	old    oldList
+	calls   map[uint64]call // that were not answered yet
+	last    uint64          // number of the newest call
+	due     clock.Instant   // of the next call, also beside one that hangs
+	reuseAt clock.Instant   // from when on connections that are kept are used again
+	failed  failures
+	logged  reason // that was logged last
+	old     oldList
 }
 
 // A call is one call of the store.
@@ -217,11 +217,11 @@
 func (w *Watch) begin(now clock.Instant) {
 	parts := w.parts()
 	w.last++
-	b := Begin{ID: w.last, Fresh: now.Before(w.trust)}
+	b := Begin{ID: w.last, Fresh: now.Before(w.reuseAt)}
 	switch {
 	case len(w.calls) > 0: // and none of them was answered in time
 		b.Fresh = true
-		w.trust = now.Add(distrustSpan)
+		w.reuseAt = now.Add(distrustSpan)
 		w.failed.beside = w.failed.beside.WithFailure()
 		w.due = now.Add(w.failed.beside.Wait(w.Rand))
 	case w.failed.count > 0:
