--- a/core/instance/leaving_test.go
+++ b/core/instance/leaving_test.go
@@ -92,13 +92,14 @@
 	return l.stable() && l.f.now-l.memberBad[n.id.Name] >= l.bounds.Settle
 }
 
-// sent takes in that a member sends a call to an engine.
+// sent takes in that a member sends a call to an engine. It reaches it only once a connection is
+// made, which may take as long as the members try.
 func (l *leaveLab) sent(n *fleetMember, d calls.Dispatch) {
 	e := l.f.engines[d.Replica]
 	if l.bound(n) {
 		l.oldest = max(l.oldest, d.Forward.ListAge)
 	}
-	l.f.at(fleetWay, func() {
+	l.f.at(bounds.Dial, func() {
 		w, ok := l.words[e]
 		if !ok || !w.stable || l.f.now-w.at <= l.bounds.Leave || !l.bound(n) || e.gone {
 			return
@@ -148,19 +149,20 @@
 		return
 	}
 	l.left++
-	l.f.at(l.bounds.Leave, func() {
+	l.f.at(l.bounds.Leave-bounds.Dial, func() {
 		if l.words[e] == w {
 			l.checkUnused(e)
 		}
 	})
 }
 
-// checkUnused checks that no member that the rule binds would send a call to an engine.
+// checkUnused checks that no member that the rule binds would send a call to an engine that comes
+// too late.
 func (l *leaveLab) checkUnused(e *fleetEngine) {
 	for _, n := range l.everyone() {
 		r := n.m.state.Pool.Get(e.name)
 		if l.bound(n) && r != nil && (r.Usable() || r.LastResort(l.f.clock(n))) {
-			l.late = append(l.late, fmt.Sprintf("%v: %s would send calls to %s %v after the store had taken that it leaves", l.f.now, n.id.Name, e.name, l.bounds.Leave))
+			l.late = append(l.late, fmt.Sprintf("%v: %s would send calls to %s %v after the store had taken that it leaves", l.f.now, n.id.Name, e.name, l.bounds.Leave-bounds.Dial))
 		}
 	}
 }
