A bound that is too short is logged, not refused; one constant for the time of a connection

Cause: an instance refused to start where the platform's bound for replicas that leave was shorter than the least that the waits come to (400 ms of bound: half a second for the connection alone). The bound is the platform's, and an instance that doesn't start serves nobody.

Change: only waits that were set (watch-every, watch-wait) and break the sum are refused; else 1008 bound_too_short is logged once. internal/upstream takes the time of a connection from core/bounds, where the sum has it.

--- a/core/bounds/bounds.go
+++ b/core/bounds/bounds.go
@@ -3,7 +3,7 @@
 //
 // Each wait that a piece of news may meet is a part of one sum. A wait that is set by itself
 // can be harmless and the sum too long all the same, so the waits are worked out from the
-// bound, and settings that make the sum too long are refused at the start.
+// bound, and waits that are set and make the sum too long are refused at the start.
 package bounds
 
 import (
--- a/internal/pages/pages.go
+++ b/internal/pages/pages.go
@@ -144,8 +144,9 @@
 	for _, cells := range [][]string{sum, bound, silence, unlisted, again} {
 		row(&b, cells...)
 	}
-	b.WriteString("\nEach part is at its longest in the sum. `core/bounds` works them out from the bound; settings\n" +
-		"that make the sum too long are refused at the start, with this list. A configuration comes\n" +
+	b.WriteString("\nEach part is at its longest in the sum. `core/bounds` works them out from the bound; waits\n" +
+		"that are set and make the sum too long are refused at the start, with this list; a bound that is\n" +
+		"shorter than the least of them is logged (1008). A configuration comes\n" +
 		"by the same watch; only the bound for replicas that leave is added up yet.\n")
 	return b.String()
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -118,6 +118,9 @@
 		return nil, err
 	}
 	s.wire(enter)
+	if err := set.BoundKept(); err != nil {
+		log.Info(logevent.BoundTooShort.Name(), "event", int(logevent.BoundTooShort), "error", err.Error())
+	}
 	return s, nil
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -179,16 +179,28 @@
 	return s, faults
 }
 
-// checkBounds returns an error for settings that together break the bound for replicas that
-// leave, in a fleet of either kind.
+// checkBounds returns an error for waits that were set and by which replicas that leave could
+// get calls for too long.
 func (s Settings) checkBounds() []*code.Error {
+	if s.WatchEvery == 0 && s.WatchWait == 0 {
+		return nil
+	}
+	if err := s.BoundKept(); err != nil {
+		return []*code.Error{code.Errorf(code.BadSetting, "--leave-bound (%s), --watch-every, --watch-wait: %v", Setting{Name: "leave-bound"}.Env(), err)}
+	}
+	return nil
+}
+
+// BoundKept returns an error if the bound for replicas that leave cannot be kept, in a fleet of
+// either kind.
+func (s Settings) BoundKept() error {
 	if s.Environment != EnvironmentPlatform {
 		return nil
 	}
-	r := bounds.Rhythm{Mesh: true, Exchange: s.Exchange, Pause: s.WatchEvery, Wait: s.WatchWait}
+	r := bounds.Rhythm{Exchange: s.Exchange, Pause: s.WatchEvery, Wait: s.WatchWait}
 	for _, r.Mesh = range []bool{true, false} {
 		if err := s.bounds().Check(r); err != nil {
-			return []*code.Error{code.Errorf(code.BadSetting, "--leave-bound (%s), --watch-every, --watch-wait: %v", Setting{Name: "leave-bound"}.Env(), err)}
+			return err
 		}
 	}
 	return nil
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -24,11 +24,12 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/birchdrift/birchdrift/core/attempt"
+	"github.com/birchdrift/birchdrift/core/bounds"
 )
 
 // Bounds of connections to upstreams.
 const (
-	dialTimeout = 500 * time.Millisecond
+	dialTimeout = bounds.Dial
 	idleTimeout = 4 * time.Second // below what upstreams keep idle connections for
 	idlePerHost = 64
 	probeEvery  = time.Second // probes of a connection on which nothing comes
