--- a/core/instance/leaving_test.go
+++ b/core/instance/leaving_test.go
@@ -1,9 +1,8 @@
 package instance
 
 // Seen: a request reached a replica 2.2 s after the store had acknowledged that it leaves; 2 s
-// are allowed.
-//
-// How and why: docs/incidents/2026-12-03-signaturbron-leaving.md.
+// are allowed. Entries were taken for old after the store had stepped back, later ones took back
+// that a replica leaves, and the waits between the store and a call added up to more than 2 s.
 
 import (
 	"flag"
--- a/core/listing/listing.go
+++ b/core/listing/listing.go
@@ -84,8 +84,9 @@
 	}
 }
 
-// takeMissing takes in that a whole list no longer has some replicas. Unless an outage may have
-// taken their entries they leave at once: nobody knows for how long the watch did not hear of it.
+// takeMissing takes in that a whole list no longer has some replicas. They count as leaving at
+// once, since the watch may have missed for long that they went, but not after an outage, which
+// may remove entries of sound replicas.
 func (l *List) takeMissing(now clock.Instant, e Reply) {
 	outage := l.Outage.FailedSince(l.KnownAt())
 	for _, entry := range l.missing(e) {
@@ -159,9 +160,9 @@
 	l.announce(now, entry.Name, *entry.Announced, entry.Version)
 }
 
-// leavesBy returns when a replica whose entry went counts as leaving at the latest, zero if that
-// is open. The entry may have gone just after the list was known last. An outage takes entries of
-// sound replicas too, and binds nobody to that.
+// leavesBy returns the deadline by which a replica whose entry went counts as leaving, counted
+// from when the list was known last, since the entry may have gone just after that. It is zero
+// after an outage, which may remove entries of sound replicas.
 func (l *List) leavesBy(now clock.Instant) clock.Instant {
 	known := l.KnownAt()
 	if now.Since(known) > l.Options.Bounds.Leave || l.Outage.FailedSince(known) {
--- a/core/pool/announced.go
+++ b/core/pool/announced.go
@@ -184,15 +184,15 @@
 	}
 }
 
-// Vanish notes that the list no longer has the replica. It counts as leaving after a span, but
-// at by at the latest unless that is zero.
-func (p *Pool) Vanish(now clock.Instant, name string, by clock.Instant) {
+// Vanish notes that the list no longer has the replica. It counts as leaving once the span of
+// Expire is over, or at the deadline if that is sooner; a zero deadline is none.
+func (p *Pool) Vanish(now clock.Instant, name string, deadline clock.Instant) {
 	r := p.replicas[name]
 	if r == nil || !r.Announced {
 		return
 	}
-	if !by.IsZero() && (r.leavesBy.IsZero() || by.Before(r.leavesBy)) {
-		r.leavesBy = by
+	if !deadline.IsZero() && (r.leavesBy.IsZero() || deadline.Before(r.leavesBy)) {
+		r.leavesBy = deadline
 	}
 	if r.vanishedAt.IsZero() {
 		r.vanishedAt = now
--- a/core/pool/notice.go
+++ b/core/pool/notice.go
@@ -106,8 +106,8 @@
 	return true
 }
 
-// TellLeaving notes that a replica leaves by what others know, and reports whether that is news.
-// How long they have known it is not known, so it is no last resort.
+// TellLeaving notes that a replica leaves as other instances know, and reports whether that is
+// news. It is not used as a last resort then, since it may have been leaving for long.
 func (p *Pool) TellLeaving(name string) bool {
 	r := p.replicas[name]
 	if r == nil || r.Leaving() {
