Sight: a retry says which part of the budget paid for it

Neither the log nor the metrics could tell which part of a retry budget a retry was charged to, by which start of an instance, or who granted it; the hypotheses of the incident differ in just that.

- 1815 retry_charged: service, part (calls, instance, shared), who granted it, calls and retries of this instance in the window, what is left, boot.
- call_retried and call_not_repeated name the service.
- birchdrift_retries_charged_total, _left, _denied_total.

No decision changes. core, internal and platform tests pass; lint passes.

--- a/core/forwarding/attempts.go
+++ b/core/forwarding/attempts.go
@@ -10,7 +10,9 @@
 	"github.com/birchdrift/birchdrift/core/config"
 	"github.com/birchdrift/birchdrift/core/crash"
 	"github.com/birchdrift/birchdrift/core/logevent"
+	"github.com/birchdrift/birchdrift/core/permits"
 	"github.com/birchdrift/birchdrift/core/pool"
+	"github.com/birchdrift/birchdrift/core/retrybudget"
 )
 
 // Handling of calls that were sent to a replica.
@@ -70,7 +72,7 @@
 // retry finds another replica for a call whose attempt failed.
 func (f *Forwarder) retry(now clock.Instant, c *calls.Call, failed failure) {
 	s := stateOf(c)
-	f.Out.Log(logevent.CallRetried, "call", c.Forward.Name, "fingerprint", c.Forward.Fingerprint.String(),
+	f.Out.Log(logevent.CallRetried, "call", c.Forward.Name, "service", c.Service, "fingerprint", c.Forward.Fingerprint.String(),
 		"replica", failed.replica, "severed", failed.Severed, "unreachable", failed.Unreachable, "status", failed.Status, "detail", failed.Detail)
 	c.Phase = calls.Waiting
 	s.probe = probe{}
@@ -82,7 +84,10 @@
 
 // endUnretried ends a call whose attempt failed and logs why it is not retried.
 func (f *Forwarder) endUnretried(c *calls.Call, failed failure, reason retryVerdict) {
-	f.Out.Log(logevent.CallNotRepeated, "call", c.Forward.Name, "fingerprint", c.Forward.Fingerprint.String(),
+	if reason == overBudget {
+		f.Out.Emit(retrybudget.Denied{Service: c.Service})
+	}
+	f.Out.Log(logevent.CallNotRepeated, "call", c.Forward.Name, "service", c.Service, "fingerprint", c.Forward.Fingerprint.String(),
 		"replica", failed.replica, "severed", failed.Severed, "reason", reason.String())
 	f.end(c, stateOf(c), failed.Status, failed.Detail)
 }
@@ -97,11 +102,12 @@
 }
 
 // retryPermitDecided retries the call if the permit was granted, and ends it otherwise.
-func (f *Forwarder) retryPermitDecided(now clock.Instant, c *calls.Call, granted bool) {
+func (f *Forwarder) retryPermitDecided(now clock.Instant, c *calls.Call, decision permits.Decision) {
 	s := stateOf(c)
 	failed := *s.pendingRetry
 	s.pendingRetry = nil
-	if granted {
+	if decision.Granted {
+		f.recordCharge(now, c, retrybudget.SharedPart, decision.By)
 		f.retry(now, c, failed)
 		return
 	}
--- a/core/forwarding/forwarding_test.go
+++ b/core/forwarding/forwarding_test.go
@@ -124,7 +124,8 @@
 	is := is.New(t)
 	f := testForwarder(t)
 	call, _ := f.testCall(config.Repeatable, false)
-	for f.Budget.Spend(start, "s") {
+	for f.Budget.Available(start, "s") {
+		f.Budget.Spend(start, "s")
 	}
 	is.Equal(f.checkRetry(start, call, calls.AttemptFailed{Phase: attempt.MaybeSent}), overBudget)
 	is.Equal(f.checkRetry(start, call, calls.AttemptFailed{Phase: attempt.NotSent}), retryAllowed) // nothing was sent
--- a/core/forwarding/permit.go
+++ b/core/forwarding/permit.go
@@ -90,7 +90,7 @@
 	c.Phase = calls.Waiting
 	switch {
 	case resource.Service != "":
-		f.retryPermitDecided(now, c, decision.Granted)
+		f.retryPermitDecided(now, c, decision)
 	case !decision.Granted:
 		f.recordDenial(now, stateOf(c), f.Pool.Get(resource.Replica.Name), decision)
 		f.findReplica(now, c)
--- a/core/forwarding/repeat.go
+++ b/core/forwarding/repeat.go
@@ -8,6 +8,8 @@
 	"github.com/birchdrift/birchdrift/core/clock"
 	"github.com/birchdrift/birchdrift/core/code"
 	"github.com/birchdrift/birchdrift/core/config"
+	"github.com/birchdrift/birchdrift/core/logevent"
+	"github.com/birchdrift/birchdrift/core/retrybudget"
 )
 
 // Whether a call whose attempt failed may be retried at another replica.
@@ -42,7 +44,7 @@
 func (v retryVerdict) String() string {
 	return [...]string{
 		"allowed", "it may have run", "the stream cannot be resumed", "its body cannot be sent again", "all attempts are used",
-		"too many replicas refused it", "too many replicas were unreachable", "no time is left", "the retry budget is used up",
+		"too many replicas refused it", "too many replicas were unreachable", "no time is left", retrybudget.DeniedReason,
 	}[v]
 }
 
@@ -69,9 +71,28 @@
 		return unsentTooOften
 	case !now.Add(minTimeLeft).Before(c.Expires):
 		return noTimeLeft
-	case e.Phase != attempt.NotSent && !f.Budget.Spend(now, c.Service):
+	case e.Phase != attempt.NotSent && !f.chargeRetry(now, c):
 		return overBudget
 	default:
 		return retryAllowed
 	}
 }
+
+// chargeRetry charges a retry of the call to this instance's own part of the retry budget,
+// and reports whether enough was left.
+func (f *Forwarder) chargeRetry(now clock.Instant, c *calls.Call) bool {
+	part, ok := f.Budget.Spend(now, c.Service)
+	if ok {
+		f.recordCharge(now, c, part, f.Self.Name)
+	}
+	return ok
+}
+
+// recordCharge logs that a retry of the call was charged to a part of the retry budget that
+// the instance by granted.
+func (f *Forwarder) recordCharge(now clock.Instant, c *calls.Call, part retrybudget.Part, by string) {
+	u := f.Budget.Usage(now, c.Service)
+	f.Out.Log(logevent.RetryCharged, "call", c.Forward.Name, "service", c.Service, "part", string(part), "by", by,
+		"calls", u.Calls, "retries", u.Retries, "left", u.Left, "boot", f.Self.Boot)
+	f.Out.Emit(retrybudget.Charged{Service: c.Service, Part: part, Left: u.Left})
+}
--- a/core/permits/permits.go
+++ b/core/permits/permits.go
@@ -97,6 +97,8 @@
 	// After is the time after which the caller of a denied request should retry.
 	After time.Duration
 	Word  pool.LimitReport // the replica's rate limit as known to the coordinator
+	// By is the instance that decided. The instance that sent the request sets it.
+	By string
 }
 
 type (
@@ -328,6 +330,7 @@
 // instance because this instance was suspended, is void.
 func (p *Permits) deliver(now clock.Instant, req *pendingRequest, d Decision) {
 	d.Granted = d.Granted && now.MaxElapsed(req.sentAt)-d.Held < permitTTL
+	d.By = cmp.Or(req.peer, p.Self.Name)
 	if r := p.Pool.Get(req.request.Replica.Name); r != nil {
 		r.SetNextSend(now.Add(d.Turn))
 	}
--- a/core/retrybudget/budget.go
+++ b/core/retrybudget/budget.go
@@ -34,6 +34,43 @@
 	sharedShare = 0.21
 )
 
+// A Part is a part of a service's retry budget.
+type Part string
+
+// The parts.
+const (
+	CallsPart    Part = "calls"    // a share of the calls that the instance received
+	InstancePart Part = "instance" // the instance's part of the fixed number
+	SharedPart   Part = "shared"   // the part of the fixed number that is granted on demand
+)
+
+// Charged is the action that reports a retry which was charged to the budget.
+type Charged struct {
+	Service string
+	Part    Part
+	// Left is the number of retries that the instance may still make without a permit.
+	Left float64
+}
+
+// IsAction implements step.Action.
+func (Charged) IsAction() {}
+
+// DeniedReason is the reason in the log of a call that was not retried for want of budget.
+const DeniedReason = "the retry budget is used up"
+
+// Denied is the action that reports a retry which was not made for want of budget.
+type Denied struct{ Service string }
+
+// IsAction implements step.Action.
+func (Denied) IsAction() {}
+
+// A Usage is the state of a service's budget on one instance.
+type Usage struct {
+	Calls   int     // calls within the window
+	Retries int     // retries within the window, without those on a permit
+	Left    float64 // retries that the instance may still make without a permit
+}
+
 // A Budget counts the calls and retries of each service on one instance. The
 // fields must be set before use.
 type Budget struct {
@@ -49,9 +86,19 @@
 func (b *Budget) RecordCall(now clock.Instant, service string) { b.window(service).RecordCall(now) }
 
 // Spend records a retry of a call of the service if the budget allows one, and
-// reports whether it does.
-func (b *Budget) Spend(now clock.Instant, service string) bool {
-	return b.window(service).TryRetry(now, b.Options.RetryRatio, b.instanceSlack())
+// returns the part that it was charged to. ok reports whether the budget allows it.
+func (b *Budget) Spend(now clock.Instant, service string) (part Part, ok bool) {
+	w := b.window(service)
+	if w.TryRetry(now, b.Options.RetryRatio, 0) {
+		return CallsPart, true
+	}
+	return InstancePart, w.TryRetry(now, b.Options.RetryRatio, b.instanceSlack())
+}
+
+// Usage returns the state of the service's budget on this instance.
+func (b *Budget) Usage(now clock.Instant, service string) Usage {
+	calls, retries := b.window(service).Counts(now)
+	return Usage{Calls: calls, Retries: retries, Left: b.Options.RetryRatio*float64(calls) + b.instanceSlack() - float64(retries)}
 }
 
 // Available reports whether the budget allows a retry of a call of the service.
--- a/core/retrybudget/budget_test.go
+++ b/core/retrybudget/budget_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/birchdrift/birchdrift/core/clock"
 	"github.com/birchdrift/birchdrift/core/clock/clocktest"
 	"github.com/birchdrift/birchdrift/core/member"
 	"github.com/birchdrift/birchdrift/core/option"
@@ -46,16 +47,21 @@
 				b.RecordCall(now, "s")
 			}
 			spent := 0
-			for spent < 1000 && b.Spend(now, "s") {
+			for spent < 1000 && spend(b, now, "s") {
 				spent++
 			}
 			is.Equal(spent, c.want)
 			if c.common && c.peers > 0 {
 				return // the instance's own part is less than one retry
 			}
-			is.True(b.Spend(now, "other")) // each service has a budget of its own
+			is.True(spend(b, now, "other")) // each service has a budget of its own
 			// After the length of the window the fixed part is available again.
-			is.True(b.Spend(now.Add(opt.RetryWindow+time.Second), "s"))
+			is.True(spend(b, now.Add(opt.RetryWindow+time.Second), "s"))
 		})
 	}
 }
+
+func spend(b *Budget, now clock.Instant, service string) bool {
+	_, ok := b.Spend(now, service)
+	return ok
+}
--- a/core/retrybudget/window.go
+++ b/core/retrybudget/window.go
@@ -55,9 +55,13 @@
 // Allows reports whether one more retry would stay within ratio times the calls plus
 // slack.
 func (w *Window) Allows(now clock.Instant, ratio, slack float64) bool {
+	calls, retries := w.Counts(now)
+	return float64(retries+1) <= ratio*float64(calls)+slack
+}
+
+// Counts returns the numbers of calls and retries within the window.
+func (w *Window) Counts(now clock.Instant) (calls, retries int) {
 	newest := w.advance(now)
-	calls := 0
-	retries := 0
 	oldest := (newest + 1) % bucketCount
 	for i := range bucketCount {
 		retries += w.retries[i]
@@ -65,5 +69,5 @@
 			calls += w.calls[i]
 		}
 	}
-	return float64(retries+1) <= ratio*float64(calls)+slack
+	return calls, retries
 }
--- a/internal/losses/losses_test.go
+++ b/internal/losses/losses_test.go
@@ -132,3 +132,34 @@
 		}
 	}
 }
+
+// TestRetriesAreAddedUp checks the table of retries: over all instances and their lives, in the
+// window with the most retries, and by part of the budget.
+func TestRetriesAreAddedUp(t *testing.T) {
+	is := is.New(t)
+	var lines []string
+	for i := range 20 {
+		lines = append(lines, logLine(time.Duration(i)*time.Second, logevent.CallSent, fmt.Sprintf(`"call":"c%d","service":"s","attempt":1`, i)))
+	}
+	retry := func(after time.Duration, part string, boot int) {
+		lines = append(lines, logLine(after, logevent.RetryCharged, fmt.Sprintf(`"call":"c1","service":"s","part":%q,"boot":%d`, part, boot)))
+	}
+	retry(2*time.Second, "calls", 1)
+	retry(11500*time.Millisecond, "calls", 1)
+	retry(12500*time.Millisecond, "instance", 2)
+	retry(13500*time.Millisecond, "shared", 3)
+	lines = append(lines, logLine(14*time.Second, logevent.CallNotRepeated, `"call":"c2","service":"s","reason":"the retry budget is used up"`),
+		logLine(14*time.Second, logevent.CallNotRepeated, `"call":"c3","service":"s","reason":"it may have run"`))
+	l, err := Read(strings.NewReader(strings.Join(lines, "\n")))
+	is.NoErr(err)
+	var out strings.Builder
+	is.NoErr(l.Report(&out))
+	for _, want := range []string{
+		"RETRIES OF  ALL  DENIED  MOST IN 10s  FROM      CALLS THEN  BY CALLS  BY INSTANCE  SHARED  SPENT BY",
+		"s           4    1       3            03:04:16  10          2         1            1       3",
+	} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("%q is missing in\n%s", want, out.String())
+		}
+	}
+}
--- a/internal/losses/record.go
+++ b/internal/losses/record.go
@@ -17,6 +17,7 @@
 
 	"github.com/birchdrift/birchdrift/core/code"
 	"github.com/birchdrift/birchdrift/core/logevent"
+	"github.com/birchdrift/birchdrift/core/retrybudget"
 )
 
 // maxLineSize is the largest size of one line of a log, in bytes: far above any that
@@ -45,6 +46,12 @@
 	PauseMS  int64     `json:"pause_ms"`
 	Code     code.Code `json:"code"`
 	Detail   string    `json:"detail"`
+	Service  string    `json:"service"`
+	Reason   string    `json:"reason"`
+
+	// Fields of retries.
+	Part retrybudget.Part `json:"part"`
+	Boot uint64           `json:"boot"`
 
 	// Fields of events of placements and orders.
 	Engine string `json:"engine"`
@@ -60,7 +67,8 @@
 	placements     []*placement
 	openPlacements map[placementKey]*placement
 	orders         map[orderKey][]time.Time
-	placerStarts   []time.Time // when some instance became the placer
+	retries        map[string]*retryLog // by service
+	placerStarts   []time.Time          // when some instance became the placer
 	starts         map[string][]time.Time
 	first          time.Time
 	last           time.Time
@@ -76,6 +84,7 @@
 func Read(in io.Reader) (*Log, error) {
 	l := &Log{
 		calls: map[string]*call{}, openPlacements: map[placementKey]*placement{}, orders: map[orderKey][]time.Time{}, starts: map[string][]time.Time{},
+		retries: map[string]*retryLog{},
 	}
 	scanner := bufio.NewScanner(in)
 	scanner.Buffer(make([]byte, 0, 64<<10), maxLineSize)
@@ -113,6 +122,10 @@
 
 // addEvent adds one event to the log.
 func (l *Log) addEvent(r record) {
+	switch r.Event {
+	case logevent.CallSent, logevent.RetryCharged, logevent.CallNotRepeated:
+		l.addRetryEvent(r)
+	}
 	switch r.Event {
 	case logevent.CallSent, logevent.CallServed, logevent.CallFailed, logevent.CallRetried, logevent.CallWaits:
 		l.addCallEvent(r)
--- a/internal/losses/report.go
+++ b/internal/losses/report.go
@@ -25,7 +25,8 @@
 // barSymbols are the characters of the outcomes in a window's bar, in their order.
 const barSymbols = "#~-x?"
 
-// Report writes the tables of calls by reason, zone, rank, model and time window.
+// Report writes the tables of calls by reason, zone, rank, model and time window, and the
+// table of retries.
 func (l *Log) Report(out io.Writer) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	all := slices.SortedFunc(maps.Values(l.calls), func(a, b *call) int {
@@ -44,6 +45,7 @@
 	slices.SortStableFunc(models, func(a, b row) int { return cmp.Compare(b.notInTime(), a.notInTime()) })
 	writeTable(w, "MODEL, MOST LOST", models[:min(topModels, len(models))])
 	l.writeWindows(w, all)
+	l.writeRetries(w)
 	return w.Flush()
 }
 
--- a/internal/shell/actions.go
+++ b/internal/shell/actions.go
@@ -16,6 +16,7 @@
 	"github.com/birchdrift/birchdrift/core/owned"
 	"github.com/birchdrift/birchdrift/core/permits"
 	"github.com/birchdrift/birchdrift/core/quarantine"
+	"github.com/birchdrift/birchdrift/core/retrybudget"
 	"github.com/birchdrift/birchdrift/core/shutdown"
 	"github.com/birchdrift/birchdrift/core/step"
 	"github.com/birchdrift/birchdrift/internal/peer"
@@ -71,6 +72,7 @@
 		s.published.installed = act.Snapshot
 	case step.Log:
 		s.event(act.Event, act.Fields...)
+	case retrybudget.Charged, retrybudget.Denied: // counted in the metrics only
 	case shutdown.Exit:
 		s.exited <- act
 	default:
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -12,6 +12,7 @@
 	"github.com/birchdrift/birchdrift/core/calls"
 	"github.com/birchdrift/birchdrift/core/logevent"
 	"github.com/birchdrift/birchdrift/core/own/planner"
+	"github.com/birchdrift/birchdrift/core/retrybudget"
 	"github.com/birchdrift/birchdrift/core/step"
 )
 
@@ -61,6 +62,9 @@
 	{"birchdrift_call_seconds", "Time from a call's arrival to its end.", "None by itself."},
 	{"birchdrift_answers_total{code}", "Final answers by numbered code; 0 is success.", "Look the code up in docs/codes.md."},
 	{"birchdrift_retries_total", "Retries of calls at another replica.", "More than a few in 100 calls: an upstream is failing."},
+	{"birchdrift_retries_charged_total{service,part}", "Retries that were charged to the retry budget of a service, by the part of the budget: a share of the instance's calls, the instance's part of the fixed number, or the shared part.", "Compare the sum over all instances with the budget; event 1815 has the single retries."},
+	{"birchdrift_retries_left{service}", "Retries that the instance could still make without a permit when it last made one.", "None by itself."},
+	{"birchdrift_retries_denied_total{service}", "Calls that were not retried because the retry budget of their service was used up.", "Rising: replicas of the service fail or reject calls."},
 	{"birchdrift_resumes_total", "Streams that were resumed at their offset.", "Rising: connections to upstreams break."},
 	{"birchdrift_policy_failures_total", "Calls for which a policy expression failed.", "Correct the policy; event 1701 names it."},
 	{"birchdrift_platform_calls_total", "Calls made to the platform's key-value service.", "Compare with its rates."},
@@ -104,6 +108,11 @@
 		}
 	case planner.SendOrder:
 		m.set.GetOrCreateCounter(fmt.Sprintf(`birchdrift_orders_total{op="%s"}`, act.Order.Op)).Inc()
+	case retrybudget.Charged:
+		m.set.GetOrCreateCounter(fmt.Sprintf(`birchdrift_retries_charged_total{service=%q,part=%q}`, act.Service, act.Part)).Inc()
+		m.set.GetOrCreateGauge(fmt.Sprintf(`birchdrift_retries_left{service=%q}`, act.Service), nil).Set(act.Left)
+	case retrybudget.Denied:
+		m.set.GetOrCreateCounter(fmt.Sprintf(`birchdrift_retries_denied_total{service=%q}`, act.Service)).Inc()
 	case step.Log:
 		m.countEvent(act.Event)
 	}
