--- a/core/retrybudget/tally.go
+++ b/core/retrybudget/tally.go
@@ -26,9 +26,6 @@
 // AddRetry counts a retry.
 func (t *Tally) AddRetry(at time.Duration) { t.retries = append(t.retries, at) }
 
-// Calls returns the number of calls.
-func (t *Tally) Calls() int { return len(t.calls) }
-
 // Retries returns the number of retries.
 func (t *Tally) Retries() int { return len(t.retries) }
 
