--- a/core/instance/notice_test.go
+++ b/core/instance/notice_test.go
@@ -64,6 +64,7 @@
 	lostCalls     []string    // refused calls that another engine could have served
 	lateRequests  int         // number of requests sent later than leaveGrace
 	retries       *retryCount // nil: attempts are not counted
+	rejectedShare float64     // share of calls that engines reject at random, without asking for a rest
 }
 
 // A noticeKey identifies an incarnation of an instance and the incarnation of an engine that
@@ -100,7 +101,7 @@
 
 func (h *noticeHarness) arrive(n *fleetMember, r calls.Request) {
 	if h.retries != nil {
-		h.retries.callTimes = append(h.retries.callTimes, h.f.now)
+		h.retries.recordCall(h.f.now)
 	}
 	h.arrived[r.ID] = noticeCall{member: n, at: h.f.now, model: r.Forward.Model, plain: r.Forward.Adapter == ""}
 }
@@ -148,7 +149,9 @@
 	}
 	sent := h.f.clock(n)
 	h.f.at(fleetLatency, func() {
+		retried := false
 		if h.retries != nil {
+			retried = h.retries.attempted[d.ID]
 			h.retries.recordAttempt(h.f.now, d.ID)
 		}
 		content := h.requestReached(n, boot, e, h.arrived[d.ID].at)
@@ -156,6 +159,8 @@
 		case content.Rest > 0:
 			h.sendNotice(n, boot, e, sent, content)
 			failed(fleetLatency, calls.AttemptFailed{Phase: attempt.Refused, Status: 503})
+		case h.rejectedShare > 0 && h.f.rng.Float64() < h.rejectedShare:
+			failed(fleetLatency, calls.AttemptFailed{Phase: attempt.Refused, Status: 503})
 		case !e.models[d.Model] || d.Adapter != "" && !e.adapters[d.Model+"/"+d.Adapter]:
 			h.sendNotice(n, boot, e, sent, content)
 			failed(fleetLatency, calls.AttemptFailed{Phase: attempt.Refused, Misdirected: true, Incarnation: d.Replica})
@@ -163,6 +168,9 @@
 			h.f.at(h.f.firstTokenDelay, func() { h.sendNotice(n, boot, e, sent, content) })
 			h.f.served++
 			h.served[e]++
+			if retried {
+				h.retries.saved++
+			}
 			reply(h.f.firstTokenDelay+fleetLatency, calls.AnswerBegan{ID: d.ID})
 			reply(400*time.Millisecond, calls.Completed{ID: d.ID})
 		}
