Retries: instances lend each other retries; no coordinator grants them

What callers saw: nothing; the retry budget was exceeded.

Cause, the first of two: a part of each service's slack was granted by a coordinator that each instance chose for itself. Every new coordinator had a bucket of its own, full at its start, and so had each side of a partition. The reckoning (2.3 times 0.21 of the slack) held for three coordinators in a window; where instances are killed in series there are a dozen. The class: an amount that is bounded over the fleet and counted per process and per life.

Change: no coordinator. An instance whose own part is used up asks up to three peers in turn for a retry of theirs; the lender charges it to its own part, so who asks whom changes no sum. A peer that does not answer is passed over for two seconds, as for other permits.

Ruled out: the part granted by the holder of the placer's record.

TestRetriesAreSharedByFleet goes with the code that it tested.

--- a/core/forwarding/attempts.go
+++ b/core/forwarding/attempts.go
@@ -54,7 +54,7 @@
 	c.Replica = ""
 	s.progress.record(c.Life, e, f.isResting(now, former))
 	switch reason := f.checkRetry(now, c, e); {
-	case reason == overBudget && f.Budget.Common:
+	case reason == overBudget:
 		f.requestRetryPermit(now, c, failure{e, former})
 	case reason != retryAllowed:
 		f.endUnretried(c, failure{e, former}, reason)
@@ -98,7 +98,7 @@
 	s := stateOf(c)
 	s.pendingRetry = &failed
 	f.Calls.EnterPhase(c, calls.AwaitingPermit)
-	f.Permits.RequestForRetry(now, c.Service, c.ID, s.route.Priority, f.permitTimeout(now, c))
+	f.Permits.RequestForRetry(now, c.Service, c.ID)
 }
 
 // retryPermitDecided retries the call if the permit was granted, and ends it otherwise.
@@ -107,7 +107,7 @@
 	failed := *s.pendingRetry
 	s.pendingRetry = nil
 	if decision.Granted {
-		f.recordCharge(now, c, retrybudget.SharedPart, decision.By)
+		f.recordCharge(now, c, retrybudget.LentPart, decision.By)
 		f.retry(now, c, failed)
 		return
 	}
--- a/core/forwarding/forwarding_test.go
+++ b/core/forwarding/forwarding_test.go
@@ -51,7 +51,6 @@
 			Instances: func() map[string]registry.Instance { return nil },
 			Stopping:  func() bool { return false },
 			Told:      func(clock.Instant, string, pool.Incarnation, pool.LimitReport) {},
-			Repeats:   func() (float64, time.Duration) { return 4, 10 * time.Second },
 			Decided: func(now clock.Instant, call calls.ID, s permits.Resource, v permits.Decision) {
 				f.PermitDecided(now, call, s, v)
 			},
--- a/core/instance/build.go
+++ b/core/instance/build.go
@@ -65,7 +65,6 @@
 	m.calls.Pool = m.state.Pool
 	m.budget = &retrybudget.Budget{
 		Options: m.state.Options, Members: m.state.Members,
-		Common: m.state.Options.Environment == option.Platform, // instances discover each other through their registrations there
 	}
 	m.stop = &shutdown.Controller{Options: m.state.Options, Out: m.state.Out, Calls: m.calls, HandOver: m.handOver}
 }
@@ -121,7 +120,10 @@
 		Instances: m.orders.registry.Instances,
 		Stopping:  m.stop.Started,
 		Told:      m.notices.HandlePeerLimit,
-		Repeats:   m.budget.SharedRetries,
+		SpendRetry: func(now clock.Instant, service string) bool {
+			_, ok := m.budget.Spend(now, service)
+			return ok
+		},
 		Decided: func(now clock.Instant, call calls.ID, s permits.Resource, v permits.Decision) {
 			m.forwarding.PermitDecided(now, call, s, v)
 		},
--- a/core/permits/coordinator.go
+++ b/core/permits/coordinator.go
@@ -184,12 +184,6 @@
 // quota returns the quota of a request's resource for all instances together; bounded is
 // false if the resource has no limit.
 func (c *coordinator) quota(now clock.Instant, r Request) (q quota, bounded bool) {
-	if r.Service != "" {
-		// Half of the amount may accumulate and half is refilled in each span, so that no
-		// span grants more than the whole.
-		amount, span := c.p.Repeats()
-		return quota{rate: amount / 2 / span.Seconds(), burst: amount / 2, initial: amount / 2, probation: span}, true
-	}
 	rate, bounded := r.Word.Rate(now)
 	if known := c.p.Pool.Get(r.Replica.Name); known != nil && known.MayBeIncarnation(r.Replica.Born) {
 		rate, bounded = known.RateLimit(now)
@@ -215,10 +209,6 @@
 		c.reply(now, w, Decision{Granted: true})
 		return
 	}
-	if w.request.Service != "" && !c.registered() {
-		c.reply(now, w, Decision{}) // it may wrongly assume that it is the only instance
-		return
-	}
 	b := c.bucket(now, w.request, q)
 	b.tokens.refill(now, c.ownQuota(now, b, q))
 	c.grantAvailable(now, b)
@@ -239,20 +229,12 @@
 }
 
 // prepareBuckets creates and refills the buckets that this instance coordinates before
-// the first request for them. Calls tend to fail at the same time, and tokens are
-// available then only if they have accumulated; and an instance that rarely receives
-// requests must still record since when it has been the coordinator.
+// the first request for them: an instance that rarely receives requests must still record
+// since when it has been the coordinator.
 func (c *coordinator) prepareBuckets(now clock.Instant) {
 	if !c.registered() {
 		return
 	}
-	if c.p.Config.Loaded() {
-		for _, svc := range c.p.Config.Document().Services {
-			if svc.Announced != nil {
-				c.prepareBucket(now, Request{Resource: Resource{Service: svc.Name}})
-			}
-		}
-	}
 	for _, r := range c.p.Pool.All() {
 		if _, limited := r.RateLimit(now); limited {
 			c.prepareBucket(now, replicaRequest(r, 0, 0))
--- a/core/permits/permits.go
+++ b/core/permits/permits.go
@@ -1,20 +1,22 @@
 // Package permits enforces limits that all instances share: the rate limits of replicas,
-// and the shared part of a service's retry budget, which is not divided among instances.
+// and the retry budgets of services.
 //
-// Every request of any kind to a rate-limited replica needs a permit; so does a retry for
-// which the instance's own part of the retry budget is used up. One instance, the
-// coordinator, grants the permits of a resource; it is chosen by rendezvous hashing. The
-// coordinator for a replica is an instance of the replica's zone: an instance that can
-// reach the replica can reach that zone, and a partitioned zone keeps its own
-// coordinator. The coordinator has a token bucket for each resource and queues the
-// requests that can wait, the most urgent first.
+// Every request of any kind to a rate-limited replica needs a permit. One instance, the
+// coordinator, grants the permits of a replica; it is chosen by rendezvous hashing in the
+// replica's zone: an instance that can reach the replica can reach that zone, and a
+// partitioned zone keeps its own coordinator. The coordinator has a token bucket for each
+// replica and queues the requests that can wait, the most urgent first.
 //
 // The instances do not elect a coordinator by agreement. Two instances may both consider
 // themselves the coordinator, or an instance may get a request without being the
 // coordinator in its own view. An instance that is not the coordinator in its own view,
 // or became the coordinator only recently, grants less than half of the limit. So while
 // a coordinator is replaced at most one and a half times the limit is granted, which
-// replicas tolerate and the retry budget allows for.
+// replicas tolerate.
+//
+// The retry budget allows for no such excess, so its parts have no coordinator
+// (core/retrybudget). An instance that has used up its own part asks a few others for a
+// retry of theirs.
 //
 // No permit outlives a partition, a suspension or the end of an instance: a permit that
 // is not used within permitTTL is void.
@@ -60,8 +62,8 @@
 	maxOrderWait = 5 * time.Second
 )
 
-// A Resource is what a permit is for: requests to a rate-limited replica, or retries of
-// the calls of a service.
+// A Resource is what a permit is for: requests to a rate-limited replica, or a retry of a
+// call of a service.
 type Resource struct {
 	Replica pool.Incarnation
 	Service string // empty if the resource is a replica
@@ -152,9 +154,9 @@
 	Stopping func() bool
 	// Told records what a peer knows of a replica's rate limit.
 	Told func(now clock.Instant, from string, incarnation pool.Incarnation, report pool.LimitReport)
-	// Repeats returns the shared part of a service's retry budget: the number of retries
-	// that all instances together may take from it in each span.
-	Repeats func() (amount float64, span time.Duration)
+	// SpendRetry uses up one retry of a service that this instance has, and reports whether it
+	// had one.
+	SpendRetry func(now clock.Instant, service string) bool
 	// Decided is called with the decision on a call's request.
 	Decided func(now clock.Instant, call calls.ID, r Resource, d Decision)
 }
@@ -180,6 +182,8 @@
 	sentAt   clock.Instant
 	peer     string // "" while this instance decides by itself
 	attempts int    // peers tried before this one
+	// lenders are the peers that were asked for a retry.
+	lenders []string
 }
 
 // An orderKind identifies the orders to one engine that share a rank.
@@ -219,14 +223,6 @@
 	return Request{Resource: Resource{Replica: r.Incarnation()}, Zone: r.Zone, Rank: min(rank, adapterRank), Wait: max(0, wait), Word: r.LimitReport()}
 }
 
-// RequestForRetry requests a permit to retry a call of a service; the request is queued
-// for at most wait. Decided is called with the decision, possibly before RequestForRetry
-// returns.
-func (p *Permits) RequestForRetry(now clock.Instant, service string, call calls.ID, rank int, wait time.Duration) {
-	request := Request{Resource: Resource{Service: service}, Rank: rank, Wait: max(0, wait)}
-	p.dispatch(now, &pendingRequest{request: request, call: call})
-}
-
 // TryAcquireForOrder reports whether an order for an adapter or a model, or a state
 // query, may be sent to an engine now. If a permit is needed and available, it is used
 // up. If none is available, one is requested, and a later call may succeed.
@@ -306,10 +302,18 @@
 	if e.Err != nil {
 		p.Out.Log(logevent.PermitFailed, "for", req.request.Resource.String(), "peer", req.peer, "error", e.Err.Error())
 		p.backoffUntil[req.peer] = now.Add(peerBackoff)
+		if req.request.Service != "" {
+			p.borrow(now, req)
+			return
+		}
 		p.retry(now, req)
 		return
 	}
 	p.observeLimit(now, req.peer, req.request.Replica, e.Verdict.Word)
+	if req.request.Service != "" && !e.Verdict.Granted {
+		p.borrow(now, req)
+		return
+	}
 	p.deliver(now, req, e.Verdict)
 }
 
@@ -346,8 +350,11 @@
 	p.orderPermits[req.order] = o
 }
 
-// Release gives back a permit that will not be used.
+// Release gives back a permit that will not be used. A retry that was lent is lost.
 func (p *Permits) Release(now clock.Instant, resource Resource) {
+	if resource.Service != "" {
+		return
+	}
 	request := Request{Resource: resource, Unused: true}
 	if r := p.Pool.Get(resource.Replica.Name); r != nil {
 		request.Zone = r.Zone
@@ -370,6 +377,10 @@
 
 // HandleRequest handles a peer's request.
 func (p *Permits) HandleRequest(now clock.Instant, e RequestReceived) {
+	if e.Request.Service != "" {
+		p.lend(now, e)
+		return
+	}
 	p.observeLimit(now, e.From, e.Request.Replica, e.Request.Word)
 	if e.Request.Unused {
 		p.coordinator.release(now, e.Request.Resource)
--- a/core/permits/permits_test.go
+++ b/core/permits/permits_test.go
@@ -31,6 +31,7 @@
 	decisions []callDecision
 	limits    []pool.LimitReport
 	now       clock.Instant
+	retries   int // of service s that this instance has
 }
 
 // newFixture returns the permits of the instance "self" in zone z with a rate-limited
@@ -50,7 +51,10 @@
 		Told: func(_ clock.Instant, _ string, _ pool.Incarnation, report pool.LimitReport) {
 			f.limits = append(f.limits, report)
 		},
-		Repeats: func() (float64, time.Duration) { return 20, 10 * time.Second },
+		SpendRetry: func(_ clock.Instant, service string) bool {
+			f.retries--
+			return service == "s" && f.retries >= 0
+		},
 		Decided: func(_ clock.Instant, call calls.ID, _ Resource, d Decision) {
 			f.decisions = append(f.decisions, callDecision{call, d})
 		},
@@ -386,32 +390,74 @@
 	is.Equal(len(f.granted()), 20)
 }
 
-// TestRetriesAreSharedByFleet checks that in every span of the retry budget at most the
-// shared number of retries is granted, however many requests come and whenever they come,
-// and that a request which is not granted is denied at once.
-func TestRetriesAreSharedByFleet(t *testing.T) {
+// TestRetriesAreBorrowed checks that an instance asks up to maxLenders peers for a retry, one
+// after the other and each once, until one lends it, and that nobody is asked who does not
+// answer.
+func TestRetriesAreBorrowed(t *testing.T) {
+	granted := Decision{Granted: true}
+	for _, tt := range []struct {
+		name    string
+		peers   int
+		replies []Reply // of the peers that are asked, in order
+		want    bool
+	}{
+		{"no peers", 0, nil, false},
+		{"the first lends", 5, []Reply{{Verdict: granted}}, true},
+		{"the third lends", 5, []Reply{{}, {}, {Verdict: granted}}, true},
+		{"three have none", 5, []Reply{{}, {}, {}}, false},
+		{"fewer peers", 2, []Reply{{}, {}}, false},
+		{"one does not answer", 5, []Reply{{Err: errors.New("no answer")}, {Verdict: granted}}, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			others := map[string]string{}
+			for i := range tt.peers {
+				others[fmt.Sprint("p", i)] = "z"
+			}
+			f := newFixture(1, others)
+			f.RequestForRetry(f.now, "s", 1)
+			asked := map[string]bool{}
+			for _, reply := range tt.replies {
+				sent := f.takeRequests()
+				is.Equal(len(sent), 1)
+				is.Equal(sent[0].Request.Service, "s")
+				is.True(!asked[sent[0].Peer])
+				asked[sent[0].Peer] = true
+				reply.Token = sent[0].Token
+				f.HandleReply(f.now, reply)
+			}
+			is.Equal(len(f.takeRequests()), 0)
+			is.Equal(len(f.decisions), 1)
+			is.Equal(f.decisions[0].Granted, tt.want)
+		})
+	}
+}
+
+// Guards against retries that two instances count or that none does: a retry is charged to the
+// instance that lends it, and one that arrives too late is void.
+func TestRetriesAreLent(t *testing.T) {
 	is := is.New(t)
-	f := newFixture(1, nil)
-	var granted []clock.Instant
-	for i := range 6000 {
-		f.decisions = nil
-		f.RequestForRetry(f.now, "s", calls.ID(i+1), 0, 0)
-		is.Equal(len(f.decisions), 1)
-		if f.decisions[0].Granted {
-			granted = append(granted, f.now)
-		}
-		for len(granted) > 0 && f.now.Since(granted[0]) > 10*time.Second {
-			granted = granted[1:]
-		}
-		is.True(len(granted) <= 20)
-		f.advance(10 * time.Millisecond)
-		if i%1500 == 0 && i < 4000 {
-			f.advance(15 * time.Second) // no requests for a while
+	f := newFixture(1, map[string]string{"p": "z"})
+	f.retries = 2
+	lent := 0
+	for token := range 5 {
+		f.HandleRequest(f.now, RequestReceived{Token: uint64(token + 1), From: "p", Request: Request{Resource: Resource{Service: "s"}}})
+		for _, a := range f.Out.Actions() {
+			if reply, ok := a.(SendReply); ok && reply.Verdict.Granted {
+				lent++
+			}
 		}
+		f.Out.Reset()
 	}
-	is.True(len(granted) >= 9) // the part that is refilled in each span
-	f.RequestForRetry(f.now.Add(time.Minute), "another", 1, 0, 0)
-	is.True(f.decisions[len(f.decisions)-1].Granted) // each service has its own bucket
+	is.Equal(lent, 2)
+
+	f.RequestForRetry(f.now, "s", 1)
+	sent := f.takeRequests()
+	f.now = f.now.Add(permitTTL)
+	f.HandleReply(f.now, Reply{Token: sent[0].Token, Verdict: Decision{Granted: true}})
+	is.Equal(f.granted(), nil)
+	f.Release(f.now, Resource{Service: "s"}) // is not given back
+	is.Equal(len(f.takeRequests()), 0)
 }
 
 // TestAdapterOrdersRankBelowCalls: a call that needs an adapter takes two permits, so
--- a/core/retrybudget/budget.go
+++ b/core/retrybudget/budget.go
@@ -4,15 +4,12 @@
 // The budget applies to the whole fleet and to each service separately: a share of
 // the service's calls plus a fixed number. Each instance spends its own part
 // without coordination: the share of the calls that it received itself, and an
-// equal part of the fixed number among all instances that it knows. Where
-// instances can share (core/permits), a part of the fixed number belongs to no
-// instance and is granted on demand: in a large fleet equal parts come to less than
-// one retry each, while some instances need more and others none.
+// equal part of the fixed number among all instances that it knows. One that has used up
+// its part asks others for a retry of theirs (core/permits): in a large fleet equal parts are
+// small, while some instances need more and others none.
 package retrybudget
 
 import (
-	"time"
-
 	"github.com/birchdrift/birchdrift/core/clock"
 	"github.com/birchdrift/birchdrift/core/member"
 	"github.com/birchdrift/birchdrift/core/option"
@@ -23,17 +20,6 @@
 // it. It is more than the 7 and 8 instances of the users' sites.
 const minFleetSize = 10
 
-const (
-	// instanceShare is the share of the fixed number that is divided among the
-	// instances where the rest is granted on demand (docs/design/limits.md).
-	instanceShare = 0.5
-	// sharedShare is the share of the fixed number that a coordinator grants on
-	// demand. Other coordinators may have granted the same share just before, and
-	// another third of it. 2.3 times this share and instanceShare together are
-	// therefore the whole fixed number (docs/design/limits.md).
-	sharedShare = 0.21
-)
-
 // A Part is a part of a service's retry budget.
 type Part string
 
@@ -41,14 +27,14 @@
 const (
 	CallsPart    Part = "calls"    // a share of the calls that the instance received
 	InstancePart Part = "instance" // the instance's part of the fixed number
-	SharedPart   Part = "shared"   // the part of the fixed number that is granted on demand
+	LentPart     Part = "lent"     // a part of another instance, which lent it
 )
 
 // Charged is the action that reports a retry which was charged to the budget.
 type Charged struct {
 	Service string
 	Part    Part
-	// Left is the number of retries that the instance may still make without a permit.
+	// Left is the number of retries that the instance has left.
 	Left float64
 }
 
@@ -67,8 +53,8 @@
 // A Usage is the state of a service's budget on one instance.
 type Usage struct {
 	Calls   int     // calls within the window
-	Retries int     // retries within the window, without those on a permit
-	Left    float64 // retries that the instance may still make without a permit
+	Retries int     // retries within the window that were charged to this instance
+	Left    float64 // retries that the instance has left
 }
 
 // A Budget counts the calls and retries of each service on one instance. The
@@ -76,8 +62,6 @@
 type Budget struct {
 	Options *option.Options
 	Members *member.Table
-	// Common reports whether a part of the fixed number is granted on demand.
-	Common bool
 
 	windows map[string]*Window
 }
@@ -118,17 +102,7 @@
 
 // instanceSlack returns this instance's part of the fixed number.
 func (b *Budget) instanceSlack() float64 {
-	slack := b.Options.RetrySlack
-	if b.Common {
-		slack *= instanceShare
-	}
-	return slack / float64(max(minFleetSize, b.Members.Size()))
-}
-
-// SharedRetries returns how many retries of a service's calls belong to no instance,
-// and the time span for which that number holds.
-func (b *Budget) SharedRetries() (retries float64, span time.Duration) {
-	return sharedShare * b.Options.RetrySlack, b.Options.RetryWindow
+	return b.Options.RetrySlack / float64(max(minFleetSize, b.Members.Size()))
 }
 
 // Reset discards all counts. It is called when the length of the window changes.
--- a/core/retrybudget/budget_test.go
+++ b/core/retrybudget/budget_test.go
@@ -20,15 +20,11 @@
 		calls int
 		peers int
 		want  int
-		// common is Budget.Common: a part of the slack is granted on demand.
-		common bool
 	}{
-		{"no calls: part of the slack in a fleet of minimum size", 0, 0, 5, false},
-		{"small fleet: counted as the minimum size", 0, 5, 5, false},
-		{"large fleet: smaller part of the slack", 0, 24, 2, false},
-		{"calls: a share of them in addition", 100, 0, 25, false},
-		{"part of the slack granted on demand", 0, 0, 2, true},
-		{"large fleet, calls, and part granted on demand", 100, 24, 21, true},
+		{"no calls: part of the slack in a fleet of minimum size", 0, 0, 5},
+		{"small fleet: counted as the minimum size", 0, 5, 5},
+		{"large fleet: smaller part of the slack", 0, 24, 2},
+		{"calls: a share of them in addition", 100, 0, 25},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -42,7 +38,7 @@
 			for i := range c.peers {
 				members.Upsert(string(rune('a'+i)), "z", "address")
 			}
-			b := &Budget{Options: &opt, Members: members, Common: c.common}
+			b := &Budget{Options: &opt, Members: members}
 			for range c.calls {
 				b.RecordCall(now, "s")
 			}
@@ -51,9 +47,6 @@
 				spent++
 			}
 			is.Equal(spent, c.want)
-			if c.common && c.peers > 0 {
-				return // the instance's own part is less than one retry
-			}
 			is.True(spend(b, now, "other")) // each service has a budget of its own
 			// After the length of the window the fixed part is available again.
 			is.True(spend(b, now.Add(opt.RetryWindow+time.Second), "s"))
--- a/core/retrybudget/lives_test.go
+++ b/core/retrybudget/lives_test.go
@@ -116,7 +116,7 @@
 	for i := range loadInstances {
 		members.Upsert(fmt.Sprint(i), "z", "address")
 	}
-	return &Budget{Options: opt, Members: members, Common: true}
+	return &Budget{Options: opt, Members: members}
 }
 
 // spend runs the load and returns the calls and retries of all instances, each of which
