Retries: an instance earns its part of the budget; a start spends nothing

Cause, the second of two: an instance decided by its own sliding window and an equal part of the slack. (a) Each start of an instance had the part of the slack again, and an empty count. (b) Each instance counted the calls of the 10 s before its own retry, so a call paid for retries in two windows of the rule: without any restart, where calls alternate between halves of the instances, 1.44 of the limit. (c) The window of 20 buckets covered 9.5 s to 10 s. The class: an amount bounded over the fleet, in every window, and counted per life.

Change: an account for each service. It starts empty; a call earns 0.65 of the ratio, time earns the instance's part of the refill, and at most 0.35 of the ratio for each call of the last window, and the part of the burst, are kept. In any window all instances make at most what they had saved when it began and what they earn in it: 0.35 of the calls of the window before and 0.65 of its own, and 0.7 of the slack, 0.93 with a third more instances whose registration has lapsed. An instance without a registration has no part of the slack. core/retrybudget/parts.go derives the parts, budgettest.Sum adds them up, docs/design/budgets.md is generated from that.

Why it works: a life that started within the window had saved nothing when it began, so lives add nothing; a call is counted once as saved and once as earned.

--- a/core/forwarding/repeat.go
+++ b/core/forwarding/repeat.go
@@ -81,11 +81,11 @@
 // chargeRetry charges a retry of the call to this instance's own part of the retry budget,
 // and reports whether enough was left.
 func (f *Forwarder) chargeRetry(now clock.Instant, c *calls.Call) bool {
-	part, ok := f.Budget.Spend(now, c.Service)
-	if ok {
-		f.recordCharge(now, c, part, f.Self.Name)
+	if !f.Budget.Spend(now, c.Service) {
+		return false
 	}
-	return ok
+	f.recordCharge(now, c, retrybudget.InstancePart, f.Self.Name)
+	return true
 }
 
 // recordCharge logs that a retry of the call was charged to a part of the retry budget that
--- a/core/instance/build.go
+++ b/core/instance/build.go
@@ -64,7 +64,8 @@
 	m.calls.Out = m.state.Out
 	m.calls.Pool = m.state.Pool
 	m.budget = &retrybudget.Budget{
-		Options: m.state.Options, Members: m.state.Members,
+		Options:   m.state.Options,
+		FleetSize: func() (instances int, registered bool) { return m.env.fleetSize() },
 	}
 	m.stop = &shutdown.Controller{Options: m.state.Options, Out: m.state.Out, Calls: m.calls, HandOver: m.handOver}
 }
@@ -116,14 +117,11 @@
 
 func (m *Machine) buildPermits() {
 	m.permits = permits.New(permits.Deps{
-		State:     m.state,
-		Instances: m.orders.registry.Instances,
-		Stopping:  m.stop.Started,
-		Told:      m.notices.HandlePeerLimit,
-		SpendRetry: func(now clock.Instant, service string) bool {
-			_, ok := m.budget.Spend(now, service)
-			return ok
-		},
+		State:      m.state,
+		Instances:  m.orders.registry.Instances,
+		Stopping:   m.stop.Started,
+		Told:       m.notices.HandlePeerLimit,
+		SpendRetry: m.budget.Spend,
 		Decided: func(now clock.Instant, call calls.ID, s permits.Resource, v permits.Decision) {
 			m.forwarding.PermitDecided(now, call, s, v)
 		},
--- a/core/instance/machine.go
+++ b/core/instance/machine.go
@@ -90,6 +90,9 @@
 	// platform.
 	handleConfigReply func(now clock.Instant, err error)
 	handleListReply   func(now clock.Instant, e listing.Reply)
+	// fleetSize returns the number of instances that this one knows, itself included, and
+	// whether the others know this one.
+	fleetSize func() (instances int, registered bool)
 	// handOver releases what other instances can take over, at a planned stop.
 	handOver func(now clock.Instant)
 	// status sets the fields of the modules of this environment.
@@ -212,6 +215,7 @@
 // tick does the periodic work that is due.
 func (m *Machine) tick(now clock.Instant) {
 	m.forwarding.Expire(now)
+	m.budget.Tick(now)
 	m.listing.Tick(now)
 	m.quarantine.Tick(now)
 	m.notices.Tick(now)
--- a/core/instance/own.go
+++ b/core/instance/own.go
@@ -59,6 +59,7 @@
 		configInstalled:     func(_ clock.Instant, s *config.Snapshot) { p.ApplyConfig(s) },
 		handleConfigReply:   w.HandleConfigReply,
 		handleListReply:     w.HandleListReply,
+		fleetSize:           func() (instances int, registered bool) { return m.state.Members.Size(), true },
 		handOver:            func(clock.Instant) { p.ReleaseLease() },
 		status:              parts.status,
 	}
--- a/core/instance/platform.go
+++ b/core/instance/platform.go
@@ -52,6 +52,10 @@
 			m.exchanges.ObserveStoreVersion(e.Version)
 			m.listing.HandleReply(now, e)
 		},
+		fleetSize: func() (instances int, registered bool) {
+			_, registered = o.registry.Instances()[m.state.Self.Name]
+			return max(len(o.registry.Instances()), m.state.Members.Size()), registered
+		},
 		handOver: func(now clock.Instant) { o.registry.Resign(now, placer.LoadsLeft(now)) },
 		status:   func(clock.Instant, *Status) {},
 	}
--- a/core/logevent/logevent.go
+++ b/core/logevent/logevent.go
@@ -172,6 +172,6 @@
 	{RequestReleased, "request_released", "A request is no longer quarantined: it was served, or the terminations of the replicas are attributed to another request.", "None."},
 	{QuarantineNotKept, "quarantine_not_kept", "Writing a quarantine to the platform's store failed; it is retried. All running instances know of the quarantine.", "Check the platform if it persists."},
 	{PermitFailed, "permit_failed", "The coordinator of the permits of a rate-limited replica did not respond; another peer is asked.", "Check the network between the instances if it persists."},
-	{RetryCharged, "retry_charged", "A retry of a forwarded call was charged to the retry budget of its service: `part` says to which part, `by` which instance granted it, and `calls` and `retries` are those of this instance within the window.", "None; `birchctl losses` adds up the retries of all instances."},
+	{RetryCharged, "retry_charged", "A retry of a forwarded call was charged to the retry budget of its service: to the part of this instance, or to that of the instance `by`, which lent it (`part`); `calls` and `retries` are those of this instance within the window, `left` is what it has left.", "None; `birchctl losses` adds up the retries of all instances."},
 	{Bug, "bug", "The program reached a state that should be impossible.", "Report it with the log line."},
 }
--- a/core/retrybudget/budget.go
+++ b/core/retrybudget/budget.go
@@ -2,32 +2,25 @@
 // make an overload worse.
 //
 // The budget applies to the whole fleet and to each service separately: a share of
-// the service's calls plus a fixed number. Each instance spends its own part
-// without coordination: the share of the calls that it received itself, and an
-// equal part of the fixed number among all instances that it knows. One that has used up
+// the service's calls plus a fixed number, the slack. Limit.Parts divides it among the
+// instances. Each instance spends its own part without coordination. One that has used up
 // its part asks others for a retry of theirs (core/permits): in a large fleet equal parts are
-// small, while some instances need more and others none.
+// small, while some instances need more and others none. A retry that an instance lends is
+// charged to its own part, so lending changes no sum.
 package retrybudget
 
 import (
 	"github.com/birchdrift/birchdrift/core/clock"
-	"github.com/birchdrift/birchdrift/core/member"
 	"github.com/birchdrift/birchdrift/core/option"
 )
 
-// minFleetSize is the least number of instances among which the fixed part of the
-// budget is divided, so that instances which do not know each other yet stay within
-// it. It is more than the 7 and 8 instances of the users' sites.
-const minFleetSize = 10
-
 // A Part is a part of a service's retry budget.
 type Part string
 
 // The parts.
 const (
-	CallsPart    Part = "calls"    // a share of the calls that the instance received
-	InstancePart Part = "instance" // the instance's part of the fixed number
-	LentPart     Part = "lent"     // a part of another instance, which lent it
+	InstancePart Part = "instance" // of the instance that makes the retry
+	LentPart     Part = "lent"     // of another instance, which lent it
 )
 
 // Charged is the action that reports a retry which was charged to the budget.
@@ -57,37 +50,51 @@
 	Left    float64 // retries that the instance has left
 }
 
-// A Budget counts the calls and retries of each service on one instance. The
+// A Budget holds the retries that one instance may make, for each service. The
 // fields must be set before use.
 type Budget struct {
 	Options *option.Options
-	Members *member.Table
+	// FleetSize returns the number of instances that this one knows, itself included.
+	// registered reports whether the others know this one, so that they leave it a part of
+	// the slack.
+	FleetSize func() (instances int, registered bool)
 
-	windows map[string]*Window
+	registeredAt clock.Instant // since when the instance is registered; zero: it is not
+	accounts     map[string]*account
 }
 
-// RecordCall counts a call of the service.
-func (b *Budget) RecordCall(now clock.Instant, service string) { b.window(service).RecordCall(now) }
-
-// Spend records a retry of a call of the service if the budget allows one, and
-// returns the part that it was charged to. ok reports whether the budget allows it.
-func (b *Budget) Spend(now clock.Instant, service string) (part Part, ok bool) {
-	w := b.window(service)
-	if w.TryRetry(now, b.Options.RetryRatio, 0) {
-		return CallsPart, true
+// Tick observes whether the instance is registered.
+func (b *Budget) Tick(now clock.Instant) {
+	switch _, registered := b.FleetSize(); {
+	case !registered:
+		b.registeredAt = clock.Instant{}
+	case b.registeredAt.IsZero():
+		b.registeredAt = now
 	}
-	return InstancePart, w.TryRetry(now, b.Options.RetryRatio, b.instanceSlack())
+}
+
+// RecordCall counts a call of the service.
+func (b *Budget) RecordCall(now clock.Instant, service string) {
+	b.account(now, service).recordCall(now, b.parts())
+}
+
+// Spend uses up one retry of a call of the service, and reports whether the instance had
+// one.
+func (b *Budget) Spend(now clock.Instant, service string) bool {
+	return b.account(now, service).spend(now, b.parts())
 }
 
 // Usage returns the state of the service's budget on this instance.
 func (b *Budget) Usage(now clock.Instant, service string) Usage {
-	calls, retries := b.window(service).Counts(now)
-	return Usage{Calls: calls, Retries: retries, Left: b.Options.RetryRatio*float64(calls) + b.instanceSlack() - float64(retries)}
+	a := b.account(now, service)
+	a.refill(now, b.parts())
+	calls, retries := a.window.counts(now)
+	return Usage{Calls: calls, Retries: retries, Left: a.saved}
 }
 
-// Available reports whether the budget allows a retry of a call of the service.
+// Available reports whether the instance has a retry for a call of the service.
 func (b *Budget) Available(now clock.Instant, service string) bool {
-	return b.window(service).Allows(now, b.Options.RetryRatio, b.instanceSlack())
+	return b.Usage(now, service).Left >= 1
 }
 
 // lowThreshold is the number of retries left at an instance below which they are kept
@@ -97,25 +104,43 @@
 // Low reports whether fewer than lowThreshold retries of calls of the service would be
 // left after one more retry.
 func (b *Budget) Low(now clock.Instant, service string) bool {
-	return !b.window(service).Allows(now, b.Options.RetryRatio, b.instanceSlack()-lowThreshold)
+	return b.Usage(now, service).Left < 1+lowThreshold
+}
+
+// Reset discards all counts and all unused retries. It is called when the length of the
+// window changes.
+func (b *Budget) Reset() {
+	b.accounts = nil
+	b.registeredAt = clock.Instant{} // what was earned since then may have been spent
 }
 
-// instanceSlack returns this instance's part of the fixed number.
-func (b *Budget) instanceSlack() float64 {
-	return b.Options.RetrySlack / float64(max(minFleetSize, b.Members.Size()))
+func (b *Budget) limit() Limit {
+	return Limit{Ratio: b.Options.RetryRatio, Slack: b.Options.RetrySlack, Window: b.Options.RetryWindow}
 }
 
-// Reset discards all counts. It is called when the length of the window changes.
-func (b *Budget) Reset() { b.windows = nil }
+func (b *Budget) parts() Parts {
+	instances, registered := b.FleetSize()
+	parts := b.limit().Parts(instances)
+	if !registered {
+		return parts.withoutSlack()
+	}
+	return parts
+}
 
-func (b *Budget) window(service string) *Window {
-	w := b.windows[service]
-	if w == nil {
-		if b.windows == nil {
-			b.windows = map[string]*Window{}
+// account returns the account of a service. A new one has earned its part of the slack since
+// the instance was registered.
+func (b *Budget) account(now clock.Instant, service string) *account {
+	a := b.accounts[service]
+	if a == nil {
+		if b.accounts == nil {
+			b.accounts = map[string]*account{}
+		}
+		since := now
+		if !b.registeredAt.IsZero() {
+			since = b.registeredAt
 		}
-		w = NewWindow(b.Options.RetryWindow)
-		b.windows[service] = w
+		a = newAccount(since, b.Options.RetryWindow)
+		b.accounts[service] = a
 	}
-	return w
+	return a
 }
--- a/core/retrybudget/tally.go
+++ b/core/retrybudget/tally.go
@@ -5,14 +5,6 @@
 	"time"
 )
 
-// A Limit is the retry budget of a service: within each window, all instances together may
-// make at most Ratio times its calls plus Slack retries.
-type Limit struct {
-	Ratio  float64
-	Slack  float64
-	Window time.Duration
-}
-
 // A Tally counts the calls and retries of a service at all instances, as an observer outside
 // of them sees them. Times are durations since any fixed instant. The zero Tally is empty.
 type Tally struct {
--- a/internal/losses/retries.go
+++ b/internal/losses/retries.go
@@ -58,15 +58,15 @@
 // writeRetries writes, for each service with retries, the window in which they were the most
 // for the calls, and the parts of the retry budget that they were charged to.
 func (l *Log) writeRetries(w io.Writer) {
-	fmt.Fprintf(w, "\nRETRIES OF\tALL\tDENIED\tMOST IN %v\tFROM\tCALLS THEN\tBY CALLS\tBY INSTANCE\tLENT\tSPENT BY\n", retryWindow)
+	fmt.Fprintf(w, "\nRETRIES OF\tALL\tDENIED\tMOST IN %v\tFROM\tCALLS THEN\tOWN\tLENT\tSPENT BY\n", retryWindow)
 	for _, service := range slices.Sorted(maps.Keys(l.retries)) {
 		s := l.retries[service]
 		if s.tally.Retries() == 0 && s.denied == 0 {
 			continue
 		}
 		peak := s.tally.Peak(retrybudget.Limit{Slack: 1, Window: retryWindow})
-		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%s\t%d\t%d\t%d\t%d\t%d\n", service, s.tally.Retries(), s.denied, peak.Retries,
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%s\t%d\t%d\t%d\t%d\n", service, s.tally.Retries(), s.denied, peak.Retries,
 			logEpoch.Add(peak.From).Format(time.TimeOnly), peak.Calls,
-			s.byPart[retrybudget.CallsPart], s.byPart[retrybudget.InstancePart], s.byPart[retrybudget.LentPart], len(s.spender))
+			s.byPart[retrybudget.InstancePart], s.byPart[retrybudget.LentPart], len(s.spender))
 	}
 }
--- a/internal/pages/pages.go
+++ b/internal/pages/pages.go
@@ -5,12 +5,15 @@
 import (
 	"fmt"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"time"
 
 	"github.com/birchdrift/birchdrift/core/bounds"
 	"github.com/birchdrift/birchdrift/core/code"
 	"github.com/birchdrift/birchdrift/core/logevent"
+	"github.com/birchdrift/birchdrift/core/retrybudget"
+	"github.com/birchdrift/birchdrift/core/retrybudget/budgettest"
 	"github.com/birchdrift/birchdrift/internal/settings"
 	"github.com/birchdrift/birchdrift/internal/telemetry"
 )
@@ -39,6 +42,11 @@
 
 func writeHeader(b *strings.Builder, title string, columns ...string) {
 	b.WriteString("# " + title + "\n" + generated)
+	writeTableHeader(b, columns...)
+}
+
+// writeTableHeader writes the first two lines of a table.
+func writeTableHeader(b *strings.Builder, columns ...string) {
 	writeRow(b, columns...)
 	rule := make([]string, len(columns))
 	for i := range rule {
@@ -148,5 +156,56 @@
 		"that are set and make the sum exceed the bound are refused at the start, with this list; a bound\n" +
 		"that is too short for the shortest waits is logged (1008). A configuration arrives by the same\n" +
 		"watch; only the bound for leaving replicas is added up so far.\n")
+	writeRetryBudget(&b)
 	return b.String()
 }
+
+// A retryCase is a fleet for which docs/design/budgets.md adds up the parts of a retry budget.
+type retryCase struct {
+	instances int
+	slack     float64
+}
+
+// retryCases are fleets of the sizes of the table above. The slack is what the users allow
+// fleets of their sizes: 40 and two for each instance.
+var retryCases = []retryCase{{8, 56}, {46, 132}, {370, 780}}
+
+// userRetryRatio and userRetryWindow are the values of retry-ratio and retry-window in the
+// users' deployments.
+const (
+	userRetryRatio  = 0.2
+	userRetryWindow = 10 * time.Second
+)
+
+// writeRetryBudget writes the table of the parts of a retry budget.
+func writeRetryBudget(b *strings.Builder) {
+	b.WriteString("\n## Retries\n\n")
+	columns := []string{"part", "what it is"}
+	rows := [][]string{
+		{"earned", "retries that an instance earns with each call"},
+		{"saved", "unused retries that it may keep, for each of its calls within the last window"},
+		{"burst", "unused retries that it may keep in addition"},
+		{"refill", "retries that it earns in each window without calls"},
+		{"**sum of earned and saved**", "retries for each call of the fuller of two windows"},
+		{"**bound**", "`--retry-ratio`"},
+		{"**sum of burst and refill**", "over all instances, and a third more whose registration has lapsed"},
+		{"**bound**", "`--retry-slack`"},
+	}
+	for _, c := range retryCases {
+		limit := retrybudget.Limit{Ratio: userRetryRatio, Slack: c.slack, Window: userRetryWindow}
+		parts := limit.Parts(c.instances)
+		perCall, fixed := budgettest.Sum(limit, c.instances)
+		columns = append(columns, fmt.Sprintf("%d instances", c.instances))
+		for i, n := range []float64{parts.Earned, parts.Saved, parts.Burst, parts.Refill, perCall, limit.Ratio, fixed, limit.Slack} {
+			rows[i] = append(rows[i], strconv.FormatFloat(n, 'g', 3, 64))
+		}
+	}
+	writeTableHeader(b, columns...)
+	for _, row := range rows {
+		writeRow(b, row...)
+	}
+	b.WriteString("\nWithin a window all instances together make at most as many retries as they had saved when it\n" +
+		"began, and those that they earn in it. A retry that is lent is charged to the lender. What is left\n" +
+		"of the slack is for retries that were charged just before a window and arrive in it.\n" +
+		"`core/retrybudget` derives the parts from the budget.\n")
+}
