Retries: parts of a retry can be lent

Cause: every instance held less than one retry, so none could lend one, while together they held some 29.

Change: an instance asks for what it lacks of one retry, and each lender gives what it has of that, out of its own account. Sums stay as they were: what moves between accounts is counted once. What is borrowed and not used is kept; what arrives after permitTTL is void.

--- a/core/forwarding/attempts.go
+++ b/core/forwarding/attempts.go
@@ -41,8 +41,7 @@
 		"pause_ms", e.Pause.Milliseconds(), "total_ms", now.Since(c.Arrived).Milliseconds())
 }
 
-// attemptFailed retries or ends a call whose attempt failed, or requests a permit for the
-// retry.
+// attemptFailed retries or ends a call whose attempt failed, or borrows a retry for it.
 func (f *Forwarder) attemptFailed(now clock.Instant, c *calls.Call, e calls.AttemptFailed) {
 	s := stateOf(c)
 	if s.lastAttempt.replicaRestarted {
@@ -55,7 +54,7 @@
 	s.progress.record(c.Life, e, f.isResting(now, former))
 	switch reason := f.checkRetry(now, c, e); {
 	case reason == overBudget:
-		f.requestRetryPermit(now, c, failure{e, former})
+		f.borrowRetry(now, c, failure{e, former})
 	case reason != retryAllowed:
 		f.endUnretried(c, failure{e, former}, reason)
 	default:
@@ -92,26 +91,26 @@
 	f.end(c, stateOf(c), failed.Status, failed.Detail)
 }
 
-// requestRetryPermit makes a call wait for a permit to be retried, since this instance's
+// borrowRetry makes a call wait for other instances to lend a retry, since this instance's
 // own part of the retry budget is used up.
-func (f *Forwarder) requestRetryPermit(now clock.Instant, c *calls.Call, failed failure) {
+func (f *Forwarder) borrowRetry(now clock.Instant, c *calls.Call, failed failure) {
 	s := stateOf(c)
 	s.pendingRetry = &failed
 	f.Calls.EnterPhase(c, calls.AwaitingPermit)
-	f.Permits.RequestForRetry(now, c.Service, c.ID)
+	f.Permits.BorrowRetry(now, c.Service, c.ID)
 }
 
-// retryPermitDecided retries the call if the permit was granted, and ends it otherwise.
-func (f *Forwarder) retryPermitDecided(now clock.Instant, c *calls.Call, decision permits.Decision) {
+// retryBorrowed retries the call if enough was lent, and ends it otherwise.
+func (f *Forwarder) retryBorrowed(now clock.Instant, c *calls.Call, decision permits.Decision) {
 	s := stateOf(c)
 	failed := *s.pendingRetry
 	s.pendingRetry = nil
-	if decision.Granted {
-		f.recordCharge(now, c, retrybudget.LentPart, decision.By)
-		f.retry(now, c, failed)
+	if !f.Budget.SpendWith(now, c.Service, decision.Retries) {
+		f.endUnretried(c, failed, overBudget)
 		return
 	}
-	f.endUnretried(c, failed, overBudget)
+	f.recordCharge(now, c, retrybudget.LentPart, decision.By)
+	f.retry(now, c, failed)
 }
 
 // isResting reports whether a replica has asked this instance to send it nothing for a
--- a/core/forwarding/permit.go
+++ b/core/forwarding/permit.go
@@ -82,15 +82,13 @@
 	c := f.Calls.Get(id)
 	waiting := c != nil && c.Phase == calls.AwaitingPermit
 	if !waiting {
-		if decision.Granted {
-			f.Permits.Release(now, resource)
-		}
+		f.returnPermit(now, resource, decision)
 		return
 	}
 	c.Phase = calls.Waiting
 	switch {
 	case resource.Service != "":
-		f.retryPermitDecided(now, c, decision)
+		f.retryBorrowed(now, c, decision)
 	case !decision.Granted:
 		f.recordDenial(now, stateOf(c), f.Pool.Get(resource.Replica.Name), decision)
 		f.findReplica(now, c)
@@ -100,6 +98,16 @@
 	}
 }
 
+// returnPermit gives back a permit that will not be used. Retries that were lent are kept.
+func (f *Forwarder) returnPermit(now clock.Instant, resource permits.Resource, decision permits.Decision) {
+	switch {
+	case resource.Service != "":
+		f.Budget.Deposit(now, resource.Service, decision.Retries)
+	case decision.Granted:
+		f.Permits.Release(now, resource)
+	}
+}
+
 // usePermit sends a call to the replica that it has a permit for, if the replica can still
 // serve it, and reports whether it did.
 func (f *Forwarder) usePermit(now clock.Instant, c *calls.Call, incarnation pool.Incarnation) bool {
--- a/core/instance/build.go
+++ b/core/instance/build.go
@@ -117,11 +117,12 @@
 
 func (m *Machine) buildPermits() {
 	m.permits = permits.New(permits.Deps{
-		State:      m.state,
-		Instances:  m.orders.registry.Instances,
-		Stopping:   m.stop.Started,
-		Told:       m.notices.HandlePeerLimit,
-		SpendRetry: m.budget.Spend,
+		State:       m.state,
+		Instances:   m.orders.registry.Instances,
+		Stopping:    m.stop.Started,
+		Told:        m.notices.HandlePeerLimit,
+		RetriesLeft: m.budget.Left,
+		TakeRetries: m.budget.Take,
 		Decided: func(now clock.Instant, call calls.ID, s permits.Resource, v permits.Decision) {
 			m.forwarding.PermitDecided(now, call, s, v)
 		},
--- a/core/permits/permits.go
+++ b/core/permits/permits.go
@@ -89,6 +89,8 @@
 	// Unused marks the release of a permit instead of a request for one.
 	Unused bool
 	Word   pool.LimitReport // the replica's rate limit as known to the sender
+	// Retries is how many retries of the service are asked for; a part of one is enough.
+	Retries float64
 }
 
 // A Decision is the coordinator's reply to a Request.
@@ -99,6 +101,8 @@
 	// After is the time after which the caller of a denied request should retry.
 	After time.Duration
 	Word  pool.LimitReport // the replica's rate limit as known to the coordinator
+	// Retries is how many retries were lent.
+	Retries float64
 	// By is the instance that decided. The instance that sent the request sets it.
 	By string
 }
@@ -154,9 +158,11 @@
 	Stopping func() bool
 	// Told records what a peer knows of a replica's rate limit.
 	Told func(now clock.Instant, from string, incarnation pool.Incarnation, report pool.LimitReport)
-	// SpendRetry uses up one retry of a service that this instance has, and reports whether it
-	// had one.
-	SpendRetry func(now clock.Instant, service string) bool
+	// RetriesLeft returns how many retries of a service this instance has left.
+	RetriesLeft func(now clock.Instant, service string) float64
+	// TakeRetries takes at most the given number of the retries of a service that this instance
+	// has left, and returns how many it took.
+	TakeRetries func(now clock.Instant, service string, most float64) float64
 	// Decided is called with the decision on a call's request.
 	Decided func(now clock.Instant, call calls.ID, r Resource, d Decision)
 }
@@ -180,10 +186,10 @@
 	call     calls.ID  // 0 if the request is for orders
 	order    orderKind // zero value if the request is for a call
 	sentAt   clock.Instant
-	peer     string // "" while this instance decides by itself
-	attempts int    // peers tried before this one
-	// lenders are the peers that were asked for a retry.
-	lenders []string
+	peer     string   // "" while this instance decides by itself
+	attempts int      // peers tried before this one
+	lenders  []string // peers that were asked for retries
+	borrowed float64  // retries that they lent
 }
 
 // An orderKind identifies the orders to one engine that share a rank.
@@ -310,8 +316,8 @@
 		return
 	}
 	p.observeLimit(now, req.peer, req.request.Replica, e.Verdict.Word)
-	if req.request.Service != "" && !e.Verdict.Granted {
-		p.borrow(now, req)
+	if req.request.Service != "" {
+		p.addBorrowed(now, req, e.Verdict.Retries)
 		return
 	}
 	p.deliver(now, req, e.Verdict)
@@ -350,11 +356,8 @@
 	p.orderPermits[req.order] = o
 }
 
-// Release gives back a permit that will not be used. A retry that was lent is lost.
+// Release gives back a permit for a replica that will not be used.
 func (p *Permits) Release(now clock.Instant, resource Resource) {
-	if resource.Service != "" {
-		return
-	}
 	request := Request{Resource: resource, Unused: true}
 	if r := p.Pool.Get(resource.Replica.Name); r != nil {
 		request.Zone = r.Zone
--- a/core/permits/permits_test.go
+++ b/core/permits/permits_test.go
@@ -31,7 +31,7 @@
 	decisions []callDecision
 	limits    []pool.LimitReport
 	now       clock.Instant
-	retries   int // of service s that this instance has
+	retries   float64 // that this instance has left
 }
 
 // newFixture returns the permits of the instance "self" in zone z with a rate-limited
@@ -51,9 +51,11 @@
 		Told: func(_ clock.Instant, _ string, _ pool.Incarnation, report pool.LimitReport) {
 			f.limits = append(f.limits, report)
 		},
-		SpendRetry: func(_ clock.Instant, service string) bool {
-			f.retries--
-			return service == "s" && f.retries >= 0
+		RetriesLeft: func(clock.Instant, string) float64 { return f.retries },
+		TakeRetries: func(_ clock.Instant, _ string, most float64) float64 {
+			taken := min(most, f.retries)
+			f.retries -= taken
+			return taken
 		},
 		Decided: func(_ clock.Instant, call calls.ID, _ Resource, d Decision) {
 			f.decisions = append(f.decisions, callDecision{call, d})
@@ -390,23 +392,27 @@
 	is.Equal(len(f.granted()), 20)
 }
 
-// TestRetriesAreBorrowed checks that an instance asks up to maxLenders peers for a retry, one
-// after the other and each once, until one lends it, and that nobody is asked who does not
-// answer.
+// TestRetriesAreBorrowed checks that an instance asks up to maxLenders peers for what it lacks of
+// a retry, one after the other and each once, and that nobody is asked who does not answer.
 func TestRetriesAreBorrowed(t *testing.T) {
-	granted := Decision{Granted: true}
+	lent := func(retries float64) Reply { return Reply{Verdict: Decision{Retries: retries}} }
 	for _, tt := range []struct {
 		name    string
 		peers   int
-		replies []Reply // of the peers that are asked, in order
-		want    bool
+		own     float64
+		replies []Reply   // of the peers that are asked, in order
+		asked   []float64 // what each of them is asked for
+		want    float64   // what was borrowed
 	}{
-		{"no peers", 0, nil, false},
-		{"the first lends", 5, []Reply{{Verdict: granted}}, true},
-		{"the third lends", 5, []Reply{{}, {}, {Verdict: granted}}, true},
-		{"three have none", 5, []Reply{{}, {}, {}}, false},
-		{"fewer peers", 2, []Reply{{}, {}}, false},
-		{"one does not answer", 5, []Reply{{Err: errors.New("no answer")}, {Verdict: granted}}, true},
+		{"no peers", 0, 0, nil, nil, 0},
+		{"the first lends", 5, 0, []Reply{lent(1)}, []float64{1}, 1},
+		{"a part is left", 5, 0.75, []Reply{lent(0.25)}, []float64{0.25}, 0.25},
+		{"each lends a part", 5, 0.25, []Reply{lent(0.25), lent(0.25), lent(0.25)}, []float64{0.75, 0.5, 0.25}, 0.75},
+		{"three lend too little", 5, 0, []Reply{lent(0.25), lent(0), lent(0.25)}, []float64{1, 0.75, 0.75}, 0.5},
+		{"more than was asked for", 5, 0.5, []Reply{lent(7)}, []float64{0.5}, 0.5},
+		{"less than nothing", 5, 0.5, []Reply{lent(-1), lent(0.5)}, []float64{0.5, 0.5}, 0.5},
+		{"fewer peers", 2, 0, []Reply{lent(0), lent(0)}, []float64{1, 1}, 0},
+		{"one does not answer", 5, 0, []Reply{{Err: errors.New("no answer")}, lent(1)}, []float64{1, 1}, 1},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
@@ -415,49 +421,50 @@
 				others[fmt.Sprint("p", i)] = "z"
 			}
 			f := newFixture(1, others)
-			f.RequestForRetry(f.now, "s", 1)
-			asked := map[string]bool{}
-			for _, reply := range tt.replies {
+			f.retries = tt.own
+			f.BorrowRetry(f.now, "s", 1)
+			peers := map[string]bool{}
+			for i, reply := range tt.replies {
 				sent := f.takeRequests()
 				is.Equal(len(sent), 1)
 				is.Equal(sent[0].Request.Service, "s")
-				is.True(!asked[sent[0].Peer])
-				asked[sent[0].Peer] = true
+				is.Equal(sent[0].Request.Retries, tt.asked[i])
+				is.True(!peers[sent[0].Peer])
+				peers[sent[0].Peer] = true
 				reply.Token = sent[0].Token
 				f.HandleReply(f.now, reply)
 			}
 			is.Equal(len(f.takeRequests()), 0)
 			is.Equal(len(f.decisions), 1)
-			is.Equal(f.decisions[0].Granted, tt.want)
+			is.Equal(f.decisions[0].Retries, tt.want)
 		})
 	}
 }
 
-// Guards against retries that two instances count or that none does: a retry is charged to the
-// instance that lends it, and one that arrives too late is void.
+// Guards against retries that no instance counts: what is lent is taken from the lender, and
+// what arrives too late is void.
 func TestRetriesAreLent(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(1, map[string]string{"p": "z"})
-	f.retries = 2
-	lent := 0
+	f.retries = 2.5
+	lent := 0.0
 	for token := range 5 {
-		f.HandleRequest(f.now, RequestReceived{Token: uint64(token + 1), From: "p", Request: Request{Resource: Resource{Service: "s"}}})
+		f.HandleRequest(f.now, RequestReceived{Token: uint64(token + 1), From: "p", Request: Request{Resource: Resource{Service: "s"}, Retries: 7}})
 		for _, a := range f.Out.Actions() {
-			if reply, ok := a.(SendReply); ok && reply.Verdict.Granted {
-				lent++
+			if reply, ok := a.(SendReply); ok {
+				is.True(reply.Verdict.Retries <= 1)
+				lent += reply.Verdict.Retries
 			}
 		}
 		f.Out.Reset()
 	}
-	is.Equal(lent, 2)
+	is.Equal(lent, 2.5)
 
-	f.RequestForRetry(f.now, "s", 1)
+	f.BorrowRetry(f.now, "s", 1)
 	sent := f.takeRequests()
 	f.now = f.now.Add(permitTTL)
-	f.HandleReply(f.now, Reply{Token: sent[0].Token, Verdict: Decision{Granted: true}})
-	is.Equal(f.granted(), nil)
-	f.Release(f.now, Resource{Service: "s"}) // is not given back
-	is.Equal(len(f.takeRequests()), 0)
+	f.HandleReply(f.now, Reply{Token: sent[0].Token, Verdict: Decision{Retries: 1}})
+	is.Equal(f.decisions[0].Retries, 0.0)
 }
 
 // TestAdapterOrdersRankBelowCalls: a call that needs an adapter takes two permits, so
--- a/core/retrybudget/account.go
+++ b/core/retrybudget/account.go
@@ -37,13 +37,32 @@
 	a.refill(now, p)
 }
 
-// spend uses one retry and reports whether there was one.
-func (a *account) spend(now clock.Instant, p Parts) bool {
+// spend uses one retry, made up of what is saved and what was borrowed, and reports whether
+// they came to one. Otherwise what was borrowed is saved.
+func (a *account) spend(now clock.Instant, p Parts, borrowed float64) bool {
 	a.refill(now, p)
-	if a.saved < 1 {
+	a.saved += borrowed
+	if a.saved < 1-rounding {
 		return false
 	}
-	a.saved--
+	a.saved = max(0, a.saved-1)
 	a.window.recordRetry(now)
 	return true
 }
+
+// rounding is what parts of a retry that add up to one may lack.
+const rounding = 1e-9
+
+// deposit adds borrowed retries that were not used.
+func (a *account) deposit(now clock.Instant, p Parts, retries float64) {
+	a.saved += retries
+	a.refill(now, p)
+}
+
+// take takes at most the given number of saved retries and returns how many it took.
+func (a *account) take(now clock.Instant, p Parts, most float64) float64 {
+	a.refill(now, p)
+	taken := min(max(0, most), a.saved)
+	a.saved -= taken
+	return taken
+}
--- a/core/retrybudget/budget.go
+++ b/core/retrybudget/budget.go
@@ -81,7 +81,28 @@
 // Spend uses up one retry of a call of the service, and reports whether the instance had
 // one.
 func (b *Budget) Spend(now clock.Instant, service string) bool {
-	return b.account(now, service).spend(now, b.parts())
+	return b.SpendWith(now, service, 0)
+}
+
+// SpendWith is like Spend for an instance that has borrowed a part of a retry.
+func (b *Budget) SpendWith(now clock.Instant, service string, borrowed float64) bool {
+	return b.account(now, service).spend(now, b.parts(), borrowed)
+}
+
+// Take takes at most the given number of retries of a service, to lend them, and returns how
+// many it took.
+func (b *Budget) Take(now clock.Instant, service string, most float64) float64 {
+	return b.account(now, service).take(now, b.parts(), most)
+}
+
+// Deposit adds retries that were borrowed and not used.
+func (b *Budget) Deposit(now clock.Instant, service string, retries float64) {
+	b.account(now, service).deposit(now, b.parts(), retries)
+}
+
+// Left returns the number of retries of a service that the instance has left.
+func (b *Budget) Left(now clock.Instant, service string) float64 {
+	return b.Usage(now, service).Left
 }
 
 // Usage returns the state of the service's budget on this instance.
@@ -94,7 +115,7 @@
 
 // Available reports whether the instance has a retry for a call of the service.
 func (b *Budget) Available(now clock.Instant, service string) bool {
-	return b.Usage(now, service).Left >= 1
+	return b.Left(now, service) >= 1
 }
 
 // lowThreshold is the number of retries left at an instance below which they are kept
@@ -104,7 +125,7 @@
 // Low reports whether fewer than lowThreshold retries of calls of the service would be
 // left after one more retry.
 func (b *Budget) Low(now clock.Instant, service string) bool {
-	return b.Usage(now, service).Left < 1+lowThreshold
+	return b.Left(now, service) < 1+lowThreshold
 }
 
 // Reset discards all counts and all unused retries. It is called when the length of the
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -143,28 +143,28 @@
 func encodePermitRequest(from string, r permits.Request) *peerpb.PermitRequest {
 	return &peerpb.PermitRequest{
 		From: from, Replica: encodeIncarnation(r.Replica), Service: r.Service, Alone: r.Alone, Zone: r.Zone, Rank: int32(r.Rank), WithinMs: toMilliseconds(r.Wait),
-		Unused: r.Unused, Limit: encodeLimit(r.Word),
+		Unused: r.Unused, Limit: encodeLimit(r.Word), Retries: r.Retries,
 	}
 }
 
 func decodePermitRequest(r *peerpb.PermitRequest) permits.Request {
 	return permits.Request{
 		Resource: permits.Resource{Replica: decodeIncarnation(r.GetReplica()), Service: r.GetService()}, Alone: r.GetAlone(), Zone: r.GetZone(), Rank: int(r.GetRank()), Wait: fromMilliseconds(r.GetWithinMs()),
-		Unused: r.GetUnused(), Word: decodeLimit(r.GetLimit()),
+		Unused: r.GetUnused(), Word: decodeLimit(r.GetLimit()), Retries: r.GetRetries(),
 	}
 }
 
 func encodeDecision(d permits.Decision) *peerpb.PermitReply {
 	return &peerpb.PermitReply{
 		Granted: d.Granted, HeldMs: toMilliseconds(d.Held), TurnMs: toMilliseconds(d.Turn), AfterMs: toMilliseconds(d.After),
-		Limit: encodeLimit(d.Word),
+		Limit: encodeLimit(d.Word), Retries: d.Retries,
 	}
 }
 
 func decodeDecision(r *peerpb.PermitReply) permits.Decision {
 	return permits.Decision{
 		Granted: r.GetGranted(), Held: fromMilliseconds(r.GetHeldMs()), Turn: fromMilliseconds(r.GetTurnMs()), After: fromMilliseconds(r.GetAfterMs()),
-		Word: decodeLimit(r.GetLimit()),
+		Word: decodeLimit(r.GetLimit()), Retries: r.GetRetries(),
 	}
 }
 
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -91,9 +91,9 @@
 	is := is.New(t)
 	report := pool.LimitReport{Limit: pool.RateLimit{Named: true, PerSecond: 0.25}, By: "b", EventTime: clock.EventTime{Age: 3 * time.Millisecond}}
 	request := permits.Request{
-		Resource: permits.Resource{Replica: pool.Incarnation{Name: "e", Born: "1"}, Service: "s"}, Alone: true, Zone: "z", Rank: -1, Wait: 4 * time.Second, Unused: true, Word: report,
+		Resource: permits.Resource{Replica: pool.Incarnation{Name: "e", Born: "1"}, Service: "s"}, Alone: true, Zone: "z", Rank: -1, Wait: 4 * time.Second, Unused: true, Word: report, Retries: 0.25,
 	}
-	decision := permits.Decision{Granted: true, Held: 5 * time.Millisecond, Turn: 6 * time.Millisecond, After: 7 * time.Millisecond, Word: report}
+	decision := permits.Decision{Granted: true, Held: 5 * time.Millisecond, Turn: 6 * time.Millisecond, After: 7 * time.Millisecond, Word: report, Retries: 0.125}
 	server := httptest.NewServer(Server{TakePermit: func(_ context.Context, from string, r permits.Request) (permits.Decision, error) {
 		is.Equal(from, "a")
 		is.Equal(r, request)
