Retries: larger parts, four lenders, and empty ones are passed over

And calls were refused beside a free engine.

Cause: the parts left much of the slack unused: it was divided by ten where fewer instances run, and refilled slowly.

Change: the slack is divided by the instances that are registered; 0.35 of it may be saved and 0.36 is refilled in a window, which with a third more instances is 0.95 of it. A call earns 0.75 of the ratio, 0.25 may be saved. Four peers are asked; one that lent less than it was asked for is passed over for 0.2 s, so calls are refused at once where nobody has retries left. The peers are ordered by a hash of the call, without the shared random numbers.

--- a/core/permits/permits.go
+++ b/core/permits/permits.go
@@ -174,7 +174,8 @@
 	coordinator  coordinator
 	pending      map[uint64]*pendingRequest
 	lastToken    uint64
-	backoffUntil map[string]clock.Instant // unresponsive peers, and until when they are skipped
+	backoffUntil map[string]clock.Instant    // unresponsive peers, and until when they are skipped
+	emptyLenders map[lenderKey]clock.Instant // until when they are not asked for retries
 	orderPermits map[orderKind]orderPermit
 	prepareDue   clock.Instant
 	views        []fleetView // recent views of the fleet, one per prepareInterval, the newest last
@@ -209,7 +210,8 @@
 // New returns Permits without pending requests.
 func New(deps Deps) *Permits {
 	p := &Permits{
-		Deps: deps, pending: map[uint64]*pendingRequest{}, backoffUntil: map[string]clock.Instant{}, orderPermits: map[orderKind]orderPermit{},
+		Deps: deps, pending: map[uint64]*pendingRequest{}, backoffUntil: map[string]clock.Instant{},
+		emptyLenders: map[lenderKey]clock.Instant{}, orderPermits: map[orderKind]orderPermit{},
 	}
 	p.coordinator = coordinator{p: p, buckets: map[Resource]*bucket{}}
 	return p
@@ -399,6 +401,7 @@
 	if !now.Before(p.prepareDue) {
 		p.prepareDue = now.Add(prepareInterval)
 		p.recordView(now)
+		p.dropEmptyLenders(now)
 		p.coordinator.prepareBuckets(now)
 	}
 	p.coordinator.tick(now)
--- a/core/permits/retries.go
+++ b/core/permits/retries.go
@@ -1,18 +1,30 @@
 package permits
 
 import (
+	"fmt"
+	"maps"
 	"slices"
+	"time"
 
 	"github.com/birchdrift/birchdrift/core/calls"
 	"github.com/birchdrift/birchdrift/core/clock"
+	"github.com/birchdrift/birchdrift/core/rendezvous"
 )
 
 // Retries that instances lend each other. An instance that has not one whole retry left borrows
 // what is missing: in a large fleet many instances have only a part of one.
 
-// maxLenders is the number of peers that are asked in turn for one retry: each takes a round
-// trip, and few more have one left if these have not (docs/design/limits.md).
-const maxLenders = 3
+const (
+	// maxLenders is the number of peers that are asked in turn for one retry: each takes a
+	// round trip, and few more have one left if these have not (docs/design/limits.md).
+	maxLenders = 4
+	// emptyLenderPause is how long a peer that lent less than was asked for is not asked again:
+	// it has nothing left, and earns little in that time (docs/design/limits.md).
+	emptyLenderPause = 200 * time.Millisecond
+)
+
+// A lenderKey identifies a peer's part of the retry budget of a service.
+type lenderKey struct{ peer, service string }
 
 // BorrowRetry asks peers for what this instance lacks of one retry of a call of a service.
 // Decided is called with what they lent, possibly before BorrowRetry returns.
@@ -38,28 +50,33 @@
 
 // addBorrowed adds what a peer lent. It is void if it took too long to arrive.
 func (p *Permits) addBorrowed(now clock.Instant, req *pendingRequest, retries float64) {
+	if retries < req.request.Retries {
+		p.emptyLenders[lenderKey{req.peer, req.request.Service}] = now.Add(emptyLenderPause)
+	}
 	if now.MaxElapsed(req.sentAt) < permitTTL {
 		req.borrowed += min(max(0, retries), req.request.Retries)
 	}
 	p.borrow(now, req)
 }
 
-// chooseLender returns a random peer that was not asked yet, "" if there is none or enough
-// were asked.
+// chooseLender returns a peer that was not asked yet and may have retries left, "" if there is
+// none or enough were asked. The order of the peers differs from call to call.
 func (p *Permits) chooseLender(now clock.Instant, req *pendingRequest) string {
 	if len(req.lenders) >= maxLenders {
 		return ""
 	}
-	var candidates []string
+	key := rendezvous.Key(fmt.Sprintf("%s/%d/%d", p.Self.Name, p.Self.Boot, req.call))
+	lender, best := "", uint64(0)
 	for _, peer := range p.Members.Peers() {
-		if !slices.Contains(req.lenders, peer.Name) && p.isCandidate(now, peer.Name) {
-			candidates = append(candidates, peer.Name)
+		empty := now.Before(p.emptyLenders[lenderKey{peer.Name, req.request.Service}])
+		if empty || slices.Contains(req.lenders, peer.Name) || !p.isCandidate(now, peer.Name) {
+			continue
+		}
+		if score := rendezvous.Score(key, peer.Name); lender == "" || score > best {
+			lender, best = peer.Name, score
 		}
 	}
-	if len(candidates) == 0 {
-		return ""
-	}
-	return candidates[p.Rand.IntN(len(candidates))]
+	return lender
 }
 
 // lend handles a peer's request for retries: they are taken from this instance's own part of
@@ -71,3 +88,8 @@
 	}
 	p.Out.Emit(SendReply{Token: e.Token, Verdict: Decision{Retries: lent}})
 }
+
+// dropEmptyLenders forgets the peers that may be asked again.
+func (p *Permits) dropEmptyLenders(now clock.Instant) {
+	maps.DeleteFunc(p.emptyLenders, func(_ lenderKey, until clock.Instant) bool { return !now.Before(until) })
+}
--- a/core/retrybudget/parts.go
+++ b/core/retrybudget/parts.go
@@ -32,27 +32,22 @@
 // Shares of Limit.Ratio. A call counts in two windows: its retry may be made in its own window
 // or saved for the next one. So the two shares add up to the whole.
 const (
-	earnedShare = 0.65
-	savedShare  = 0.35
+	earnedShare = 0.75
+	savedShare  = 0.25
 )
 
 // Shares of Limit.Slack. They leave room for instances that run and whose registration has
 // lapsed, and a reserve (core/retrybudget/budgettest).
 const (
 	// burstShare is the share that all instances together may save.
-	burstShare = 0.4
+	burstShare = 0.35
 	// refillShare is the share that all instances together earn in each window.
-	refillShare = 0.3
+	refillShare = 0.36
 )
 
-// minFleetSize is the least number of instances among which the slack is divided, so that
-// instances which do not know each other yet stay within it. It is more than the 7 and 8
-// instances of the users' sites.
-const minFleetSize = 10
-
-// Parts returns the parts of an instance in a fleet of the given size.
+// Parts returns the parts of an instance in a fleet of the given size, at least 1.
 func (l Limit) Parts(fleetSize int) Parts {
-	slack := l.Slack / float64(max(minFleetSize, fleetSize))
+	slack := l.Slack / float64(fleetSize)
 	return Parts{
 		Earned: earnedShare * l.Ratio,
 		Saved:  savedShare * l.Ratio,
