--- a/core/instance/limit_test.go
+++ b/core/instance/limit_test.go
@@ -409,6 +409,13 @@
 		})
 	}},
 	{"a large fleet", 2 * watchers.FullMeshLimit, func(*limitHarness) {}},
+	// Guard against coordinators that each grant a part of their own.
+	{"instances are killed in a quick series", 8, func(h *limitHarness) { h.f.killRandomly(300*time.Millisecond, 600*time.Millisecond) }},
+	{"instances stop in turn", 8, func(h *limitHarness) {
+		h.f.stopInTurn(500*time.Millisecond, 300*time.Millisecond, 300*time.Millisecond)
+	}},
+	{"instances are replaced", 8, func(h *limitHarness) { h.f.replaceInTurn(700 * time.Millisecond) }},
+	{"instances freeze in a quick series", 8, func(h *limitHarness) { h.f.freezeRandomly(500*time.Millisecond, 1500*time.Millisecond) }},
 }
 
 // TestEngineRateLimitsAreRespected checks, for every fault scenario, that an engine that states
--- a/core/instance/retries_test.go
+++ b/core/instance/retries_test.go
@@ -18,6 +18,7 @@
 	calls     int
 	retries   int
 	saved     int // calls that were served after a retry
+	refused   int // calls that an instance refused
 	attempted map[calls.ID]bool
 }
 
@@ -186,6 +187,7 @@
 		return func() {}
 	})
 	f.run(35 * time.Second)
+	h.retries.refused = f.refused
 	return h.retries, f.opt
 }
 
@@ -206,7 +208,8 @@
 				if peak.Used() > 1 {
 					t.Errorf("seed %d: %d retries in %v from %v for %d calls; allowed %.0f", seed, peak.Retries, limit.Window, peak.From, peak.Calls, peak.Allowed)
 				}
-				t.Logf("seed %d: %d calls, %d retries, %d calls served after a retry, at most %.2f of the limit", seed, count.calls, count.retries, count.saved, peak.Used())
+				t.Logf("seed %d: %d calls, %d retries, %d calls served after a retry, %d refused, at most %.2f of the limit",
+					seed, count.calls, count.retries, count.saved, count.refused, peak.Used())
 				if count.retries < minStormRetries {
 					t.Errorf("seed %d: only %d retries, want at least %d", seed, count.retries, minStormRetries)
 				}
