Sight: an instance says which replicas its own links do not reach

The hypotheses of the incident differ in whether an instance's links or the replicas are at fault, and nothing in the logs told the two apart: connection attempts that failed showed in single calls only.

- 1509 links_lost, 1510 links_back: most replicas of a service cannot be connected to from this instance, and for how long; failed attempts since.
- birchdrift_unreachable_replicas{service}.
- core/links keeps the state of the links, core/pool that of each one.

No decision changes. Tests of core/links, forwarding, pool, exchange and the pages pass.

--- a/core/forwarding/attempts.go
+++ b/core/forwarding/attempts.go
@@ -25,6 +25,7 @@
 	if r == nil {
 		return
 	}
+	f.Links.Proven(now, r, c.Started)
 	f.Pool.AnswerBegan(now, r, uint64(c.ID))
 	if c.Item != "" && s.lastAttempt.onlyPrefill {
 		f.router.ObserveFirstEvent(s.request.size, s.lastAttempt.uncachedTokens, now.Since(c.Started))
@@ -181,6 +182,7 @@
 	case e.Phase == attempt.NotSent:
 		r.DropCall(uint64(c.ID))
 		r.MarkDown(now)
+		f.Links.Failed(now, r, !e.Unreachable)
 		if e.Unreachable {
 			f.Quarantine.ReplicaEnded(now, r.Incarnation())
 		}
--- a/core/forwarding/forwarding.go
+++ b/core/forwarding/forwarding.go
@@ -22,6 +22,7 @@
 	"github.com/birchdrift/birchdrift/core/code"
 	"github.com/birchdrift/birchdrift/core/config"
 	"github.com/birchdrift/birchdrift/core/demand"
+	"github.com/birchdrift/birchdrift/core/links"
 	"github.com/birchdrift/birchdrift/core/logevent"
 	"github.com/birchdrift/birchdrift/core/orderclient"
 	"github.com/birchdrift/birchdrift/core/permits"
@@ -46,6 +47,7 @@
 	// Quarantine tracks which requests are in quarantine.
 	Quarantine *quarantine.Tracker
 	Permits    *permits.Permits
+	Links      *links.Tracker
 	// Used records that a call uses an item of an engine.
 	Used func(now clock.Instant, engine, item string)
 	// ListAge returns the age of this instance's copy of the platform's list.
--- a/core/forwarding/forwarding_test.go
+++ b/core/forwarding/forwarding_test.go
@@ -14,6 +14,7 @@
 	"github.com/birchdrift/birchdrift/core/config"
 	"github.com/birchdrift/birchdrift/core/crash"
 	"github.com/birchdrift/birchdrift/core/demand"
+	"github.com/birchdrift/birchdrift/core/links"
 	"github.com/birchdrift/birchdrift/core/member"
 	"github.com/birchdrift/birchdrift/core/option"
 	"github.com/birchdrift/birchdrift/core/permits"
@@ -47,6 +48,7 @@
 		Quarantine: quarantine.New(quarantine.Deps{
 			State: state, Tell: func(clock.Instant) {}, Direct: func() bool { return true }, Cut: func(crash.Fingerprint, time.Duration) {},
 		}),
+		Links: links.New(state),
 		Permits: permits.New(permits.Deps{
 			State:       state,
 			Instances:   func() map[string]registry.Instance { return nil },
--- a/core/instance/build.go
+++ b/core/instance/build.go
@@ -9,6 +9,7 @@
 	"github.com/birchdrift/birchdrift/core/demand"
 	"github.com/birchdrift/birchdrift/core/exchange"
 	"github.com/birchdrift/birchdrift/core/forwarding"
+	"github.com/birchdrift/birchdrift/core/links"
 	"github.com/birchdrift/birchdrift/core/listing"
 	"github.com/birchdrift/birchdrift/core/member"
 	"github.com/birchdrift/birchdrift/core/notice"
@@ -38,6 +39,7 @@
 func New(self member.Identity, opt option.Options, seed uint64) *Machine {
 	m := &Machine{state: shared.New(self, opt, seed)}
 	tracker, totals := demand.NewTracker(), demand.NewTotals()
+	m.links = links.New(m.state)
 	m.buildCalls()
 	m.buildOrders()
 	m.buildQuarantine()
@@ -160,7 +162,7 @@
 	m.forwarding = forwarding.New(forwarding.Deps{
 		State: m.state,
 		Calls: m.calls, Budget: m.budget, Asks: m.orders.orderClient, Roster: m.orders.roster, Demand: tracker,
-		Quarantine: m.quarantine, Permits: m.permits,
+		Quarantine: m.quarantine, Permits: m.permits, Links: m.links,
 		ListAge: m.exchanges.StoreAge,
 		Used:    m.orders.owned.RecordUse,
 	})
--- a/core/instance/machine.go
+++ b/core/instance/machine.go
@@ -11,6 +11,7 @@
 //   - core/calls, core/forwarding: calls in progress and forwarded calls;
 //   - core/quarantine: requests that are not run because replicas crash under them;
 //   - core/notice: what replicas state about themselves in their responses;
+//   - core/links: the links of this instance to the replicas;
 //   - core/permits: the rate limits of replicas, over all instances;
 //   - core/watch, core/watchers: the watch of the platform, and the choice of the
 //     instances that watch;
@@ -41,6 +42,7 @@
 	"github.com/birchdrift/birchdrift/core/config"
 	"github.com/birchdrift/birchdrift/core/exchange"
 	"github.com/birchdrift/birchdrift/core/forwarding"
+	"github.com/birchdrift/birchdrift/core/links"
 	"github.com/birchdrift/birchdrift/core/listing"
 	"github.com/birchdrift/birchdrift/core/notice"
 	"github.com/birchdrift/birchdrift/core/orderclient"
@@ -62,6 +64,7 @@
 	quarantine *quarantine.Tracker
 	notices    *notice.Tracker
 	permits    *permits.Permits
+	links      *links.Tracker
 	forwarding *forwarding.Forwarder
 	listing    *listing.List
 	exchanges  *exchange.Exchanges
@@ -220,6 +223,7 @@
 	m.quarantine.Tick(now)
 	m.notices.Tick(now)
 	m.permits.Tick(now)
+	m.links.Tick(now)
 	for _, tick := range m.env.tickBeforeExchanges {
 		tick(now)
 	}
--- a/core/logevent/logevent.go
+++ b/core/logevent/logevent.go
@@ -61,6 +61,8 @@
 	UpstreamRestarted  Number = 1506
 	HeaderUnread       Number = 1507
 	UpstreamLimit      Number = 1508
+	LinksLost          Number = 1509
+	LinksBack          Number = 1510
 	PeerFailed         Number = 1601
 	PolicyFailed       Number = 1701
 	CallFailed         Number = 1801
@@ -156,6 +158,8 @@
 	{UpstreamRestarted, "upstream_restarted", "A replica restarted under its name or at another address; its calls are handled as after a crash.", "None; if it is frequent, find out what terminates the replica."},
 	{HeaderUnread, "header_unread", "A response of a replica or of the platform's store has a header that is not supported; each name is logged once.", "Look the header up in the platform's documentation. If it requires something of callers, that is not implemented yet: report it."},
 	{UpstreamLimit, "upstream_limit", "A replica set, changed or withdrew (`named`) its rate limit, the requests per second that it accepts from all instances together; `by` is the instance that received its response, `ago_ms` earlier.", "None; a replica that sets a rate limit is overloaded: check what runs there."},
+	{LinksLost, "links_lost", "This instance cannot connect to most replicas of a service (`unreachable` of `replicas`). Other instances may reach them.", "If other instances log it too, check the replicas; otherwise check the network of this instance."},
+	{LinksBack, "links_back", "This instance reaches most replicas of the service again, after `lasted_ms` and `failed` connection attempts.", "None."},
 	{PeerFailed, "peer_failed", "An exchange with a peer failed.", "Check the network between the instances if it persists."},
 	{PolicyFailed, "policy_failed", "A policy expression failed at run time; the policy's default was used.", "Correct the expression."},
 	{CallFailed, "call_failed", "A call received a final response that is not its upstream's.", "Look the code up in docs/codes.md."},
--- /dev/null
+++ b/core/pool/link.go
@@ -0,0 +1,35 @@
+package pool
+
+import "github.com/birchdrift/birchdrift/core/clock"
+
+// A linkState is what this instance's own connections to a replica show. It is a fact about the
+// link, not about the replica: other instances may reach it.
+type linkState struct {
+	brokenSince clock.Instant // when connecting first failed; zero: no attempt failed since the last that succeeded
+	failedAt    clock.Instant // when connecting failed last
+	timedOut    bool          // the last failed attempt got no answer; otherwise it was refused
+	provenAt    clock.Instant // when the replica last answered something, or accepted a connection
+}
+
+// LinkFailed records that a connection to the replica could not be established. timedOut means
+// that nothing answered at all, as opposed to a refusal.
+func (r *Replica) LinkFailed(now clock.Instant, timedOut bool) {
+	if r.link.brokenSince.IsZero() {
+		r.link.brokenSince = now
+	}
+	r.link.failedAt = now
+	r.link.timedOut = timedOut
+}
+
+// LinkProven records that the replica answered on a connection that was requested at sent, or
+// accepted it. An answer to a request that was sent before the last failure does not show that
+// connections can be established since.
+func (r *Replica) LinkProven(now, sent clock.Instant) {
+	r.link.provenAt = now
+	if !sent.Before(r.link.failedAt) {
+		r.link.brokenSince = clock.Instant{}
+	}
+}
+
+// LinkBroken reports whether the last attempt to connect to the replica failed.
+func (r *Replica) LinkBroken() bool { return !r.link.brokenSince.IsZero() }
--- a/core/pool/replica.go
+++ b/core/pool/replica.go
@@ -65,6 +65,7 @@
 	leaving
 	rest  restState
 	limit limitState
+	link  linkState
 }
 
 // activity is the work at a replica, according to this instance's own count, to peers and to
--- a/internal/shell/actions.go
+++ b/internal/shell/actions.go
@@ -10,6 +10,7 @@
 	"github.com/birchdrift/birchdrift/core/exchange"
 	"github.com/birchdrift/birchdrift/core/gossip"
 	"github.com/birchdrift/birchdrift/core/instance"
+	"github.com/birchdrift/birchdrift/core/links"
 	"github.com/birchdrift/birchdrift/core/logevent"
 	"github.com/birchdrift/birchdrift/core/orderclient"
 	"github.com/birchdrift/birchdrift/core/orders"
@@ -72,7 +73,7 @@
 		s.published.installed = act.Snapshot
 	case step.Log:
 		s.event(act.Event, act.Fields...)
-	case retrybudget.Charged, retrybudget.Denied: // counted in the metrics only
+	case retrybudget.Charged, retrybudget.Denied, links.Changed: // counted in the metrics only
 	case shutdown.Exit:
 		s.exited <- act
 	default:
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -10,6 +10,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/birchdrift/birchdrift/core/calls"
+	"github.com/birchdrift/birchdrift/core/links"
 	"github.com/birchdrift/birchdrift/core/logevent"
 	"github.com/birchdrift/birchdrift/core/own/planner"
 	"github.com/birchdrift/birchdrift/core/retrybudget"
@@ -71,6 +72,7 @@
 	{"birchdrift_orders_total{op}", "Orders sent to engines.", "Loads and unloads change which models are resident."},
 	{"birchdrift_log_lines_dropped_total", "Log lines dropped because they exceeded the rate limit of the log.", "Rising: set `--log-level` to warn, or find out what fails so often."},
 	{"birchdrift_unread_headers_total", "Answers of replicas and of the platform's store with a header that the instance does not read.", "Look for event 1507, which names it: the platform may have a new header."},
+	{"birchdrift_unreachable_replicas{service}", "Replicas of a service that this instance could not connect to when it last tried.", "If it is not 0 at a few instances only, check their network; at all, check the replicas. See event 1509."},
 	{"birchdrift_list_age_seconds", "Age of this instance's copy of the platform's list when a call was sent according to it.", "Near `--leave-bound`: leaving replicas may get calls. See event 1319."},
 	{"birchdrift_notes_total{event}", "Log events by number.", "Look the number up in docs/events.md."},
 }
@@ -113,6 +115,8 @@
 		m.set.GetOrCreateGauge(fmt.Sprintf(`birchdrift_retries_left{service=%q}`, act.Service), nil).Set(act.Left)
 	case retrybudget.Denied:
 		m.set.GetOrCreateCounter(fmt.Sprintf(`birchdrift_retries_denied_total{service=%q}`, act.Service)).Inc()
+	case links.Changed:
+		m.set.GetOrCreateGauge(fmt.Sprintf(`birchdrift_unreachable_replicas{service=%q}`, act.Service), nil).Set(float64(act.Unreachable))
 	case step.Log:
 		m.countEvent(act.Event)
 	}
