Reproduce the incident: instances without links to the replicas serve few of their calls

Eight simulated instances in front of 16 engines and 4 plain replicas; one of them, half, a zone or all but one lose their links to all replicas for 9 s. Open connections hang, are reset, or live on while new ones are refused.

--- a/core/instance/announced_world_test.go
+++ b/core/instance/announced_world_test.go
@@ -89,6 +89,8 @@
 	logCounts map[logevent.Number]int
 	// leaves, if not nil, makes engines leave and records the calls that reach them afterwards.
 	leaves *leaveHarness
+	// partitions, if not nil, carries out the attempts of calls over the links of their instance.
+	partitions *partitionHarness
 }
 
 // A fleetMember is one machine and the faults injected into it.
@@ -100,11 +102,12 @@
 	wallOffset      time.Duration // how far its wall clock was set forward
 	dead            bool
 	frozen          bool
-	thawedAt        time.Duration // when the last freeze ended
-	deferred        []func()      // deliveries of events that arrived during the freeze
-	noStore         bool          // it cannot reach the store
-	noUpdates       bool          // its watches receive nothing and its exchanges fail
-	watchPosition   era.Revision  // revision from which its watch continues; 0: a full read
+	thawedAt        time.Duration        // when the last freeze ended
+	deferred        []func()             // deliveries of events that arrived during the freeze
+	noStore         bool                 // it cannot reach the store
+	noUpdates       bool                 // its watches receive nothing and its exchanges fail
+	links           map[string]linkFault // its broken links, by engine
+	watchPosition   era.Revision         // revision from which its watch continues; 0: a full read
 	pendingWatches  []*fleetWatch
 	knownEra        era.Era // the era of the last store response that it received
 	orderReplies    map[uint64]func(owned.SendReply)
@@ -146,6 +149,7 @@
 // A fleetEngine simulates one engine that announces itself.
 type fleetEngine struct {
 	name           string
+	service        string // of a plain replica; "": it runs models
 	address        string // "": same as name
 	zone           string
 	sequence       uint64 // number of orders that this incarnation accepted
@@ -390,6 +394,10 @@
 		sent := f.clock(n)
 		f.storeCall(n, ofEra(act.Write.Era()), func() (step.Event, bool) { return f.commitWrite(act, sent), true }, func(err error) step.Event { return ownership.WriteReply{Write: act.Write, Err: err} }, reply)
 	case quarantine.Check:
+		if f.partitions != nil {
+			f.partitions.checkReplica(n, act, reply)
+			return
+		}
 		e := f.engines[act.Replica.Name]
 		reply(2*fleetLatency, quarantine.Checked{Replica: act.Replica, Ended: e.dead && !f.partitioned(n.id.Zone, e.zone)})
 	case quarantine.StoreVerdict:
@@ -406,6 +414,10 @@
 			return Tick{}, true
 		}, func(error) step.Event { return Tick{} }, reply)
 	case owned.SendOrder:
+		if l := n.links[act.Engine]; l != linkWorks {
+			reply(l.connectDelay(), owned.OrderReply{Engine: act.Engine, Fence: act.Fence, Answer: orders.AnswerNotSent})
+			return
+		}
 		if f.notices != nil && f.notices.rejectOrder(n, boot, act, reply) {
 			return
 		}
@@ -415,6 +427,10 @@
 		f.sendOrder(n, act, reply)
 	case owned.QueryState:
 		sent := f.clock(n)
+		if l := n.links[act.Engine]; l != linkWorks {
+			reply(l.connectDelay(), owned.StateReply{Engine: act.Engine, Sent: sent, Err: errors.New("no connection")})
+			return
+		}
 		f.at(fleetLatency, func() {
 			e := f.engines[act.Engine]
 			if f.notices != nil && f.notices.rejectStateQuery(n, boot, e, sent, reply) {
@@ -456,6 +472,10 @@
 		if f.leaves != nil {
 			f.leaves.handleDispatch(n, act)
 		}
+		if f.partitions != nil {
+			f.partitions.serve(n, boot, act)
+			return
+		}
 		if f.crashes != nil {
 			f.crashes.serve(n, act, reply)
 			return
@@ -469,8 +489,15 @@
 			return
 		}
 		f.serve(act, reply)
+	case calls.Interrupt:
+		if f.partitions != nil {
+			f.partitions.interrupt(act.ID)
+		}
 	case calls.Finish:
 		f.refused++
+		if f.partitions != nil {
+			f.partitions.handleFinish(act)
+		}
 		if f.notices != nil {
 			f.notices.handleFinish(act)
 		}
@@ -488,7 +515,7 @@
 func (f *fleet) probe(n *fleetMember, boot uint64, a forwarding.ProbeEngine, reply func(time.Duration, step.Event)) {
 	e := f.engines[a.Engine]
 	sent := f.clock(n)
-	if e.dead || f.partitioned(n.id.Zone, e.zone) {
+	if e.dead || f.link(n, e) != linkWorks {
 		reply(a.Wait, forwarding.ProbeReply{Call: a.Call, Engine: a.Engine, Sent: sent, Err: errors.New("no answer")})
 		return
 	}
@@ -572,7 +599,10 @@
 
 // announce writes an engine's entry to the store.
 func (f *fleet) announce(e *fleetEngine) {
-	a := &pool.Announcement{Service: "llm", Address: cmp.Or(e.address, e.name), Zone: e.zone, Slots: 8, Engine: true, Born: fmt.Sprint(e.restarts), Leaving: e.leaving}
+	a := &pool.Announcement{
+		Service: cmp.Or(e.service, "llm"), Address: cmp.Or(e.address, e.name), Zone: e.zone, Slots: 8, Engine: e.service == "",
+		Born: fmt.Sprint(e.restarts), Leaving: e.leaving,
+	}
 	for _, m := range sortedKeys(e.models) {
 		a.Models = append(a.Models, pool.AnnouncedModel{Name: m})
 	}
--- /dev/null
+++ b/core/instance/partition_test.go
@@ -0,0 +1,527 @@
+package instance
+
+// Guards against calls that end at an instance without links to the replicas, although other
+// instances reach them.
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/birchdrift/birchdrift/core/attempt"
+	"github.com/birchdrift/birchdrift/core/bounds"
+	"github.com/birchdrift/birchdrift/core/calls"
+	"github.com/birchdrift/birchdrift/core/code"
+	"github.com/birchdrift/birchdrift/core/config"
+	"github.com/birchdrift/birchdrift/core/crash"
+	"github.com/birchdrift/birchdrift/core/logevent"
+	"github.com/birchdrift/birchdrift/core/option"
+	"github.com/birchdrift/birchdrift/core/quarantine"
+	"github.com/birchdrift/birchdrift/core/step"
+)
+
+// partitionSeeds is the number of seeds per storm. For a longer run, use -partition.seeds=50.
+var partitionSeeds = flag.Int("partition.seeds", 1, "number of seeds per storm with instances that are cut off from engines")
+
+// A linkFault is the way in which an instance's links to an engine fail.
+type linkFault int
+
+const (
+	linkWorks   linkFault = iota
+	linkHangs             // nothing arrives, neither on open nor on new connections
+	linkResets            // open connections are reset, new ones are refused
+	linkRefuses           // open connections live on, new ones are refused
+)
+
+const (
+	// unackedTimeout is how long bytes stay unacknowledged before a connection fails, and
+	// idleConnTimeout how long an idle one is kept, as in internal/upstream.
+	unackedTimeout  = 3 * time.Second
+	idleConnTimeout = 4 * time.Second
+	// plainDuration is the run time of a call at a plain replica.
+	plainDuration = 20 * time.Millisecond
+	// partitionDuration is the duration of a partition.
+	partitionDuration = 9 * time.Second
+	// partitionReturn is the time after a partition within which calls are served as before.
+	partitionReturn = 2 * time.Second
+)
+
+// The users' rule: while some instances are partitioned from all replicas, their first attempts
+// are served at least minServedRatio times as often as those of the others, or fail at most
+// maxFailures plus maxFailedShare of all first attempts. It applies from the settle time
+// (bounds.Bounds) after the start of the partition.
+const (
+	minServedRatio = 2. / 3
+	maxFailures    = 10
+	maxFailedShare = 1. / 50
+)
+
+// minPartitionedShare is the least ratio of the shares of calls that partitioned instances and the
+// others serve. It is a goal of this product, stricter than the users' rule.
+const minPartitionedShare = 0.95
+
+// link returns the state of the link between an instance and an engine.
+func (f *fleet) link(n *fleetMember, e *fleetEngine) linkFault {
+	if f.partitioned(n.id.Zone, e.zone) {
+		return linkHangs
+	}
+	return n.links[e.name]
+}
+
+// connectDelay returns how long a failing connection attempt takes.
+func (l linkFault) connectDelay() time.Duration {
+	if l == linkHangs {
+		return bounds.DialTimeout
+	}
+	return fleetLatency
+}
+
+// refuses reports whether new connections are refused.
+func (l linkFault) refuses() bool { return l == linkResets || l == linkRefuses }
+
+// A partitionHarness cuts instances off from engines, and records how calls end.
+type partitionHarness struct {
+	f         *fleet
+	calls     map[calls.ID]*partitionCall
+	order     []*partitionCall // in the order of arrival
+	flights   []*flight
+	idle      map[connKey][]time.Duration // when open connections became idle
+	cuts      []partition
+	mistaken  int // calls that ran although their answer says that they did not
+	restarted map[string]time.Duration
+}
+
+// A partitionCall is one call and what became of it.
+type partitionCall struct {
+	member  *fleetMember
+	at      time.Duration
+	kind    config.Kind
+	runs    int // runs at engines
+	served  bool
+	ended   bool
+	took    time.Duration
+	refusal code.Refusal
+}
+
+// A connKey identifies the connections of an instance to an engine.
+type connKey struct {
+	member string
+	boot   uint64
+	engine string
+}
+
+// A partition is a time during which some instances are cut off.
+type partition struct {
+	from, to time.Duration
+	members  map[*fleetMember]bool
+}
+
+// A flight is one attempt of a call.
+type flight struct {
+	n     *fleetMember
+	boot  uint64
+	e     *fleetEngine
+	d     calls.Dispatch
+	call  *partitionCall
+	began bool
+	done  bool
+}
+
+// newPartitionFleet returns the harness of a fleet in front of engines and of the plain replicas
+// of a service.
+func newPartitionFleet(seed uint64, members, engines int) *partitionHarness {
+	f := newFleetOf(seed, 0, engines, option.Disabled{}, false)
+	f.opt.ExchangeEvery = 500 * time.Millisecond
+	f.opt.ProbeWait = 20 * time.Millisecond
+	f.opt.RetrySlack = float64(50 + 2*members)
+	f.doc.Services = append(f.doc.Services, config.Service{Name: "app", Announced: &config.Announced{MaxConnections: 100}})
+	for name, kind := range map[string]config.Kind{"once": config.Once, "repeatable": config.Repeatable} {
+		f.doc.Forwards = append(f.doc.Forwards, config.Forward{
+			Name: name, Host: "app", Prefix: "/" + name + "/", Kind: kind, Timeout: time.Second, Target: 150 * time.Millisecond,
+			MaxAttempts: 2, Split: []config.Share{{Service: "app", Weight: 1}},
+		})
+	}
+	for i := range 4 {
+		e := &fleetEngine{name: fmt.Sprintf("p%d", i), zone: fmt.Sprintf("z%d", i%2), service: "app"}
+		f.engines[e.name] = e
+		f.announce(e)
+	}
+	f.addMembers(members)
+	h := &partitionHarness{
+		f: f, calls: map[calls.ID]*partitionCall{}, idle: map[connKey][]time.Duration{}, restarted: map[string]time.Duration{},
+	}
+	f.partitions = h
+	f.expireLeases()
+	f.run(6 * time.Second)
+	return h
+}
+
+// startCalls sends a call to a random instance every interval.
+func (h *partitionHarness) startCalls(interval time.Duration) {
+	h.f.at(interval, func() {
+		h.startCalls(interval)
+		if n := h.f.randomMember(); !n.dead && !n.frozen {
+			h.sendCall(n)
+		}
+	})
+}
+
+func (h *partitionHarness) sendCall(n *fleetMember) {
+	f := h.f
+	f.nextID()
+	r := calls.Request{ID: calls.ID(f.eventSeq), Replayable: true, Forward: &calls.ForwardRequest{
+		Name: fmt.Sprint(f.eventSeq), Fingerprint: crash.Fingerprint(f.eventSeq) << 32,
+	}}
+	c := &partitionCall{member: n, at: f.now}
+	switch draw := f.rng.Float64(); {
+	case draw < 0.6:
+		c.kind = config.Stream
+		r.Path = "/x"
+		r.PromptTokens = f.promptTokens
+		r.Forward.Host = "h"
+		r.Forward.Model = fmt.Sprintf("m%d", (int(f.now/(7*time.Second))+f.rng.IntN(4)*f.rng.IntN(2))%fleetModels)
+		if f.rng.Float64() < f.adapterShare {
+			r.Forward.Adapter = fmt.Sprintf("a%d", f.rng.IntN(4))
+		}
+	case draw < 0.85:
+		c.kind = config.Once
+	default:
+		c.kind = config.Repeatable
+	}
+	if c.kind != config.Stream {
+		r.Path = "/" + string(c.kind) + "/x"
+		r.Forward.Host = "app"
+		r.Forward.Deadline = 600 * time.Millisecond
+	}
+	h.calls[r.ID] = c
+	h.order = append(h.order, c)
+	f.step(n, n.boot, calls.Arrived{Call: r})
+}
+
+// serve carries out one attempt.
+func (h *partitionHarness) serve(n *fleetMember, boot uint64, d calls.Dispatch) {
+	fl := &flight{n: n, boot: boot, e: h.f.engines[d.Replica], d: d, call: h.calls[d.ID]}
+	h.flights = append(h.flights, fl)
+	reused := d.Repeatable && h.takeIdle(fl)
+	link := h.f.link(n, fl.e)
+	switch {
+	case fl.e.dead || link.refuses() && !reused:
+		h.fail(fl, fleetLatency, calls.AttemptFailed{Phase: attempt.NotSent, Unreachable: true, Detail: "connection refused"})
+	case link == linkHangs && !reused:
+		h.fail(fl, bounds.DialTimeout, calls.AttemptFailed{Phase: attempt.NotSent, Detail: "dial timeout"})
+	default:
+		h.f.at(fleetLatency, func() { h.transmit(fl, func() { h.arrive(fl) }) })
+	}
+}
+
+// takeIdle takes an idle connection, if there is one.
+func (h *partitionHarness) takeIdle(fl *flight) bool {
+	key := connKey{fl.n.id.Name, fl.boot, fl.e.name}
+	conns := h.idle[key]
+	for len(conns) > 0 && h.f.now-conns[0] >= idleConnTimeout {
+		conns = conns[1:]
+	}
+	if len(conns) == 0 {
+		h.idle[key] = nil
+		return false
+	}
+	h.idle[key] = conns[1:]
+	return true
+}
+
+// transmit calls do, once the link of an attempt works. If that takes too long, the attempt's
+// connection fails.
+func (h *partitionHarness) transmit(fl *flight, do func()) {
+	h.transmitUntil(fl, h.f.now+unackedTimeout, do)
+}
+
+func (h *partitionHarness) transmitUntil(fl *flight, deadline time.Duration, do func()) {
+	switch {
+	case fl.done:
+	case h.f.link(fl.n, fl.e) != linkHangs:
+		do()
+	case h.f.now >= deadline:
+		h.fail(fl, 0, calls.AttemptFailed{Phase: attempt.MaybeSent, Detail: "connection timed out"})
+	default:
+		h.f.at(50*time.Millisecond, func() { h.transmitUntil(fl, deadline, do) })
+	}
+}
+
+// arrive runs an attempt at its engine, or has the engine refuse it.
+func (h *partitionHarness) arrive(fl *flight) {
+	e, d := fl.e, fl.d
+	if e.dead {
+		h.fail(fl, 0, calls.AttemptFailed{Phase: attempt.MaybeSent, Severed: true})
+		return
+	}
+	if e.service == "" && (!e.models[d.Model] || d.Adapter != "" && !e.adapters[d.Model+"/"+d.Adapter]) {
+		h.fail(fl, fleetLatency, calls.AttemptFailed{Phase: attempt.Refused, Misdirected: true, Incarnation: d.Replica})
+		return
+	}
+	fl.call.runs++
+	if fl.call.ended && !fl.call.served && fl.call.refusal.Run == code.NotRun {
+		h.mistaken++
+	}
+	first, total := h.f.firstTokenDelay, 400*time.Millisecond
+	if e.service != "" {
+		first, total = plainDuration, plainDuration+time.Millisecond
+	}
+	h.f.at(first, func() { h.transmit(fl, func() { h.begin(fl) }) })
+	h.f.at(total, func() { h.transmit(fl, func() { h.complete(fl) }) })
+}
+
+func (h *partitionHarness) begin(fl *flight) {
+	if fl.done {
+		return
+	}
+	fl.began = true
+	h.f.step(fl.n, fl.boot, calls.AnswerBegan{ID: fl.d.ID})
+}
+
+func (h *partitionHarness) complete(fl *flight) {
+	if fl.done || fl.n.dead || fl.n.boot != fl.boot {
+		return
+	}
+	fl.done = true
+	fl.call.served = !fl.call.ended
+	fl.call.ended = true
+	fl.call.took = h.f.now - fl.call.at
+	h.f.served++
+	key := connKey{fl.n.id.Name, fl.boot, fl.e.name}
+	h.idle[key] = append(h.idle[key], h.f.now)
+	h.f.step(fl.n, fl.boot, calls.Completed{ID: fl.d.ID})
+}
+
+// fail ends an attempt after delay.
+func (h *partitionHarness) fail(fl *flight, delay time.Duration, failure calls.AttemptFailed) {
+	h.f.at(delay, func() {
+		if fl.done {
+			return
+		}
+		fl.done = true
+		failure.ID, failure.Attempt = fl.d.ID, fl.d.Attempt
+		if fl.began {
+			failure.Phase = attempt.Answered
+			failure.Delivered = 1
+		}
+		h.f.step(fl.n, fl.boot, failure)
+	})
+}
+
+// interrupt handles the cancellation of a call's attempt by its instance.
+func (h *partitionHarness) interrupt(id calls.ID) {
+	for _, fl := range h.flights {
+		if fl.d.ID == id && !fl.done {
+			h.fail(fl, 0, calls.AttemptFailed{Phase: attempt.MaybeSent, Detail: "canceled"})
+		}
+	}
+}
+
+func (h *partitionHarness) handleFinish(a calls.Finish) {
+	c := h.calls[a.ID]
+	for _, fl := range h.flights {
+		if fl.d.ID == a.ID {
+			fl.done = true
+		}
+	}
+	if c == nil || c.ended {
+		return
+	}
+	c.ended = true
+	c.refusal = a.Refusal
+	c.took = h.f.now - c.at
+	if a.Refusal.Run == code.NotRun && c.runs > 0 {
+		h.mistaken++
+	}
+}
+
+// cut cuts instances off from engines.
+func (h *partitionHarness) cut(members []*fleetMember, fault linkFault, affected func(e *fleetEngine) bool) {
+	for _, n := range members {
+		n.links = map[string]linkFault{}
+		for name, e := range h.f.engines {
+			if affected(e) {
+				n.links[name] = fault
+			}
+		}
+	}
+	if fault != linkResets {
+		return
+	}
+	for _, fl := range h.flights {
+		if !fl.done && fl.n.links[fl.e.name] == linkResets {
+			h.fail(fl, 0, calls.AttemptFailed{Phase: attempt.MaybeSent, Severed: true, Detail: "connection reset"})
+		}
+	}
+	clear(h.idle)
+}
+
+// partition cuts members off from all engines, and heals the partition after partitionDuration.
+func (h *partitionHarness) partition(members []*fleetMember, fault linkFault) {
+	p := partition{from: h.f.now, to: h.f.now + partitionDuration, members: map[*fleetMember]bool{}}
+	for _, n := range members {
+		p.members[n] = true
+	}
+	h.cuts = append(h.cuts, p)
+	h.cut(members, fault, func(*fleetEngine) bool { return true })
+	h.f.at(partitionDuration, func() {
+		for _, n := range members {
+			n.links = nil
+		}
+	})
+}
+
+// A servedCount counts calls and those that were served.
+type servedCount struct{ served, calls int }
+
+func (c servedCount) share() float64 { return float64(c.served) / float64(max(1, c.calls)) }
+
+// count counts the calls that arrived between two points in time at partitioned instances and at
+// the others. Instances that started after the partition began are left out.
+func (h *partitionHarness) count(p partition, from, to time.Duration) (partitioned, others servedCount) {
+	for _, c := range h.order {
+		if c.at < from || c.at >= to || c.member.thawedAt > p.from {
+			continue
+		}
+		count := &others
+		if p.members[c.member] {
+			count = &partitioned
+		}
+		count.calls++
+		if c.served {
+			count.served++
+		}
+	}
+	return partitioned, others
+}
+
+// A partitionReport is what callers saw of one partition.
+type partitionReport struct {
+	partitioned, others servedCount // while the users' rule applies
+	early               servedCount // at partitioned instances before that
+	after, afterOthers  servedCount // after partitionReturn
+	broken              bool        // the users' rule is broken
+}
+
+func (r partitionReport) ratio() float64 { return r.partitioned.share() / max(r.others.share(), 0.01) }
+
+func (h *partitionHarness) report(p partition) partitionReport {
+	var r partitionReport
+	settled := p.from + h.f.opt.Bounds.Settle
+	r.early, _ = h.count(p, p.from, settled)
+	r.partitioned, r.others = h.count(p, settled, p.to)
+	r.after, r.afterOthers = h.count(p, p.to+partitionReturn, p.to+partitionReturn+3*time.Second)
+	failed := float64(r.partitioned.calls - r.partitioned.served)
+	all := float64(r.partitioned.calls + r.others.calls)
+	r.broken = r.ratio() < minServedRatio && failed > maxFailures+maxFailedShare*all
+	return r
+}
+
+// check reports partitions during which calls were served worse at the partitioned instances,
+// calls that ran more often than they may, and requests that were put into quarantine.
+func (h *partitionHarness) check(t *testing.T, seed int) {
+	t.Helper()
+	for _, p := range h.cuts {
+		r := h.report(p)
+		t.Logf("seed %d, %d of %d cut off: %d of %d calls served there and %d of %d at the others (ratio %.2f); in the first %v %d of %d; after the return %d of %d, %d of %d at the others",
+			seed, len(p.members), len(h.f.names), r.partitioned.served, r.partitioned.calls, r.others.served, r.others.calls, r.ratio(),
+			h.f.opt.Bounds.Settle, r.early.served, r.early.calls, r.after.served, r.after.calls, r.afterOthers.served, r.afterOthers.calls)
+		if r.broken {
+			t.Errorf("seed %d: the users' rule is broken", seed)
+		}
+		if r.ratio() < minPartitionedShare {
+			t.Errorf("seed %d: ratio %.2f, want at least %.2f", seed, r.ratio(), minPartitionedShare)
+		}
+		if back := r.after.share() / max(r.afterOthers.share(), 0.01); back < minPartitionedShare {
+			t.Errorf("seed %d: ratio %.2f after the return, want at least %.2f", seed, back, minPartitionedShare)
+		}
+		if r.partitioned.calls < 100 || r.others.calls == 0 {
+			t.Errorf("seed %d: only %d and %d calls", seed, r.partitioned.calls, r.others.calls)
+		}
+	}
+	twice := 0
+	for _, c := range h.order {
+		if c.kind == config.Once && c.runs > 1 {
+			twice++
+		}
+	}
+	if twice > 0 || h.mistaken > 0 {
+		t.Errorf("seed %d: %d calls ran twice, %d ran although their answer says that they did not", seed, twice, h.mistaken)
+	}
+	if n := h.f.logCounts[logevent.RequestQuarantined]; n > 0 {
+		t.Errorf("seed %d: %d requests quarantined", seed, n)
+	}
+	for _, v := range h.f.violations {
+		t.Errorf("seed %d: %s", seed, v)
+	}
+}
+
+// checkReplica answers the check whether a process listens at an engine's address.
+func (h *partitionHarness) checkReplica(n *fleetMember, act quarantine.Check, reply func(time.Duration, step.Event)) {
+	e := h.f.engines[act.Replica.Name]
+	link := h.f.link(n, e)
+	reply(link.connectDelay(), quarantine.Checked{Replica: act.Replica, Ended: link.refuses() || e.dead && link == linkWorks})
+}
+
+// A partitionStorm is a scenario in which some instances are cut off from all engines.
+type partitionStorm struct {
+	name string
+	cut  func(f *fleet) []*fleetMember // the instances that are cut off
+	do   func(h *partitionHarness)     // further disturbances; nil: none
+}
+
+// firstMembers returns the instances that are cut off if share of them are.
+func firstMembers(share float64) func(f *fleet) []*fleetMember {
+	return func(f *fleet) []*fleetMember {
+		var out []*fleetMember
+		for _, name := range f.names[:max(1, int(share*float64(len(f.names))))] {
+			out = append(out, f.members[name])
+		}
+		return out
+	}
+}
+
+// membersOfZone returns the instances of zone z0.
+func membersOfZone(f *fleet) []*fleetMember {
+	var out []*fleetMember
+	for _, name := range f.names {
+		if f.members[name].id.Zone == "z0" {
+			out = append(out, f.members[name])
+		}
+	}
+	return out
+}
+
+var partitionStorms = []partitionStorm{
+	{"one instance", firstMembers(0), nil},
+	{"half of the instances", firstMembers(0.5), nil},
+	{"a zone", membersOfZone, nil},
+	{"all but one", func(f *fleet) []*fleetMember { return firstMembers(1)(f)[1:] }, nil},
+}
+
+var linkFaults = map[string]linkFault{"hang": linkHangs, "are reset": linkResets, "are refused": linkRefuses}
+
+// Guards against callers of instances that lost their links to all engines being served worse
+// than those of the others: each call was tried over the broken links until its time was over, and
+// no other instance was asked.
+func TestPartitionedInstancesServeTheirCallers(t *testing.T) {
+	for _, s := range partitionStorms {
+		for _, form := range sortedKeys(linkFaults) {
+			t.Run(s.name+", connections "+form, func(t *testing.T) {
+				t.Parallel()
+				for seed := range *partitionSeeds {
+					h := newPartitionFleet(uint64(seed+1), 8, 2*fleetEngines)
+					h.startCalls(7 * time.Millisecond)
+					if s.do != nil {
+						s.do(h)
+					}
+					h.f.run(5 * time.Second)
+					h.partition(s.cut(h.f), linkFaults[form])
+					h.f.run(partitionDuration + partitionReturn + 4*time.Second)
+					h.check(t, seed)
+				}
+			})
+		}
+	}
+}
