--- a/core/calls/event.go
+++ b/core/calls/event.go
@@ -5,6 +5,7 @@
 
 	"github.com/birchdrift/birchdrift/core/attempt"
 	"github.com/birchdrift/birchdrift/core/code"
+	"github.com/birchdrift/birchdrift/core/links"
 )
 
 // The events of calls.
@@ -45,7 +46,9 @@
 		// Relayable means that the replica answered with a complete error response that
 		// can be passed on to the caller.
 		Relayable bool
-		Detail    string // the cause, for logs and the refusal
+		// Relay says why the attempt was not relayed, if it was to be.
+		Relay  links.RelayFailure
+		Detail string // the cause, for logs and the refusal
 	}
 	// CallerGone reports that the caller closed its connection.
 	CallerGone struct{ ID ID }
@@ -70,10 +73,17 @@
 		After      time.Duration   // delay before sending
 		Stall      time.Duration   // time without data after which the attempt has failed
 		Forward    *ForwardAttempt // nil for calls of the product's own interface
+		// Relay is the instance that sends the attempt to the replica, nil if this one does.
+		Relay *RelayPeer
 		// Limited means that the replica had announced a rate limit. An answer that
 		// announces none then means that the limit has ended.
 		Limited bool
 	}
+	// A RelayPeer is the instance that relays an attempt.
+	RelayPeer struct {
+		Name    string
+		Address string // IP:port of its listener for peers
+	}
 	// A ForwardAttempt holds the additional fields in the Dispatch of a forwarded call.
 	ForwardAttempt struct {
 		ListAge  time.Duration // age of the platform's list that the choice was based on
@@ -81,9 +91,13 @@
 		Priority int           // priority rank sent to the replica; -1 sends none
 		Stream   bool          // the answer is a stream of events
 	}
-	// Interrupt aborts the current attempt of a call. It is answered by an
-	// AttemptFailed, like any failed attempt.
-	Interrupt struct{ ID ID }
+	// Interrupt aborts the current attempt of a call, unless something arrived from the
+	// replica within the last Silence. It is answered by an AttemptFailed, like any failed
+	// attempt.
+	Interrupt struct {
+		ID      ID
+		Silence time.Duration // 0: in any case
+	}
 	// Relay passes on the replica's complete error response, which the last
 	// AttemptFailed reported as Relayable.
 	Relay struct{ ID ID }
@@ -94,6 +108,14 @@
 	}
 )
 
+// PeerName returns the name of the instance, "" if p is nil.
+func (p *RelayPeer) PeerName() string {
+	if p == nil {
+		return ""
+	}
+	return p.Name
+}
+
 // IsEvent implements step.Event.
 func (Arrived) IsEvent() {}
 
--- a/core/exchange/exchange.go
+++ b/core/exchange/exchange.go
@@ -21,6 +21,7 @@
 	"github.com/birchdrift/birchdrift/core/demand"
 	"github.com/birchdrift/birchdrift/core/era"
 	"github.com/birchdrift/birchdrift/core/gossip"
+	"github.com/birchdrift/birchdrift/core/links"
 	"github.com/birchdrift/birchdrift/core/logevent"
 	"github.com/birchdrift/birchdrift/core/member"
 	"github.com/birchdrift/birchdrift/core/registry"
@@ -73,6 +74,7 @@
 	shared.State
 
 	Roster *watchers.Roster
+	Links  *links.Tracker
 
 	// Stopping reports whether a planned stop has begun.
 	Stopping func() bool
@@ -188,10 +190,12 @@
 		AckBoot:      known.boot,
 		Ack:          known.stamp,
 		Records:      x.Records.Delta(now, known.acked, peer, sameZone, known.storeRevision),
+		Relays:       true,
+		LostServices: x.Links.LostServices(),
 	}
 	msg.Demand = x.DemandFor(now, peer)
 	if x.Options.MeshEvery > 0 {
-		msg.Uses = x.Pool.OwnUsage(now)
+		msg.Uses = x.Pool.OwnUsage(msg.LostServices)
 	}
 	return msg
 }
@@ -243,6 +247,7 @@
 		x.storeAt = clock.Latest(x.storeAt, now.Add(-msg.StoreAge))
 	}
 	x.applyUses(now, msg)
+	x.Links.ObservePeer(now, msg.From, msg.Relays, msg.LostServices)
 	if len(msg.Demand) > 0 {
 		x.DemandHeard(now, msg.From, msg.Demand)
 	}
--- a/core/forwarding/attempts.go
+++ b/core/forwarding/attempts.go
@@ -25,7 +25,9 @@
 	if r == nil {
 		return
 	}
-	f.Links.Proven(now, r, c.Started)
+	if s.lastAttempt.relay == "" {
+		f.Links.Proven(now, r, c.Started)
+	}
 	f.Pool.AnswerBegan(now, r, uint64(c.ID))
 	if c.Item != "" && s.lastAttempt.onlyPrefill {
 		f.router.ObserveFirstEvent(s.request.size, s.lastAttempt.uncachedTokens, now.Since(c.Started))
@@ -48,7 +50,11 @@
 	if s.lastAttempt.replicaRestarted {
 		e.Severed = true // the replica ended, however the attempt failed here
 	}
-	f.updateReplica(now, c, e)
+	if s.lastAttempt.relay == "" {
+		f.updateReplica(now, c, e)
+	} else {
+		f.updateRelay(now, c, e)
+	}
 	c.History = c.History.WithFailure(e.Phase)
 	s.failed = failure{AttemptFailed: e, replica: c.Replica}
 	c.Replica = ""
@@ -159,6 +165,9 @@
 // earlier incarnation says nothing about a replica that has restarted since.
 func (f *Forwarder) updateReplica(now clock.Instant, c *calls.Call, e calls.AttemptFailed) {
 	r := f.Pool.Get(c.Replica)
+	if r != nil && answeredByReplica(e) && stateOf(c).lastAttempt.relay == "" {
+		f.Links.Proven(now, r, c.Started)
+	}
 	switch {
 	case r == nil:
 	case !r.HasCall(uint64(c.ID)):
@@ -181,7 +190,6 @@
 		}
 	case e.Phase == attempt.NotSent:
 		r.DropCall(uint64(c.ID))
-		r.MarkDown(now)
 		f.Links.Failed(now, r, !e.Unreachable)
 		if e.Unreachable {
 			f.Quarantine.ReplicaEnded(now, r.Incarnation())
@@ -197,6 +205,24 @@
 	}
 }
 
+// updateRelay updates what is known after a failed attempt that was relayed. Unless the replica
+// itself answered, it says nothing about the replica: the connections on either side of the relay
+// may have failed.
+func (f *Forwarder) updateRelay(now clock.Instant, c *calls.Call, e calls.AttemptFailed) {
+	f.Links.RelayFailed(now, stateOf(c).lastAttempt.relay, c.Replica, e.Relay)
+	switch r := f.Pool.Get(c.Replica); {
+	case answeredByReplica(e):
+		f.updateReplica(now, c, e)
+	case r != nil:
+		r.DropCall(uint64(c.ID))
+	}
+}
+
+// answeredByReplica reports whether an attempt failed by the replica's own complete answer.
+func answeredByReplica(e calls.AttemptFailed) bool {
+	return e.Phase == attempt.Refused || e.Misdirected || e.Relayable
+}
+
 // ReplicaRestarted interrupts the calls at a replica that has restarted: they ended with
 // its previous incarnation. Calls whose connections do not show that would otherwise wait
 // for an answer that cannot come.
--- a/core/forwarding/forwarding.go
+++ b/core/forwarding/forwarding.go
@@ -109,6 +109,7 @@
 	onlyPrefill      bool          // the engine was reading no other prompt
 	firstEventAt     clock.Instant // when the first event arrived
 	replicaRestarted bool          // the replica has restarted since
+	relay            string        // the instance that relays it, "" if this one sends it
 }
 
 // New returns a forwarder without any calls.
--- a/core/forwarding/place.go
+++ b/core/forwarding/place.go
@@ -8,6 +8,7 @@
 	"github.com/birchdrift/birchdrift/core/clock"
 	"github.com/birchdrift/birchdrift/core/config"
 	"github.com/birchdrift/birchdrift/core/crash"
+	"github.com/birchdrift/birchdrift/core/links"
 	"github.com/birchdrift/birchdrift/core/logevent"
 	"github.com/birchdrift/birchdrift/core/orderclient"
 	"github.com/birchdrift/birchdrift/core/orders"
@@ -38,6 +39,10 @@
 	if !ok {
 		best, ok = f.choose(now, s, query, candidates)
 	}
+	if !ok {
+		query.Way = f.way(now, true)
+		best, ok = f.choose(now, s, query, candidates)
+	}
 	if ok {
 		f.recordProbeBenefit(now, s, query, best)
 	}
@@ -105,6 +110,7 @@
 		Sure:     !f.Budget.Available(now, c.Service),
 		Salt:     uint64(c.ID) ^ f.Self.Boot,
 		ZoneCost: f.zoneCost,
+		Way:      f.way(now, false),
 		TurnCost: func(r *pool.Replica) time.Duration { return r.RateLimitDelay(now) },
 	}
 	if c.Item != "" {
@@ -113,6 +119,11 @@
 	return query
 }
 
+// way returns the function that says how this instance reaches a replica.
+func (f *Forwarder) way(now clock.Instant, lastResort bool) func(r *pool.Replica) links.Way {
+	return func(r *pool.Replica) links.Way { return f.Links.Way(now, r, lastResort) }
+}
+
 // silentZoneCost is added for replicas in a zone in which no instance answers, so that
 // calls go to other zones if they can. It is about the time that a call loses if it is
 // sent there and must be retried.
@@ -190,10 +201,12 @@
 // dispatch sends the call to the chosen replica.
 func (f *Forwarder) dispatch(now clock.Instant, c *calls.Call, e route.Estimate) {
 	s := stateOf(c)
+	relay := f.chooseRelay(now, e)
 	f.Calls.MarkSent(now, c, e.Replica)
 	s.lastAttempt = lastAttempt{
 		uncachedTokens: c.PromptTokens - e.Cached,
 		onlyPrefill:    e.Ahead == 0 && e.Calls <= maxCallsForSpeedSample,
+		relay:          relay.PeerName(),
 	}
 	e.Replica.StartPrefill(now, uint64(c.ID), pool.Prefill{Rank: s.route.Priority, Work: e.Prefill, Expected: e.Total()})
 	if c.Item != "" {
@@ -205,8 +218,23 @@
 		"rank", s.route.Priority, "target_ms", c.Target.Milliseconds(), "gap_ms", s.route.MaxEventGap.Milliseconds(), "tokens", c.PromptTokens,
 		"replica", c.Replica, "waited_ms", now.Since(c.Arrived).Milliseconds(), "ahead_ms", e.Ahead.Milliseconds(),
 		"prefill_ms", e.Prefill.Milliseconds(), "other_ms", e.Other.Milliseconds(), "cached", e.Cached, "calls_there", e.Calls,
-		"announced_ago_ms", now.Since(e.Replica.AnnouncedAt()).Milliseconds(), "list_age_ms", f.ListAge(now).Milliseconds(), "revision", f.Config.Revision())
-	f.Out.Emit(f.dispatchAction(now, c, e.Replica))
+		"announced_ago_ms", now.Since(e.Replica.AnnouncedAt()).Milliseconds(), "list_age_ms", f.ListAge(now).Milliseconds(), "revision", f.Config.Revision(),
+		"relay", s.lastAttempt.relay)
+	d := f.dispatchAction(now, c, e.Replica)
+	d.Relay = relay
+	f.Out.Emit(d)
+}
+
+// chooseRelay returns the instance that relays an attempt, nil if this one sends it.
+func (f *Forwarder) chooseRelay(now clock.Instant, e route.Estimate) *calls.RelayPeer {
+	if !e.Relayed {
+		return nil
+	}
+	p := f.Links.ChooseRelay(now, e.Replica)
+	if p == nil {
+		return nil
+	}
+	return &calls.RelayPeer{Name: p.Name, Address: p.Address}
 }
 
 // prefixCacheShare is the share of an engine's memory for prompts and answers that is
--- a/core/forwarding/probe.go
+++ b/core/forwarding/probe.go
@@ -74,8 +74,8 @@
 	p.initialChoice = best[0].Replica
 	p.sentAt = now
 	for _, e := range best {
-		if e.Replica.ReportAge(now) < ProbeMaxAge || rateLimited(now, e.Replica) {
-			continue // a probe would count against the rate limit
+		if e.Relayed || e.Replica.ReportAge(now) < ProbeMaxAge || rateLimited(now, e.Replica) {
+			continue // a probe would fail, or count against the rate limit
 		}
 		p.pending++
 		f.Out.Emit(ProbeEngine{Call: c.ID, Engine: e.Replica.Name, Address: e.Replica.Address, Wait: f.Options.ProbeWait})
--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -145,6 +145,10 @@
 	Demand []demand.Item
 	// Uses is the sender's calls in flight by replica; nil if it is not included.
 	Uses map[string]pool.Usage
+	// Relays reports that the sender relays attempts of calls for other instances (core/relay).
+	Relays bool
+	// LostServices are the services whose replicas the sender mostly cannot connect to.
+	LostServices []string
 	// WantConfig requests the configuration if the receiver's is newer.
 	WantConfig bool
 	// Config is the encoded configuration of Revision, if it was requested.
--- a/core/instance/announced_world_test.go
+++ b/core/instance/announced_world_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/birchdrift/birchdrift/core/attempt"
 	"github.com/birchdrift/birchdrift/core/bounds"
 	"github.com/birchdrift/birchdrift/core/calls"
 	"github.com/birchdrift/birchdrift/core/clock"
@@ -24,6 +25,7 @@
 	"github.com/birchdrift/birchdrift/core/exchange"
 	"github.com/birchdrift/birchdrift/core/forwarding"
 	"github.com/birchdrift/birchdrift/core/gossip"
+	"github.com/birchdrift/birchdrift/core/links"
 	"github.com/birchdrift/birchdrift/core/listing"
 	"github.com/birchdrift/birchdrift/core/logevent"
 	"github.com/birchdrift/birchdrift/core/member"
@@ -36,6 +38,7 @@
 	"github.com/birchdrift/birchdrift/core/pool"
 	"github.com/birchdrift/birchdrift/core/quarantine"
 	"github.com/birchdrift/birchdrift/core/registry"
+	"github.com/birchdrift/birchdrift/core/relay"
 	"github.com/birchdrift/birchdrift/core/step"
 	"github.com/birchdrift/birchdrift/core/watch"
 	"github.com/birchdrift/birchdrift/core/watchers"
@@ -62,6 +65,7 @@
 	loadTimes       []time.Duration // start times of the loads from the weight store
 	served          int
 	refused         int
+	relayed         int // attempts that were sent through another instance
 	orders          int
 	maxClaims       int // largest number of ownerships in one write
 	watches         int
@@ -113,6 +117,7 @@
 	orderReplies    map[uint64]func(owned.SendReply)
 	exchangeReplies map[uint64]func(gossip.Message)
 	permitReplies   map[uint64]func(permits.Decision)
+	relayReplies    map[uint64]func(relay.Decided)
 	token           uint64
 }
 
@@ -298,6 +303,7 @@
 	n.orderReplies = map[uint64]func(owned.SendReply){}
 	n.exchangeReplies = map[uint64]func(gossip.Message){}
 	n.permitReplies = map[uint64]func(permits.Decision){}
+	n.relayReplies = map[uint64]func(relay.Decided){}
 	n.m = New(n.id, f.opt, f.rng.Uint64())
 	f.tick(n, n.boot)
 }
@@ -415,7 +421,7 @@
 		}, func(error) step.Event { return Tick{} }, reply)
 	case owned.SendOrder:
 		if l := n.links[act.Engine]; l != linkWorks {
-			reply(l.connectDelay(), owned.OrderReply{Engine: act.Engine, Fence: act.Fence, Answer: orders.AnswerNotSent})
+			reply(l.connectDelay(), owned.OrderReply{Engine: act.Engine, Fence: act.Fence, Answer: orders.AnswerNotSent, TimedOut: !l.refuses()})
 			return
 		}
 		if f.notices != nil && f.notices.rejectOrder(n, boot, act, reply) {
@@ -468,30 +474,25 @@
 			delete(n.exchangeReplies, act.Token)
 			do(act.Message)
 		}
+	case links.Probe:
+		f.probeLink(n, act, reply)
+	case relay.Decided:
+		if do := n.relayReplies[act.Token]; do != nil {
+			delete(n.relayReplies, act.Token)
+			do(act)
+		}
 	case calls.Dispatch:
 		if f.leaves != nil {
 			f.leaves.handleDispatch(n, act)
 		}
-		if f.partitions != nil {
-			f.partitions.serve(n, boot, act)
-			return
-		}
-		if f.crashes != nil {
-			f.crashes.serve(n, act, reply)
-			return
-		}
-		if f.notices != nil {
-			f.notices.serve(n, boot, act, reply)
+		if act.Relay != nil {
+			f.relay(n, act, reply)
 			return
 		}
-		if f.limits != nil {
-			f.limits.serve(n, boot, act, reply)
-			return
-		}
-		f.serve(act, reply)
+		f.serveFrom(n, boot, act, reply)
 	case calls.Interrupt:
 		if f.partitions != nil {
-			f.partitions.interrupt(act.ID)
+			f.partitions.interrupt(act)
 		}
 	case calls.Finish:
 		f.refused++
@@ -511,6 +512,82 @@
 	}
 }
 
+// serveFrom carries out an attempt that the instance n sends, for itself or for another one. The
+// outcome is passed to reply.
+func (f *fleet) serveFrom(n *fleetMember, boot uint64, d calls.Dispatch, reply func(time.Duration, step.Event)) {
+	switch {
+	case f.partitions != nil:
+		f.partitions.serve(n, boot, d, reply)
+	case f.crashes != nil:
+		f.crashes.serve(n, d, reply)
+	case f.notices != nil:
+		f.notices.serve(n, boot, d, reply)
+	case f.limits != nil:
+		f.limits.serve(n, boot, d, reply)
+	default:
+		f.serve(d, reply)
+	}
+}
+
+// relay lets a peer carry out an attempt of n.
+func (f *fleet) relay(n *fleetMember, d calls.Dispatch, reply func(time.Duration, step.Event)) {
+	f.relayed++
+	p := f.members[d.Relay.Name]
+	if p == nil || p.dead || p.frozen || f.partitioned(n.id.Zone, p.id.Zone) {
+		reply(bounds.DialTimeout, calls.AttemptFailed{ID: d.ID, Attempt: d.Attempt, Relay: links.PeerUnreachable, Detail: "no connection to the peer"})
+		return
+	}
+	boot := p.boot
+	f.at(fleetLatency, func() {
+		p.token++
+		token := p.token
+		p.relayReplies[token] = func(decided relay.Decided) {
+			if decided.Failure != links.RelaySucceeded {
+				reply(fleetLatency, calls.AttemptFailed{ID: d.ID, Attempt: d.Attempt, Relay: decided.Failure, Detail: decided.Failure.String()})
+				return
+			}
+			f.serveFrom(p, boot, d, func(delay time.Duration, ev step.Event) {
+				f.at(delay, func() { f.endRelay(p, boot, token, ev) })
+				reply(delay+fleetLatency, ev)
+			})
+		}
+		f.step(p, boot, relay.Requested{Token: token, From: n.id.Name, Replica: d.Replica})
+	})
+}
+
+// endRelay reports the outcome of a relayed attempt to the instance that relayed it.
+func (f *fleet) endRelay(p *fleetMember, boot, token uint64, ev step.Event) {
+	switch e := ev.(type) {
+	case calls.Completed:
+		f.step(p, boot, relay.Ended{Token: token, Outcome: relay.Answered})
+	case calls.AttemptFailed:
+		outcome := relay.Unknown
+		switch {
+		case e.Unreachable:
+			outcome = relay.Refused
+		case e.Phase == attempt.NotSent:
+			outcome = relay.TimedOut
+		case e.Severed:
+			outcome = relay.Severed
+		}
+		f.step(p, boot, relay.Ended{Token: token, Outcome: outcome})
+	}
+}
+
+// probeLink connects to an engine's address.
+func (f *fleet) probeLink(n *fleetMember, a links.Probe, reply func(time.Duration, step.Event)) {
+	e := f.engines[a.Replica.Name]
+	link := f.link(n, e)
+	switch {
+	case link != linkWorks:
+		reply(link.connectDelay(), links.Probed{Replica: a.Replica, TimedOut: !link.refuses()})
+	case e.dead || e.gone:
+		reply(2*fleetLatency, links.Probed{Replica: a.Replica})
+	default:
+		reply(2*fleetLatency, links.Probed{Replica: a.Replica, Connected: true})
+	}
+}
+
 // probe simulates the probe of an engine's load. The engine reports no load.
 func (f *fleet) probe(n *fleetMember, boot uint64, a forwarding.ProbeEngine, reply func(time.Duration, step.Event)) {
 	e := f.engines[a.Engine]
--- a/core/instance/build.go
+++ b/core/instance/build.go
@@ -20,6 +20,7 @@
 	"github.com/birchdrift/birchdrift/core/ownership"
 	"github.com/birchdrift/birchdrift/core/permits"
 	"github.com/birchdrift/birchdrift/core/quarantine"
+	"github.com/birchdrift/birchdrift/core/relay"
 	"github.com/birchdrift/birchdrift/core/retrybudget"
 	"github.com/birchdrift/birchdrift/core/shared"
 	"github.com/birchdrift/birchdrift/core/shutdown"
@@ -50,6 +51,7 @@
 	m.buildPermits()
 	m.buildExchanges()
 	m.buildForwarding(tracker)
+	m.relay = relay.New(relay.Deps{State: m.state, Links: m.links, Quarantine: m.quarantine, Refusing: m.stop.Refusing})
 	switch opt.Environment {
 	case option.Platform:
 		m.env = m.platformEnvironment(tracker, totals)
@@ -70,6 +72,7 @@
 		FleetSize: func() (instances int, registered bool) { return m.env.fleetSize() },
 	}
 	m.stop = &shutdown.Controller{Options: m.state.Options, Out: m.state.Out, Calls: m.calls, HandOver: m.handOver}
+	m.stop.Relayed = func() int { return m.relay.Len() }
 }
 
 // handOver releases what other instances can take over, at a planned stop, and
@@ -99,6 +102,11 @@
 	o.orderClient.Resume = func(now clock.Instant, id calls.ID) { m.forwarding.OrderDone(now, id) }
 	o.roster.Instances = o.registry.Instances
 	o.owned.MayOrder = o.registry.MayOrderWithFence
+	o.owned.LinkFailed = func(now clock.Instant, engine string, timedOut bool) {
+		if r := m.state.Pool.Get(engine); r != nil {
+			m.links.Failed(now, r, timedOut)
+		}
+	}
 	o.owned.Published = func(now clock.Instant) { m.exchanges.TellSoon(now) }
 	o.owned.Answered = func(now clock.Instant, engine string, r orders.Request, outcome owned.Outcome, detail string) {
 		o.orderClient.HandleOutcome(now, orderclient.Key{Engine: engine, Request: r}, outcome, detail)
@@ -147,6 +155,7 @@
 	m.exchanges = exchange.New(exchange.Deps{
 		State:      m.state,
 		Roster:     m.orders.roster,
+		Links:      m.links,
 		Stopping:   m.stop.Started,
 		Listed:     m.listing.HandlePeerEntry,
 		Registered: m.orders.registry.Merge,
--- a/core/instance/lives_test.go
+++ b/core/instance/lives_test.go
@@ -236,7 +236,7 @@
 			c.late(h)
 			is.True(h.m.state.Pool.Get("e") == r) // the same incarnation
 			is.Equal(r.Announcement().Born, "2")
-			is.True(r.Usable() && !r.Down(h.now) && r.Phase("m0") == pool.Ready)
+			is.True(r.Usable() && !r.LinkBroken() && r.Phase("m0") == pool.Ready)
 			is.Equal(r.Failures(), 0)
 			is.Equal(r.Load(h.now).Waiting, 0)
 			is.Equal(len(h.call(2)), 1) // it still serves calls
--- a/core/instance/machine.go
+++ b/core/instance/machine.go
@@ -11,7 +11,8 @@
 //   - core/calls, core/forwarding: calls in progress and forwarded calls;
 //   - core/quarantine: requests that are not run because replicas crash under them;
 //   - core/notice: what replicas state about themselves in their responses;
-//   - core/links: the links of this instance to the replicas;
+//   - core/links, core/relay: the links of this instance to the replicas, and attempts that it
+//     sends for instances without such links;
 //   - core/permits: the rate limits of replicas, over all instances;
 //   - core/watch, core/watchers: the watch of the platform, and the choice of the
 //     instances that watch;
@@ -50,6 +51,7 @@
 	"github.com/birchdrift/birchdrift/core/ownership"
 	"github.com/birchdrift/birchdrift/core/permits"
 	"github.com/birchdrift/birchdrift/core/quarantine"
+	"github.com/birchdrift/birchdrift/core/relay"
 	"github.com/birchdrift/birchdrift/core/retrybudget"
 	"github.com/birchdrift/birchdrift/core/shared"
 	"github.com/birchdrift/birchdrift/core/shutdown"
@@ -65,6 +67,7 @@
 	notices    *notice.Tracker
 	permits    *permits.Permits
 	links      *links.Tracker
+	relay      *relay.Relay
 	forwarding *forwarding.Forwarder
 	listing    *listing.List
 	exchanges  *exchange.Exchanges
@@ -154,6 +157,12 @@
 		m.listing.HandleSelfReport(now, e)
 	case notice.Received:
 		m.notices.HandleNotice(now, e)
+	case links.Probed:
+		m.links.HandleProbed(now, e)
+	case relay.Requested:
+		m.relay.HandleRequest(now, e)
+	case relay.Ended:
+		m.relay.HandleEnded(now, e)
 	case permits.Reply:
 		m.permits.HandleReply(now, e)
 	case permits.RequestReceived:
--- a/core/instance/partition_test.go
+++ b/core/instance/partition_test.go
@@ -43,6 +43,8 @@
 	plainDuration = 20 * time.Millisecond
 	// partitionDuration is the duration of a partition.
 	partitionDuration = 9 * time.Second
+	// observedReturn is the time for which calls are counted after that.
+	observedReturn = 8 * time.Second
 	// partitionReturn is the time after a partition within which calls are served as before.
 	partitionReturn = 2 * time.Second
 )
@@ -119,13 +121,14 @@
 
 // A flight is one attempt of a call.
 type flight struct {
-	n     *fleetMember
-	boot  uint64
-	e     *fleetEngine
-	d     calls.Dispatch
-	call  *partitionCall
-	began bool
-	done  bool
+	sender *fleetMember // the instance that sends it to the engine
+	boot   uint64       // of the sender
+	e      *fleetEngine
+	d      calls.Dispatch
+	call   *partitionCall
+	reply  func(time.Duration, step.Event) // to the instance at which the call arrived
+	began  bool
+	done   bool
 }
 
 // newPartitionFleet returns the harness of a fleet in front of engines and of the plain replicas
@@ -135,6 +138,7 @@
 	f.opt.ExchangeEvery = 500 * time.Millisecond
 	f.opt.ProbeWait = 20 * time.Millisecond
 	f.opt.RetrySlack = float64(50 + 2*members)
+	f.adapterShare = 0.1 // more adapters than engines hold would fail calls whatever the links
 	f.doc.Services = append(f.doc.Services, config.Service{Name: "app", Announced: &config.Announced{MaxConnections: 100}})
 	for name, kind := range map[string]config.Kind{"once": config.Once, "repeatable": config.Repeatable} {
 		f.doc.Forwards = append(f.doc.Forwards, config.Forward{
@@ -200,8 +204,8 @@
 }
 
 // serve carries out one attempt.
-func (h *partitionHarness) serve(n *fleetMember, boot uint64, d calls.Dispatch) {
-	fl := &flight{n: n, boot: boot, e: h.f.engines[d.Replica], d: d, call: h.calls[d.ID]}
+func (h *partitionHarness) serve(n *fleetMember, boot uint64, d calls.Dispatch, reply func(time.Duration, step.Event)) {
+	fl := &flight{sender: n, boot: boot, e: h.f.engines[d.Replica], d: d, call: h.calls[d.ID], reply: reply}
 	h.flights = append(h.flights, fl)
 	reused := d.Repeatable && h.takeIdle(fl)
 	link := h.f.link(n, fl.e)
@@ -217,7 +221,7 @@
 
 // takeIdle takes an idle connection, if there is one.
 func (h *partitionHarness) takeIdle(fl *flight) bool {
-	key := connKey{fl.n.id.Name, fl.boot, fl.e.name}
+	key := connKey{fl.sender.id.Name, fl.boot, fl.e.name}
 	conns := h.idle[key]
 	for len(conns) > 0 && h.f.now-conns[0] >= idleConnTimeout {
 		conns = conns[1:]
@@ -239,7 +243,7 @@
 func (h *partitionHarness) transmitUntil(fl *flight, deadline time.Duration, do func()) {
 	switch {
 	case fl.done:
-	case h.f.link(fl.n, fl.e) != linkHangs:
+	case h.f.link(fl.sender, fl.e) != linkHangs:
 		do()
 	case h.f.now >= deadline:
 		h.fail(fl, 0, calls.AttemptFailed{Phase: attempt.MaybeSent, Detail: "connection timed out"})
@@ -276,11 +280,15 @@
 		return
 	}
 	fl.began = true
-	h.f.step(fl.n, fl.boot, calls.AnswerBegan{ID: fl.d.ID})
+	fl.reply(0, calls.AnswerBegan{ID: fl.d.ID})
 }
 
 func (h *partitionHarness) complete(fl *flight) {
-	if fl.done || fl.n.dead || fl.n.boot != fl.boot {
+	if fl.done {
+		return
+	}
+	if fl.sender.dead || fl.sender.boot != fl.boot {
+		h.fail(fl, 0, calls.AttemptFailed{Phase: attempt.MaybeSent, Detail: "connection reset"})
 		return
 	}
 	fl.done = true
@@ -288,9 +296,9 @@
 	fl.call.ended = true
 	fl.call.took = h.f.now - fl.call.at
 	h.f.served++
-	key := connKey{fl.n.id.Name, fl.boot, fl.e.name}
+	key := connKey{fl.sender.id.Name, fl.boot, fl.e.name}
 	h.idle[key] = append(h.idle[key], h.f.now)
-	h.f.step(fl.n, fl.boot, calls.Completed{ID: fl.d.ID})
+	fl.reply(0, calls.Completed{ID: fl.d.ID})
 }
 
 // fail ends an attempt after delay.
@@ -305,14 +313,14 @@
 			failure.Phase = attempt.Answered
 			failure.Delivered = 1
 		}
-		h.f.step(fl.n, fl.boot, failure)
+		fl.reply(0, failure)
 	})
 }
 
 // interrupt handles the cancellation of a call's attempt by its instance.
-func (h *partitionHarness) interrupt(id calls.ID) {
+func (h *partitionHarness) interrupt(a calls.Interrupt) {
 	for _, fl := range h.flights {
-		if fl.d.ID == id && !fl.done {
+		if fl.d.ID == a.ID && !fl.done {
 			h.fail(fl, 0, calls.AttemptFailed{Phase: attempt.MaybeSent, Detail: "canceled"})
 		}
 	}
@@ -350,7 +358,7 @@
 		return
 	}
 	for _, fl := range h.flights {
-		if !fl.done && fl.n.links[fl.e.name] == linkResets {
+		if !fl.done && fl.sender.links[fl.e.name] == linkResets {
 			h.fail(fl, 0, calls.AttemptFailed{Phase: attempt.MaybeSent, Severed: true, Detail: "connection reset"})
 		}
 	}
@@ -411,7 +419,7 @@
 	settled := p.from + h.f.opt.Bounds.Settle
 	r.early, _ = h.count(p, p.from, settled)
 	r.partitioned, r.others = h.count(p, settled, p.to)
-	r.after, r.afterOthers = h.count(p, p.to+partitionReturn, p.to+partitionReturn+3*time.Second)
+	r.after, r.afterOthers = h.count(p, p.to+partitionReturn, p.to+partitionReturn+observedReturn)
 	failed := float64(r.partitioned.calls - r.partitioned.served)
 	all := float64(r.partitioned.calls + r.others.calls)
 	r.broken = r.ratio() < minServedRatio && failed > maxFailures+maxFailedShare*all
@@ -512,13 +520,13 @@
 				t.Parallel()
 				for seed := range *partitionSeeds {
 					h := newPartitionFleet(uint64(seed+1), 8, 2*fleetEngines)
-					h.startCalls(7 * time.Millisecond)
+					h.startCalls(5 * time.Millisecond)
 					if s.do != nil {
 						s.do(h)
 					}
 					h.f.run(5 * time.Second)
 					h.partition(s.cut(h.f), linkFaults[form])
-					h.f.run(partitionDuration + partitionReturn + 4*time.Second)
+					h.f.run(partitionDuration + partitionReturn + observedReturn + time.Second)
 					h.check(t, seed)
 				}
 			})
--- a/core/links/links.go
+++ b/core/links/links.go
@@ -1,13 +1,15 @@
 // Package links tracks which replicas this instance reaches over its own links.
 //
 // That an instance cannot connect to a replica says nothing about the replica: the instance may
-// be partitioned from it while others are not. A replica that has ended is unreachable from all
-// instances; a broken link concerns one.
+// be partitioned from it while others are not. A link that failed is therefore a state of its
+// own, apart from what is known of the replica. It lasts until a connection succeeds: the
+// tracker probes the broken links, so that no call has to find out whether they work again.
 package links
 
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/birchdrift/birchdrift/core/clock"
 	"github.com/birchdrift/birchdrift/core/logevent"
@@ -27,39 +29,103 @@
 // A Tracker tracks an instance's links.
 type Tracker struct {
 	shared.State
-	services map[string]*serviceLinks
+	services  map[string]*serviceLinks
+	probes    probes
+	peers     map[string]*peerLinks
+	cache     candidateCache
+	updateDue clock.Instant
 }
 
 // serviceLinks is the state of the links to the replicas of one service.
 type serviceLinks struct {
-	unreachable int           // replicas
-	lostSince   clock.Instant // since when most replicas are unreachable; zero: they are not
-	failed      int           // connection attempts that failed since then
+	unreachable int             // replicas
+	lost        bool            // most replicas are unreachable
+	lostSince   clock.Instant   // when lost last became true
+	failed      int             // connection attempts that failed since then
+	failedAt    clock.Instant   // when connecting to a replica failed last
+	suspects    map[string]bool // replicas to which connecting failed since a link last proved to work
+	timedOut    bool            // one of these attempts timed out
 }
 
 // New returns a tracker without any links.
 func New(state shared.State) *Tracker {
-	return &Tracker{State: state, services: map[string]*serviceLinks{}}
+	return &Tracker{State: state, services: map[string]*serviceLinks{}, probes: newProbes(), peers: map[string]*peerLinks{}}
 }
 
-// Failed records that a connection to a replica could not be established.
+// Failed records that a connection to a replica could not be established. timedOut means that
+// nothing answered, as opposed to a refusal.
 func (t *Tracker) Failed(now clock.Instant, r *pool.Replica, timedOut bool) {
 	r.LinkFailed(now, timedOut)
-	t.service(r.Service).failed++
+	s := t.service(r.Service)
+	s.failed++
+	s.failedAt = now
+	s.suspects[r.Name] = true
+	s.timedOut = s.timedOut || timedOut
+	t.probes.add(now, r)
+	if t.Doubtful(r.Service) {
+		t.probeOthers(now, r.Service)
+	}
 	t.update(now, r.Service)
 }
 
-// Proven records that a replica answered a request that was sent at sent.
+// Proven records that a replica answered a request, or accepted a connection, that was sent at
+// sent.
 func (t *Tracker) Proven(now clock.Instant, r *pool.Replica, sent clock.Instant) {
 	broken := r.LinkBroken()
 	r.LinkProven(now, sent)
-	if broken && !r.LinkBroken() {
+	if r.LinkBroken() {
+		return
+	}
+	s := t.service(r.Service)
+	if !sent.Before(s.failedAt) {
+		s.timedOut = false
+		clear(s.suspects)
+	}
+	if broken {
 		t.update(now, r.Service)
 	}
 }
 
-// Tick accounts for replicas that were announced or have left.
+// minRefusals is the number of replicas that must refuse connections, while none accepts one,
+// for the links to be in doubt: a single one has probably ended.
+const minRefusals = 2
+
+// Doubtful reports whether the links to a service are in doubt: connecting to a replica timed
+// out, or several replicas refused connections, and no link has proved to work since.
+func (t *Tracker) Doubtful(service string) bool {
+	s := t.services[service]
+	return s != nil && len(s.suspects) > 0 && (s.timedOut || len(s.suspects) >= minRefusals)
+}
+
+// Lost reports whether this instance cannot connect to most replicas of a service.
+func (t *Tracker) Lost(service string) bool {
+	s := t.services[service]
+	return s != nil && s.lost
+}
+
+// LostServices returns the services whose replicas this instance mostly cannot connect to.
+func (t *Tracker) LostServices() []string {
+	var out []string
+	for name, s := range t.services {
+		if s.lost {
+			out = append(out, name)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// updateInterval is the time between two checks for replicas that were announced or have left.
+const updateInterval = 100 * time.Millisecond
+
+// Tick probes broken links, and accounts for replicas that were announced or have left.
 func (t *Tracker) Tick(now clock.Instant) {
+	t.sendProbes(now)
+	if now.Before(t.updateDue) {
+		return
+	}
+	t.updateDue = now.Add(updateInterval)
+	t.prunePeers(now)
 	for _, service := range slices.Sorted(maps.Keys(t.services)) {
 		t.update(now, service)
 	}
@@ -68,7 +134,7 @@
 func (t *Tracker) service(name string) *serviceLinks {
 	s := t.services[name]
 	if s == nil {
-		s = &serviceLinks{}
+		s = &serviceLinks{suspects: map[string]bool{}}
 		t.services[name] = s
 	}
 	return s
@@ -85,14 +151,14 @@
 	}
 	lost := 2*unreachable > replicas
 	switch {
-	case lost && s.lostSince.IsZero():
+	case lost && !s.lost:
 		s.lostSince = now
 		t.Out.Log(logevent.LinksLost, "service", service, "unreachable", unreachable, "replicas", replicas)
-	case !lost && !s.lostSince.IsZero():
+	case !lost && s.lost:
 		t.Out.Log(logevent.LinksBack, "service", service, "lasted_ms", now.Since(s.lostSince).Milliseconds(), "failed", s.failed)
-		s.lostSince = clock.Instant{}
 		s.failed = 0
 	}
+	s.lost = lost
 }
 
 // count returns how many usable replicas a service has, and how many of them are unreachable.
--- a/core/links/links_test.go
+++ b/core/links/links_test.go
@@ -1,6 +1,7 @@
 package links
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -61,3 +62,152 @@
 	tracker.Tick(at(5 * time.Second))
 	is.Equal(tracker.events(), []logevent.Number{logevent.LinksLost})
 }
+
+// addPeer adds a peer that relays attempts and that reported just before start.
+func (t *Tracker) addPeer(name, zone string, lost ...string) {
+	t.Members.Upsert(name, zone, name)
+	t.Members.MarkHeard(start, name)
+	t.ObservePeer(start, name, true, lost)
+}
+
+// TestWay checks how an instance reaches the replica a of three replicas.
+func TestWay(t *testing.T) {
+	cases := []struct {
+		name       string
+		prepare    func(t *Tracker)
+		lastResort bool
+		want       Way
+	}{
+		{"nothing failed", func(*Tracker) {}, false, Direct},
+		{"another replica timed out", func(t *Tracker) { t.Failed(start, t.Pool.Get("b"), true) }, false, Relayed},
+		{"another replica refused", func(t *Tracker) { t.Failed(start, t.Pool.Get("b"), false) }, false, Direct},
+		{"two others refused", func(t *Tracker) {
+			t.Failed(start, t.Pool.Get("b"), false)
+			t.Failed(start, t.Pool.Get("c"), false)
+		}, false, Relayed},
+		{"another timed out, and one answered since", func(t *Tracker) {
+			t.Failed(start, t.Pool.Get("b"), true)
+			t.Proven(start.Add(1), t.Pool.Get("c"), start)
+		}, false, Direct},
+		{"it refused", func(t *Tracker) { t.Failed(start, t.Pool.Get("a"), false) }, false, Unreachable},
+		{"it refused, and nothing else can serve the call", func(t *Tracker) { t.Failed(start, t.Pool.Get("a"), false) }, true, Relayed},
+		{"it timed out, and others answered since", func(t *Tracker) {
+			t.Failed(start, t.Pool.Get("a"), true)
+			t.Proven(start.Add(1), t.Pool.Get("c"), start)
+		}, false, Unreachable},
+		{"most timed out, and another answered since", func(t *Tracker) {
+			t.Failed(start, t.Pool.Get("a"), true)
+			t.Failed(start, t.Pool.Get("b"), true)
+			t.Proven(start.Add(1), t.Pool.Get("c"), start)
+		}, false, Relayed},
+		{"it timed out, and the peer cannot reach it either", func(t *Tracker) {
+			t.Failed(start, t.Pool.Get("a"), true)
+			t.RelayFailed(start, "peer", "a", ReplicaUnreachable)
+		}, true, Unreachable},
+		{"it timed out, and the peer reports that it cannot reach it", func(t *Tracker) {
+			t.Failed(start, t.Pool.Get("a"), true)
+			t.Pool.ObservePeerUsage(start, "peer", map[string]pool.Usage{"a": {Unreachable: true}})
+		}, true, Unreachable},
+		{"it timed out, and the peer has lost the service", func(t *Tracker) {
+			t.Failed(start, t.Pool.Get("a"), true)
+			t.ObservePeer(start, "peer", true, []string{"app"})
+		}, true, Unreachable},
+		{"it timed out, and the peer does not answer", func(t *Tracker) {
+			t.Failed(start, t.Pool.Get("a"), true)
+			t.Members.MarkFailed(start, "peer")
+		}, true, Unreachable},
+		{"it timed out, and the peer does not relay", func(t *Tracker) {
+			t.Failed(start, t.Pool.Get("a"), true)
+			t.ObservePeer(start, "peer", false, nil)
+		}, true, Unreachable},
+		{"another timed out, and no peer reaches it", func(t *Tracker) {
+			t.Failed(start, t.Pool.Get("b"), true)
+			t.ObservePeer(start, "peer", true, []string{"app"})
+		}, false, Direct},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			tracker := newTracker("a", "b", "c")
+			tracker.addPeer("peer", "z")
+			c.prepare(tracker)
+			is.New(t).Equal(tracker.Way(start, tracker.Pool.Get("a"), c.lastResort), c.want)
+		})
+	}
+}
+
+// TestChooseRelay checks that attempts are spread over the peers that reach the replica, with more
+// at those of the same zone, and that a peer that failed is left out for a time.
+func TestChooseRelay(t *testing.T) {
+	is := is.New(t)
+	tracker := newTracker("a", "b", "c")
+	tracker.addPeer("near", "z")
+	tracker.addPeer("far", "other")
+	tracker.addPeer("lost", "z", "app")
+	tracker.Failed(start, tracker.Pool.Get("a"), true)
+	chosen := func(now clock.Instant) map[string]int {
+		n := map[string]int{}
+		for range 300 {
+			if p := tracker.ChooseRelay(now, tracker.Pool.Get("a")); p != nil {
+				n[p.Name]++
+			}
+		}
+		return n
+	}
+	n := chosen(start)
+	is.Equal(n["near"]+n["far"], 300)
+	is.True(n["near"] > n["far"])
+	is.True(n["far"] > 50)
+	tracker.RelayFailed(start, "near", "a", PeerUnreachable)
+	is.Equal(chosen(start), map[string]int{"far": 300})
+	is.Equal(len(chosen(start.Add(peerBackoff))), 2)
+	later := start.Add(reportTTL + time.Second)
+	tracker.ObservePeer(later, "far", true, nil)
+	is.Equal(chosen(later), map[string]int{"far": 300}) // the others were not heard of lately
+	is.True(chosen(later.Add(reportTTL + time.Second))["near"] > 0)
+}
+
+// probed answers the probes of this step, each with the given result.
+func (t *Tracker) probed(now clock.Instant, connected bool) (replicas []string) {
+	for _, a := range t.Out.Actions() {
+		if p, ok := a.(Probe); ok {
+			replicas = append(replicas, p.Replica.Name)
+		}
+	}
+	t.Out.Reset()
+	for _, name := range replicas {
+		t.HandleProbed(now, Probed{Replica: t.Pool.Get(name).Incarnation(), Connected: connected, TimedOut: !connected})
+	}
+	return replicas
+}
+
+// TestProbes checks that a broken link is probed until it works, ever more seldom, and that links
+// in doubt are probed at once.
+func TestProbes(t *testing.T) {
+	is := is.New(t)
+	tracker := newTracker("a", "b", "c")
+	tracker.Failed(start, tracker.Pool.Get("a"), true)
+	tracker.Tick(start)
+	is.Equal(len(tracker.probed(start, true)), 2) // b and c: the links are in doubt
+	is.True(!tracker.Doubtful("app"))
+	is.True(tracker.Pool.Get("a").LinkBroken())
+	var at []time.Duration
+	for d := time.Duration(0); d < 10*time.Second; d += 10 * time.Millisecond {
+		tracker.Tick(start.Add(d))
+		if slices.Contains(tracker.probed(start.Add(d), false), "a") {
+			at = append(at, d)
+		}
+	}
+	is.Equal(at[0], firstProbeDelay)
+	for i := range at[1:] {
+		is.True(at[i+1]-at[i] < 2*maxProbeDelay)
+	}
+	is.True(len(at) >= 9)
+	is.True(len(at) <= 15)
+	for d := 10 * time.Second; d < 12*time.Second; d += 10 * time.Millisecond {
+		tracker.Tick(start.Add(d))
+		tracker.probed(start.Add(d), true)
+	}
+	is.True(!tracker.Pool.Get("a").LinkBroken())
+	tracker.Tick(start.Add(20 * time.Second))
+	is.Equal(tracker.probed(start.Add(20*time.Second), true), nil)
+}
--- /dev/null
+++ b/core/links/peers.go
@@ -0,0 +1,199 @@
+package links
+
+import (
+	"slices"
+	"time"
+
+	"github.com/birchdrift/birchdrift/core/clock"
+	"github.com/birchdrift/birchdrift/core/member"
+	"github.com/birchdrift/birchdrift/core/pool"
+)
+
+// The links of other instances, and the choice of the instance that relays an attempt.
+
+const (
+	// reportTTL is how long a peer's report of the services that it cannot reach counts.
+	reportTTL = 3 * time.Second
+	// peerTTL is how long a peer that was not heard of may be asked to relay an attempt if
+	// there is no better one: in a large fleet an instance hears of few peers in reportTTL.
+	peerTTL = time.Minute
+	// peerBackoff is how long a peer that did not answer is not asked again, and
+	// replicaBackoff the same for a replica that the peer could not reach.
+	peerBackoff    = time.Second
+	replicaBackoff = time.Second
+	// busyBackoff is how long a peer that has too many attempts to relay is not asked again.
+	busyBackoff = 100 * time.Millisecond
+	// candidateTTL is how long the candidates for a service are reused.
+	candidateTTL = 20 * time.Millisecond
+	// ownZoneWeight is how much more often a peer of this instance's zone is chosen than one of
+	// another zone.
+	ownZoneWeight = 2
+)
+
+// A Way is how this instance reaches a replica.
+type Way int
+
+// The ways.
+const (
+	Unreachable Way = iota // not at all
+	Direct                 // over its own link
+	Relayed                // through another instance
+)
+
+// A RelayFailure says why an attempt was not relayed.
+type RelayFailure int
+
+// The relay failures.
+const (
+	RelaySucceeded     RelayFailure = iota
+	PeerUnreachable                 // the peer did not answer, or does not relay attempts
+	PeerBusy                        // the peer relays too many attempts, or stops
+	ReplicaUnreachable              // the peer does not reach the replica either, or may not send to it
+)
+
+// String returns the failure as it is logged.
+func (f RelayFailure) String() string {
+	return [...]string{"", "peer_unreachable", "peer_busy", "replica_unreachable"}[f]
+}
+
+// peerLinks is what this instance knows of the links of a peer.
+type peerLinks struct {
+	heardAt      clock.Instant
+	relays       bool                     // it relays attempts of other instances
+	lost         []string                 // services whose replicas it mostly cannot reach
+	backoffUntil clock.Instant            // it is not asked until then
+	replicas     map[string]clock.Instant // replicas that it could not reach, and until when that counts
+}
+
+// ObservePeer records what a peer reported of its links.
+func (t *Tracker) ObservePeer(now clock.Instant, peer string, relays bool, lost []string) {
+	p := t.peers[peer]
+	if p == nil {
+		p = &peerLinks{replicas: map[string]clock.Instant{}}
+		t.peers[peer] = p
+	}
+	p.heardAt = now
+	p.relays = relays
+	p.lost = lost
+}
+
+// PeerLost reports whether a peer reported that it cannot reach most replicas of a service.
+func (t *Tracker) PeerLost(now clock.Instant, peer, service string) bool {
+	p := t.peers[peer]
+	return p != nil && now.Since(p.heardAt) <= reportTTL && slices.Contains(p.lost, service)
+}
+
+// RelayFailed records that a peer did not relay an attempt to a replica.
+func (t *Tracker) RelayFailed(now clock.Instant, peer, replica string, reason RelayFailure) {
+	p := t.peers[peer]
+	if p == nil {
+		return
+	}
+	t.cache = candidateCache{}
+	switch reason {
+	case PeerUnreachable:
+		p.backoffUntil = now.Add(peerBackoff)
+	case PeerBusy:
+		p.backoffUntil = now.Add(busyBackoff)
+	case ReplicaUnreachable:
+		p.replicas[replica] = now.Add(replicaBackoff)
+	}
+}
+
+// Way returns how this instance reaches a replica now. A replica with a broken link is reached
+// through another instance if this instance has lost most links to its service, or if it is the
+// last resort: otherwise the replica has probably ended.
+func (t *Tracker) Way(now clock.Instant, r *pool.Replica, lastResort bool) Way {
+	doubtful := t.Doubtful(r.Service)
+	switch {
+	case !r.LinkBroken() && !doubtful:
+		return Direct
+	case (doubtful || t.Lost(r.Service) || lastResort) && t.relayable(now, r):
+		return Relayed
+	case !r.LinkBroken():
+		return Direct
+	default:
+		return Unreachable
+	}
+}
+
+// ChooseRelay returns the peer that should relay an attempt to a replica, nil if there is none.
+func (t *Tracker) ChooseRelay(now clock.Instant, r *pool.Replica) *member.Peer {
+	var peers []*member.Peer
+	total := 0.
+	for _, p := range t.candidates(now, r.Service) {
+		if t.reaches(now, p, r) {
+			peers = append(peers, p)
+			total += t.weight(p)
+		}
+	}
+	draw := t.Rand.Float64() * total
+	for _, p := range peers {
+		if draw -= t.weight(p); draw < 0 {
+			return p
+		}
+	}
+	return nil
+}
+
+// weight returns how often a peer is chosen, relative to others.
+func (t *Tracker) weight(p *member.Peer) float64 {
+	if p.Zone == t.Self.Zone {
+		return ownZoneWeight
+	}
+	return 1
+}
+
+// relayable reports whether a peer may relay an attempt to a replica.
+func (t *Tracker) relayable(now clock.Instant, r *pool.Replica) bool {
+	return slices.ContainsFunc(t.candidates(now, r.Service), func(p *member.Peer) bool { return t.reaches(now, p, r) })
+}
+
+// reaches reports whether a candidate reaches a replica, as far as this instance knows.
+func (t *Tracker) reaches(now clock.Instant, p *member.Peer, r *pool.Replica) bool {
+	return !r.UnreachableFrom(now, p.Name) && !now.Before(t.peers[p.Name].replicas[r.Name])
+}
+
+// A candidateCache holds the candidates that were last computed.
+type candidateCache struct {
+	at        clock.Instant
+	byService map[string][]*member.Peer
+}
+
+// candidates returns the peers that may relay attempts to the replicas of a service: those that
+// reported lately, or if there are none, those that relayed attempts when last heard of.
+func (t *Tracker) candidates(now clock.Instant, service string) []*member.Peer {
+	if t.cache.byService == nil || now.Since(t.cache.at) >= candidateTTL {
+		t.cache = candidateCache{at: now, byService: map[string][]*member.Peer{}}
+	}
+	peers, ok := t.cache.byService[service]
+	if !ok {
+		peers = t.peersHeardWithin(now, service, reportTTL)
+		if len(peers) == 0 {
+			peers = t.peersHeardWithin(now, service, peerTTL)
+		}
+		t.cache.byService[service] = peers
+	}
+	return peers
+}
+
+func (t *Tracker) peersHeardWithin(now clock.Instant, service string, span time.Duration) []*member.Peer {
+	var out []*member.Peer
+	for _, p := range t.Members.Peers() {
+		l := t.peers[p.Name]
+		if l == nil || !l.relays || p.Failing() || now.Since(l.heardAt) > span || now.Before(l.backoffUntil) || t.PeerLost(now, p.Name, service) {
+			continue
+		}
+		out = append(out, p)
+	}
+	return out
+}
+
+// prunePeers forgets the peers that are not members any more.
+func (t *Tracker) prunePeers(now clock.Instant) {
+	for name, p := range t.peers {
+		if now.Since(p.heardAt) > peerTTL {
+			delete(t.peers, name)
+		}
+	}
+}
--- a/core/logevent/logevent.go
+++ b/core/logevent/logevent.go
@@ -80,6 +80,7 @@
 	QuarantineNotKept  Number = 1813
 	PermitFailed       Number = 1814
 	RetryCharged       Number = 1815
+	CallRelayed        Number = 1816
 	Bug                Number = 1901
 )
 
@@ -177,5 +178,6 @@
 	{QuarantineNotKept, "quarantine_not_kept", "Writing a quarantine to the platform's store failed; it is retried. All running instances know of the quarantine.", "Check the platform if it persists."},
 	{PermitFailed, "permit_failed", "The coordinator of the permits of a rate-limited replica did not respond; another peer is asked.", "Check the network between the instances if it persists."},
 	{RetryCharged, "retry_charged", "A retry of a forwarded call was charged to the retry budget of its service: to the part of this instance, or to that of the instance `by`, which lent it (`part`); `calls` and `retries` are those of this instance within the window, `left` is what it has left.", "None; `birchctl losses` adds up the retries of all instances."},
+	{CallRelayed, "call_relayed", "This instance sends an attempt of a call to a replica on behalf of the instance `from`, which cannot connect to it, or refuses to (`failure`).", "None; many mean that the instance `from` has lost its links, see event 1509 there."},
 	{Bug, "bug", "The program reached a state that should be impossible.", "Report it with the log line."},
 }
--- a/core/owned/owned.go
+++ b/core/owned/owned.go
@@ -34,6 +34,8 @@
 	// Permitted reports whether an order for an adapter or a model, or a state query, may
 	// be sent to an engine now, as far as its rate limit is concerned.
 	Permitted func(now clock.Instant, engine string, adapter bool) bool
+	// LinkFailed records that an engine could not be connected to.
+	LinkFailed func(now clock.Instant, engine string, timedOut bool)
 	// Published is called after an engine's items were added to the gossip records.
 	Published func(now clock.Instant)
 	// Answered is called with the outcome of a request of this instance itself.
--- a/core/owned/queue.go
+++ b/core/owned/queue.go
@@ -62,7 +62,9 @@
 		Engine string
 		Fence  era.Revision
 		Answer orders.Answer
-		Detail string
+		// TimedOut means that the order was not sent because connecting timed out.
+		TimedOut bool
+		Detail   string
 	}
 )
 
@@ -101,7 +103,7 @@
 		s.reply(now, e, r, w, Refused, "the engine may not be ordered yet")
 		return
 	}
-	if s.down(now, e) {
+	if s.unreachable(e) {
 		s.reply(now, e, r, w, Refused, unreachableDetail)
 		return
 	}
@@ -180,9 +182,6 @@
 // retried as fast as it fails for maxQueueTime: every 0.7 ms according to the log of an
 // instance whose engine's process had ended.
 func (s *Engines) handleUnreachable(now clock.Instant, e *Engine) {
-	if r := s.Pool.Get(e.Name); r != nil {
-		r.MarkDown(now)
-	}
 	queue := e.queue
 	e.queue = nil
 	for _, q := range queue {
@@ -193,10 +192,10 @@
 // unreachableDetail is the detail of refusals for an unreachable engine.
 const unreachableDetail = "nothing answers at the engine"
 
-// down reports whether the engine was unreachable recently.
-func (s *Engines) down(now clock.Instant, e *Engine) bool {
+// unreachable reports whether the last attempt to connect to the engine failed.
+func (s *Engines) unreachable(e *Engine) bool {
 	r := s.Pool.Get(e.Name)
-	return r != nil && r.Down(now)
+	return r != nil && r.LinkBroken()
 }
 
 // evictAdapter orders the unload of the least recently used adapter, and reports whether
@@ -243,6 +242,7 @@
 		e.RecordNoChange()
 	case orders.AnswerNotSent:
 		e.RecordFailed()
+		s.LinkFailed(now, e.Name, r.TimedOut)
 		s.handleUnreachable(now, e)
 	case orders.AnswerInvalid:
 		e.RecordFailed()
--- a/core/pool/notice.go
+++ b/core/pool/notice.go
@@ -47,11 +47,11 @@
 // MayReject reports whether the replica may reject the next call: it requested a rest from this
 // instance and has not answered one of its calls since, or it requested one from another
 // instance that has not ended.
-func (r *Replica) MayReject(now clock.Instant) bool { return r.needsTrial() || r.RejectsPeers(now) }
+func (r *Replica) MayReject(now clock.Instant) bool { return r.NeedsTrial() || r.RejectsPeers(now) }
 
-// needsTrial reports whether the replica requested a rest from this instance and has not
+// NeedsTrial reports whether the replica requested a rest from this instance and has not
 // answered one of its calls since.
-func (r *Replica) needsTrial() bool { return !r.rest.until.IsZero() }
+func (r *Replica) NeedsTrial() bool { return !r.rest.until.IsZero() }
 
 // RejectsPeers reports whether a rest that the replica requested from another instance has not
 // ended. The rest does not bind this instance, but a full replica is likely to reject its next
--- a/core/pool/replica.go
+++ b/core/pool/replica.go
@@ -88,9 +88,8 @@
 
 // health is the state of a replica according to the outcomes of calls to it.
 type health struct {
-	downUntil    clock.Instant // considered down until then, since nothing answered at its address
-	failures     int           // consecutive, since the last ejection
-	ejections    int           // consecutive
+	failures     int // consecutive, since the last ejection
+	ejections    int // consecutive
 	ejectedUntil clock.Instant
 }
 
@@ -176,16 +175,6 @@
 // Failures returns the number of consecutive failed calls at the replica since its last ejection.
 func (r *Replica) Failures() int { return r.failures }
 
-// downPeriod is how long a replica counts as down after nothing answered at its address, before
-// it is tried again.
-const downPeriod = 700 * time.Millisecond
-
-// MarkDown records that nothing answered at the replica's address.
-func (r *Replica) MarkDown(now clock.Instant) { r.downUntil = now.Add(downPeriod) }
-
-// Down reports whether nothing answered at the replica's address within the last downPeriod.
-func (r *Replica) Down(now clock.Instant) bool { return now.Before(r.downUntil) }
-
 // Overdue returns how much longer than expected the oldest pending own call has waited for its
 // first event. It shows that a replica no longer responds before any call to it has failed.
 func (r *Replica) Overdue(now clock.Instant) time.Duration {
@@ -265,7 +254,7 @@
 // StartPrefill is Start for a call with a prompt.
 func (r *Replica) StartPrefill(now clock.Instant, id uint64, p Prefill) {
 	rank := RankOf(p.Rank)
-	if r.needsTrial() && !r.Resting(now) {
+	if r.NeedsTrial() && !r.Resting(now) {
 		r.rest.trialCall = id
 	}
 	r.inFlight[id] = rank
--- a/core/pool/use.go
+++ b/core/pool/use.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"time"
 
 	"github.com/birchdrift/birchdrift/core/clock"
@@ -12,7 +13,8 @@
 	Prefill ByRank[time.Duration] // estimated remaining work on prompts
 	Waiting int                   // calls without a first event that are not counted in Prefill
 	Items   []string              // items used recently by its calls
-	Down    bool                  // nothing answered there within the last downPeriod
+	// Unreachable means that the instance cannot connect to the replica.
+	Unreachable bool
 }
 
 // peerUsageTTL is how long another instance's report of its calls is used.
@@ -42,11 +44,15 @@
 }
 
 // OwnUsage returns this instance's calls in flight by replica.
-func (p *Pool) OwnUsage(now clock.Instant) map[string]Usage {
+//
+// Unreachable replicas of the services in lost are not reported as such: this instance reports that
+// it has lost the links to the whole service.
+func (p *Pool) OwnUsage(lost []string) map[string]Usage {
 	uses := map[string]Usage{}
 	for name, r := range p.replicas {
-		if len(r.inFlight) > 0 || len(r.usedItems) > 0 || r.Down(now) {
-			uses[name] = Usage{Calls: r.ownCalls, Prefill: r.ownPrefill(), Items: r.recentItems(), Down: r.Down(now)}
+		unreachable := r.LinkBroken() && !slices.Contains(lost, r.Service)
+		if len(r.inFlight) > 0 || len(r.usedItems) > 0 || unreachable {
+			uses[name] = Usage{Calls: r.ownCalls, Prefill: r.ownPrefill(), Items: r.recentItems(), Unreachable: unreachable}
 		}
 	}
 	return uses
@@ -102,20 +108,29 @@
 	return sum
 }
 
-// Suspected reports whether this instance found nothing listening at the replica's address
-// within the last downPeriod, or a peer did according to a report that is not older than that.
+// suspicionTTL is how long a peer's report that it cannot connect to a replica counts.
+const suspicionTTL = 700 * time.Millisecond
+
+// Suspected reports whether a peer recently reported that it cannot connect to the replica, and
+// the replica has not answered this instance in that time.
 func (r *Replica) Suspected(now clock.Instant) bool {
-	if r.Down(now) {
-		return true
+	if !r.link.provenAt.IsZero() && now.Since(r.link.provenAt) <= suspicionTTL {
+		return false
 	}
-	for _, u := range r.peers {
-		if u.Down && now.Since(u.at) <= downPeriod {
+	for peer := range r.peers {
+		if r.UnreachableFrom(now, peer) {
 			return true
 		}
 	}
 	return false
 }
 
+// UnreachableFrom reports whether a peer recently reported that it cannot connect to the replica.
+func (r *Replica) UnreachableFrom(now clock.Instant, peer string) bool {
+	u, ok := r.peers[peer]
+	return ok && u.Unreachable && now.Since(u.at) <= suspicionTTL
+}
+
 // Load returns the calls in flight at the replica and the remaining work on their prompts: those
 // of this instance, plus those of the others according to the replica's last load report if that
 // is recent, and according to the recent reports of peers otherwise.
--- a/core/route/forward.go
+++ b/core/route/forward.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/birchdrift/birchdrift/core/clock"
+	"github.com/birchdrift/birchdrift/core/links"
 	"github.com/birchdrift/birchdrift/core/pool"
 	"github.com/birchdrift/birchdrift/core/rendezvous"
 )
@@ -27,6 +28,8 @@
 	// queuedCallTokens is the number of prompt tokens still to be read that is
 	// assumed for a queued call of unknown prompt length.
 	queuedCallTokens = 2500
+	// relayCost is the time that an attempt takes longer through another instance.
+	relayCost = 5 * time.Millisecond
 	// perFailureCost is added for each consecutive failure of the replica.
 	perFailureCost = 50 * time.Millisecond
 )
@@ -51,6 +54,9 @@
 	// TurnCost returns how long the call would wait because of the replica's rate
 	// limit. If TurnCost is nil, there is no wait.
 	TurnCost func(r *pool.Replica) time.Duration
+	// Way returns how this instance reaches a replica. If Way is nil, it uses only its own
+	// links.
+	Way func(r *pool.Replica) links.Way
 	// ZoneCost returns the cost of a zone that appears to be unreachable. If ZoneCost
 	// is nil, there is none.
 	ZoneCost func(zone string) time.Duration
@@ -67,6 +73,7 @@
 	Cached  int           // prompt tokens believed to be in the replica's prefix cache
 	Calls   int           // calls in flight at the replica
 	Reading time.Duration // uninterrupted prefill work at the replica, including this call's
+	Relayed bool          // the replica is reached through another instance
 }
 
 // Total returns the expected time.
@@ -202,7 +209,7 @@
 		if r.Ejected(now) && ejected < len(usable) {
 			continue
 		}
-		if r.Down(now) {
+		if q.way(r) == links.Unreachable {
 			continue
 		}
 		estimates = append(estimates, rt.estimate(now, q, r, r == owner))
@@ -222,6 +229,18 @@
 	return out
 }
 
+// way returns how this instance reaches the replica.
+func (q Query) way(r *pool.Replica) links.Way {
+	switch {
+	case q.Way != nil:
+		return q.Way(r)
+	case r.LinkBroken():
+		return links.Unreachable
+	default:
+		return links.Direct
+	}
+}
+
 // canServe reports whether the replica can serve the call, if need be after loading
 // what it needs.
 func (q Query) canServe(r *pool.Replica) bool {
@@ -254,10 +273,15 @@
 // the firstPartOwner of the call.
 func (rt *Router) estimate(now clock.Instant, q Query, r *pool.Replica, isFirstPartOwner bool) Estimate {
 	load := r.Load(now)
-	e := Estimate{Replica: r, Calls: load.Calls.Sum()}
+	e := Estimate{Replica: r, Calls: load.Calls.Sum(), Relayed: q.way(r) == links.Relayed}
 	if r.Zone != q.Zone {
 		e.Other += crossZoneCost
 	}
+	if e.Relayed {
+		e.Other += relayCost
+	} else {
+		e.Other += linkCost(now, r)
+	}
 	if r.Vanished() {
 		e.Other += vanishedCost
 	}
@@ -265,8 +289,7 @@
 		cost, _ := q.LoadCost(r)
 		e.Other += cost
 	}
-	e.Other += perFailureCost * time.Duration(r.Failures())
-	if r.Suspected(now) || r.RejectsPeers(now) {
+	if r.RejectsPeers(now) {
 		e.Other += suspectedCost
 	}
 	if q.ZoneCost != nil {
@@ -275,9 +298,6 @@
 	if q.TurnCost != nil {
 		e.Turn = q.TurnCost(r)
 	}
-	if late := r.Overdue(now); late > overdueTolerance {
-		e.Other += late
-	}
 	if q.Model.Model == "" {
 		e.estimatePlain(r)
 		return e
@@ -298,6 +318,19 @@
 	return e
 }
 
+// linkCost returns the cost of signs that the replica, or this instance's link to it, is slow or
+// failing.
+func linkCost(now clock.Instant, r *pool.Replica) time.Duration {
+	cost := perFailureCost * time.Duration(r.Failures())
+	if r.Suspected(now) && !r.RejectsPeers(now) {
+		cost += suspectedCost
+	}
+	if late := r.Overdue(now); late > overdueTolerance {
+		cost += late
+	}
+	return cost
+}
+
 const (
 	// minDelayShare is the share of the longest acceptable pause up to which
 	// uninterrupted prefill work at an engine costs nothing.
@@ -326,8 +359,8 @@
 // the delay.
 const overdueTolerance = 150 * time.Millisecond
 
-// suspectedCost is added for a replica that this instance or a peer found unreachable,
-// or that rejected a peer's call, so that calls go to other replicas.
+// suspectedCost is added for a replica that a peer found unreachable, or that rejected a
+// peer's call, so that calls go to other replicas.
 const suspectedCost = 200 * time.Millisecond
 
 // vanishedCost is added for a replica whose entry has vanished from the platform's list,
--- a/core/route/forward_test.go
+++ b/core/route/forward_test.go
@@ -100,7 +100,7 @@
 			q.Tried = []pool.Incarnation{{Name: "a"}, {Name: "b"}}
 		}, ""},
 		{"a is down", true, func(_ *Router, _ *pool.Pool, a, _ *pool.Replica, _ *Query) {
-			a.MarkDown(start)
+			a.LinkFailed(start, true)
 		}, "b"},
 		{"a is ejected", true, func(_ *Router, _ *pool.Pool, a, _ *pool.Replica, _ *Query) {
 			eject(start, a)
--- a/core/shutdown/shutdown.go
+++ b/core/shutdown/shutdown.go
@@ -23,6 +23,8 @@
 	Options *option.Options
 	Out     *step.Output
 	Calls   *calls.Table
+	// Relayed returns the number of attempts that are in flight on behalf of other instances.
+	Relayed func() int
 	// HandOver is called once, when the shutdown starts: it releases what other instances can
 	// take over, and notifies peers.
 	HandOver func(now clock.Instant)
@@ -52,13 +54,14 @@
 	c.HandOver(now)
 }
 
-// Tick exits when every call has ended, or when the deadline has passed.
+// Tick exits when every call and every attempt of another instance has ended, or when the deadline
+// has passed.
 func (c *Controller) Tick(now clock.Instant) {
 	if !c.started || c.exited {
 		return
 	}
 	expired := !now.Before(c.deadline)
-	idle := !now.Before(c.acceptUntil) && c.Calls.Len() == 0
+	idle := !now.Before(c.acceptUntil) && c.Calls.Len() == 0 && c.Relayed() == 0
 	if expired || idle {
 		c.exit()
 	}
--- a/core/shutdown/shutdown_test.go
+++ b/core/shutdown/shutdown_test.go
@@ -21,17 +21,20 @@
 		name    string
 		after   time.Duration // since the start of the shutdown
 		calls   int
+		relayed int
 		twice   bool
 		refuses bool
 		exits   bool
 		cut     int
 	}{
-		{"at once", 0, 0, false, false, false, 0},
-		{"before the load balancer has seen it", delay - 1, 0, false, false, false, 0},
-		{"idle after the delay", delay, 0, false, true, true, 0},
-		{"a call in flight", delay, 1, false, true, false, 0},
-		{"a call in flight at the deadline", limit, 1, false, true, true, 1},
-		{"a second stop cancels calls at once", time.Second, 1, true, false, true, 1},
+		{"at once", 0, 0, 0, false, false, false, 0},
+		{"before the load balancer has seen it", delay - 1, 0, 0, false, false, false, 0},
+		{"idle after the delay", delay, 0, 0, false, true, true, 0},
+		{"a call in flight", delay, 1, 0, false, true, false, 0},
+		{"a call in flight at the deadline", limit, 1, 0, false, true, true, 1},
+		{"an attempt of another instance in flight", delay, 0, 1, false, true, false, 0},
+		{"an attempt of another instance in flight at the deadline", limit, 0, 1, false, true, true, 0},
+		{"a second stop cancels calls at once", time.Second, 1, 0, true, false, true, 1},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -51,7 +54,7 @@
 				})
 			}
 			handedOver := 0
-			s := &Controller{Options: &opt, Out: out, Calls: table, HandOver: func(clock.Instant) { handedOver++ }}
+			s := &Controller{Options: &opt, Out: out, Calls: table, Relayed: func() int { return c.relayed }, HandOver: func(clock.Instant) { handedOver++ }}
 			s.Start(begun)
 			now := begun.Add(c.after)
 			if c.twice {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -23,6 +23,7 @@
 	"github.com/birchdrift/birchdrift/core/code"
 	"github.com/birchdrift/birchdrift/core/step"
 	"github.com/birchdrift/birchdrift/internal/forward"
+	"github.com/birchdrift/birchdrift/internal/peer"
 	"github.com/birchdrift/birchdrift/internal/service"
 	"github.com/birchdrift/birchdrift/internal/shell"
 	"github.com/birchdrift/birchdrift/internal/telemetry"
@@ -35,6 +36,8 @@
 	Metrics *telemetry.Metrics
 	Tracer  *telemetry.Tracer
 	Wire    forward.WireFormat // headers of forwarded calls
+	Name    string             // of this instance
+	Peers   *peer.Client       // for the key of attempts that a peer relays
 	// Silence is the time for which a caller may send nothing within a body; 0 means no
 	// limit.
 	Silence time.Duration
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -17,9 +17,11 @@
 	"github.com/birchdrift/birchdrift/core/calls"
 	"github.com/birchdrift/birchdrift/core/clock"
 	"github.com/birchdrift/birchdrift/core/code"
+	"github.com/birchdrift/birchdrift/core/links"
 	"github.com/birchdrift/birchdrift/core/notice"
 	"github.com/birchdrift/birchdrift/core/route"
 	"github.com/birchdrift/birchdrift/internal/forward"
+	"github.com/birchdrift/birchdrift/internal/relay"
 	"github.com/birchdrift/birchdrift/internal/service"
 	"github.com/birchdrift/birchdrift/internal/shell"
 	"github.com/birchdrift/birchdrift/internal/upstream"
@@ -187,17 +189,26 @@
 	span.SetAttributes(attribute.String("upstream", d.Replica), attribute.Int("attempt", d.Attempt))
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	s.SetInterrupt(cancel)
 	watchdog := NewWatchdog(d.Stall, cancel)
 	defer watchdog.Stop()
+	s.SetSilenceInterrupt(watchdog.CancelIfSilent)
 	f.failed = nil
 	var progress upstream.Progress
 	sent := f.handler.Shell.Now()
 	resp, err := f.handler.Service.RoundTrip(ctx, f.outgoingCall(d, watchdog), &progress)
 	if err != nil {
-		return f.attemptFailed(s, d, &progress, watchdog, newAttemptFailed(err, 0))
+		failure := newAttemptFailed(err, 0)
+		if d.Relay != nil && progress.Phase() == attempt.NotSent {
+			failure.Relay = links.PeerUnreachable
+		}
+		return f.attemptFailed(s, d, &progress, watchdog, failure)
 	}
 	defer resp.Body.Close()
+	if d.Relay != nil {
+		if failure, ok := relay.ReadAnswer(resp); !ok {
+			return f.relayFailed(s, d, watchdog, failure)
+		}
+	}
 	f.postNotice(d, sent, resp)
 	return f.answer(s, d, resp, &progress, watchdog)
 }
@@ -221,8 +232,16 @@
 		LastEvent: f.lastEvent,
 	})
 	f.handler.Tracer.Inject(f.r.Context(), header)
+	address := d.Address
+	if d.Relay != nil {
+		address = d.Relay.Address
+		f.handler.Peers.SetKey(header)
+		relay.Attempt{
+			Replica: d.Replica, From: f.handler.Name, Call: f.call.Forward.Name, Fingerprint: f.call.Forward.Fingerprint, Repeatable: d.Repeatable,
+		}.SetHeaders(header)
+	}
 	return service.Call{
-		Address:    d.Address,
+		Address:    address,
 		Host:       f.r.Host,
 		Method:     f.r.Method,
 		Target:     f.r.RequestURI,
@@ -262,6 +281,15 @@
 	return false
 }
 
+// relayFailed tells the machine that the instance which was to relay an attempt got no answer
+// from the replica, and reports whether the call has ended. Only that instance knows how far the
+// attempt got.
+func (f *forwardCall) relayFailed(s shell.Session, d calls.Dispatch, watchdog *Watchdog, failure relay.Failure) bool {
+	var progress upstream.Progress
+	progress.Advance(failure.Phase)
+	return f.attemptFailed(s, d, &progress, watchdog, calls.AttemptFailed{Relay: failure.Reason, Detail: failure.Detail})
+}
+
 // answer handles status and headers of a replica's answer and then passes the answer on
 // or reports the attempt as failed. It reports whether the call has ended.
 func (f *forwardCall) answer(s shell.Session, d calls.Dispatch, resp *http.Response, progress *upstream.Progress, watchdog *Watchdog) bool {
--- a/internal/environment/driver.go
+++ b/internal/environment/driver.go
@@ -287,7 +287,7 @@
 	sent := d.host.Now()
 	answer := d.engines.Order(ctx, d.host.Self.Name, a.Order)
 	d.postNotice(a.Engine, sent, answer.Notice, a.Limited && answer.Heard)
-	d.host.Post(owned.OrderReply{Engine: a.Engine, Fence: a.Fence, Answer: answer.Answer, Detail: answer.Detail})
+	d.host.Post(owned.OrderReply{Engine: a.Engine, Fence: a.Fence, Answer: answer.Answer, TimedOut: answer.TimedOut, Detail: answer.Detail})
 }
 
 // postNotice passes to the machine what an engine reported about itself. An empty notice
--- a/internal/environment/engines.go
+++ b/internal/environment/engines.go
@@ -24,7 +24,9 @@
 // An OrderAnswer is the result of an order.
 type OrderAnswer struct {
 	Answer orders.Answer
-	Detail string // explains Answer
+	// TimedOut means that the order was not sent because connecting timed out.
+	TimedOut bool
+	Detail   string // explains Answer
 	// Heard reports whether an answer arrived. Notice is the notice in its headers.
 	Heard  bool
 	Notice pool.Notice
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -32,6 +32,8 @@
 		Config:       m.Config,
 		StoreAgeMs:   toMilliseconds(m.StoreAge),
 		StoreVersion: uint64(m.StoreVersion),
+		Relays:       m.Relays,
+		LostServices: m.LostServices,
 	}
 	encodeRecords(m.Records, out)
 	for _, d := range m.Demand {
@@ -43,7 +45,7 @@
 	out.HasUses = m.Uses != nil
 	for name, u := range m.Uses {
 		out.Uses = append(out.Uses, &peerpb.Use{
-			Replica: name, Calls: encodeByRank(u.Calls, 1), PrefillUs: encodeByRank(u.Prefill, time.Microsecond), Items: u.Items, Down: u.Down,
+			Replica: name, Calls: encodeByRank(u.Calls, 1), PrefillUs: encodeByRank(u.Prefill, time.Microsecond), Items: u.Items, Down: u.Unreachable,
 		})
 	}
 	return out
@@ -252,6 +254,8 @@
 		StoreAge:     time.Duration(m.GetStoreAgeMs()) * time.Millisecond,
 		StoreVersion: era.Revision(m.GetStoreVersion()),
 		Records:      decodeRecords(m),
+		Relays:       m.GetRelays(),
+		LostServices: m.GetLostServices(),
 	}
 	for _, d := range m.GetDemand() {
 		out.Demand = append(out.Demand, demand.Item{
@@ -266,7 +270,7 @@
 	}
 	for _, u := range m.GetUses() {
 		out.Uses[u.GetReplica()] = pool.Usage{
-			Calls: decodeByRank(u.GetCalls(), 1), Prefill: decodeByRank(u.GetPrefillUs(), time.Microsecond), Items: u.GetItems(), Down: u.GetDown(),
+			Calls: decodeByRank(u.GetCalls(), 1), Prefill: decodeByRank(u.GetPrefillUs(), time.Microsecond), Items: u.GetItems(), Unreachable: u.GetDown(),
 		}
 	}
 	return out
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -100,6 +100,13 @@
 	return ctx, trace.Wrap(err)
 }
 
+// SetKey adds the instances' key to the headers of a request to a peer.
+func (c *Client) SetKey(h http.Header) {
+	if c.key != "" {
+		h.Set(keyHeader, c.key)
+	}
+}
+
 // client returns the Twirp client of the peer at address, which it creates on first use.
 func (c *Client) client(address string) peerpb.Peer {
 	c.mu.Lock()
@@ -160,16 +167,24 @@
 // every record of a fleet.
 const maxMessageSize = 8 << 20
 
-// Handler returns the HTTP handler of the peers' listener. Calls must carry key, unless it
-// is "".
-func (s Server) Handler(key string) http.Handler {
+// Routes returns the HTTP handler of the calls of peers.
+func (s Server) Routes() http.Handler {
 	next := peerpb.NewPeerServer(s)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		r.Body = http.MaxBytesReader(w, r.Body, maxMessageSize)
+		next.ServeHTTP(w, r)
+	})
+}
+
+// RequireKey returns a handler that passes on the requests that carry key, without it. If key is
+// "", it passes on all requests.
+func RequireKey(key string, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if key != "" && subtle.ConstantTimeCompare([]byte(r.Header.Get(keyHeader)), []byte(key)) != 1 {
 			http.Error(w, "wrong peer key", http.StatusUnauthorized)
 			return
 		}
-		r.Body = http.MaxBytesReader(w, r.Body, maxMessageSize)
+		r.Header.Del(keyHeader)
 		next.ServeHTTP(w, r)
 	})
 }
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -23,7 +23,7 @@
 func fullMessage() gossip.Message {
 	return gossip.Message{
 		From: "a", Zone: "z", Address: "127.0.0.1:1", Boot: 1, Leaving: true, Revision: 2, Stamp: 3, AckBoot: 4, Ack: 5,
-		StoreAge: 16 * time.Millisecond, StoreVersion: 17,
+		StoreAge: 16 * time.Millisecond, StoreVersion: 17, Relays: true, LostServices: []string{"s"},
 		Records: gossip.Records{
 			Residencies: []gossip.Residency{{Engine: "e", Residency: pool.Residency{
 				Boot: 6, Change: 7, Leaving: true, Born: "30", Items: []pool.Item{{Name: "m", Phase: pool.Ready}},
@@ -53,7 +53,7 @@
 		},
 		Demand: []demand.Item{{Name: "m", Rate: 0.5, Concurrent: 0.25, Weight: 2, Waiting: 13, Unmet: time.Second, Idle: time.Minute}},
 		Uses: map[string]pool.Usage{"e": {
-			Calls: pool.ByRank[int]{1: 3}, Prefill: pool.ByRank[time.Duration]{0: time.Millisecond, 2: 2 * time.Millisecond}, Items: []string{"m"}, Down: true,
+			Calls: pool.ByRank[int]{1: 3}, Prefill: pool.ByRank[time.Duration]{0: time.Millisecond, 2: 2 * time.Millisecond}, Items: []string{"m"}, Unreachable: true,
 		}},
 		WantConfig: true,
 		Config:     []byte("c"),
@@ -70,10 +70,10 @@
 func TestExchangeNeedsTheSharedKey(t *testing.T) {
 	is := is.New(t)
 	handled := 0
-	server := httptest.NewServer(Server{Take: func(_ context.Context, msg gossip.Message) (gossip.Message, error) {
+	server := httptest.NewServer(RequireKey("right", Server{Take: func(_ context.Context, msg gossip.Message) (gossip.Message, error) {
 		handled++
 		return msg, nil
-	}}.Handler("right"))
+	}}.Routes()))
 	defer server.Close()
 	address := server.Listener.Addr().String()
 	for key, ok := range map[string]bool{"right": true, "wrong": false, "": false} {
@@ -94,11 +94,11 @@
 		Resource: permits.Resource{Replica: pool.Incarnation{Name: "e", Born: "1"}, Service: "s"}, Alone: true, Zone: "z", Rank: -1, Wait: 4 * time.Second, Unused: true, Word: report, Retries: 0.25,
 	}
 	decision := permits.Decision{Granted: true, Held: 5 * time.Millisecond, Turn: 6 * time.Millisecond, After: 7 * time.Millisecond, Word: report, Retries: 0.125}
-	server := httptest.NewServer(Server{TakePermit: func(_ context.Context, from string, r permits.Request) (permits.Decision, error) {
+	server := httptest.NewServer(RequireKey("key", Server{TakePermit: func(_ context.Context, from string, r permits.Request) (permits.Decision, error) {
 		is.Equal(from, "a")
 		is.Equal(r, request)
 		return decision, nil
-	}}.Handler("key"))
+	}}.Routes()))
 	defer server.Close()
 	got, err := NewClient(http.DefaultClient, "key").RequestPermit(context.Background(), server.Listener.Addr().String(), "a", request)
 	is.NoErr(err)
--- /dev/null
+++ b/internal/relay/handler.go
@@ -0,0 +1,143 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/birchdrift/birchdrift/core/attempt"
+	"github.com/birchdrift/birchdrift/core/links"
+	"github.com/birchdrift/birchdrift/core/notice"
+	"github.com/birchdrift/birchdrift/core/relay"
+	"github.com/birchdrift/birchdrift/internal/forward"
+	"github.com/birchdrift/birchdrift/internal/service"
+	"github.com/birchdrift/birchdrift/internal/shell"
+	"github.com/birchdrift/birchdrift/internal/upstream"
+)
+
+// bufferSize is the size of the buffer through which an answer is passed on, in bytes: larger
+// than an event of a stream.
+const bufferSize = 8 << 10
+
+// A Handler relays the attempts of peers.
+type Handler struct {
+	Shell   *shell.Shell
+	Service *service.Client
+	Wire    forward.WireFormat
+	Next    http.Handler // for all other requests of peers
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Header.Get(headerReplica) == "" {
+		h.Next.ServeHTTP(w, r)
+		return
+	}
+	h.relay(w, r)
+}
+
+func (h *Handler) relay(w http.ResponseWriter, r *http.Request) {
+	a, err := readAttempt(r.Header)
+	if err != nil {
+		http.Error(w, "malformed headers of an attempt: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	session, err := h.Shell.BeginRelay(r.Context(), relay.Requested{
+		From: a.From, Call: a.Call, Replica: a.Replica, Fingerprint: a.Fingerprint,
+	})
+	if err != nil {
+		return // the sender has canceled the attempt
+	}
+	if session.Failure != links.RelaySucceeded {
+		writeFailure(w, Failure{Reason: session.Failure, Detail: session.Failure.String()})
+		return
+	}
+	outcome := relay.Unknown
+	defer func() { session.End(outcome) }()
+	outcome = h.send(w, r, a, session.Address)
+	if outcome == relay.Severed || outcome == relay.Unknown {
+		panic(http.ErrAbortHandler) // a truncated answer must not look complete
+	}
+}
+
+// send sends an attempt to its replica, passes the answer on, and returns what the attempt shows
+// of the link to the replica.
+func (h *Handler) send(w http.ResponseWriter, r *http.Request, a Attempt, address string) relay.Outcome {
+	var progress upstream.Progress
+	sent := h.Shell.Now()
+	resp, err := h.Service.RoundTrip(r.Context(), service.Call{
+		Address: address, Host: r.Host, Method: r.Method, Target: r.RequestURI,
+		Header: service.EndToEndHeaders(r.Header), Body: r.Body, Length: r.ContentLength, Repeatable: a.Repeatable,
+	}, &progress)
+	if err != nil {
+		return failed(r.Context(), w, progress.Phase(), err)
+	}
+	defer resp.Body.Close()
+	if n := h.Wire.ReadNotice(resp); !n.IsZero() {
+		h.Shell.HandleNotice(notice.Received{Replica: a.Replica, Sent: sent, Notice: n})
+	}
+	if err := passOn(w, resp); err != nil {
+		if upstream.Severed(err) {
+			return relay.Severed
+		}
+		return relay.Unknown
+	}
+	return relay.Answered
+}
+
+// failed answers an attempt that got no answer from its replica.
+func failed(ctx context.Context, w http.ResponseWriter, phase attempt.Phase, err error) relay.Outcome {
+	switch {
+	case ctx.Err() != nil:
+		return relay.Unknown // the sender has canceled the attempt
+	case phase != attempt.NotSent:
+		writeFailure(w, Failure{Phase: phase, Detail: err.Error()})
+		if upstream.Severed(err) {
+			return relay.SeveredUnanswered
+		}
+		return relay.Unanswered
+	case upstream.ConnectionRefused(err):
+		writeFailure(w, Failure{Reason: links.ReplicaUnreachable, Detail: err.Error()})
+		return relay.Refused
+	default:
+		writeFailure(w, Failure{Reason: links.ReplicaUnreachable, Detail: err.Error()})
+		return relay.TimedOut
+	}
+}
+
+// writeFailure answers an attempt that got no answer from its replica.
+func writeFailure(w http.ResponseWriter, f Failure) {
+	w.Header().Set(headerFailure, strconv.Itoa(int(f.Reason)))
+	w.Header().Set(headerDetail, f.Detail)
+	w.WriteHeader(http.StatusBadGateway)
+}
+
+// passOn passes a replica's answer on as it arrives.
+func passOn(w http.ResponseWriter, resp *http.Response) error {
+	for name, values := range service.EndToEndHeaders(resp.Header) {
+		w.Header()[name] = values
+	}
+	w.Header().Set(headerRelayed, "true")
+	w.WriteHeader(resp.StatusCode)
+	flush := http.NewResponseController(w)
+	buf := make([]byte, bufferSize)
+	for {
+		n, err := resp.Body.Read(buf)
+		if n > 0 {
+			if _, err := w.Write(buf[:n]); err != nil {
+				return err
+			}
+			if err := flush.Flush(); err != nil {
+				return err
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
--- a/internal/server/forward_test.go
+++ b/internal/server/forward_test.go
@@ -132,7 +132,6 @@
 // a proxy in front of each replica.
 func newTestInstanceWith(t *testing.T, overrides map[string]string, proxied bool, answers ...http.HandlerFunc) *testInstance {
 	t.Helper()
-	is := is.New(t)
 	s := &testInstance{t: t}
 	change := environment.Change{Whole: true, Version: 5}
 	for i, answer := range answers {
@@ -150,7 +149,17 @@
 			Announced: &pool.Announcement{Service: "app", Address: address, Zone: "z", Slots: 8},
 		})
 	}
-	if len(answers) > 0 {
+	s.start(overrides, change, len(answers) > 0)
+	return s
+}
+
+// start starts the instance with the given content of its store, and with a configuration if
+// configured.
+func (i *testInstance) start(overrides map[string]string, change environment.Change, configured bool) {
+	t := i.t
+	t.Helper()
+	is := is.New(t)
+	if configured {
 		data, err := testDocument().Encode()
 		is.NoErr(err)
 		change.Config = data
@@ -169,8 +178,8 @@
 	is.Equal(len(faults), 0)
 	server, err := New(set, set.Options(), newMemoryEnvironment(change), io.Discard, nil)
 	is.NoErr(err)
-	s.server = server
-	s.address, _, _ = server.Addresses()
+	i.server = server
+	i.address, _, _ = server.Addresses()
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -181,8 +190,7 @@
 		server.shell.Stop()
 		<-done
 	})
-	s.awaitReady(len(answers) > 0)
-	return s
+	i.awaitReady(configured)
 }
 
 // defaultOf returns the default of a setting that newTestInstanceWith does not set.
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -32,6 +32,7 @@
 	"github.com/birchdrift/birchdrift/internal/own/keyvalue"
 	"github.com/birchdrift/birchdrift/internal/own/modelapi"
 	"github.com/birchdrift/birchdrift/internal/peer"
+	"github.com/birchdrift/birchdrift/internal/relay"
 	"github.com/birchdrift/birchdrift/internal/service"
 	"github.com/birchdrift/birchdrift/internal/settings"
 	"github.com/birchdrift/birchdrift/internal/shell"
@@ -148,6 +149,7 @@
 	unread := upstream.NewUnreadHeaderDetector(s.unreadHeader, metrics.CountUnreadHeader)
 	environment := newEnvironment(s.set, unread.Wrap(transports))
 	unread.AddKnown(environment.Wire.AnswerHeaders())
+	unread.AddKnown(relay.AnswerHeaders)
 	self := member.Identity{
 		Name: s.set.Name, Zone: s.set.Zone, Address: s.set.Advertise,
 		Boot: uint64(time.Now().UnixNano()), Seeds: s.set.Seeds, Processor: s.set.Processor,
@@ -159,14 +161,18 @@
 	s.shell = shell.New(ctx, self, instance.New(self, s.opt, self.Boot), environment.Join, peers, s.log, metrics)
 	callers := &entry.Handler{
 		Shell: s.shell, Service: service.NewClient(unread.Wrap(transports)), Metrics: metrics, Tracer: s.tracer, Wire: environment.Wire,
-		Silence: s.set.HeaderTime,
+		Silence: s.set.HeaderTime, Name: self.Name, Peers: peers,
 	}
 	if environment.OwnCalls != nil {
 		callers.Own = environment.OwnCalls(callers, self, s.set.MaxBody)
 	}
+	peerServer := peer.Server{
+		Take: s.shell.HandleExchange, TakeOrder: s.shell.HandleOrderRequest, TakePermit: s.shell.HandlePermitRequest,
+	}
+	relays := &relay.Handler{Shell: s.shell, Service: callers.Service, Wire: environment.Wire, Next: peerServer.Routes()}
 	handlers := []http.Handler{
 		callers.Routes(),
-		peer.Server{Take: s.shell.HandleExchange, TakeOrder: s.shell.HandleOrderRequest, TakePermit: s.shell.HandlePermitRequest}.Handler(s.set.PeerKey),
+		peer.RequireKey(s.set.PeerKey, relays),
 		ops.Handler{Shell: s.shell, Metrics: metrics, Key: s.set.OpsKey}.Routes(),
 	}
 	for i, l := range s.listeners {
--- a/internal/shell/actions.go
+++ b/internal/shell/actions.go
@@ -17,6 +17,7 @@
 	"github.com/birchdrift/birchdrift/core/owned"
 	"github.com/birchdrift/birchdrift/core/permits"
 	"github.com/birchdrift/birchdrift/core/quarantine"
+	"github.com/birchdrift/birchdrift/core/relay"
 	"github.com/birchdrift/birchdrift/core/retrybudget"
 	"github.com/birchdrift/birchdrift/core/shutdown"
 	"github.com/birchdrift/birchdrift/core/step"
@@ -39,10 +40,10 @@
 		s.deliver(act.ID, act)
 	case calls.Finish:
 		s.deliver(act.ID, act)
-		s.interrupt(act.ID)
+		s.interrupt(act.ID, 0)
 		delete(s.calls, act.ID)
 	case calls.Interrupt:
-		s.interrupt(act.ID)
+		s.interrupt(act.ID, act.Silence)
 	case calls.Relay:
 		s.deliver(act.ID, act)
 		delete(s.calls, act.ID)
@@ -59,6 +60,13 @@
 		s.startWorker(func(ctx context.Context) { s.requestOrder(ctx, act) })
 	case permits.SendRequest:
 		s.startWorker(func(ctx context.Context) { s.requestPermit(ctx, act) })
+	case links.Probe:
+		s.startWorker(func(ctx context.Context) { s.probeLink(ctx, act) })
+	case relay.Decided:
+		if reply, ok := s.relayReplies[act.Token]; ok {
+			reply <- act
+			delete(s.relayReplies, act.Token)
+		}
 	case permits.SendReply:
 		if reply, ok := s.permitReplies[act.Token]; ok {
 			reply <- act.Verdict
@@ -99,11 +107,12 @@
 	}
 }
 
-// interrupt cancels the attempt that the call may have in flight.
-func (s *Shell) interrupt(id calls.ID) {
+// interrupt cancels the attempt that the call may have in flight, unless something arrived from
+// the replica within the last silence.
+func (s *Shell) interrupt(id calls.ID, silence time.Duration) {
 	if mailbox, ok := s.calls[id]; ok {
 		if cancel := mailbox.interrupt.Load(); cancel != nil {
-			(*cancel)()
+			(*cancel)(silence)
 		}
 	}
 }
@@ -168,6 +177,48 @@
 	s.post(quarantine.Checked{Replica: a.Replica, Ended: upstream.ConnectionRefused(err)})
 }
 
+// probeLink checks whether a replica accepts a connection.
+func (s *Shell) probeLink(ctx context.Context, a links.Probe) {
+	err := upstream.CheckReachable(ctx, a.Address)
+	s.post(links.Probed{Replica: a.Replica, Connected: err == nil, TimedOut: err != nil && !upstream.ConnectionRefused(err)})
+}
+
+// A RelaySession is the handler's side of an attempt that is relayed for a peer.
+type RelaySession struct {
+	relay.Decided
+	shell *Shell
+}
+
+// End tells the machine that the attempt has ended.
+func (r RelaySession) End(outcome relay.Outcome) {
+	r.shell.post(relay.Ended{Token: r.Token, Outcome: outcome})
+}
+
+// BeginRelay asks the machine whether an attempt of a peer is relayed; its Token is set here. If
+// the session's Failure is RelaySucceeded, it must be ended.
+func (s *Shell) BeginRelay(ctx context.Context, r relay.Requested) (RelaySession, error) {
+	reply := make(chan relay.Decided, 1)
+	token := make(chan uint64, 1)
+	s.submit(func(s *Shell) step.Event {
+		s.lastToken++
+		s.relayReplies[s.lastToken] = reply
+		token <- s.lastToken
+		r.Token = s.lastToken
+		return r
+	})
+	select {
+	case d := <-reply:
+		return RelaySession{Decided: d, shell: s}, nil
+	case <-ctx.Done():
+		select {
+		case t := <-token:
+			s.post(relay.Ended{Token: t})
+		case <-s.ctx.Done():
+		}
+		return RelaySession{}, ctx.Err()
+	}
+}
+
 // orderTimeout is the timeout of an order request to the owner of an engine.
 const orderTimeout = time.Second
 
--- a/internal/shell/shell.go
+++ b/internal/shell/shell.go
@@ -26,6 +26,7 @@
 	"github.com/birchdrift/birchdrift/core/member"
 	"github.com/birchdrift/birchdrift/core/notice"
 	"github.com/birchdrift/birchdrift/core/permits"
+	"github.com/birchdrift/birchdrift/core/relay"
 	"github.com/birchdrift/birchdrift/core/shutdown"
 	"github.com/birchdrift/birchdrift/core/step"
 	"github.com/birchdrift/birchdrift/internal/peer"
@@ -85,6 +86,7 @@
 	exchangeReplies map[uint64]chan gossip.Message // replies that peers wait for, by token
 	orderReplies    map[uint64]chan peer.OrderReply
 	permitReplies   map[uint64]chan permits.Decision
+	relayReplies    map[uint64]chan relay.Decided
 	lastToken       uint64 // token of the latest request from a peer
 	workers         sync.WaitGroup
 	exited          chan shutdown.Exit
@@ -107,6 +109,7 @@
 		exchangeReplies: map[uint64]chan gossip.Message{},
 		orderReplies:    map[uint64]chan peer.OrderReply{},
 		permitReplies:   map[uint64]chan permits.Decision{},
+		relayReplies:    map[uint64]chan relay.Decided{},
 		exited:          make(chan shutdown.Exit, 1),
 		ctx:             ctx,
 	}
@@ -214,7 +217,7 @@
 // A callMailbox is the shell's side of one call.
 type callMailbox struct {
 	actions   chan step.Action
-	interrupt atomic.Pointer[context.CancelFunc]
+	interrupt atomic.Pointer[func(silence time.Duration)]
 }
 
 // A Session is the handler's side of one call.
@@ -237,7 +240,15 @@
 
 // SetInterrupt sets the function that cancels the attempt in flight. It is called if the
 // call ends during the attempt, as when a stop cuts the call off.
-func (s Session) SetInterrupt(cancel context.CancelFunc) { s.mailbox.interrupt.Store(&cancel) }
+func (s Session) SetInterrupt(cancel context.CancelFunc) {
+	s.SetSilenceInterrupt(func(time.Duration) { cancel() })
+}
+
+// SetSilenceInterrupt is like SetInterrupt for a function that cancels the attempt only if
+// nothing arrived from the replica within the last silence.
+func (s Session) SetSilenceInterrupt(cancel func(silence time.Duration)) {
+	s.mailbox.interrupt.Store(&cancel)
+}
 
 // AnswerBegan tells the machine that the first piece of the answer arrived.
 func (s Session) AnswerBegan() { s.shell.post(calls.AnswerBegan{ID: s.ID}) }
--- a/internal/shell/shell_test.go
+++ b/internal/shell/shell_test.go
@@ -88,10 +88,10 @@
 func TestStatusRequestsDoNotDelayTicks(t *testing.T) {
 	is := is.New(t)
 	var exchanges atomic.Int64
-	other := httptest.NewServer(peer.Server{Take: func(_ context.Context, msg gossip.Message) (gossip.Message, error) {
+	other := httptest.NewServer(peer.RequireKey("", peer.Server{Take: func(_ context.Context, msg gossip.Message) (gossip.Message, error) {
 		exchanges.Add(1)
 		return gossip.Message{}, nil
-	}}.Handler(""))
+	}}.Routes()))
 	defer other.Close()
 	s := startShell(t, other.Listener.Addr().String())
 	deadline := time.Now().Add(10 * time.Second)
@@ -161,10 +161,10 @@
 func TestSilentConnectionsToPeers(t *testing.T) {
 	is := is.New(t)
 	var exchanges atomic.Int64
-	other := httptest.NewServer(peer.Server{Take: func(context.Context, gossip.Message) (gossip.Message, error) {
+	other := httptest.NewServer(peer.RequireKey("", peer.Server{Take: func(context.Context, gossip.Message) (gossip.Message, error) {
 		exchanges.Add(1)
 		return gossip.Message{}, nil
-	}}.Handler(""))
+	}}.Routes()))
 	defer other.Close()
 	proxy := proxytest.New(t, other.Listener.Addr().String())
 	startShell(t, proxy.Address())
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -31,6 +31,7 @@
 	logDropped     *metrics.Counter
 	unreadHeaders  *metrics.Counter
 	listAge        *metrics.Histogram
+	relayed        *metrics.Counter
 }
 
 // NewMetrics returns metrics without any observations.
@@ -49,6 +50,7 @@
 		logDropped:     set.NewCounter("birchdrift_log_lines_dropped_total"),
 		unreadHeaders:  set.NewCounter("birchdrift_unread_headers_total"),
 		listAge:        set.NewHistogram("birchdrift_list_age_seconds"),
+		relayed:        set.NewCounter("birchdrift_relayed_attempts_total"),
 	}
 }
 
@@ -72,6 +74,7 @@
 	{"birchdrift_orders_total{op}", "Orders sent to engines.", "Loads and unloads change which models are resident."},
 	{"birchdrift_log_lines_dropped_total", "Log lines dropped because they exceeded the rate limit of the log.", "Rising: set `--log-level` to warn, or find out what fails so often."},
 	{"birchdrift_unread_headers_total", "Answers of replicas and of the platform's store with a header that the instance does not read.", "Look for event 1507, which names it: the platform may have a new header."},
+	{"birchdrift_relayed_attempts_total", "Attempts of calls that this instance sent through another one, because it cannot connect to the replica.", "Rising: this instance has lost links, see event 1509."},
 	{"birchdrift_unreachable_replicas{service}", "Replicas of a service that this instance could not connect to when it last tried.", "If it is not 0 at a few instances only, check their network; at all, check the replicas. See event 1509."},
 	{"birchdrift_list_age_seconds", "Age of this instance's copy of the platform's list when a call was sent according to it.", "Near `--leave-bound`: leaving replicas may get calls. See event 1319."},
 	{"birchdrift_notes_total{event}", "Log events by number.", "Look the number up in docs/events.md."},
@@ -108,6 +111,9 @@
 		if act.Forward != nil {
 			m.listAge.Update(act.Forward.ListAge.Seconds())
 		}
+		if act.Relay != nil {
+			m.relayed.Inc()
+		}
 	case planner.SendOrder:
 		m.set.GetOrCreateCounter(fmt.Sprintf(`birchdrift_orders_total{op="%s"}`, act.Order.Op)).Inc()
 	case retrybudget.Charged:
