Tests of relays: instances exchange records only once each has its own list

An instance of the tests could learn the replica's own address from its peer before its own list arrived, and then needed no relay: without relays, four of six cases of TestCallsAreRelayedByAPeer passed. Now all six fail without relays (503), as do TestRelayedAnswers, streams and bodies.

--- a/internal/server/relay_test.go
+++ b/internal/server/relay_test.go
@@ -14,6 +14,7 @@
 	"github.com/matryer/is"
 
 	"github.com/birchdrift/birchdrift/core/gossip"
+	"github.com/birchdrift/birchdrift/core/instance"
 	"github.com/birchdrift/birchdrift/core/pool"
 	"github.com/birchdrift/birchdrift/internal/environment"
 	"github.com/birchdrift/birchdrift/internal/forward"
@@ -46,10 +47,9 @@
 		p.cut.replicas = append(p.cut.replicas, r)
 		p.peer.replicas = append(p.peer.replicas, r)
 	}
-	p.peer.start(relaySettings("i2", "", overrides), environment.Change{Whole: true, Version: 5, Listed: direct}, true)
-	_, seed, _ := p.peer.server.Addresses()
-	p.cut.start(relaySettings("i1", seed, overrides), environment.Change{Whole: true, Version: 5, Listed: broken}, true)
-	p.awaitExchange()
+	p.peer.start(relaySettings("i2", overrides), environment.Change{Whole: true, Version: 5, Listed: direct}, true)
+	p.cut.start(relaySettings("i1", overrides), environment.Change{Whole: true, Version: 5, Listed: broken}, true)
+	p.introduce()
 	return p
 }
 
@@ -61,33 +61,46 @@
 }
 
 // relaySettings returns the settings of an instance that exchanges often.
-func relaySettings(name, seed string, overrides map[string]string) map[string]string {
-	set := map[string]string{"name": name, "seed-peers": seed, "mesh-every": "50ms", "exchange-every": "50ms"}
+func relaySettings(name string, overrides map[string]string) map[string]string {
+	set := map[string]string{"name": name, "mesh-every": "50ms", "exchange-every": "50ms"}
 	for key, value := range overrides {
 		set[key] = value
 	}
 	return set
 }
 
-// awaitExchange waits until each instance knows the other one.
-func (p *relayPair) awaitExchange() {
-	p.cut.t.Helper()
+// introduce lets the instances exchange records, now that each has its own list of replicas, and
+// waits until they know each other.
+func (p *relayPair) introduce() {
+	t := p.cut.t
+	t.Helper()
+	_, seed, _ := p.peer.server.Addresses()
+	p.cut.server.shell.ChangeOptions(instance.OptionsChanged{Options: p.cut.server.opt, Seeds: []string{seed}})
 	deadline := time.Now().Add(10 * time.Second)
 	for time.Now().Before(deadline) {
-		known := 0
-		for _, i := range []*testInstance{p.cut, p.peer} {
-			if st, err := i.server.shell.Status(context.Background()); err == nil && len(st.Peers) == 1 {
-				known++
-			}
-		}
-		if known == 2 {
-			return
+		if p.cut.peers() == 1 && p.peer.peers() == 1 {
+			break
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
-	p.cut.t.Fatal("the instances do not know each other")
+	for _, r := range p.cut.status().Upstreams {
+		if r.Address != p.links[r.Name] {
+			t.Fatalf("the instance reaches %s at %s", r.Name, r.Address)
+		}
+	}
 }
 
+func (i *testInstance) status() instance.Status {
+	i.t.Helper()
+	st, err := i.server.shell.Status(context.Background())
+	if err != nil {
+		i.t.Fatal(err)
+	}
+	return st
+}
+
+func (i *testInstance) peers() int { return len(i.status().Peers) }
+
 // Guards against calls that end at an instance without links to the replicas, although a peer
 // reaches them.
 func TestCallsAreRelayedByAPeer(t *testing.T) {
