quarantine: connections that break with the links of an instance are no crash of a replica

Callers: a request could have been refused as one that crashes its replicas, because instances reported sound replicas as crashed.

Cause: an instance took what it sees over its own links for the state of the replica. A connection that is severed, and a refusal 30 ms later, look the same for a process that has ended and for a partition that resets.

Change: a crash is reported 20 ms after its first sign, unless the links to at least three replicas, and a third of those of the service, broke within 100 ms. Two other replicas are probed when the first one refuses a connection, so that an instance with few calls in flight can tell too.

--- a/core/instance/build.go
+++ b/core/instance/build.go
@@ -19,6 +19,7 @@
 	"github.com/birchdrift/birchdrift/core/owned"
 	"github.com/birchdrift/birchdrift/core/ownership"
 	"github.com/birchdrift/birchdrift/core/permits"
+	"github.com/birchdrift/birchdrift/core/pool"
 	"github.com/birchdrift/birchdrift/core/quarantine"
 	"github.com/birchdrift/birchdrift/core/relay"
 	"github.com/birchdrift/birchdrift/core/retrybudget"
@@ -119,7 +120,13 @@
 		Stored: m.state.Options.Environment == option.Platform,
 		Tell:   func(now clock.Instant) { m.exchanges.TellAll(now) },
 		Direct: m.orders.roster.FullMesh,
-		Cut:    func(request crash.Fingerprint, left time.Duration) { m.forwarding.RefuseQuarantined(request, left) },
+		ConnectionRefused: func(now clock.Instant, replica pool.Incarnation) {
+			if r := m.state.Pool.Get(replica.Name); r != nil && r.Incarnation() == replica {
+				m.links.Failed(now, r, false)
+			}
+		},
+		LinksAtFault: m.links.AtFault,
+		Cut:          func(request crash.Fingerprint, left time.Duration) { m.forwarding.RefuseQuarantined(request, left) },
 	})
 	m.orders.registry.Quarantined = m.quarantine.Restored
 	m.orders.registry.SteppedBack = m.quarantine.SteppedBack
--- a/core/instance/partition_test.go
+++ b/core/instance/partition_test.go
@@ -460,6 +460,9 @@
 	if n := h.f.logCounts[logevent.RequestQuarantined]; n > 0 {
 		t.Errorf("seed %d: %d requests quarantined", seed, n)
 	}
+	if n := h.f.logCounts[logevent.UpstreamEnded]; n > 0 {
+		t.Errorf("seed %d: %d replicas reported as crashed", seed, n)
+	}
 	for _, v := range h.f.violations {
 		t.Errorf("seed %d: %s", seed, v)
 	}
--- a/core/links/links.go
+++ b/core/links/links.go
@@ -62,8 +62,11 @@
 	s.suspects[r.Name] = true
 	s.timedOut = s.timedOut || timedOut
 	t.probes.add(now, r)
-	if t.Doubtful(r.Service) {
-		t.probeOthers(now, r.Service)
+	switch {
+	case t.Doubtful(r.Service):
+		t.probeOthers(now, r.Service, doubtProbes)
+	case len(s.suspects) == 1:
+		t.probeOthers(now, r.Service, minBurst-1) // tells a replica that ended from lost links
 	}
 	t.update(now, r.Service)
 }
@@ -97,6 +100,33 @@
 	return s != nil && len(s.suspects) > 0 && (s.timedOut || len(s.suspects) >= minRefusals)
 }
 
+const (
+	// burstWindow is the time within which connections to many replicas must begin to fail for
+	// the links to be at fault, rather than the replicas.
+	burstWindow = 100 * time.Millisecond
+	// minBurst is the least number of such replicas, and minBurstShare their least share of the
+	// replicas of the service.
+	minBurst      = 3
+	minBurstShare = 1. / 3
+)
+
+// AtFault reports whether connections to a replica fail because this instance has lost its links:
+// those to many replicas of the service began to fail at the same time.
+func (t *Tracker) AtFault(now clock.Instant, replica pool.Incarnation) bool {
+	r := t.Pool.Get(replica.Name)
+	if r == nil || !r.LinkBroken() {
+		return false
+	}
+	replicas := t.Pool.Serving(r.Service)
+	burst := 0
+	for _, other := range replicas {
+		if other.LinkBroken() && r.LinkBrokenTogether(other, burstWindow) {
+			burst++
+		}
+	}
+	return burst >= minBurst && float64(burst) >= minBurstShare*float64(len(replicas))
+}
+
 // Lost reports whether this instance cannot connect to most replicas of a service.
 func (t *Tracker) Lost(service string) bool {
 	s := t.services[service]
--- a/core/links/links_test.go
+++ b/core/links/links_test.go
@@ -211,3 +211,27 @@
 	tracker.Tick(start.Add(20 * time.Second))
 	is.Equal(tracker.probed(start.Add(20*time.Second), true), nil)
 }
+
+// TestLinksAtFault checks when failed connections are put down to the links of this instance:
+// connections to many replicas began to fail at the same time.
+func TestLinksAtFault(t *testing.T) {
+	cases := []struct {
+		name   string
+		failed map[string]time.Duration // when connecting to each replica first failed
+		want   bool
+	}{
+		{"one", map[string]time.Duration{"a": 0}, false},
+		{"two at once", map[string]time.Duration{"a": 0, "b": 0}, false},
+		{"a third at once", map[string]time.Duration{"a": 0, "b": 10 * time.Millisecond, "c": 20 * time.Millisecond}, true},
+		{"a third one after the other", map[string]time.Duration{"a": 0, "b": time.Second, "c": 2 * time.Second}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			tracker := newTracker("a", "b", "c", "d", "e", "f", "g", "h", "i")
+			for name, at := range c.failed {
+				tracker.Failed(start.Add(at), tracker.Pool.Get(name), false)
+			}
+			is.New(t).Equal(tracker.AtFault(start, tracker.Pool.Get("a").Incarnation()), c.want)
+		})
+	}
+}
--- a/core/links/probe.go
+++ b/core/links/probe.go
@@ -67,9 +67,9 @@
 	}
 }
 
-// probeOthers probes some links to the replicas of a service that are not known to be broken at
-// once: if they work as well as before, the links are no longer in doubt.
-func (t *Tracker) probeOthers(now clock.Instant, service string) {
+// probeOthers probes up to n links to the replicas of a service that are not known to be broken at
+// once: if they work, the links are not in doubt.
+func (t *Tracker) probeOthers(now clock.Instant, service string, n int) {
 	var others []*pool.Replica
 	for _, r := range t.Pool.Serving(service) {
 		if r.Usable() && !r.LinkBroken() && t.probes.scheduled[r.Incarnation()] == nil {
@@ -77,7 +77,7 @@
 		}
 	}
 	t.Rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-	for _, r := range others[:min(doubtProbes, len(others))] {
+	for _, r := range others[:min(n, len(others))] {
 		t.probes.scheduled[r.Incarnation()] = &probe{due: now, delay: firstProbeDelay}
 	}
 }
@@ -106,7 +106,7 @@
 			continue
 		}
 		r := t.Pool.Get(replica.Name)
-		if r == nil || r.Incarnation() != replica || !r.Usable() || !r.LinkBroken() && !t.Doubtful(r.Service) {
+		if r == nil || r.Incarnation() != replica || !r.Usable() || !t.needsProbe(r) {
 			delete(t.probes.scheduled, replica)
 			continue
 		}
@@ -120,6 +120,12 @@
 	return due
 }
 
+// needsProbe reports whether it is not known that the link to a replica works.
+func (t *Tracker) needsProbe(r *pool.Replica) bool {
+	s := t.services[r.Service]
+	return r.LinkBroken() || s != nil && len(s.suspects) > 0
+}
+
 // HandleProbed handles the result of a probe.
 func (t *Tracker) HandleProbed(now clock.Instant, e Probed) {
 	p := t.probes.scheduled[e.Replica]
--- a/core/pool/link.go
+++ b/core/pool/link.go
@@ -1,6 +1,10 @@
 package pool
 
-import "github.com/birchdrift/birchdrift/core/clock"
+import (
+	"time"
+
+	"github.com/birchdrift/birchdrift/core/clock"
+)
 
 // A linkState is what this instance's own connections to a replica show. It is a fact about the
 // link, not about the replica: other instances may reach it.
@@ -33,3 +37,8 @@
 
 // LinkBroken reports whether the last attempt to connect to the replica failed.
 func (r *Replica) LinkBroken() bool { return !r.link.brokenSince.IsZero() }
+
+// LinkBrokenTogether reports whether the links to two replicas broke within window.
+func (r *Replica) LinkBrokenTogether(other *Replica, window time.Duration) bool {
+	return r.link.brokenSince.Since(other.link.brokenSince).Abs() <= window
+}
--- a/core/quarantine/evidence.go
+++ b/core/quarantine/evidence.go
@@ -24,6 +24,9 @@
 	// other signs count as evidence of the same crash: shorter than the seconds that a replica
 	// takes to restart.
 	evidenceWindow = 2 * time.Second
+	// confirmDelay is the time from the first sign that a replica's process has ended to the
+	// report. If the links to many replicas broke in that time, the links are at fault.
+	confirmDelay = 20 * time.Millisecond
 	// disconnectWindow is how long before its replica's crash a caller may have disconnected
 	// for its call to still count as in flight there: a replica takes a moment to notice the
 	// disconnect, and the crash takes a moment to show.
@@ -54,9 +57,10 @@
 	at        clock.Instant // time of the first sign
 	address   string
 	requests  []crash.Fingerprint // in flight at the replica; in ascending order
-	ended     bool                // the replica's process has ended
+	endedAt   clock.Instant       // first sign that the replica's process has ended; zero: there was none
 	checkSent bool                // a Check was sent
 	seq       uint64              // sequence number of the report, 0 if none was sent
+	reported  int                 // number of requests in the last report
 }
 
 // Severed records that a request's call was severed by its replica, or by the replica's
@@ -68,9 +72,7 @@
 	replica := r.Incarnation()
 	e := t.evidenceOf(now, replica)
 	e.address = r.Address
-	if e.add(request) && e.ended {
-		t.reportCrash(now, replica, e)
-	}
+	e.add(request)
 }
 
 // SeveredByReplicaEnd records that a request's call was at an incarnation of a replica that is
@@ -80,19 +82,16 @@
 		return
 	}
 	t.ReplicaEnded(now, replica)
-	if e := t.evidenceOf(now, replica); e.add(request) {
-		t.reportCrash(now, replica, e)
-	}
+	t.evidenceOf(now, replica).add(request)
 }
 
-// add records that a request was in flight, and reports whether that is new.
-func (e *evidence) add(request crash.Fingerprint) bool {
+// add records that a request was in flight.
+func (e *evidence) add(request crash.Fingerprint) {
 	i, found := slices.BinarySearch(e.requests, request)
 	if found || len(e.requests) == maxRequests {
-		return false
+		return
 	}
 	e.requests = slices.Insert(e.requests, i, request)
-	return true
 }
 
 // A disconnect is a call whose caller disconnected while it was in flight at a replica.
@@ -121,16 +120,31 @@
 // ReplicaEnded records that a replica's process has ended.
 func (t *Tracker) ReplicaEnded(now clock.Instant, replica pool.Incarnation) {
 	e := t.evidenceOf(now, replica)
-	if e.ended {
+	if !e.endedAt.IsZero() {
 		return
 	}
-	e.ended = true
+	e.endedAt = now
 	for _, d := range t.disconnects[replica] {
 		if !d.expired(e.at) {
 			e.add(d.request)
 		}
 	}
-	if len(e.requests) > 0 {
+}
+
+// reportEnded reports the replicas that have crashed, confirmDelay after the first sign, and again
+// when more requests turn out to have been in flight there. If the links of this instance are at
+// fault, it drops the evidence.
+func (t *Tracker) reportEnded(now clock.Instant) {
+	for _, replica := range slices.SortedFunc(maps.Keys(t.evidence), pool.Incarnation.Compare) {
+		e := t.evidence[replica]
+		if e.endedAt.IsZero() || len(e.requests) == e.reported || now.Before(e.endedAt.Add(confirmDelay)) {
+			continue
+		}
+		if e.reported == 0 && t.LinksAtFault(now, replica) {
+			delete(t.evidence, replica)
+			continue
+		}
+		e.reported = len(e.requests)
 		t.reportCrash(now, replica, e)
 	}
 }
@@ -168,7 +182,7 @@
 func (t *Tracker) checkReplicas(now clock.Instant) {
 	for _, replica := range slices.SortedFunc(maps.Keys(t.evidence), pool.Incarnation.Compare) {
 		e := t.evidence[replica]
-		if e.ended || e.checkSent || now.Before(e.at.Add(checkDelay)) {
+		if !e.endedAt.IsZero() || e.checkSent || now.Before(e.at.Add(checkDelay)) {
 			continue
 		}
 		e.checkSent = true
@@ -179,6 +193,7 @@
 // Checked handles the answer to a Check.
 func (t *Tracker) Checked(now clock.Instant, e Checked) {
 	if e.Ended {
+		t.ConnectionRefused(now, e.Replica)
 		t.ReplicaEnded(now, e.Replica)
 	}
 }
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -71,6 +71,11 @@
 	Tell func(now clock.Instant)
 	// Direct reports whether every instance exchanges with every other one.
 	Direct func() bool
+	// ConnectionRefused records that a connection to a replica was refused.
+	ConnectionRefused func(now clock.Instant, replica pool.Incarnation)
+	// LinksAtFault reports whether connections to a replica fail because this instance has
+	// lost its links.
+	LinksAtFault func(now clock.Instant, replica pool.Incarnation) bool
 	// Cut cancels the calls of a request that are in flight at this instance.
 	Cut func(request crash.Fingerprint, remaining time.Duration)
 }
@@ -169,6 +174,7 @@
 // Tick performs the work that is due.
 func (t *Tracker) Tick(now clock.Instant) {
 	t.checkReplicas(now)
+	t.reportEnded(now)
 	if due(now, t.evaluateDue) {
 		t.evaluate(now)
 	}
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -30,6 +30,7 @@
 		State: state, Links: links.New(state), Refusing: func(clock.Instant) bool { return false },
 		Quarantine: quarantine.New(quarantine.Deps{
 			State: state, Tell: func(clock.Instant) {}, Direct: func() bool { return true }, Cut: func(crash.Fingerprint, time.Duration) {},
+			ConnectionRefused: func(clock.Instant, pool.Incarnation) {}, LinksAtFault: func(clock.Instant, pool.Incarnation) bool { return false },
 		}),
 	})
 }
