ownership: an owner without a link to its engine releases it

Callers at all instances, for as long as a partition lasted: calls that need an adapter waited and were refused, and no model was loaded on the engines whose owners were cut off.

Cause: an engine stayed with its owner while the owner's registration lasted, though the owner could send it nothing. Duties were given by who lives, not by who reaches what they are about.

Change: an owner that has not reached its engine for 1.5 s, while a peer does, stops ordering it and writes the record as released, as at a planned stop; the write is repeated while its outcome is unknown. Instances without a link to an engine do not claim it, and peers that have lost the links to its service do not count among the candidates.

--- a/core/instance/announced_world_test.go
+++ b/core/instance/announced_world_test.go
@@ -820,8 +820,9 @@
 		r.Conflict = r.Revision == 0
 		return r
 	}
-	f.maxClaims = max(f.maxClaims, len(a.Write.Claim))
-	for _, o := range a.Write.Claim {
+	ownerships := slices.Concat(a.Write.Claim, a.Write.Release)
+	f.maxClaims = max(f.maxClaims, len(ownerships))
+	for _, o := range ownerships {
 		v := f.store.values["owners/"+o.Engine]
 		if (v == nil) != (o.Revision == 0) || v != nil && v.revision != o.Revision.Raw() {
 			r.Conflict = true
@@ -830,7 +831,7 @@
 	}
 	// All keys of one write get the same revision.
 	f.store.revision++
-	for _, o := range a.Write.Claim {
+	for _, o := range ownerships {
 		own := o
 		v := &fleetValue{data: &own, revision: f.store.revision}
 		f.store.values["owners/"+o.Engine] = v
--- a/core/instance/build.go
+++ b/core/instance/build.go
@@ -89,7 +89,7 @@
 	o.owned = &owned.Engines{Out: m.state.Out, Pool: m.state.Pool, Records: m.state.Records, Config: m.state.Config}
 	o.registry = ownership.New(ownership.Deps{
 		State:  m.state,
-		Roster: o.roster, Owned: o.owned,
+		Roster: o.roster, Links: m.links, Owned: o.owned,
 		Stopping: m.stop.Started,
 		TellSoon: func(now clock.Instant) { m.exchanges.TellSoon(now) },
 	})
--- a/core/instance/partition_test.go
+++ b/core/instance/partition_test.go
@@ -18,6 +18,7 @@
 	"github.com/birchdrift/birchdrift/core/logevent"
 	"github.com/birchdrift/birchdrift/core/option"
 	"github.com/birchdrift/birchdrift/core/quarantine"
+	"github.com/birchdrift/birchdrift/core/registry"
 	"github.com/birchdrift/birchdrift/core/step"
 )
 
@@ -90,7 +91,8 @@
 	flights   []*flight
 	idle      map[connKey][]time.Duration // when open connections became idle
 	cuts      []partition
-	mistaken  int // calls that ran although their answer says that they did not
+	unordered []string // engines that no instance could order at the end of a partition
+	mistaken  int      // calls that ran although their answer says that they did not
 	restarted map[string]time.Duration
 }
 
@@ -374,12 +376,34 @@
 	h.cuts = append(h.cuts, p)
 	h.cut(members, fault, func(*fleetEngine) bool { return true })
 	h.f.at(partitionDuration, func() {
+		h.unordered = append(h.unordered, h.enginesWithoutLinkedOwner()...)
 		for _, n := range members {
 			n.links = nil
 		}
 	})
 }
 
+// enginesWithoutLinkedOwner returns the engines whose owner has no link to them.
+func (h *partitionHarness) enginesWithoutLinkedOwner() []string {
+	var out []string
+	for _, name := range sortedKeys(h.f.engines) {
+		e := h.f.engines[name]
+		if e.service != "" {
+			continue
+		}
+		v := h.f.store.values["owners/"+name]
+		if v == nil {
+			out = append(out, name)
+			continue
+		}
+		owner := h.f.members[v.data.(*registry.Ownership).Owner]
+		if owner == nil || h.f.link(owner, e) != linkWorks {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
 // A servedCount counts calls and those that were served.
 type servedCount struct{ served, calls int }
 
@@ -463,6 +487,9 @@
 	if n := h.f.logCounts[logevent.UpstreamEnded]; n > 0 {
 		t.Errorf("seed %d: %d replicas reported as crashed", seed, n)
 	}
+	if len(h.unordered) > 0 {
+		t.Errorf("seed %d: at the end of the partition the owners of %v have no link to them", seed, h.unordered)
+	}
 	for _, v := range h.f.violations {
 		t.Errorf("seed %d: %s", seed, v)
 	}
--- a/core/ownership/claim.go
+++ b/core/ownership/claim.go
@@ -48,6 +48,9 @@
 	if !r.era.isReady() || !r.enrolment.held || r.claims.inFlight || !r.Roster.IncludesSelf(now) || !r.MayOrder(now) || !r.Config.Loaded() {
 		return
 	}
+	if r.releaseUnreachable(now) {
+		return
+	}
 	var claims []registry.Ownership
 	candidates := sync.OnceValue(func() []candidate { return r.candidates(now) }) // computed lazily: most checks find nothing to claim
 	for _, replica := range r.Pool.All() {
@@ -77,6 +80,9 @@
 		return claim, !e.Settled && !now.Before(e.From) || r.era.isFormer(e.Fence)
 	}
 	stale := owned && r.era.isStale(old.Era)
+	if replica.LinkBroken() {
+		return claim, false // this instance could not order it
+	}
 	switch {
 	case stale:
 		claim.FormerOwner = registry.FormerUnknown
@@ -98,7 +104,7 @@
 		return claim, false
 	}
 	// If the instance of the highest rank does not claim, the next one does.
-	return claim, !now.Before(since.Add(time.Duration(ownerRank(replica.Name, replica.Zone, r.self(), candidates())) * claimRankDelay))
+	return claim, !now.Before(since.Add(time.Duration(ownerRank(replica.Name, replica.Zone, r.self(), r.reaching(now, replica, candidates()))) * claimRankDelay))
 }
 
 // An engineView holds what is known about the owner of an engine.
--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -22,6 +22,7 @@
 
 	"github.com/birchdrift/birchdrift/core/clock"
 	"github.com/birchdrift/birchdrift/core/era"
+	"github.com/birchdrift/birchdrift/core/links"
 	"github.com/birchdrift/birchdrift/core/logevent"
 	"github.com/birchdrift/birchdrift/core/owned"
 	"github.com/birchdrift/birchdrift/core/registry"
@@ -61,10 +62,13 @@
 	// Txn holds the records that one Write writes in one transaction: claims, the
 	// placer's record or an era record.
 	Txn struct {
-		Claim  []registry.Ownership // each is written only if the record still has its Revision
-		Placer *registry.Placer     // written only if the record still has its Revision
-		Mark   *registry.EraRecord  // written only if there is no such record
-		Former []era.Era            // former eras whose records are deleted together with writing Mark
+		Claim []registry.Ownership // each is written only if the record still has its Revision
+		// Release holds the ownerships that this instance gives up; each is written like a
+		// Claim.
+		Release []registry.Ownership
+		Placer  *registry.Placer    // written only if the record still has its Revision
+		Mark    *registry.EraRecord // written only if there is no such record
+		Former  []era.Era           // former eras whose records are deleted together with writing Mark
 		// Depends is the revision of the era record. Claim and Placer are written only if
 		// the era record still has it. 0 means no such condition.
 		Depends era.Revision
@@ -101,6 +105,8 @@
 		return t.Placer.Era
 	case len(t.Claim) > 0:
 		return t.Claim[0].Era
+	case len(t.Release) > 0:
+		return t.Release[0].Era
 	default:
 		return 0
 	}
@@ -135,6 +141,7 @@
 	shared.State
 
 	Roster *watchers.Roster
+	Links  *links.Tracker
 	Owned  *owned.Engines
 	// Stopping reports whether a planned stop has begun.
 	Stopping func() bool
@@ -384,6 +391,9 @@
 	case e.Write.Placer != nil:
 		r.handlePlacerReply(now, e)
 		return
+	case len(e.Write.Release) > 0:
+		r.handleReleaseReply(now, e)
+		return
 	}
 	r.handleClaimReply(now, e)
 }
--- a/core/ownership/ownership_test.go
+++ b/core/ownership/ownership_test.go
@@ -10,6 +10,7 @@
 	"github.com/birchdrift/birchdrift/core/clock/clocktest"
 	"github.com/birchdrift/birchdrift/core/config"
 	"github.com/birchdrift/birchdrift/core/gossip"
+	"github.com/birchdrift/birchdrift/core/links"
 	"github.com/birchdrift/birchdrift/core/member"
 	"github.com/birchdrift/birchdrift/core/option"
 	"github.com/birchdrift/birchdrift/core/owned"
@@ -38,7 +39,7 @@
 	state := shared.New(member.Identity{Name: "self", Zone: "z", Boot: 1}, opt, 1)
 	state.Out = out
 	state.Pool = engines
-	return New(Deps{State: state, Owned: own, Stopping: func() bool { return false }})
+	return New(Deps{State: state, Links: links.New(state), Owned: own, Stopping: func() bool { return false }})
 }
 
 // TestReleasedEngineWaitsForRestOfTurnGap checks that the first order to a released
--- a/core/ownership/rank.go
+++ b/core/ownership/rank.go
@@ -2,8 +2,10 @@
 
 import (
 	"cmp"
+	"slices"
 
 	"github.com/birchdrift/birchdrift/core/clock"
+	"github.com/birchdrift/birchdrift/core/pool"
 	"github.com/birchdrift/birchdrift/core/rendezvous"
 )
 
@@ -36,6 +38,13 @@
 	return all
 }
 
+// reaching returns those of the candidates that reach the engine, as far as is known.
+func (r *Registry) reaching(now clock.Instant, engine *pool.Replica, all []candidate) []candidate {
+	return slices.DeleteFunc(slices.Clone(all), func(c candidate) bool {
+		return r.Links.PeerLost(now, c.name, engine.Service) || engine.UnreachableFrom(now, c.name)
+	})
+}
+
 // ownerRank returns the number of candidates that are preferred to self as the owner of an
 // engine. Candidates in the engine's zone come first, since they reach it when the zone
 // is partitioned from the others. Within each group, rendezvous hashing spreads the engines.
--- /dev/null
+++ b/core/ownership/release.go
@@ -0,0 +1,61 @@
+package ownership
+
+import (
+	"time"
+
+	"github.com/birchdrift/birchdrift/core/clock"
+	"github.com/birchdrift/birchdrift/core/links"
+	"github.com/birchdrift/birchdrift/core/registry"
+)
+
+// Release of engines that this instance cannot reach, so that an instance that does can own them.
+
+// releaseDelay is how long an owner must have failed to connect to its engine: longer than a
+// replica that falls silent for a moment takes to answer again.
+const releaseDelay = 1500 * time.Millisecond
+
+// releaseUnreachable releases the engines that this instance owns and has not reached for
+// releaseDelay, if another instance reaches them, and reports whether there were any. The record
+// of an engine names this instance until the release has taken effect, so one whose outcome is
+// unknown is repeated.
+func (r *Registry) releaseUnreachable(now clock.Instant) bool {
+	var released []registry.Ownership
+	for _, replica := range r.Pool.All() {
+		o, owned := r.owners[replica.Name]
+		if !owned || o.Owner != r.Self.Name || o.Boot != r.Self.Boot || r.era.isStale(o.Era) || len(released) == registry.MaxClaims {
+			continue
+		}
+		if replica.LinkBrokenFor(now) < releaseDelay || r.Links.Way(now, replica, true) != links.Relayed {
+			continue
+		}
+		release := registry.Ownership{Engine: replica.Name, Era: r.era.current, Revision: o.Revision}
+		if e := r.Owned.Get(replica.Name); e != nil {
+			release.QuietMS = e.SinceLastOrder(now).Milliseconds()
+			r.Owned.Lose(now, replica.Name, "this instance cannot reach it")
+		}
+		released = append(released, release)
+	}
+	if len(released) == 0 {
+		return false
+	}
+	r.claims.inFlight = true
+	r.Out.Emit(Write{Write: Txn{Release: released, Depends: r.era.recordRevision()}})
+	return true
+}
+
+// handleReleaseReply handles the result of a write of releases.
+func (r *Registry) handleReleaseReply(now clock.Instant, e WriteReply) {
+	r.claims.inFlight = false
+	if e.Err != nil {
+		r.Outage.Observe(now, e.Err)
+		return
+	}
+	if e.Conflict || r.era.isFormer(e.Revision) {
+		return
+	}
+	for _, o := range e.Write.Release {
+		o.Revision = e.Revision
+		r.owners[o.Engine] = o
+		r.learnedAt[o.Engine] = now
+	}
+}
--- a/core/pool/link.go
+++ b/core/pool/link.go
@@ -46,3 +46,12 @@
 // LinkTimedOut reports whether the last attempt to connect to the replica got no answer, as
 // opposed to a refusal: open connections to it are probably silent too.
 func (r *Replica) LinkTimedOut() bool { return r.LinkBroken() && r.link.timedOut }
+
+// LinkBrokenFor returns for how long no attempt to connect to the replica has succeeded; 0 if the
+// last one did.
+func (r *Replica) LinkBrokenFor(now clock.Instant) time.Duration {
+	if !r.LinkBroken() {
+		return 0
+	}
+	return now.Since(r.link.brokenSince)
+}
--- a/internal/environment/driver.go
+++ b/internal/environment/driver.go
@@ -224,7 +224,7 @@
 	case w.Placer != nil:
 		return placerCommit(*w.Placer, a.Lease, w.Depends)
 	default:
-		return claimCommit(w.Claim, w.Depends)
+		return claimCommit(slices.Concat(w.Claim, w.Release), w.Depends)
 	}
 }
 
