rejectbudget: replicas that can reject few requests have to reject no more

The users' replicas state at times that they fail if they must reject more than a number of requests within a second for want of room.

Change: while a service's replicas state a limit, a request that a replica has not answered takes a token. The tokens of a replica are divided by rendezvous hashing over the registered instances, so each has one holder and their sum is known without a message (bounds.NewRejections, docs/design/budgets.md); the token of a rejected request stays in use for the window. An instance without tokens has its attempts relayed by one that has some; one whose tokens are in use makes its calls wait, the more urgent first, or refuses them at once with a staggered Retry-After. The limit reaches all instances with the exchanges.

--- a/core/calls/event.go
+++ b/core/calls/event.go
@@ -75,8 +75,8 @@
 		Forward    *ForwardAttempt // nil for calls of the product's own interface
 		// Relay is the instance that sends the attempt to the replica, nil if this one does.
 		Relay *RelayPeer
-		// Limited means that the replica had announced a rate limit. An answer that
-		// announces none then means that the limit has ended.
+		// Limited means that the replica had announced a limit. An answer that announces
+		// none then means that the limit has ended.
 		Limited bool
 	}
 	// A RelayPeer is the instance that relays an attempt.
--- a/core/exchange/exchange.go
+++ b/core/exchange/exchange.go
@@ -25,6 +25,7 @@
 	"github.com/birchdrift/birchdrift/core/logevent"
 	"github.com/birchdrift/birchdrift/core/member"
 	"github.com/birchdrift/birchdrift/core/registry"
+	"github.com/birchdrift/birchdrift/core/rejectbudget"
 	"github.com/birchdrift/birchdrift/core/shared"
 	"github.com/birchdrift/birchdrift/core/watchers"
 )
@@ -75,6 +76,8 @@
 
 	Roster *watchers.Roster
 	Links  *links.Tracker
+	// Rejections knows how many requests replicas can reject.
+	Rejections *rejectbudget.Budget
 
 	// Stopping reports whether a planned stop has begun.
 	Stopping func() bool
@@ -191,7 +194,7 @@
 		Ack:          known.stamp,
 		Records:      x.Records.Delta(now, known.acked, peer, sameZone, known.storeRevision),
 		Relays:       true,
-		Links:        x.Links.Reports(now),
+		Links:        x.Rejections.Reports(now, x.Links.Reports(now)),
 	}
 	msg.Demand = x.DemandFor(now, peer)
 	if x.Options.MeshEvery > 0 {
@@ -248,6 +251,7 @@
 	}
 	x.applyUses(now, msg)
 	x.Links.ObservePeer(now, msg.From, msg.Relays, msg.Links)
+	x.Rejections.ObservePeer(now, msg.From, msg.Links)
 	if len(msg.Demand) > 0 {
 		x.DemandHeard(now, msg.From, msg.Demand)
 	}
--- a/core/forwarding/attempts.go
+++ b/core/forwarding/attempts.go
@@ -168,6 +168,9 @@
 	if r != nil && answeredByReplica(e) && stateOf(c).lastAttempt.relay == "" {
 		f.Links.Proven(now, r, c.Started)
 	}
+	if r != nil && !mayBeRejected(e) {
+		r.CallNotRejected(uint64(c.ID))
+	}
 	switch {
 	case r == nil:
 	case !r.HasCall(uint64(c.ID)):
@@ -227,6 +230,16 @@
 	return e.Phase == attempt.Refused || e.Misdirected || e.Relayable
 }
 
+// mayBeRejected reports whether the replica rejected the attempt, or may have.
+func mayBeRejected(e calls.AttemptFailed) bool {
+	switch {
+	case e.Phase == attempt.NotSent, e.Misdirected, e.Relayable:
+		return false
+	default:
+		return true
+	}
+}
+
 // ReplicaRestarted interrupts the calls at a replica that has restarted: they ended with
 // its previous incarnation. Calls whose connections do not show that would otherwise wait
 // for an answer that cannot come.
--- a/core/forwarding/forwarding.go
+++ b/core/forwarding/forwarding.go
@@ -29,6 +29,7 @@
 	"github.com/birchdrift/birchdrift/core/policy"
 	"github.com/birchdrift/birchdrift/core/pool"
 	"github.com/birchdrift/birchdrift/core/quarantine"
+	"github.com/birchdrift/birchdrift/core/rejectbudget"
 	"github.com/birchdrift/birchdrift/core/retrybudget"
 	"github.com/birchdrift/birchdrift/core/route"
 	"github.com/birchdrift/birchdrift/core/shared"
@@ -48,6 +49,8 @@
 	Quarantine *quarantine.Tracker
 	Permits    *permits.Permits
 	Links      *links.Tracker
+	// Rejections limits the requests that replicas must reject.
+	Rejections *rejectbudget.Budget
 	// Used records that a call uses an item of an engine.
 	Used func(now clock.Instant, engine, item string)
 	// ListAge returns the age of this instance's copy of the platform's list.
--- a/core/forwarding/forwarding_test.go
+++ b/core/forwarding/forwarding_test.go
@@ -21,6 +21,7 @@
 	"github.com/birchdrift/birchdrift/core/pool"
 	"github.com/birchdrift/birchdrift/core/quarantine"
 	"github.com/birchdrift/birchdrift/core/registry"
+	"github.com/birchdrift/birchdrift/core/rejectbudget"
 	"github.com/birchdrift/birchdrift/core/retrybudget"
 	"github.com/birchdrift/birchdrift/core/shared"
 	"github.com/birchdrift/birchdrift/core/step"
@@ -39,6 +40,7 @@
 	table.Out = state.Out
 	table.Pool = state.Pool
 	budget := &retrybudget.Budget{Options: state.Options, FleetSize: func() (int, bool) { return state.Members.Size(), true }}
+	linkTracker := links.New(state)
 	var f *Forwarder
 	f = New(Deps{
 		State: state, Calls: table, Budget: budget,
@@ -48,7 +50,11 @@
 		Quarantine: quarantine.New(quarantine.Deps{
 			State: state, Tell: func(clock.Instant) {}, Direct: func() bool { return true }, Cut: func(crash.Fingerprint, time.Duration) {},
 		}),
-		Links: links.New(state),
+		Links: linkTracker,
+		Rejections: rejectbudget.New(rejectbudget.Deps{
+			State: state, Links: linkTracker, TellSoon: func(clock.Instant) {},
+			Instances: func() map[string]registry.Instance { return nil },
+		}),
 		Permits: permits.New(permits.Deps{
 			State:       state,
 			Instances:   func() map[string]registry.Instance { return nil },
--- a/core/forwarding/place.go
+++ b/core/forwarding/place.go
@@ -121,7 +121,17 @@
 
 // way returns the function that says how this instance reaches a replica.
 func (f *Forwarder) way(now clock.Instant, lastResort bool) func(r *pool.Replica) links.Way {
-	return func(r *pool.Replica) links.Way { return f.Links.Way(now, r, lastResort) }
+	return func(r *pool.Replica) links.Way {
+		way := f.Links.Way(now, r, lastResort, f.Rejections.MayRelay)
+		switch {
+		case way != links.Direct || f.Rejections.MaySend(now, r):
+			return way
+		case !f.Rejections.Holds(now, r) && f.Links.Relayable(now, r, f.Rejections.MayRelay):
+			return links.Relayed
+		default:
+			return links.Unreachable
+		}
+	}
 }
 
 // silentZoneCost is added for replicas in a zone in which no instance answers, so that
@@ -230,7 +240,7 @@
 	if !e.Relayed {
 		return nil
 	}
-	p := f.Links.ChooseRelay(now, e.Replica)
+	p := f.Links.ChooseRelay(now, e.Replica, f.Rejections.MayRelay)
 	if p == nil {
 		return nil
 	}
@@ -259,7 +269,7 @@
 		priority = pool.RankOf(s.route.Priority)
 	}
 	d := c.Dispatch(r, f.Options.Stall)
-	d.Limited = rateLimited(now, r)
+	d.Limited = rateLimited(now, r) || f.Rejections.Limited(r.Service)
 	d.Model = s.request.model
 	d.Adapter = s.request.adapter
 	d.Forward = &calls.ForwardAttempt{
--- a/core/forwarding/wait.go
+++ b/core/forwarding/wait.go
@@ -8,6 +8,7 @@
 	"github.com/birchdrift/birchdrift/core/calls"
 	"github.com/birchdrift/birchdrift/core/clock"
 	"github.com/birchdrift/birchdrift/core/code"
+	"github.com/birchdrift/birchdrift/core/links"
 	"github.com/birchdrift/birchdrift/core/logevent"
 	"github.com/birchdrift/birchdrift/core/owned"
 	"github.com/birchdrift/birchdrift/core/pool"
@@ -82,6 +83,10 @@
 		f.awaitRest(now, c, left)
 		return
 	}
+	if f.exposed(now, c) {
+		f.awaitExposed(now, c)
+		return
+	}
 	if f.refuseRateLimited(now, c) {
 		return
 	}
@@ -201,3 +206,47 @@
 	}
 	return best + placementDelay
 }
+
+// exposed reports whether a replica could serve the call, but must not be sent another request
+// that it may have to reject.
+func (f *Forwarder) exposed(now clock.Instant, c *calls.Call) bool {
+	if !f.Rejections.Limited(c.Service) {
+		return false
+	}
+	s := stateOf(c)
+	for _, r := range f.Pool.Serving(c.Service) {
+		if !r.Usable() || slices.Contains(s.progress.tried, r.Incarnation()) || f.Links.Way(now, r, true, nil) == links.Unreachable {
+			continue
+		}
+		if c.Item == "" {
+			return true
+		}
+		if _, ok := f.itemCost(now, c, r); ok {
+			return true
+		}
+	}
+	return false
+}
+
+// awaitExposed makes a call wait until its replicas may be sent more requests, if that can be
+// within its latency target, or ends it.
+func (f *Forwarder) awaitExposed(now clock.Instant, c *calls.Call) {
+	switch {
+	case f.permitTimeout(now, c) > 0:
+		if !f.Calls.Queued(c) {
+			f.Out.Log(logevent.CallWaits, "call", c.Forward.Name, "item", c.Item, "for", "replicas that can take another request")
+		}
+		f.Calls.Enqueue(c)
+	case c.History.RunState() != code.NotRun || stateOf(c).progress.answerStarted:
+		f.end(c, stateOf(c), 0, "the other replicas that could serve it take no more requests for now")
+	default:
+		f.Calls.Refuse(c, calls.NotRunRefusal(code.NoCapacity, "its replicas take no more requests for now", f.staggeredRetryAfter(c)))
+	}
+}
+
+// staggeredRetryAfter returns the Retry-After of a call that may be served again at any moment:
+// the more urgent, the sooner, and calls that are refused together do not return together.
+func (f *Forwarder) staggeredRetryAfter(c *calls.Call) time.Duration {
+	spread := time.Duration(1+stateOf(c).route.Priority) * noReplicaRetryAfter
+	return noReplicaRetryAfter + time.Duration(f.Rand.Float64()*float64(spread))
+}
--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -90,6 +90,16 @@
 	// that was the last time.
 	Proven    bool
 	ProvenAge time.Duration
+	// Rejections is the limit of the service's replicas, as known to the instance.
+	Rejections RejectionReport
+}
+
+// A RejectionReport is the newest report of how many requests the replicas of a service can
+// reject.
+type RejectionReport struct {
+	Known bool // the service ever had a limit
+	pool.RejectionLimit
+	Age time.Duration // since a replica stated it
 }
 
 // A LeaseHolder is the instance that holds the planner lease of a zone.
--- a/core/instance/announced_world_test.go
+++ b/core/instance/announced_world_test.go
@@ -155,6 +155,7 @@
 type fleetEngine struct {
 	name           string
 	service        string // of a plain replica; "": it runs models
+	slots          int    // 0: eight
 	address        string // "": same as name
 	zone           string
 	sequence       uint64 // number of orders that this incarnation accepted
@@ -558,6 +559,8 @@
 // endRelay reports the outcome of a relayed attempt to the instance that relayed it.
 func (f *fleet) endRelay(p *fleetMember, boot, token uint64, ev step.Event) {
 	switch e := ev.(type) {
+	case calls.AnswerBegan:
+		f.step(p, boot, relay.Accepted{Token: token})
 	case calls.Completed:
 		f.step(p, boot, relay.Ended{Token: token, Outcome: relay.Answered})
 	case calls.AttemptFailed:
@@ -677,7 +680,7 @@
 // announce writes an engine's entry to the store.
 func (f *fleet) announce(e *fleetEngine) {
 	a := &pool.Announcement{
-		Service: cmp.Or(e.service, "llm"), Address: cmp.Or(e.address, e.name), Zone: e.zone, Slots: 8, Engine: e.service == "",
+		Service: cmp.Or(e.service, "llm"), Address: cmp.Or(e.address, e.name), Zone: e.zone, Slots: cmp.Or(e.slots, 8), Engine: e.service == "",
 		Born: fmt.Sprint(e.restarts), Leaving: e.leaving,
 	}
 	for _, m := range sortedKeys(e.models) {
--- a/core/instance/build.go
+++ b/core/instance/build.go
@@ -21,6 +21,8 @@
 	"github.com/birchdrift/birchdrift/core/permits"
 	"github.com/birchdrift/birchdrift/core/pool"
 	"github.com/birchdrift/birchdrift/core/quarantine"
+	"github.com/birchdrift/birchdrift/core/registry"
+	"github.com/birchdrift/birchdrift/core/rejectbudget"
 	"github.com/birchdrift/birchdrift/core/relay"
 	"github.com/birchdrift/birchdrift/core/retrybudget"
 	"github.com/birchdrift/birchdrift/core/shared"
@@ -42,17 +44,23 @@
 	m := &Machine{state: shared.New(self, opt, seed)}
 	tracker, totals := demand.NewTracker(), demand.NewTotals()
 	m.links = links.New(m.state)
+	m.rejections = rejectbudget.New(rejectbudget.Deps{
+		State: m.state, Links: m.links,
+		Instances: func() map[string]registry.Instance { return m.orders.registry.Instances() },
+		TellSoon:  func(now clock.Instant) { m.exchanges.TellSoon(now) },
+	})
 	m.buildCalls()
 	m.buildOrders()
 	m.buildQuarantine()
 	m.notices = notice.New(notice.Deps{
-		State:    m.state,
-		TellSoon: func(now clock.Instant) { m.exchanges.TellSoon(now) },
+		State:      m.state,
+		Rejections: m.rejections.Observe,
+		TellSoon:   func(now clock.Instant) { m.exchanges.TellSoon(now) },
 	})
 	m.buildPermits()
 	m.buildExchanges()
 	m.buildForwarding(tracker)
-	m.relay = relay.New(relay.Deps{State: m.state, Links: m.links, Quarantine: m.quarantine, Refusing: m.stop.Refusing})
+	m.relay = relay.New(relay.Deps{State: m.state, Links: m.links, Quarantine: m.quarantine, Rejections: m.rejections, Refusing: m.stop.Refusing})
 	switch opt.Environment {
 	case option.Platform:
 		m.env = m.platformEnvironment(tracker, totals)
@@ -163,6 +171,7 @@
 		State:      m.state,
 		Roster:     m.orders.roster,
 		Links:      m.links,
+		Rejections: m.rejections,
 		Stopping:   m.stop.Started,
 		Listed:     m.listing.HandlePeerEntry,
 		Registered: m.orders.registry.Merge,
@@ -178,7 +187,7 @@
 	m.forwarding = forwarding.New(forwarding.Deps{
 		State: m.state,
 		Calls: m.calls, Budget: m.budget, Asks: m.orders.orderClient, Roster: m.orders.roster, Demand: tracker,
-		Quarantine: m.quarantine, Permits: m.permits, Links: m.links,
+		Quarantine: m.quarantine, Permits: m.permits, Links: m.links, Rejections: m.rejections,
 		ListAge: m.exchanges.StoreAge,
 		Used:    m.orders.owned.RecordUse,
 	})
--- a/core/instance/machine.go
+++ b/core/instance/machine.go
@@ -13,6 +13,7 @@
 //   - core/notice: what replicas state about themselves in their responses;
 //   - core/links, core/relay: the links of this instance to the replicas, and attempts that it
 //     sends for instances without such links;
+//   - core/rejectbudget: how many requests replicas must reject, over all instances;
 //   - core/permits: the rate limits of replicas, over all instances;
 //   - core/watch, core/watchers: the watch of the platform, and the choice of the
 //     instances that watch;
@@ -51,6 +52,7 @@
 	"github.com/birchdrift/birchdrift/core/ownership"
 	"github.com/birchdrift/birchdrift/core/permits"
 	"github.com/birchdrift/birchdrift/core/quarantine"
+	"github.com/birchdrift/birchdrift/core/rejectbudget"
 	"github.com/birchdrift/birchdrift/core/relay"
 	"github.com/birchdrift/birchdrift/core/retrybudget"
 	"github.com/birchdrift/birchdrift/core/shared"
@@ -67,6 +69,7 @@
 	notices    *notice.Tracker
 	permits    *permits.Permits
 	links      *links.Tracker
+	rejections *rejectbudget.Budget
 	relay      *relay.Relay
 	forwarding *forwarding.Forwarder
 	listing    *listing.List
@@ -161,6 +164,8 @@
 		m.links.HandleProbed(now, e)
 	case relay.Requested:
 		m.relay.HandleRequest(now, e)
+	case relay.Accepted:
+		m.relay.HandleAccepted(e)
 	case relay.Ended:
 		m.relay.HandleEnded(now, e)
 	case permits.Reply:
@@ -233,6 +238,7 @@
 	m.notices.Tick(now)
 	m.permits.Tick(now)
 	m.links.Tick(now)
+	m.rejections.Tick(now)
 	for _, tick := range m.env.tickBeforeExchanges {
 		tick(now)
 	}
--- a/core/instance/partition_test.go
+++ b/core/instance/partition_test.go
@@ -40,8 +40,8 @@
 	// idleConnTimeout how long an idle one is kept, as in internal/upstream.
 	unackedTimeout  = 3 * time.Second
 	idleConnTimeout = 4 * time.Second
-	// plainDuration is the run time of a call at a plain replica.
-	plainDuration = 20 * time.Millisecond
+	// defaultPlainDuration is the run time of a call at a plain replica.
+	defaultPlainDuration = 20 * time.Millisecond
 	// partitionDuration is the duration of a partition.
 	partitionDuration = 9 * time.Second
 	// observedReturn is the time for which calls are counted after that.
@@ -85,15 +85,18 @@
 
 // A partitionHarness cuts instances off from engines, and records how calls end.
 type partitionHarness struct {
-	f         *fleet
-	calls     map[calls.ID]*partitionCall
-	order     []*partitionCall // in the order of arrival
-	flights   []*flight
-	idle      map[connKey][]time.Duration // when open connections became idle
-	cuts      []partition
-	unordered []string // engines that no instance could order at the end of a partition
-	mistaken  int      // calls that ran although their answer says that they did not
-	restarted map[string]time.Duration
+	f       *fleet
+	calls   map[calls.ID]*partitionCall
+	order   []*partitionCall // in the order of arrival
+	flights []*flight
+	idle    map[connKey][]time.Duration // when open connections became idle
+	// plainDuration is the run time of a call at a plain replica.
+	plainDuration time.Duration
+	// rejections, if not nil, lets replicas reject calls for want of room.
+	rejections *rejectionHarness
+	cuts       []partition
+	unordered  []string // engines that no instance could order at the end of a partition
+	mistaken   int      // calls that ran although their answer says that they did not
 }
 
 // A partitionCall is one call and what became of it.
@@ -149,13 +152,14 @@
 		})
 	}
 	for i := range 4 {
-		e := &fleetEngine{name: fmt.Sprintf("p%d", i), zone: fmt.Sprintf("z%d", i%2), service: "app"}
+		e := &fleetEngine{name: fmt.Sprintf("p%d", i), zone: fmt.Sprintf("z%d", i%2), service: "app", slots: replicaSlots}
 		f.engines[e.name] = e
 		f.announce(e)
 	}
 	f.addMembers(members)
 	h := &partitionHarness{
-		f: f, calls: map[calls.ID]*partitionCall{}, idle: map[connKey][]time.Duration{}, restarted: map[string]time.Duration{},
+		f: f, calls: map[calls.ID]*partitionCall{}, idle: map[connKey][]time.Duration{},
+		plainDuration: defaultPlainDuration,
 	}
 	f.partitions = h
 	f.expireLeases()
@@ -173,16 +177,33 @@
 	})
 }
 
+// startPlainCalls sends a call to the plain replicas every interval.
+func (h *partitionHarness) startPlainCalls(interval time.Duration) {
+	h.f.at(interval, func() {
+		h.startPlainCalls(interval)
+		h.sendPlainCall(h.f.randomMember())
+	})
+}
+
 func (h *partitionHarness) sendCall(n *fleetMember) {
+	switch draw := h.f.rng.Float64(); {
+	case draw < 0.6:
+		h.sendCallOf(n, config.Stream)
+	case draw < 0.85:
+		h.sendCallOf(n, config.Once)
+	default:
+		h.sendCallOf(n, config.Repeatable)
+	}
+}
+
+// sendCallOf sends a stream to the engines, or a call of another kind to the plain replicas.
+func (h *partitionHarness) sendCallOf(n *fleetMember, kind config.Kind) {
 	f := h.f
 	f.nextID()
 	r := calls.Request{ID: calls.ID(f.eventSeq), Replayable: true, Forward: &calls.ForwardRequest{
 		Name: fmt.Sprint(f.eventSeq), Fingerprint: crash.Fingerprint(f.eventSeq) << 32,
 	}}
-	c := &partitionCall{member: n, at: f.now}
-	switch draw := f.rng.Float64(); {
-	case draw < 0.6:
-		c.kind = config.Stream
+	if kind == config.Stream {
 		r.Path = "/x"
 		r.PromptTokens = f.promptTokens
 		r.Forward.Host = "h"
@@ -190,16 +211,12 @@
 		if f.rng.Float64() < f.adapterShare {
 			r.Forward.Adapter = fmt.Sprintf("a%d", f.rng.IntN(4))
 		}
-	case draw < 0.85:
-		c.kind = config.Once
-	default:
-		c.kind = config.Repeatable
-	}
-	if c.kind != config.Stream {
-		r.Path = "/" + string(c.kind) + "/x"
+	} else {
+		r.Path = "/" + string(kind) + "/x"
 		r.Forward.Host = "app"
 		r.Forward.Deadline = 600 * time.Millisecond
 	}
+	c := &partitionCall{member: n, at: f.now, kind: kind}
 	h.calls[r.ID] = c
 	h.order = append(h.order, c)
 	f.step(n, n.boot, calls.Arrived{Call: r})
@@ -265,13 +282,16 @@
 		h.fail(fl, fleetLatency, calls.AttemptFailed{Phase: attempt.Refused, Misdirected: true, Incarnation: d.Replica})
 		return
 	}
+	if h.rejections != nil && !h.rejections.admit(fl) {
+		return
+	}
 	fl.call.runs++
 	if fl.call.ended && !fl.call.served && fl.call.refusal.Run == code.NotRun {
 		h.mistaken++
 	}
 	first, total := h.f.firstTokenDelay, 400*time.Millisecond
 	if e.service != "" {
-		first, total = plainDuration, plainDuration+time.Millisecond
+		first, total = h.plainDuration, h.plainDuration+time.Millisecond
 	}
 	h.f.at(first, func() { h.transmit(fl, func() { h.begin(fl) }) })
 	h.f.at(total, func() { h.transmit(fl, func() { h.complete(fl) }) })
--- a/core/instance/status.go
+++ b/core/instance/status.go
@@ -45,7 +45,8 @@
 	Address      string            `json:"address"`
 	Leaving      bool              `json:"leaving"`
 	Ejected      bool              `json:"ejected"`
-	RestMS       int64             `json:"rest_ms,omitempty"` // remaining time for which this instance must send it nothing
+	Unreachable  bool              `json:"unreachable,omitempty"` // this instance cannot connect to it
+	RestMS       int64             `json:"rest_ms,omitempty"`     // remaining time for which this instance must send it nothing
 	Limit        *LimitStatus      `json:"limit,omitempty"`
 	InFlight     int               `json:"in_flight"` // calls of this instance
 	Busy         float64           `json:"busy"`      // utilization; 1 means full
@@ -112,6 +113,7 @@
 		Address:      r.Address,
 		Leaving:      r.Leaving(),
 		Ejected:      r.Ejected(now),
+		Unreachable:  r.LinkBroken(),
 		RestMS:       r.RestLeft(now).Milliseconds(),
 		InFlight:     r.InFlight(),
 		Busy:         r.Utilization(now),
--- a/core/links/links.go
+++ b/core/links/links.go
@@ -8,6 +8,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -42,6 +43,7 @@
 	unreachable int             // replicas
 	lost        bool            // most replicas are unreachable
 	lostSince   clock.Instant   // when lost last became true
+	backAt      clock.Instant   // when lost last became false; zero: it never was true
 	failed      int             // connection attempts that failed since then
 	provenAt    clock.Instant   // when a link to a replica last proved to work
 	failedSince clock.Instant   // when connecting to a replica first failed since then
@@ -140,6 +142,20 @@
 	return s != nil && s.lost
 }
 
+// SinceLost returns how long ago the links to a service were last lost: 0 if they are lost now, and
+// the largest duration if they never were.
+func (t *Tracker) SinceLost(now clock.Instant, service string) time.Duration {
+	s := t.services[service]
+	switch {
+	case s == nil || !s.lost && s.backAt.IsZero():
+		return math.MaxInt64
+	case s.lost:
+		return 0
+	default:
+		return now.Since(s.backAt)
+	}
+}
+
 // AnyLost reports whether this instance cannot connect to most replicas of some service.
 func (t *Tracker) AnyLost() bool {
 	for _, s := range t.services {
@@ -207,6 +223,7 @@
 	case !lost && s.lost:
 		t.Out.Log(logevent.LinksBack, "service", service, "lasted_ms", now.Since(s.lostSince).Milliseconds(), "failed", s.failed)
 		s.failed = 0
+		s.backAt = now
 	}
 	s.lost = lost
 }
--- a/core/links/links_test.go
+++ b/core/links/links_test.go
@@ -134,7 +134,7 @@
 			tracker := newTracker("a", "b", "c")
 			tracker.addPeer("peer", "z")
 			c.prepare(tracker)
-			is.New(t).Equal(tracker.Way(start, tracker.Pool.Get("a"), c.lastResort), c.want)
+			is.New(t).Equal(tracker.Way(start, tracker.Pool.Get("a"), c.lastResort, nil), c.want)
 		})
 	}
 }
@@ -151,7 +151,7 @@
 	chosen := func(now clock.Instant) map[string]int {
 		n := map[string]int{}
 		for range 300 {
-			if p := tracker.ChooseRelay(now, tracker.Pool.Get("a")); p != nil {
+			if p := tracker.ChooseRelay(now, tracker.Pool.Get("a"), nil); p != nil {
 				n[p.Name]++
 			}
 		}
@@ -180,11 +180,11 @@
 	tracker.addPeer("never", "z", gossip.LinkReport{Service: "app"})
 	tracker.Failed(start, tracker.Pool.Get("a"), true)
 	for range 100 {
-		is.Equal(tracker.ChooseRelay(start, tracker.Pool.Get("a")).Name, "proven")
+		is.Equal(tracker.ChooseRelay(start, tracker.Pool.Get("a"), nil).Name, "proven")
 	}
 	tracker.Members.MarkFailed(start, "proven")
 	tracker.cache = candidateCache{}
-	is.True(tracker.ChooseRelay(start, tracker.Pool.Get("a")).Name != "proven")
+	is.True(tracker.ChooseRelay(start, tracker.Pool.Get("a"), nil).Name != "proven")
 }
 
 // probed answers the probes of this step, each with the given result.
--- a/core/links/peers.go
+++ b/core/links/peers.go
@@ -15,7 +15,7 @@
 
 const (
 	// reportTTL is how long a peer's report of the services that it cannot reach counts.
-	reportTTL = 3 * time.Second
+	reportTTL = bounds.LinkReportTTL
 	// peerTTL is how long a peer that was not heard of may be asked to relay an attempt if
 	// there is no better one: in a large fleet an instance hears of few peers in reportTTL.
 	peerTTL = time.Minute
@@ -23,8 +23,10 @@
 	// replicaBackoff the same for a replica that the peer could not reach.
 	peerBackoff    = time.Second
 	replicaBackoff = time.Second
-	// busyBackoff is how long a peer that has too many attempts to relay is not asked again.
-	busyBackoff = 100 * time.Millisecond
+	// busyBackoff is how long a peer that has too many attempts to relay is not asked again, and
+	// exposedBackoff the same for a replica that the peer may not send another request.
+	busyBackoff    = 100 * time.Millisecond
+	exposedBackoff = 300 * time.Millisecond
 	// candidateTTL is how long the candidates for a service are reused.
 	candidateTTL = 20 * time.Millisecond
 	// ownZoneWeight is how much more often a peer of this instance's zone is chosen than one of
@@ -51,11 +53,12 @@
 	PeerUnreachable                 // the peer did not answer, or does not relay attempts
 	PeerBusy                        // the peer relays too many attempts, or stops
 	ReplicaUnreachable              // the peer does not reach the replica either, or may not send to it
+	ReplicaExposed                  // the peer may not send the replica another request that it could reject
 )
 
 // String returns the failure as it is logged.
 func (f RelayFailure) String() string {
-	return [...]string{"", "peer_unreachable", "peer_busy", "replica_unreachable"}[f]
+	return [...]string{"", "peer_unreachable", "peer_busy", "replica_unreachable", "replica_exposed"}[f]
 }
 
 // peerLinks is what this instance knows of the links of a peer.
@@ -112,18 +115,25 @@
 		p.backoffUntil = now.Add(busyBackoff)
 	case ReplicaUnreachable:
 		p.replicas[replica] = now.Add(replicaBackoff)
+	case ReplicaExposed:
+		p.replicas[replica] = now.Add(exposedBackoff)
 	}
 }
 
+// A PeerFilter says whether a peer may be asked to relay an attempt to a replica.
+type PeerFilter func(now clock.Instant, r *pool.Replica, peer string) bool
+
 // Way returns how this instance reaches a replica now. A replica with a broken link is reached
 // through another instance if this instance has lost most links to its service, or if it is the
 // last resort: otherwise the replica has probably ended.
-func (t *Tracker) Way(now clock.Instant, r *pool.Replica, lastResort bool) Way {
+//
+// may says whether a peer may be asked for a replica; nil: any.
+func (t *Tracker) Way(now clock.Instant, r *pool.Replica, lastResort bool, may PeerFilter) Way {
 	doubtful := t.Doubtful(r.Service)
 	switch {
 	case !r.LinkBroken() && !doubtful:
 		return Direct
-	case (doubtful || t.Lost(r.Service) || lastResort) && t.relayable(now, r):
+	case (doubtful || t.Lost(r.Service) || lastResort) && t.Relayable(now, r, may):
 		return Relayed
 	case !r.LinkBroken():
 		return Direct
@@ -133,11 +143,11 @@
 }
 
 // ChooseRelay returns the peer that should relay an attempt to a replica, nil if there is none.
-func (t *Tracker) ChooseRelay(now clock.Instant, r *pool.Replica) *member.Peer {
+func (t *Tracker) ChooseRelay(now clock.Instant, r *pool.Replica, may PeerFilter) *member.Peer {
 	var peers []*member.Peer
 	total := 0.
 	for _, p := range t.candidates(now, r.Service) {
-		if t.reaches(now, p, r) {
+		if t.reaches(now, p, r, may) {
 			peers = append(peers, p)
 			total += t.weight(p)
 		}
@@ -159,13 +169,16 @@
 	return 1
 }
 
-// relayable reports whether a peer may relay an attempt to a replica.
-func (t *Tracker) relayable(now clock.Instant, r *pool.Replica) bool {
-	return slices.ContainsFunc(t.candidates(now, r.Service), func(p *member.Peer) bool { return t.reaches(now, p, r) })
+// Relayable reports whether a peer may relay an attempt to a replica.
+func (t *Tracker) Relayable(now clock.Instant, r *pool.Replica, may PeerFilter) bool {
+	return slices.ContainsFunc(t.candidates(now, r.Service), func(p *member.Peer) bool { return t.reaches(now, p, r, may) })
 }
 
 // reaches reports whether a candidate reaches a replica, as far as this instance knows.
-func (t *Tracker) reaches(now clock.Instant, p *member.Peer, r *pool.Replica) bool {
+func (t *Tracker) reaches(now clock.Instant, p *member.Peer, r *pool.Replica, may PeerFilter) bool {
+	if may != nil && !may(now, r, p.Name) {
+		return false
+	}
 	return !r.UnreachableFrom(now, p.Name) && !now.Before(t.peers[p.Name].replicas[r.Name])
 }
 
--- a/core/logevent/logevent.go
+++ b/core/logevent/logevent.go
@@ -63,6 +63,7 @@
 	UpstreamLimit      Number = 1508
 	LinksLost          Number = 1509
 	LinksBack          Number = 1510
+	RejectionLimit     Number = 1511
 	PeerFailed         Number = 1601
 	PolicyFailed       Number = 1701
 	CallFailed         Number = 1801
@@ -161,6 +162,7 @@
 	{UpstreamLimit, "upstream_limit", "A replica set, changed or withdrew (`named`) its rate limit, the requests per second that it accepts from all instances together; `by` is the instance that received its response, `ago_ms` earlier.", "None; a replica that sets a rate limit is overloaded: check what runs there."},
 	{LinksLost, "links_lost", "This instance cannot connect to most replicas of a service (`unreachable` of `replicas`). Other instances may reach them.", "If other instances log it too, check the replicas; otherwise check the network of this instance."},
 	{LinksBack, "links_back", "This instance reaches most replicas of the service again, after `lasted_ms` and `failed` connection attempts.", "None."},
+	{RejectionLimit, "rejection_limit", "The replicas of a service stated, changed or withdrew (`named`) how many requests each can reject within a second without failing; `by` is the instance that received the answer.", "None; calls wait at the instances or are refused there, instead of being rejected by replicas."},
 	{PeerFailed, "peer_failed", "An exchange with a peer failed.", "Check the network between the instances if it persists."},
 	{PolicyFailed, "policy_failed", "A policy expression failed at run time; the policy's default was used.", "Correct the expression."},
 	{CallFailed, "call_failed", "A call received a final response that is not its upstream's.", "Look the code up in docs/codes.md."},
--- a/core/notice/notice.go
+++ b/core/notice/notice.go
@@ -50,6 +50,9 @@
 // event.
 type Deps struct {
 	shared.State
+	// Rejections records how many requests the replicas of a service can reject, according to
+	// an answer to a request that was sent at sent.
+	Rejections func(now clock.Instant, service string, sent clock.Instant, limit pool.RejectionLimit)
 	// TellSoon is called when there are new records for peers.
 	TellSoon func(now clock.Instant)
 }
@@ -68,6 +71,9 @@
 	notice := e.Notice
 	notice.Rest += t.restSpread(e.Replica, notice.Rest)
 	t.observeLimit(now, e)
+	if r := t.Pool.Get(e.Replica); r != nil {
+		t.Rejections(now, r.Service, e.Sent, notice.Rejections)
+	}
 	changed := t.Pool.ObserveNotice(now, e.Replica, e.Sent, notice)
 	if changed.IsZero() {
 		return
--- a/core/notice/notice_test.go
+++ b/core/notice/notice_test.go
@@ -22,7 +22,9 @@
 // times that it requested an exchange with peers.
 func newTestTracker(name string) (n *Tracker, shares *int) {
 	shares = new(int)
-	n = New(Deps{State: shared.New(member.Identity{Name: name, Zone: "z"}, option.Default(), 1), TellSoon: func(clock.Instant) { *shares++ }})
+	n = New(Deps{State: shared.New(member.Identity{Name: name, Zone: "z"}, option.Default(), 1), TellSoon: func(clock.Instant) { *shares++ },
+		Rejections: func(clock.Instant, string, clock.Instant, pool.RejectionLimit) {},
+	})
 	n.Pool.Announce(start, "r", pool.Announcement{Service: "s", Address: "r", Zone: "z", Slots: 4, Born: "1"})
 	return n, shares
 }
--- a/core/ownership/release.go
+++ b/core/ownership/release.go
@@ -25,7 +25,7 @@
 		if !owned || o.Owner != r.Self.Name || o.Boot != r.Self.Boot || r.era.isStale(o.Era) || len(released) == registry.MaxClaims {
 			continue
 		}
-		if replica.LinkBrokenFor(now) < releaseDelay || r.Links.Way(now, replica, true) != links.Relayed {
+		if replica.LinkBrokenFor(now) < releaseDelay || r.Links.Way(now, replica, true, nil) != links.Relayed {
 			continue
 		}
 		release := registry.Ownership{Engine: replica.Name, Era: r.era.current, Revision: o.Revision}
--- a/core/pool/notice.go
+++ b/core/pool/notice.go
@@ -12,6 +12,16 @@
 	Leaving bool          // takes no new work and will terminate
 	Rest    time.Duration // requests no calls from this instance for this long (Retry-After)
 	Limit   RateLimit     // rate limit over all instances together
+	// Rejections is how many requests the replicas of its service can reject.
+	Rejections RejectionLimit
+}
+
+// A RejectionLimit is the number of requests that each replica of a service can reject within a
+// second without failing, over all instances together. The zero value means that the response has
+// none.
+type RejectionLimit struct {
+	Named     bool // the response has a limit
+	PerSecond int
 }
 
 // IsZero reports whether the notice is empty.
--- a/core/pool/replica.go
+++ b/core/pool/replica.go
@@ -66,6 +66,8 @@
 	rest  restState
 	limit limitState
 	link  linkState
+	// exposure tracks the requests that the replica may reject.
+	exposure exposure
 }
 
 // activity is the work at a replica, according to this instance's own count, to peers and to
@@ -259,6 +261,9 @@
 	if r.NeedsTrial() && !r.Resting(now) {
 		r.rest.trialCall = id
 	}
+	if !p.Relayed {
+		r.expose(id)
+	}
 	r.inFlight[id] = rank
 	r.ownCalls[rank]++
 	r.pending = append(r.pending, pendingCall{id: id, rank: rank, since: now, prefill: p.Work, expected: p.Expected, relayed: p.Relayed})
@@ -274,6 +279,7 @@
 // consecutive failures and ejections. late means that the token missed the call's target for a
 // reason that lies in the replica.
 func (r *Replica) FirstTokenReceived(now clock.Instant, id uint64, late bool) {
+	r.accept(id)
 	since, ok := r.removePending(id)
 	if !ok {
 		return
@@ -332,6 +338,7 @@
 	if r.rest.trialCall == id {
 		r.rest.trialCall = 0
 	}
+	r.endExposure(id)
 	r.removePending(id)
 }
 
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -14,6 +14,7 @@
 	"github.com/birchdrift/birchdrift/core/logevent"
 	"github.com/birchdrift/birchdrift/core/pool"
 	"github.com/birchdrift/birchdrift/core/quarantine"
+	"github.com/birchdrift/birchdrift/core/rejectbudget"
 	"github.com/birchdrift/birchdrift/core/shared"
 )
 
@@ -38,6 +39,9 @@
 		Address string // IP:port
 		Failure links.RelayFailure
 	}
+	// Accepted is the event that the replica answered a relayed attempt, otherwise than by
+	// rejecting it.
+	Accepted struct{ Token uint64 }
 	// Ended is the event that a relayed attempt has ended.
 	Ended struct {
 		Token   uint64
@@ -51,6 +55,9 @@
 // IsAction implements step.Action.
 func (Decided) IsAction() {}
 
+// IsEvent implements step.Event.
+func (Accepted) IsEvent() {}
+
 // IsEvent implements step.Event.
 func (Ended) IsEvent() {}
 
@@ -73,6 +80,8 @@
 	shared.State
 	Links      *links.Tracker
 	Quarantine *quarantine.Tracker
+	// Rejections limits the requests that replicas must reject.
+	Rejections *rejectbudget.Budget
 	// Refusing reports whether this instance takes no more calls because it stops.
 	Refusing func(now clock.Instant) bool
 }
@@ -103,6 +112,7 @@
 	d := Decided{Token: e.Token, Failure: failure}
 	if failure == links.RelaySucceeded {
 		d.Address = r.Address
+		r.ExposeRelay(e.Token)
 		x.inFlight[e.Token] = relayed{replica: r.Incarnation(), request: e.Fingerprint, sent: now}
 	}
 	x.Out.Log(logevent.CallRelayed, "call", e.Call, "from", e.From, "replica", e.Replica, "failure", failure.String(), "in_flight", len(x.inFlight))
@@ -119,19 +129,45 @@
 		return links.PeerBusy
 	case r == nil || r.LinkBroken() || x.Links.Doubtful(r.Service) || r.NeedsTrial():
 		return links.ReplicaUnreachable
+	case !x.Rejections.MaySend(now, r):
+		return links.ReplicaExposed
 	default:
 		return links.RelaySucceeded
 	}
 }
 
+// HandleAccepted handles the answer of a replica to a relayed attempt.
+func (x *Relay) HandleAccepted(e Accepted) {
+	if r := x.replicaOf(e.Token); r != nil {
+		r.RelayNotRejected(e.Token)
+	}
+}
+
+// replicaOf returns the replica of an attempt in flight, nil if it has restarted since or the
+// attempt has ended.
+func (x *Relay) replicaOf(token uint64) *pool.Replica {
+	a, ok := x.inFlight[token]
+	if !ok {
+		return nil
+	}
+	if r := x.Pool.Get(a.replica.Name); r != nil && r.Incarnation() == a.replica {
+		return r
+	}
+	return nil
+}
+
 // HandleEnded handles the end of a relayed attempt.
 func (x *Relay) HandleEnded(now clock.Instant, e Ended) {
-	a, ok := x.inFlight[e.Token]
+	a := x.inFlight[e.Token]
+	r := x.replicaOf(e.Token)
 	delete(x.inFlight, e.Token)
-	r := x.Pool.Get(a.replica.Name)
-	if !ok || r == nil || r.Incarnation() != a.replica {
+	if r == nil {
 		return
 	}
+	if e.Outcome == TimedOut || e.Outcome == Refused {
+		r.RelayNotRejected(e.Token)
+	}
+	r.RelayEnded(e.Token)
 	switch e.Outcome {
 	case Answered:
 		x.Links.Proven(now, r, a.sent)
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -14,6 +14,8 @@
 	"github.com/birchdrift/birchdrift/core/option"
 	"github.com/birchdrift/birchdrift/core/pool"
 	"github.com/birchdrift/birchdrift/core/quarantine"
+	"github.com/birchdrift/birchdrift/core/registry"
+	"github.com/birchdrift/birchdrift/core/rejectbudget"
 	"github.com/birchdrift/birchdrift/core/shared"
 )
 
@@ -26,8 +28,14 @@
 		state.Pool.Announce(start, name, pool.Announcement{Service: "app", Address: name + ":1", Zone: "z", Slots: 1})
 	}
 	state.Members.Upsert("peer", "z", "peer")
+	linkTracker := links.New(state)
 	return New(Deps{
-		State: state, Links: links.New(state), Refusing: func(clock.Instant) bool { return false },
+		State: state, Links: linkTracker,
+		Rejections: rejectbudget.New(rejectbudget.Deps{
+			State: state, Links: linkTracker, TellSoon: func(clock.Instant) {},
+			Instances: func() map[string]registry.Instance { return nil },
+		}),
+		Refusing: func(clock.Instant) bool { return false },
 		Quarantine: quarantine.New(quarantine.Deps{
 			State: state, Tell: func(clock.Instant) {}, Direct: func() bool { return true }, Cut: func(crash.Fingerprint, time.Duration) {},
 			ConnectionRefused: func(clock.Instant, pool.Incarnation) {}, LinksAtFault: func(clock.Instant, pool.Incarnation) bool { return false },
@@ -64,6 +72,15 @@
 		{"the replica wants nothing from this instance", "peer", "a", func(x *Relay) {
 			x.Pool.ObserveNotice(start, "a", start, pool.Notice{Rest: time.Second})
 		}, links.ReplicaUnreachable},
+		{"the replica may reject another request already", "peer", "a", func(x *Relay) {
+			x.Rejections.Observe(start, "app", start, pool.RejectionLimit{Named: true, PerSecond: 1})
+			x.request(1, "peer", "a")
+		}, links.ReplicaExposed},
+		{"the replica answered the request that it might have rejected", "peer", "a", func(x *Relay) {
+			x.Rejections.Observe(start, "app", start, pool.RejectionLimit{Named: true, PerSecond: 1})
+			x.request(1, "peer", "a")
+			x.HandleAccepted(Accepted{Token: 1})
+		}, links.RelaySucceeded},
 		{"stopping", "peer", "a", func(x *Relay) { x.Refusing = func(clock.Instant) bool { return true } }, links.PeerBusy},
 		{"too many attempts", "peer", "a", func(x *Relay) {
 			for token := range uint64(maxRelayed) {
--- a/internal/forward/notice.go
+++ b/internal/forward/notice.go
@@ -33,6 +33,9 @@
 	if w.RateLimit != "" {
 		n.Limit = parseRateLimit(resp.Header.Values(w.RateLimit))
 	}
+	if w.RejectionLimit != "" && resp.StatusCode != w.Misdirected {
+		n.Rejections = parseRejectionLimit(resp.Header.Values(w.RejectionLimit))
+	}
 	return n
 }
 
@@ -59,6 +62,14 @@
 	return l
 }
 
+// parseRejectionLimit returns the rejection limit in header lines: the smallest, if there are
+// several, rounded down. Values that cannot be parsed are ignored; if there are only such values,
+// the replica is taken to be able to reject nothing.
+func parseRejectionLimit(lines []string) pool.RejectionLimit {
+	rate := parseRateLimit(lines)
+	return pool.RejectionLimit{Named: rate.Named || rate.Unclear, PerSecond: int(rate.PerSecond)}
+}
+
 // allowsRetryAfter reports whether Retry-After is read from an answer with the status: a
 // replica that refuses calls may say when it accepts them again.
 func allowsRetryAfter(status int) bool {
--- a/internal/forward/notice_test.go
+++ b/internal/forward/notice_test.go
@@ -111,3 +111,29 @@
 	}
 	is.New(t).Equal(WireFormat{}.ReadNotice(&http.Response{Header: http.Header{"": {"3"}}}), pool.Notice{}) // an environment without such a header
 }
+
+// TestRejectionLimitsAreRead checks how the number of requests that a replica can reject is read.
+func TestRejectionLimitsAreRead(t *testing.T) {
+	for _, c := range []struct {
+		lines  []string
+		status int
+		want   pool.RejectionLimit
+	}{
+		{nil, 200, pool.RejectionLimit{}},
+		{[]string{"4"}, 200, pool.RejectionLimit{Named: true, PerSecond: 4}},
+		{[]string{" 4 "}, 503, pool.RejectionLimit{Named: true, PerSecond: 4}},
+		{[]string{"0"}, 200, pool.RejectionLimit{Named: true}},
+		{[]string{"2.7"}, 200, pool.RejectionLimit{Named: true, PerSecond: 2}},
+		{[]string{"5", "3, 4"}, 200, pool.RejectionLimit{Named: true, PerSecond: 3}},
+		{[]string{"4", "many"}, 200, pool.RejectionLimit{Named: true, PerSecond: 4}},
+		{[]string{"many"}, 200, pool.RejectionLimit{Named: true}},
+		{[]string{"-1"}, 200, pool.RejectionLimit{Named: true}},
+		{[]string{"4"}, OwnFormat.Misdirected, pool.RejectionLimit{}}, // another replica's
+	} {
+		resp := &http.Response{StatusCode: c.status, Header: http.Header{}}
+		for _, line := range c.lines {
+			resp.Header.Add(OwnFormat.RejectionLimit, line)
+		}
+		is.New(t).Equal(OwnFormat.ReadNotice(resp).Rejections, c.want)
+	}
+}
--- a/internal/forward/wire.go
+++ b/internal/forward/wire.go
@@ -37,8 +37,11 @@
 	RetryAfter  string // seconds, with fractions; in refusals by this system and by replicas
 	Leaving     string // a replica's statement that it is leaving
 	RateLimit   string // requests per second that a replica accepts from all instances together
-	Misdirected int    // status of a replica that is not the expected one
-	StreamType  string // content type of an event stream
+	// RejectionLimit is the number of requests that each replica of a service can reject within
+	// a second without failing.
+	RejectionLimit string
+	Misdirected    int    // status of a replica that is not the expected one
+	StreamType     string // content type of an event stream
 	// Reserved are request headers that only this system may set. A replica
 	// acts on them, so a caller's are not passed on.
 	Reserved []string
@@ -52,30 +55,31 @@
 // AnswerHeaders returns the names of the answer headers that are read or known to be
 // unneeded.
 func (w WireFormat) AnswerHeaders() []string {
-	replicas := []string{w.CallID, w.Signature, w.Incarnation, w.NotRun, w.RetryAfter, w.Leaving, w.RateLimit}
+	replicas := []string{w.CallID, w.Signature, w.Incarnation, w.NotRun, w.RetryAfter, w.Leaving, w.RateLimit, w.RejectionLimit}
 	return slices.Concat(replicas, w.Unneeded, w.Store)
 }
 
 // OwnFormat is the wire format of the product's own environment.
 var OwnFormat = WireFormat{
-	CallID:      "Birchdrift-Call",
-	Deadline:    "Birchdrift-Deadline",
-	Model:       "Birchdrift-Model",
-	Tokens:      "Birchdrift-Tokens",
-	Parts:       "Birchdrift-Prefix",
-	LengthHint:  "Birchdrift-Length-Hint",
-	LastEvent:   "Last-Event-Id",
-	Signature:   "Birchdrift-Signature",
-	Expect:      "Birchdrift-Expect",
-	Incarnation: "Birchdrift-Incarnation",
-	NotRun:      "Birchdrift-Not-Run",
-	Priority:    "Birchdrift-Priority",
-	RetryAfter:  "Retry-After",
-	Leaving:     upstream.HeaderLeaving,
-	RateLimit:   "Birchdrift-Rate-Limit",
-	Misdirected: http.StatusMisdirectedRequest,
-	StreamType:  "text/event-stream",
-	Unneeded:    []string{upstream.HeaderRun},
+	CallID:         "Birchdrift-Call",
+	Deadline:       "Birchdrift-Deadline",
+	Model:          "Birchdrift-Model",
+	Tokens:         "Birchdrift-Tokens",
+	Parts:          "Birchdrift-Prefix",
+	LengthHint:     "Birchdrift-Length-Hint",
+	LastEvent:      "Last-Event-Id",
+	Signature:      "Birchdrift-Signature",
+	Expect:         "Birchdrift-Expect",
+	Incarnation:    "Birchdrift-Incarnation",
+	NotRun:         "Birchdrift-Not-Run",
+	Priority:       "Birchdrift-Priority",
+	RetryAfter:     "Retry-After",
+	Leaving:        upstream.HeaderLeaving,
+	RateLimit:      "Birchdrift-Rate-Limit",
+	RejectionLimit: "Birchdrift-Rejection-Limit",
+	Misdirected:    http.StatusMisdirectedRequest,
+	StreamType:     "text/event-stream",
+	Unneeded:       []string{upstream.HeaderRun},
 }
 
 // A PromptPart is one shared part of a prompt.
--- a/internal/pages/pages.go
+++ b/internal/pages/pages.go
@@ -157,6 +157,7 @@
 		"that is too short for the shortest waits is logged (1008). A configuration arrives by the same\n" +
 		"watch; only the bound for leaving replicas is added up so far.\n")
 	writeRetryBudget(&b)
+	writeRejections(&b)
 	return b.String()
 }
 
@@ -209,3 +210,42 @@
 		"of the slack is for retries that were charged just before a window and arrive in it.\n" +
 		"`core/retrybudget` derives the parts from the budget.\n")
 }
+
+// rejectionLimits are the limits for which docs/design/budgets.md adds up rejections.
+var rejectionLimits = []int{1, 4, 10}
+
+// plainPlaces is the number of requests that a plain replica of the users works on at a time.
+const plainPlaces = 6
+
+// writeRejections writes the section on replicas that can reject few requests.
+func writeRejections(b *strings.Builder) {
+	columns := []string{"part", "what it is"}
+	var engines, plain []bounds.Rejections
+	for _, limit := range rejectionLimits {
+		columns = append(columns, fmt.Sprintf("%d a second", limit))
+		engines = append(engines, bounds.NewRejections(limit, 0))
+		plain = append(plain, bounds.NewRejections(limit, plainPlaces))
+	}
+	b.WriteString("\n## Rejections\n\n")
+	writeTableHeader(b, columns...)
+	row := func(name, meaning string, of []bounds.Rejections, value func(r bounds.Rejections) string) {
+		cells := []string{name, meaning}
+		for _, r := range of {
+			cells = append(cells, value(r))
+		}
+		writeRow(b, cells...)
+	}
+	tokens := func(r bounds.Rejections) string { return strconv.Itoa(r.Tokens) }
+	room := func(r bounds.Rejections) string { return strconv.Itoa(r.Room) }
+	sum := func(r bounds.Rejections) string { return strconv.Itoa(r.MaxWithinWindow()) }
+	row("tokens", "requests without an answer at an engine, over all instances", engines, tokens)
+	row("**sum**", "most rejections within a second: the tokens of an engine", engines, sum)
+	row("tokens", fmt.Sprintf("the same at a plain replica with %d places", plainPlaces), plain, tokens)
+	row("room", "of these, requests that the replica does not reject", plain, room)
+	row("**sum**", "most rejections within a second: the tokens less the room", plain, sum)
+	row("**bound**", "stated by the replicas", engines, func(r bounds.Rejections) string { return strconv.Itoa(r.Limit) })
+	row("hold", "how long the token of a rejected request stays in use", engines, func(r bounds.Rejections) string { return r.Hold.String() })
+	fmt.Fprintf(b, "\nEach token has one holder, at any size of the fleet. An instance holds none until %v after it was\n"+
+		"registered, and until %v after its links are back (`--leave-bound` of %v).\n",
+		budgetCases[0].bounds.RejectionSettle(true), budgetCases[0].bounds.RejectionSettle(false), budgetCases[0].bounds.Leave)
+}
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -38,6 +38,8 @@
 	for _, l := range m.Links {
 		out.Links = append(out.Links, &peerpb.LinkReport{
 			Service: l.Service, Lost: l.Lost, Proven: l.Proven, ProvenMs: toMilliseconds(l.ProvenAge),
+			RejectionsKnown: l.Rejections.Known, RejectionsNamed: l.Rejections.Named, Rejections: uint32(l.Rejections.PerSecond),
+			RejectionsMs: toMilliseconds(l.Rejections.Age),
 		})
 	}
 	for _, d := range m.Demand {
@@ -271,6 +273,10 @@
 	for _, l := range m.GetLinks() {
 		out.Links = append(out.Links, gossip.LinkReport{
 			Service: l.GetService(), Lost: l.GetLost(), Proven: l.GetProven(), ProvenAge: fromMilliseconds(l.GetProvenMs()),
+			Rejections: gossip.RejectionReport{
+				Known: l.GetRejectionsKnown(), Age: fromMilliseconds(l.GetRejectionsMs()),
+				RejectionLimit: pool.RejectionLimit{Named: l.GetRejectionsNamed(), PerSecond: int(l.GetRejections())},
+			},
 		})
 	}
 	if m.GetHasUses() {
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -56,7 +56,7 @@
 	}
 	outcome := relay.Unknown
 	defer func() { session.End(outcome) }()
-	outcome = h.send(w, r, a, session.Address)
+	outcome = h.send(w, r, a, session)
 	if outcome == relay.Severed || outcome == relay.Unknown {
 		panic(http.ErrAbortHandler) // a truncated answer must not look complete
 	}
@@ -64,11 +64,11 @@
 
 // send sends an attempt to its replica, passes the answer on, and returns what the attempt shows
 // of the link to the replica.
-func (h *Handler) send(w http.ResponseWriter, r *http.Request, a Attempt, address string) relay.Outcome {
+func (h *Handler) send(w http.ResponseWriter, r *http.Request, a Attempt, session shell.RelaySession) relay.Outcome {
 	var progress upstream.Progress
 	sent := h.Shell.Now()
 	resp, err := h.Service.RoundTrip(r.Context(), service.Call{
-		Address: address, Host: r.Host, Method: r.Method, Target: r.RequestURI,
+		Address: session.Address, Host: r.Host, Method: r.Method, Target: r.RequestURI,
 		Header: service.EndToEndHeaders(r.Header), Body: r.Body, Length: r.ContentLength, Repeatable: a.Repeatable,
 	}, &progress)
 	if err != nil {
@@ -78,6 +78,9 @@
 	if n := h.Wire.ReadNotice(resp); !n.IsZero() {
 		h.Shell.HandleNotice(notice.Received{Replica: a.Replica, Sent: sent, Notice: n})
 	}
+	if !h.Wire.ReadReply(resp, a.Call).NotRun {
+		session.Accepted()
+	}
 	if err := passOn(w, resp); err != nil {
 		if upstream.Severed(err) {
 			return relay.Severed
--- a/internal/shell/actions.go
+++ b/internal/shell/actions.go
@@ -189,6 +189,9 @@
 	shell *Shell
 }
 
+// Accepted tells the machine that the replica answered, otherwise than by rejecting the attempt.
+func (r RelaySession) Accepted() { r.shell.post(relay.Accepted{Token: r.Token}) }
+
 // End tells the machine that the attempt has ended.
 func (r RelaySession) End(outcome relay.Outcome) {
 	r.shell.post(relay.Ended{Token: r.Token, Outcome: outcome})
