--- a/core/forwarding/silence.go
+++ b/core/forwarding/silence.go
@@ -43,5 +43,6 @@
 		return false
 	}
 	r := f.Pool.Get(c.Replica)
-	return r != nil && r.LinkTimedOut() && f.Links.Lost(r.Service) && f.Links.Way(now, r, false, nil) == links.Relayed
+	return r != nil && r.LinkTimedOut() && f.Links.Lost(r.Service) && f.Links.ProvenByPeer(now, r.Service) &&
+		f.Links.Way(now, r, false, nil) == links.Relayed
 }
--- a/core/forwarding/silence_test.go
+++ b/core/forwarding/silence_test.go
@@ -20,17 +20,19 @@
 		kind     config.Kind
 		timedOut bool // connecting got no answer; otherwise it was refused
 		lost     bool // the peer has lost its links too
+		unproven bool // the peer has had no answer since the link broke
 		relay    string
 		waited   time.Duration
 		want     bool
 	}{
-		{"repeatable", config.Repeatable, true, false, "", silenceLimit, true},
-		{"resumable stream", config.Stream, true, false, "", silenceLimit, true},
-		{"at most once", config.Once, true, false, "", silenceLimit, false},
-		{"open connections live on", config.Repeatable, false, false, "", silenceLimit, false},
-		{"no peer reaches the replicas", config.Repeatable, true, true, "", silenceLimit, false},
-		{"relayed", config.Repeatable, true, false, "peer", silenceLimit, false},
-		{"just sent", config.Repeatable, true, false, "", silenceLimit / 2, false},
+		{"repeatable", config.Repeatable, true, false, false, "", silenceLimit, true},
+		{"resumable stream", config.Stream, true, false, false, "", silenceLimit, true},
+		{"at most once", config.Once, true, false, false, "", silenceLimit, false},
+		{"open connections live on", config.Repeatable, false, false, false, "", silenceLimit, false},
+		{"no peer reaches the replicas", config.Repeatable, true, true, false, "", silenceLimit, false},
+		{"replicas that may be silent for all", config.Repeatable, true, false, true, "", silenceLimit, false},
+		{"relayed", config.Repeatable, true, false, false, "peer", silenceLimit, false},
+		{"just sent", config.Repeatable, true, false, false, "", silenceLimit / 2, false},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -41,7 +43,7 @@
 			}
 			f.Members.Upsert("peer", "z", "peer")
 			f.Members.MarkHeard(start, "peer")
-			f.Links.ObservePeer(start, "peer", true, []gossip.LinkReport{{Service: "s", Lost: c.lost}})
+			f.Links.ObservePeer(start.Add(silenceLimit/2), "peer", true, []gossip.LinkReport{{Service: "s", Lost: c.lost, Proven: !c.unproven}})
 			call, s := f.testCall(c.kind, true)
 			call.Replica = "a"
 			call.Started = start
--- a/core/instance/announced_world_test.go
+++ b/core/instance/announced_world_test.go
@@ -171,6 +171,7 @@
 	loadedAt       map[string]time.Duration
 	restarts       int  // number of restarts under this name; identifies the incarnation
 	gone           bool // it has left and serves no calls
+	silent         bool // it answers nothing for a moment
 	dead           bool // its process ended without notice
 	ordersAfterEnd int  // orders that reached its address since its process ended
 	leaving        bool // it announces that it leaves
--- a/core/instance/partition_test.go
+++ b/core/instance/partition_test.go
@@ -66,7 +66,7 @@
 
 // link returns the state of the link between an instance and an engine.
 func (f *fleet) link(n *fleetMember, e *fleetEngine) linkFault {
-	if f.partitioned(n.id.Zone, e.zone) {
+	if e.silent || f.partitioned(n.id.Zone, e.zone) {
 		return linkHangs
 	}
 	return n.links[e.name]
@@ -264,6 +264,9 @@
 	case fl.done:
 	case h.f.link(fl.sender, fl.e) != linkHangs:
 		do()
+	case fl.e.silent:
+		// The replica's machine acknowledges what it got, so the connection does not fail.
+		h.f.at(20*time.Millisecond, func() { h.transmitUntil(fl, h.f.now+unackedTimeout, do) })
 	case h.f.now >= deadline:
 		h.fail(fl, 0, calls.AttemptFailed{Phase: attempt.MaybeSent, Detail: "connection timed out"})
 	default:
--- a/core/links/peers.go
+++ b/core/links/peers.go
@@ -219,6 +219,15 @@
 	return proven
 }
 
+// ProvenByPeer reports whether a peer's links to a service have worked since this instance's failed:
+// then the replicas are not silent for everybody.
+func (t *Tracker) ProvenByPeer(now clock.Instant, service string) bool {
+	since := t.service(service).failedSince
+	return slices.ContainsFunc(t.peersHeardWithin(now, service, reportTTL), func(p *member.Peer) bool {
+		return since.Before(t.peers[p.Name].services[service].provenAt)
+	})
+}
+
 func (t *Tracker) peersHeardWithin(now clock.Instant, service string, span time.Duration) []*member.Peer {
 	var out []*member.Peer
 	for _, p := range t.Members.Peers() {
