bounds, upstream: one type says when TCP connections give up, checked on real sockets

Cause: TCP_USER_TIMEOUT also decides when keep-alive probes give up, whatever their count. The count of three that stood in the code decided nothing, and a comment said that a caller's dead connection is closed after 11 s; it is closed after 15 s.

Change: bounds.ConnectionTimeouts derives the count and the times, for the connections to replicas, store and peers (3 s idle or unacknowledged) and for accepted ones (15 s); docs/design/budgets.md has the table. The times themselves do not change.

--- a/core/logevent/logevent.go
+++ b/core/logevent/logevent.go
@@ -115,7 +115,7 @@
 	{Started, "started", "The process started with the settings shown.", "None."},
 	{Stopping, "stopping", "A planned stop started.", "None."},
 	{Stopped, "stopped", "The planned stop is complete; `cut` is the number of calls that it aborted.", "If `cut` is not 0, raise `--stop-limit`."},
-	{Listening, "listening", "A listener accepts connections.", "None."},
+	{Listening, "listening", "A listener accepts connections; one whose other end vanished is closed after `silence_limit`.", "None."},
 	{SettingsReloaded, "settings_reloaded", "Changed settings are in force, except those that need a restart, which keep their old value until then.", "None."},
 	{SettingsRefused, "settings_refused", "The changed settings are invalid; the old ones stay in force.", "Correct what the detail names."},
 	{SleepUncounted, "sleep_uncounted", "The system has no clock that includes the time for which the machine is suspended. The expiry of leases is therefore checked against the wall clock as well, which may be set back.", "Keep the machine from being suspended, or its wall clock from being set back."},
--- a/internal/pages/pages.go
+++ b/internal/pages/pages.go
@@ -158,6 +158,7 @@
 		"watch; only the bound for leaving replicas is added up so far.\n")
 	writeRetryBudget(&b)
 	writeRejections(&b)
+	writeConnections(&b)
 	return b.String()
 }
 
@@ -249,3 +250,22 @@
 		"registered, and until %v after its links are back (`--leave-bound` of %v).\n",
 		budgetCases[0].bounds.RejectionSettle(true), budgetCases[0].bounds.RejectionSettle(false), budgetCases[0].bounds.Leave)
 }
+
+// writeConnections writes the section on the connections that an instance keeps.
+func writeConnections(b *strings.Builder) {
+	b.WriteString("\n## Connections whose other end has vanished\n\n")
+	writeTableHeader(b, "connection", "idle: first probe", "idle, or awaiting an answer: gives up after", "sent bytes unacknowledged: gives up after")
+	row := func(name string, t bounds.ConnectionTimeouts) {
+		writeRow(b, name, t.Idle.String(), t.IdleGiveUp().String(), t.Unacked.String())
+	}
+	row("to replicas (calls, load probes, orders, state queries, relayed attempts)", bounds.DialedTimeouts)
+	row("to the platform's store, also a watch that waits", bounds.DialedTimeouts)
+	row("to peers (exchanges, orders, permits, relayed attempts)", bounds.DialedTimeouts)
+	row("from callers", bounds.AcceptedTimeouts)
+	row("from peers", bounds.AcceptedTimeouts)
+	row("from operators (metrics, status, readiness)", bounds.AcceptedTimeouts)
+	fmt.Fprintf(b, "\nOn Linux, `TCP_USER_TIMEOUT` decides all three; the count of probes does not matter. Connecting takes\n"+
+		"at most %v. Most requests have shorter timeouts of their own. Tests measure the times on sockets\n"+
+		"whose other end drops what arrives (`TestConnectionsToVanishedUpstreams`,\n"+
+		"`TestAcceptedConnectionsOfVanishedCallers`).\n", bounds.DialTimeout)
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -19,6 +19,7 @@
 	"github.com/gravitational/trace"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/birchdrift/birchdrift/core/bounds"
 	"github.com/birchdrift/birchdrift/core/instance"
 	"github.com/birchdrift/birchdrift/core/logevent"
 	"github.com/birchdrift/birchdrift/core/member"
@@ -202,7 +203,8 @@
 	group.Go(s.shell.Run)
 	group.Go(s.watchSettings)
 	callers, peers, operations := s.Addresses()
-	s.log.Info("listening", "event", int(logevent.Listening), "callers", callers, "peers", peers, "operations", operations)
+	s.log.Info("listening", "event", int(logevent.Listening), "callers", callers, "peers", peers, "operations", operations,
+		"silence_limit", bounds.AcceptedTimeouts.IdleGiveUp().String())
 	for _, l := range s.listeners {
 		group.Go(func() error {
 			if err := l.http.Serve(l.net); !errors.Is(err, http.ErrServerClosed) {
--- a/internal/server/silence_test.go
+++ b/internal/server/silence_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/birchdrift/birchdrift/core/bounds"
 	"github.com/birchdrift/birchdrift/internal/forward"
 	"github.com/birchdrift/birchdrift/internal/upstream/proxytest"
 )
@@ -187,7 +188,7 @@
 }
 
 // TestACallerThatReadsNothingFreesItsReplica checks that a stream whose caller reads nothing
-// ends after unackedTimeout and the call at its replica is canceled.
+// ends after bounds.AcceptedTimeouts.Unacked and the call at its replica is canceled.
 func TestACallerThatReadsNothingFreesItsReplica(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
@@ -214,7 +215,7 @@
 	is.NoErr(err)
 	select {
 	case <-canceled:
-	case <-time.After(unackedTimeout + 10*time.Second):
+	case <-time.After(bounds.AcceptedTimeouts.Unacked + 10*time.Second):
 		t.Fatal("the call at the replica was not canceled")
 	}
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -20,20 +20,15 @@
 	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"github.com/birchdrift/birchdrift/core/attempt"
 	"github.com/birchdrift/birchdrift/core/bounds"
 )
 
 // TCP and idle limits of connections to upstreams: times and counts.
 const (
-	dialTimeout       = bounds.DialTimeout
-	idleTimeout       = 4 * time.Second // shorter than upstreams keep idle connections
-	maxIdlePerHost    = 64
-	keepAliveInterval = time.Second // time between probes of a connection without received bytes
-	keepAliveCount    = 3
-	unackedTimeout    = 3 * time.Second // time for which sent bytes may stay unacknowledged
+	dialTimeout    = bounds.DialTimeout
+	idleTimeout    = 4 * time.Second // shorter than upstreams keep idle connections
+	maxIdlePerHost = 64
 )
 
 // Transports are the HTTP transports to upstreams.
@@ -60,20 +55,8 @@
 func newDialer() *net.Dialer {
 	return &net.Dialer{
 		Timeout:         dialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveCount},
-		Control:         UserTimeoutControl(unackedTimeout),
-	}
-}
-
-// UserTimeoutControl returns a Control function for a dialer or listener that sets
-// TCP_USER_TIMEOUT: a connection fails if sent bytes stay unacknowledged for limit.
-func UserTimeoutControl(limit time.Duration) func(network, address string, raw syscall.RawConn) error {
-	return func(_, _ string, raw syscall.RawConn) error {
-		var set error
-		err := raw.Control(func(fd uintptr) {
-			set = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(limit.Milliseconds()))
-		})
-		return errors.Join(err, set)
+		KeepAliveConfig: KeepAlive(bounds.DialedTimeouts),
+		Control:         UserTimeoutControl(bounds.DialedTimeouts),
 	}
 }
 
