ownership: an instance that restarts without links releases the engines of its former run

Callers saw: engines that nobody could order (no loads, no adapters) for the rest of a partition, if their owner restarted during it.

Cause: the release of unreachable engines looked only at records of this boot. After a restart the record still names the instance, so no other one claims the engine, and the instance does not claim it again because it cannot connect to it.

Change: records from before a restart are released as well. A release keeps the former owner whose orders may still be in flight, at planned stops too: otherwise the next owner would wait for the gap between two owners, and not for the validity of those orders.

--- a/core/instance/announced_world_test.go
+++ b/core/instance/announced_world_test.go
@@ -107,6 +107,7 @@
 	dead            bool
 	frozen          bool
 	thawedAt        time.Duration        // when the last freeze ended
+	startedAt       time.Duration        // when its process started
 	deferred        []func()             // deliveries of events that arrived during the freeze
 	noStore         bool                 // it cannot reach the store
 	noUpdates       bool                 // its watches receive nothing and its exchanges fail
@@ -295,6 +296,7 @@
 func (f *fleet) start(name string) {
 	n := f.members[name]
 	n.boot++
+	n.startedAt = f.now
 	n.dead = false
 	n.frozen = false
 	n.deferred = nil
--- a/core/ownership/enrol.go
+++ b/core/ownership/enrol.go
@@ -131,9 +131,7 @@
 	}
 	var released []registry.Ownership
 	for _, name := range r.Owned.Names() {
-		o := registry.Ownership{Engine: name, Era: r.era.current, Revision: r.owners[name].Revision}
-		o.QuietMS = r.Owned.Get(name).SinceLastOrder(now).Milliseconds()
-		released = append(released, o)
+		released = append(released, r.release(now, name))
 	}
 	r.Owned.LoseAll(now, "this instance stops")
 	r.enrolment.held = false
--- a/core/ownership/release.go
+++ b/core/ownership/release.go
@@ -14,26 +14,22 @@
 // replica that falls silent for a moment takes to answer again.
 const releaseDelay = 1500 * time.Millisecond
 
-// releaseUnreachable releases the engines that this instance owns and has not reached for
-// releaseDelay, if another instance reaches them, and reports whether there were any. The record
-// of an engine names this instance until the release has taken effect, so one whose outcome is
-// unknown is repeated.
+// releaseUnreachable releases the engines whose records name this instance, also from before it
+// restarted, and which it has not reached for releaseDelay, if another instance reaches them. It
+// reports whether there were any. The record of an engine names this instance until the release has
+// taken effect, so one whose outcome is unknown is repeated.
 func (r *Registry) releaseUnreachable(now clock.Instant) bool {
 	var released []registry.Ownership
 	for _, replica := range r.Pool.All() {
 		o, owned := r.owners[replica.Name]
-		if !owned || o.Owner != r.Self.Name || o.Boot != r.Self.Boot || r.era.isStale(o.Era) || len(released) == registry.MaxClaims {
+		if !owned || o.Owner != r.Self.Name || r.era.isStale(o.Era) || len(released) == registry.MaxClaims {
 			continue
 		}
 		if replica.LinkBrokenFor(now) < releaseDelay || r.Links.Way(now, replica, true, nil) != links.Relayed {
 			continue
 		}
-		release := registry.Ownership{Engine: replica.Name, Era: r.era.current, Revision: o.Revision}
-		if e := r.Owned.Get(replica.Name); e != nil {
-			release.QuietMS = e.SinceLastOrder(now).Milliseconds()
-			r.Owned.Lose(now, replica.Name, "this instance cannot reach it")
-		}
-		released = append(released, release)
+		released = append(released, r.release(now, replica.Name))
+		r.Owned.Lose(now, replica.Name, "this instance cannot reach it")
 	}
 	if len(released) == 0 {
 		return false
@@ -43,6 +39,17 @@
 	return true
 }
 
+// release returns the record of an engine without an owner. It keeps the former owner while that
+// one's orders may still be in flight.
+func (r *Registry) release(now clock.Instant, engine string) registry.Ownership {
+	old := r.owners[engine]
+	release := registry.Ownership{Engine: engine, FormerOwner: old.FormerOwner, Era: r.era.current, Revision: old.Revision}
+	if e := r.Owned.Get(engine); e != nil {
+		release.QuietMS = e.SinceLastOrder(now).Milliseconds()
+	}
+	return release
+}
+
 // handleReleaseReply handles the result of a write of releases.
 func (r *Registry) handleReleaseReply(now clock.Instant, e WriteReply) {
 	r.claims.inFlight = false
