forwarding: calls are rejected at once when no instance reaches any replica

Callers saw: during a partition of all instances, calls for models waited up to 0.3 s and were then told that the model or adapter is not resident (code 203), a miss was reported to the placer, and all came back after the same 250 ms.

Cause: a model's call without a candidate was taken for one whose model is missing, whatever the reason was.

--- a/core/forwarding/wait.go
+++ b/core/forwarding/wait.go
@@ -40,7 +40,7 @@
 
 const (
 	noFurtherAttempt   unavailableReason = iota // an attempt may have run, or the answer has started
-	noLiveReplica                               // there is no live replica
+	noLiveReplica                               // there is no live replica, or none can be reached
 	allRefused                                  // the live replicas refused the call
 	adapterNotLoadable                          // the model is served, but the adapter cannot be loaded there
 	modelNotResident                            // the model is not resident on any engine
@@ -53,6 +53,7 @@
 	item          string        // "" if the call needs none
 	refusals      int           // replicas that reported that they did not run the call
 	adapter       string        // "" if the call needs none
+	reachable     func() bool   // reports whether any replica of its service can be reached
 	modelServed   func() bool   // reports whether an engine can serve the call's model
 }
 
@@ -65,6 +66,8 @@
 		return noLiveReplica
 	case u.refusals > 0:
 		return allRefused
+	case !u.reachable():
+		return noLiveReplica
 	case u.adapter != "" && u.modelServed():
 		return adapterNotLoadable
 	default:
@@ -92,13 +95,14 @@
 	}
 	u := unavailability{
 		run: c.History.RunState(), answerStarted: s.progress.answerStarted, item: c.Item, refusals: s.progress.refusals, adapter: s.request.adapter,
+		reachable:   func() bool { return f.anyReachable(now, c.Service) },
 		modelServed: func() bool { return f.modelServed(now, c, s) },
 	}
 	switch u.reason() {
 	case noFurtherAttempt:
 		f.end(c, s, 0, "no other replica can serve it")
 	case noLiveReplica:
-		f.Calls.Refuse(c, calls.NotRunRefusal(code.NoReplica, "no live replica", noReplicaRetryAfter))
+		f.Calls.Refuse(c, calls.NotRunRefusal(code.NoReplica, "no live replica can be reached", f.staggeredRetryAfter(c)))
 	case allRefused:
 		f.Calls.Refuse(c, calls.NotRunRefusal(code.NoCapacity, "its replicas refused it", noReplicaRetryAfter))
 	case adapterNotLoadable:
@@ -108,6 +112,23 @@
 	}
 }
 
+// anyReachable reports whether this instance can reach a replica of a service, if need be through
+// another instance. It is true of a service that has no replicas yet.
+func (f *Forwarder) anyReachable(now clock.Instant, service string) bool {
+	replicas := f.Pool.Serving(service)
+	none := true
+	for _, r := range replicas {
+		if !r.Usable() {
+			continue
+		}
+		none = false
+		if f.Links.Way(now, r, true, nil) != links.Unreachable {
+			return true
+		}
+	}
+	return none
+}
+
 // shortestRest returns the shortest remaining rest of the resting replicas that could serve
 // the call. A replica whose rest has ended but that is on trial counts as resting. ok is
 // false if there is no such replica.
--- a/core/instance/partition_test.go
+++ b/core/instance/partition_test.go
@@ -648,3 +648,57 @@
 		}
 	}
 }
+
+// maxRejectionTime is the time within which a call is rejected that no instance can serve.
+const maxRejectionTime = 50 * time.Millisecond
+
+// Guards against callers who wait until their deadline, or are told that their model is missing,
+// while no instance reaches any replica, and who all return at the same moment.
+func TestCallsThatNobodyCanServeAreRejectedAtOnce(t *testing.T) {
+	for _, form := range sortedKeys(linkFaults) {
+		t.Run("connections "+form, func(t *testing.T) {
+			t.Parallel()
+			for seed := range *partitionSeeds {
+				h := newPartitionFleet(uint64(seed+1), smallFleet, 2*fleetEngines)
+				h.startCalls(5 * time.Millisecond)
+				h.f.run(5 * time.Second)
+				h.partition(firstMembers(1)(h.f), linkFaults[form])
+				h.f.run(partitionDuration + partitionReturn + observedReturn + time.Second)
+				h.checkRejections(t, seed)
+			}
+		})
+	}
+}
+
+func (h *partitionHarness) checkRejections(t *testing.T, seed int) {
+	t.Helper()
+	p := h.cuts[0]
+	rejected, slow := 0, 0
+	codes := map[code.Code]int{}
+	delays := map[time.Duration]int{}
+	slowest := time.Duration(0)
+	for _, c := range h.order {
+		if c.at < p.from+h.f.opt.Bounds.Settle || c.at >= p.to || c.served {
+			continue
+		}
+		rejected++
+		codes[c.refusal.Code]++
+		delays[c.refusal.RetryAfter]++
+		slowest = max(slowest, c.took)
+		if c.took > maxRejectionTime {
+			slow++
+		}
+	}
+	r := h.report(p)
+	t.Logf("seed %d: %d of %d calls rejected after more than %v, the slowest after %v; codes %v, %d different Retry-Afters; after the return %d of %d served",
+		seed, slow, rejected, maxRejectionTime, slowest, codes, len(delays), r.after.served, r.after.calls)
+	if rejected == 0 || slow > 0 || codes[code.NoReplica] != rejected {
+		t.Errorf("seed %d: %d calls rejected, %d of them late; codes %v, want only %d", seed, rejected, slow, codes, code.NoReplica)
+	}
+	if 2*len(delays) < rejected {
+		t.Errorf("seed %d: %d different Retry-Afters of %d calls", seed, len(delays), rejected)
+	}
+	if r.after.share() < minPartitionedShare {
+		t.Errorf("seed %d: %d of %d calls served after the return", seed, r.after.served, r.after.calls)
+	}
+}
