rejectbudget: an instance that has just started does not exceed the limit of replicas

Callers saw: replicas that can reject few requests failed while instances restarted in series.

Change: until a peer that knows has answered, an instance sends nothing for up to 0.3 s, and then one request per service at a time until a replica's answer says whether there is a limit. After 2 s it counts as informed. Messages say whether the sender is informed.

The peers of fleetMachine (tests) are those of a running fleet, so they say that they are informed.

--- a/core/exchange/exchange.go
+++ b/core/exchange/exchange.go
@@ -194,6 +194,7 @@
 		Ack:          known.stamp,
 		Records:      x.Records.Delta(now, known.acked, peer, sameZone, known.storeRevision),
 		Relays:       true,
+		Informed:     x.Rejections.Informed(now),
 		Links:        x.Rejections.Reports(now, x.Links.Reports(now)),
 	}
 	msg.Demand = x.DemandFor(now, peer)
@@ -251,7 +252,7 @@
 	}
 	x.applyUses(now, msg)
 	x.Links.ObservePeer(now, msg.From, msg.Relays, msg.Links)
-	x.Rejections.ObservePeer(now, msg.From, msg.Links)
+	x.Rejections.ObservePeer(now, msg.From, msg.Informed, msg.Links)
 	if len(msg.Demand) > 0 {
 		x.DemandHeard(now, msg.From, msg.Demand)
 	}
--- a/core/forwarding/place.go
+++ b/core/forwarding/place.go
@@ -269,7 +269,7 @@
 		priority = pool.RankOf(s.route.Priority)
 	}
 	d := c.Dispatch(r, f.Options.Stall)
-	d.Limited = rateLimited(now, r) || f.Rejections.Limited(r.Service)
+	d.Limited = rateLimited(now, r) || f.Rejections.Limited(now, r.Service)
 	d.Model = s.request.model
 	d.Adapter = s.request.adapter
 	d.Forward = &calls.ForwardAttempt{
--- a/core/forwarding/wait.go
+++ b/core/forwarding/wait.go
@@ -231,7 +231,7 @@
 // exposed reports whether a replica could serve the call, but must not be sent another request
 // that it may have to reject.
 func (f *Forwarder) exposed(now clock.Instant, c *calls.Call) bool {
-	if !f.Rejections.Limited(c.Service) {
+	if !f.Rejections.Limited(now, c.Service) {
 		return false
 	}
 	s := stateOf(c)
--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -167,6 +167,9 @@
 	Uses map[string]pool.Usage
 	// Relays reports that the sender relays attempts of calls for other instances (core/relay).
 	Relays bool
+	// Informed reports that the sender knows the limits of all services whose replicas can reject
+	// few requests, as far as the fleet does.
+	Informed bool
 	// Links is the state of the sender's links to the replicas of each service.
 	Links []LinkReport
 	// WantConfig requests the configuration if the receiver's is newer.
--- a/core/instance/exchange_test.go
+++ b/core/instance/exchange_test.go
@@ -41,7 +41,7 @@
 	}
 	m.Step(now, ownership.WatchUpdate{Records: records, Version: 10, Whole: true})
 	for _, name := range peers {
-		m.Step(now, exchange.Reply{Peer: name, Address: name, Message: gossip.Message{From: name, Zone: "z", Address: name, Boot: 1, StoreAge: time.Millisecond}})
+		m.Step(now, exchange.Reply{Peer: name, Address: name, Message: gossip.Message{From: name, Zone: "z", Address: name, Boot: 1, StoreAge: time.Millisecond, Informed: true}})
 	}
 	return m
 }
--- a/core/rejectbudget/rejectbudget.go
+++ b/core/rejectbudget/rejectbudget.go
@@ -48,7 +48,8 @@
 // A Budget holds the limits of services and this instance's tokens.
 type Budget struct {
 	Deps
-	reports      map[string]report        // by service
+	reports      map[string]report // by service
+	learning     learning
 	registeredAt clock.Instant            // since when this instance is registered; zero: it is not
 	seenAt       map[string]clock.Instant // when each instance was last seen registered
 	observeDue   clock.Instant
@@ -69,12 +70,16 @@
 
 // New returns a Budget without limits.
 func New(deps Deps) *Budget {
-	return &Budget{Deps: deps, reports: map[string]report{}, seenAt: map[string]clock.Instant{}, holders: map[pool.Incarnation]holders{}}
+	return &Budget{
+		Deps: deps, reports: map[string]report{}, learning: learning{answered: map[string]bool{}},
+		seenAt: map[string]clock.Instant{}, holders: map[pool.Incarnation]holders{},
+	}
 }
 
 // Observe records the limit in an answer of a service's replica to a request that was sent at
 // sent, or its absence.
 func (b *Budget) Observe(now clock.Instant, service string, sent clock.Instant, limit pool.RejectionLimit) {
+	b.learning.answered[service] = true
 	old := b.reports[service]
 	if !limit.Named && (!old.limit.Named || sent.Before(old.at)) {
 		return
@@ -82,8 +87,11 @@
 	b.record(now, service, report{limit: limit, at: now}, b.Self.Name)
 }
 
-// ObservePeer records what a peer knows of the limits of services.
-func (b *Budget) ObservePeer(now clock.Instant, peer string, reports []gossip.LinkReport) {
+// ObservePeer records what a peer knows of the limits of services. informed means that it knows
+// those of all services that have one.
+func (b *Budget) ObservePeer(now clock.Instant, peer string, informed bool, reports []gossip.LinkReport) {
+	b.learning.heard = true
+	b.learning.informed = b.learning.informed || informed
 	for _, r := range reports {
 		if !r.Rejections.Known {
 			continue
@@ -125,13 +133,18 @@
 	return reports
 }
 
-// Limited reports whether the replicas of a service have a limit.
-func (b *Budget) Limited(service string) bool { return b.reports[service].limit.Named }
+// Limited reports whether the replicas of a service have a limit, or may have one.
+func (b *Budget) Limited(now clock.Instant, service string) bool {
+	return b.reports[service].limit.Named || !b.knows(now, service)
+}
 
 // MaySend reports whether this instance may send a request to the replica now.
 func (b *Budget) MaySend(now clock.Instant, r *pool.Replica) bool {
-	if !b.Limited(r.Service) {
+	switch {
+	case !b.Limited(now, r.Service):
 		return true
+	case !b.knows(now, r.Service):
+		return b.mayTry(now, r)
 	}
 	return r.Exposed(now, b.rejections(r).Hold) < b.tokens(now, r)[b.Self.Name]
 }
@@ -143,7 +156,7 @@
 
 // MayRelay reports whether a peer may be asked to relay an attempt to the replica.
 func (b *Budget) MayRelay(now clock.Instant, r *pool.Replica, peer string) bool {
-	return !b.Limited(r.Service) || b.tokens(now, r)[peer] > 0
+	return !b.Limited(now, r.Service) || b.tokens(now, r)[peer] > 0
 }
 
 // rejections returns the limit of a replica with what is derived from it. How many requests an
@@ -221,6 +234,9 @@
 		return
 	}
 	b.observeDue = now.Add(observeInterval)
+	if b.learning.startedAt.IsZero() {
+		b.learning.startedAt = now
+	}
 	for name := range b.Instances() {
 		b.seenAt[name] = now
 	}
--- a/core/rejectbudget/rejectbudget_test.go
+++ b/core/rejectbudget/rejectbudget_test.go
@@ -155,19 +155,58 @@
 	b.reports = map[string]report{}
 	b.shares = 0
 	tell := func(now clock.Instant) {
-		b.ObservePeer(now, "a", a.Reports(now, []gossip.LinkReport{{Service: "other"}}))
-		a.ObservePeer(now, "b", b.Reports(now, nil))
+		b.ObservePeer(now, "a", true, a.Reports(now, []gossip.LinkReport{{Service: "other"}}))
+		a.ObservePeer(now, "b", true, b.Reports(now, nil))
 	}
 	tell(start)
-	is.True(b.Limited("app"))
+	is.True(b.Limited(start, "app"))
 	is.Equal(b.shares, 1)
 	at := start.Add(time.Second)
 	b.Observe(at, "app", start.Add(-time.Second), pool.RejectionLimit{}) // an answer to an earlier request
-	is.True(b.Limited("app"))
+	is.True(b.Limited(at, "app"))
 	b.Observe(at, "app", at, pool.RejectionLimit{})
 	tell(at)
-	is.True(!a.Limited("app"))
-	is.True(!b.Limited("app"))
+	is.True(!a.Limited(at, "app"))
+	is.True(!b.Limited(at, "app"))
 	tell(at.Add(time.Second))
-	is.True(!b.Limited("app")) // what a knew before is older
+	is.True(!b.Limited(at, "app")) // what a knew before is older
+}
+
+// Guards against replicas that fail because instances that have just started send them requests
+// before they know the limit.
+func TestLimitsAreUnknownAtTheStart(t *testing.T) {
+	is := is.New(t)
+	unknown := func() (*testBudget, *pool.Replica) {
+		b := newBudget("self", 4)
+		b.reports = map[string]report{}
+		b.learning = learning{answered: map[string]bool{}}
+		b.Members.Upsert("peer", "z", "peer")
+		b.Tick(start)
+		return b, b.Pool.Get("a")
+	}
+
+	b, r := unknown()
+	b.Pool.Announce(start, "c", pool.Announcement{Service: "app", Address: "c", Zone: "z", Slots: 4})
+	other := b.Pool.Get("c")
+	is.True(!b.Informed(start) && b.Limited(start, "app") && !b.MaySend(start, r))
+	is.True(!b.MaySend(start.Add(learnTimeout-time.Millisecond), r))
+	is.True(b.MaySend(start.Add(learnTimeout), r)) // no peer answers
+	r.Start(start.Add(learnTimeout), 1)
+	is.True(!b.MaySend(start.Add(learnTimeout), other)) // one request at a time
+	b.Observe(start.Add(learnTimeout), "app", start, pool.RejectionLimit{})
+	is.True(b.MaySend(start.Add(learnTimeout), other)) // there is no limit
+
+	b, r = unknown()
+	b.ObservePeer(start, "peer", false, nil) // it does not know either
+	is.True(!b.Informed(start) && b.MaySend(start, r))
+	r.Start(start, 1)
+	is.True(!b.MaySend(start, r))
+
+	b, r = unknown()
+	b.ObservePeer(start, "peer", true, nil)
+	r.Start(start, 1)
+	is.True(b.Informed(start) && !b.Limited(start, "app") && b.MaySend(start, r))
+
+	b, r = unknown()
+	is.True(b.Informed(start.Add(learnTime)) && b.MaySend(start.Add(learnTime), r))
 }
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -33,6 +33,7 @@
 		StoreAgeMs:   toMilliseconds(m.StoreAge),
 		StoreVersion: uint64(m.StoreVersion),
 		Relays:       m.Relays,
+		Informed:     m.Informed,
 	}
 	encodeRecords(m.Records, out)
 	for _, l := range m.Links {
@@ -261,6 +262,7 @@
 		StoreVersion: era.Revision(m.GetStoreVersion()),
 		Records:      decodeRecords(m),
 		Relays:       m.GetRelays(),
+		Informed:     m.GetInformed(),
 	}
 	for _, d := range m.GetDemand() {
 		out.Demand = append(out.Demand, demand.Item{
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -23,7 +23,7 @@
 func fullMessage() gossip.Message {
 	return gossip.Message{
 		From: "a", Zone: "z", Address: "127.0.0.1:1", Boot: 1, Leaving: true, Revision: 2, Stamp: 3, AckBoot: 4, Ack: 5,
-		StoreAge: 16 * time.Millisecond, StoreVersion: 17, Relays: true, Links: []gossip.LinkReport{{Service: "s", Lost: true, Proven: true, ProvenAge: 31 * time.Millisecond, Rejections: gossip.RejectionReport{
+		StoreAge: 16 * time.Millisecond, StoreVersion: 17, Relays: true, Informed: true, Links: []gossip.LinkReport{{Service: "s", Lost: true, Proven: true, ProvenAge: 31 * time.Millisecond, Rejections: gossip.RejectionReport{
 			Known: true, RejectionLimit: pool.RejectionLimit{Named: true, PerSecond: 32}, Age: 33 * time.Millisecond,
 		}}, {Service: "t"}},
 		Records: gossip.Records{
