links: calls of an instance in a cut-off zone do not wait for the instances outside it

Callers saw: while their zone was cut off, calls at its instances waited 0.3 s, often several times, for instances of other zones that should relay them, although replicas of their own zone were free.

Cause: a peer counted as able to relay for 3 s after it was last heard of, was asked again 1 s after it had not answered, and by all calls at once. When the links came back, attempts that had begun before that marked them as broken again.

Change: peers heard of since the links failed come first; another one gets one attempt at a time; one that did not answer is not asked again until it is heard of, or for 5 s. A connection attempt that timed out is ignored if the link has worked since it began.

--- a/core/forwarding/attempts.go
+++ b/core/forwarding/attempts.go
@@ -27,6 +27,8 @@
 	}
 	if s.lastAttempt.relay == "" {
 		f.Links.Proven(now, r, c.Started)
+	} else {
+		f.Links.RelayAnswered(now, s.lastAttempt.relay)
 	}
 	f.Pool.AnswerBegan(now, r, uint64(c.ID))
 	if c.Item != "" && s.lastAttempt.onlyPrefill {
--- a/core/instance/announced_world_test.go
+++ b/core/instance/announced_world_test.go
@@ -66,6 +66,7 @@
 	served          int
 	refused         int
 	relayed         int // attempts that were sent through another instance
+	relayTimeouts   int // those of them to an instance that did not answer
 	orders          int
 	maxClaims       int // largest number of ownerships in one write
 	watches         int
@@ -538,6 +539,7 @@
 	f.relayed++
 	p := f.members[d.Relay.Name]
 	if p == nil || p.dead || p.frozen || f.partitioned(n.id.Zone, p.id.Zone) {
+		f.relayTimeouts++
 		reply(bounds.DialTimeout, calls.AttemptFailed{ID: d.ID, Attempt: d.Attempt, Relay: links.PeerUnreachable, Detail: "no connection to the peer"})
 		return
 	}
--- a/core/links/links.go
+++ b/core/links/links.go
@@ -12,6 +12,7 @@
 	"slices"
 	"time"
 
+	"github.com/birchdrift/birchdrift/core/bounds"
 	"github.com/birchdrift/birchdrift/core/clock"
 	"github.com/birchdrift/birchdrift/core/gossip"
 	"github.com/birchdrift/birchdrift/core/logevent"
@@ -58,8 +59,12 @@
 }
 
 // Failed records that a connection to a replica could not be established. timedOut means that
-// nothing answered, as opposed to a refusal.
+// nothing answered, as opposed to a refusal. An attempt that timed out began before a link that has
+// worked since, so it says nothing about that link any more.
 func (t *Tracker) Failed(now clock.Instant, r *pool.Replica, timedOut bool) {
+	if timedOut && r.ProvenWithin(now, bounds.DialTimeout) {
+		return
+	}
 	r.LinkFailed(now, timedOut)
 	s := t.service(r.Service)
 	s.failed++
--- a/core/links/peers.go
+++ b/core/links/peers.go
@@ -19,9 +19,9 @@
 	// peerTTL is how long a peer that was not heard of may be asked to relay an attempt if
 	// there is no better one: in a large fleet an instance hears of few peers in reportTTL.
 	peerTTL = time.Minute
-	// peerBackoff is how long a peer that did not answer is not asked again, and
-	// replicaBackoff the same for a replica that the peer could not reach.
-	peerBackoff    = time.Second
+	// peerBackoff is how long a peer that did not answer is not asked again unless it is heard of,
+	// and replicaBackoff is how long it is not asked for a replica that it could not reach.
+	peerBackoff    = 5 * time.Second
 	replicaBackoff = time.Second
 	// busyBackoff is how long a peer that has too many attempts to relay is not asked again, and
 	// exposedBackoff the same for a replica that the peer may not send another request.
@@ -67,6 +67,9 @@
 	relays       bool // it relays attempts of other instances
 	services     map[string]peerService
 	backoffUntil clock.Instant            // it is not asked until then
+	silent       bool                     // it did not answer, and was not heard of since
+	reachedAt    clock.Instant            // when it last answered a request to relay an attempt
+	askedAt      clock.Instant            // when it was last asked although it might not be reachable
 	replicas     map[string]clock.Instant // replicas that it could not reach, and until when that counts
 }
 
@@ -84,6 +87,11 @@
 		t.peers[peer] = p
 	}
 	p.heardAt = now
+	if p.silent {
+		p.silent = false
+		p.backoffUntil = now
+		t.cache = candidateCache{}
+	}
 	p.relays = relays
 	clear(p.services)
 	for _, r := range reports {
@@ -108,9 +116,13 @@
 		return
 	}
 	t.cache = candidateCache{}
+	if reason != PeerUnreachable {
+		p.reachedAt = now
+	}
 	switch reason {
 	case PeerUnreachable:
 		p.backoffUntil = now.Add(peerBackoff)
+		p.silent = true
 	case PeerBusy:
 		p.backoffUntil = now.Add(busyBackoff)
 	case ReplicaUnreachable:
@@ -120,6 +132,16 @@
 	}
 }
 
+// RelayAnswered records that a peer passed on the answer of a replica.
+func (t *Tracker) RelayAnswered(now clock.Instant, peer string) {
+	if p := t.peers[peer]; p != nil {
+		p.reachedAt = now
+	}
+}
+
+// lastContact returns when this instance last received something from the peer.
+func (p *peerLinks) lastContact() clock.Instant { return clock.Latest(p.heardAt, p.reachedAt) }
+
 // A PeerFilter says whether a peer may be asked to relay an attempt to a replica.
 type PeerFilter func(now clock.Instant, r *pool.Replica, peer string) bool
 
@@ -155,6 +177,7 @@
 	draw := t.Rand.Float64() * total
 	for _, p := range peers {
 		if draw -= t.weight(p); draw < 0 {
+			t.peers[p.Name].askedAt = now
 			return p
 		}
 	}
@@ -179,7 +202,15 @@
 	if may != nil && !may(now, r, p.Name) {
 		return false
 	}
-	return !r.UnreachableFrom(now, p.Name) && !now.Before(t.peers[p.Name].replicas[r.Name])
+	l := t.peers[p.Name]
+	return !r.UnreachableFrom(now, p.Name) && !now.Before(l.replicas[r.Name]) && !t.awaitsAnswer(now, l, r.Service)
+}
+
+// awaitsAnswer reports whether a peer that may be cut off from this instance as well was asked a
+// moment ago: more attempts wait for its answer.
+func (t *Tracker) awaitsAnswer(now clock.Instant, p *peerLinks, service string) bool {
+	contact := p.lastContact()
+	return contact.Before(t.service(service).brokeBefore()) && contact.Before(p.askedAt) && now.Since(p.askedAt) < bounds.DialTimeout
 }
 
 // A candidateCache holds the candidates that were last computed.
@@ -190,7 +221,8 @@
 
 // candidates returns the peers that may relay attempts to the replicas of a service: those that
 // reported that their links work since this instance's failed; if there are none, those that
-// reported lately; if there are none, those that relayed attempts when last heard of.
+// reported anything since then; if there are none, those that reported lately; if there are none,
+// those that relayed attempts when last heard of.
 func (t *Tracker) candidates(now clock.Instant, service string) []*member.Peer {
 	if t.cache.byService == nil || now.Since(t.cache.at) >= candidateTTL {
 		t.cache = candidateCache{at: now, byService: map[string][]*member.Peer{}}
@@ -208,15 +240,30 @@
 	if len(recent) == 0 {
 		return t.peersHeardWithin(now, service, peerTTL)
 	}
+	since := t.service(service).brokeBefore()
 	// A peer that lost its links at the same time may not have noticed yet.
-	since := t.service(service).failedSince.Add(-bounds.DialTimeout)
 	proven := slices.DeleteFunc(slices.Clone(recent), func(p *member.Peer) bool {
 		return t.peers[p.Name].services[service].provenAt.Before(since)
 	})
-	if len(proven) == 0 {
-		return recent
+	if len(proven) > 0 {
+		return proven
+	}
+	// One that was not heard of since may be cut off from this instance as well.
+	heard := slices.DeleteFunc(slices.Clone(recent), func(p *member.Peer) bool { return t.peers[p.Name].lastContact().Before(since) })
+	if len(heard) > 0 {
+		return heard
+	}
+	return recent
+}
+
+// brokeBefore returns a time before which the links to the service still worked: connecting had
+// begun to fail DialTimeout later.
+func (s *serviceLinks) brokeBefore() clock.Instant {
+	since := s.failedSince
+	if s.lost && s.lostSince.Before(since) {
+		since = s.lostSince
 	}
-	return proven
+	return since.Add(-bounds.DialTimeout)
 }
 
 // ProvenByPeer reports whether a peer's links to a service have worked since this instance's failed:
--- a/core/pool/link.go
+++ b/core/pool/link.go
@@ -35,6 +35,12 @@
 	}
 }
 
+// ProvenWithin reports whether the replica has answered something, or accepted a connection, within
+// the last span.
+func (r *Replica) ProvenWithin(now clock.Instant, span time.Duration) bool {
+	return !r.link.provenAt.IsZero() && now.Since(r.link.provenAt) < span
+}
+
 // LinkBroken reports whether the last attempt to connect to the replica failed.
 func (r *Replica) LinkBroken() bool { return !r.link.brokenSince.IsZero() }
 
