links: a relay is looked for in all groups of peers, the most promising first

Cause: only one group of peers was considered: those heard of since the links failed, or else those heard of lately. An instance of a large fleet hears of few peers, and if these had no links either, the call was rejected although others had.

Change: the groups are tried one after the other for each replica.

--- a/core/instance/partition_test.go
+++ b/core/instance/partition_test.go
@@ -22,6 +22,10 @@
 	"github.com/birchdrift/birchdrift/core/step"
 )
 
+// partitionMembers is the number of instances of the large fleet. For the largest one that the design
+// allows, use -partition.members=370.
+var partitionMembers = flag.Int("partition.members", 46, "number of instances of a large fleet that is partitioned from its replicas")
+
 // partitionSeeds is the number of seeds per storm. For a longer run, use -partition.seeds=50.
 var partitionSeeds = flag.Int("partition.seeds", 1, "number of seeds per storm with instances that are cut off from engines")
 
@@ -563,6 +567,7 @@
 	}
 	h.partition(s.cut(h.f), fault)
 	h.f.run(partitionDuration + partitionReturn + observedReturn + time.Second)
+	t.Logf("seed %d: %d attempts relayed", seed, h.f.relayed)
 	h.check(t, seed)
 }
 
@@ -750,3 +755,17 @@
 		}
 	}
 }
+
+// Guards against instances of a large fleet, each with few calls and few peers that it hears of,
+// which do not find out that they lost their links, or who has not.
+func TestPartitionedInstancesOfALargeFleetServeTheirCallers(t *testing.T) {
+	for _, form := range sortedKeys(linkFaults) {
+		t.Run("connections "+form, func(t *testing.T) {
+			t.Parallel()
+			for seed := range *partitionSeeds {
+				s := partitionStorm{"half of the instances", firstMembers(0.5), nil}
+				s.run(t, seed, *partitionMembers, 3*time.Millisecond, linkFaults[form])
+			}
+		})
+	}
+}
--- a/core/links/peers.go
+++ b/core/links/peers.go
@@ -166,13 +166,10 @@
 
 // ChooseRelay returns the peer that should relay an attempt to a replica, nil if there is none.
 func (t *Tracker) ChooseRelay(now clock.Instant, r *pool.Replica, may PeerFilter) *member.Peer {
-	var peers []*member.Peer
+	peers := t.relaysTo(now, r, may)
 	total := 0.
-	for _, p := range t.candidates(now, r.Service) {
-		if t.reaches(now, p, r, may) {
-			peers = append(peers, p)
-			total += t.weight(p)
-		}
+	for _, p := range peers {
+		total += t.weight(p)
 	}
 	draw := t.Rand.Float64() * total
 	for _, p := range peers {
@@ -194,7 +191,23 @@
 
 // Relayable reports whether a peer may relay an attempt to a replica.
 func (t *Tracker) Relayable(now clock.Instant, r *pool.Replica, may PeerFilter) bool {
-	return slices.ContainsFunc(t.candidates(now, r.Service), func(p *member.Peer) bool { return t.reaches(now, p, r, may) })
+	return len(t.relaysTo(now, r, may)) > 0
+}
+
+// relaysTo returns the best candidates that may reach a replica.
+func (t *Tracker) relaysTo(now clock.Instant, r *pool.Replica, may PeerFilter) []*member.Peer {
+	for _, peers := range t.candidates(now, r.Service) {
+		var reaching []*member.Peer
+		for _, p := range peers {
+			if t.reaches(now, p, r, may) {
+				reaching = append(reaching, p)
+			}
+		}
+		if len(reaching) > 0 {
+			return reaching
+		}
+	}
+	return nil
 }
 
 // reaches reports whether a candidate reaches a replica, as far as this instance knows.
@@ -216,44 +229,44 @@
 // A candidateCache holds the candidates that were last computed.
 type candidateCache struct {
 	at        clock.Instant
-	byService map[string][]*member.Peer
+	byService map[string][][]*member.Peer
 }
 
-// candidates returns the peers that may relay attempts to the replicas of a service: those that
-// reported that their links work since this instance's failed; if there are none, those that
-// reported anything since then; if there are none, those that reported lately; if there are none,
-// those that relayed attempts when last heard of.
-func (t *Tracker) candidates(now clock.Instant, service string) []*member.Peer {
+// candidates returns the peers that may relay attempts to the replicas of a service, the most
+// promising group first.
+func (t *Tracker) candidates(now clock.Instant, service string) [][]*member.Peer {
 	if t.cache.byService == nil || now.Since(t.cache.at) >= candidateTTL {
-		t.cache = candidateCache{at: now, byService: map[string][]*member.Peer{}}
+		t.cache = candidateCache{at: now, byService: map[string][][]*member.Peer{}}
 	}
-	peers, ok := t.cache.byService[service]
+	groups, ok := t.cache.byService[service]
 	if !ok {
-		peers = t.findCandidates(now, service)
-		t.cache.byService[service] = peers
+		groups = t.findCandidates(now, service)
+		t.cache.byService[service] = groups
 	}
-	return peers
+	return groups
 }
 
-func (t *Tracker) findCandidates(now clock.Instant, service string) []*member.Peer {
-	recent := t.peersHeardWithin(now, service, reportTTL)
-	if len(recent) == 0 {
-		return t.peersHeardWithin(now, service, peerTTL)
-	}
+// findCandidates returns the candidates for a service in four groups: the peers that reported that
+// their links work since this instance's failed, those that were heard of since then, those that
+// reported lately, and those that relayed attempts when last heard of.
+func (t *Tracker) findCandidates(now clock.Instant, service string) [][]*member.Peer {
+	groups := make([][]*member.Peer, 4)
 	since := t.service(service).brokeBefore()
-	// A peer that lost its links at the same time may not have noticed yet.
-	proven := slices.DeleteFunc(slices.Clone(recent), func(p *member.Peer) bool {
-		return t.peers[p.Name].services[service].provenAt.Before(since)
-	})
-	if len(proven) > 0 {
-		return proven
-	}
-	// One that was not heard of since may be cut off from this instance as well.
-	heard := slices.DeleteFunc(slices.Clone(recent), func(p *member.Peer) bool { return t.peers[p.Name].lastContact().Before(since) })
-	if len(heard) > 0 {
-		return heard
+	for _, p := range t.peersHeardWithin(now, service, peerTTL) {
+		l := t.peers[p.Name]
+		group := 3
+		switch {
+		case now.Since(l.heardAt) > reportTTL:
+		case !l.services[service].provenAt.Before(since):
+			group = 0
+		case !l.lastContact().Before(since): // others may be cut off from this instance as well
+			group = 1
+		default:
+			group = 2
+		}
+		groups[group] = append(groups[group], p)
 	}
-	return recent
+	return groups
 }
 
 // brokeBefore returns a time before which the links to the service still worked: connecting had
