rejectbudget: an instance that has just started may retry while it learns the limits

Callers saw: at an instance that had just started without peers, a call whose first attempt broke off was refused with 503 although another replica was free, and six tests of internal/server failed (forwarded and relayed answers), a seventh waited for an attempt that was never relayed.

Cause: let such an instance have one request per service without an answer. A request that ended without an answer counts for 1.1 s, so no retry and no relayed attempt was possible.

Change: one request at a time to each replica, four to the service. What an instance that starts adds at one replica stays one request. Peers may be asked to relay attempts before this instance knows of a limit, since they check theirs.

--- a/core/rejectbudget/learn.go
+++ b/core/rejectbudget/learn.go
@@ -12,12 +12,15 @@
 // not send them all that it has: while instances restart one after the other, their first requests
 // would add up.
 
-// learnTimeout is how long an instance that has started waits for the first message of a peer before
-// it asks the replicas, and learnTime how long after its start it has heard from the other instances
-// what they know, if it reaches any.
 const (
+	// learnTimeout is how long an instance that has started waits for the first message of a peer
+	// before it asks the replicas, and learnTime how long after its start it has heard from the
+	// other instances what they know, if it reaches any.
 	learnTimeout = 300 * time.Millisecond
 	learnTime    = 2 * time.Second
+	// learnRequests is the number of requests per service that it has without an answer meanwhile,
+	// so that a call whose first attempt failed can be retried.
+	learnRequests = 4
 )
 
 // A learning is what an instance has found out since it started.
@@ -47,18 +50,21 @@
 }
 
 // mayTry reports whether this instance may send a request to a replica whose limit it does not know:
-// once the peers did not know it either or none answered, and one request per service at a time.
+// once a peer that did not know it either was heard of, or none was for learnTimeout. It sends one
+// request at a time to each replica, and no more than learnRequests to the service.
 func (b *Budget) mayTry(now clock.Instant, r *pool.Replica) bool {
 	started := b.learning.startedAt
 	if started.IsZero() || !b.learning.heard && b.hasPeers() && now.Since(started) < learnTimeout {
 		return false
 	}
+	if r.Exposed(now, b.rejections(r).Hold) > 0 {
+		return false
+	}
+	exposed := 0
 	for _, other := range b.Pool.Serving(r.Service) {
-		if other.Exposed(now, b.rejections(other).Hold) > 0 {
-			return false
-		}
+		exposed += other.Exposed(now, b.rejections(other).Hold)
 	}
-	return true
+	return exposed < learnRequests
 }
 
 // hasPeers reports whether there is, or may be, another instance.
--- a/core/rejectbudget/rejectbudget.go
+++ b/core/rejectbudget/rejectbudget.go
@@ -149,14 +149,16 @@
 	return r.Exposed(now, b.rejections(r).Hold) < b.tokens(now, r)[b.Self.Name]
 }
 
-// Holds reports whether this instance holds tokens of the replica, be they in use or not.
+// Holds reports whether this instance holds tokens of the replica, be they in use or not. Before it
+// knows the limit, it waits for its own requests.
 func (b *Budget) Holds(now clock.Instant, r *pool.Replica) bool {
-	return b.tokens(now, r)[b.Self.Name] > 0
+	return !b.knows(now, r.Service) || b.tokens(now, r)[b.Self.Name] > 0
 }
 
-// MayRelay reports whether a peer may be asked to relay an attempt to the replica.
+// MayRelay reports whether a peer may be asked to relay an attempt to the replica. The peer checks
+// that itself, too.
 func (b *Budget) MayRelay(now clock.Instant, r *pool.Replica, peer string) bool {
-	return !b.Limited(now, r.Service) || b.tokens(now, r)[peer] > 0
+	return !b.reports[r.Service].limit.Named || b.tokens(now, r)[peer] > 0
 }
 
 // rejections returns the limit of a replica with what is derived from it. How many requests an
