--- a/core/links/links.go
+++ b/core/links/links.go
@@ -118,10 +118,10 @@
 	// burstWindow is the time within which connections to many replicas must begin to fail for
 	// the links to be at fault, rather than the replicas.
 	burstWindow = 100 * time.Millisecond
-	// minBurst is the least number of such replicas, and minBurstShare their least share of the
+	// minBurst is the least number of such replicas, and MinBurstShare their least share of the
 	// replicas of the service.
 	minBurst      = 3
-	minBurstShare = 1. / 3
+	MinBurstShare = 1. / 3
 )
 
 // AtFault reports whether connections to a replica fail because this instance has lost its links:
@@ -138,7 +138,7 @@
 			burst++
 		}
 	}
-	return burst >= minBurst && float64(burst) >= minBurstShare*float64(len(replicas))
+	return burst >= minBurst && float64(burst) >= MinBurstShare*float64(len(replicas))
 }
 
 // Lost reports whether this instance cannot connect to most replicas of a service.
