partition_test: rate limits and rests beside partitions; how long service takes to settle

Storms of partitions beside other failures had none in which replicas state a rate limit or ask for rests, where a relayed attempt must keep what a direct one keeps.

--- a/core/instance/partition_test.go
+++ b/core/instance/partition_test.go
@@ -17,7 +17,9 @@
 	"github.com/birchdrift/birchdrift/core/crash"
 	"github.com/birchdrift/birchdrift/core/links"
 	"github.com/birchdrift/birchdrift/core/logevent"
+	"github.com/birchdrift/birchdrift/core/notice"
 	"github.com/birchdrift/birchdrift/core/option"
+	"github.com/birchdrift/birchdrift/core/pool"
 	"github.com/birchdrift/birchdrift/core/quarantine"
 	"github.com/birchdrift/birchdrift/core/registry"
 	"github.com/birchdrift/birchdrift/core/step"
@@ -99,11 +101,15 @@
 	plainDuration time.Duration
 	// rejections, if not nil, lets replicas reject calls for want of room.
 	rejections *rejectionHarness
-	cuts       []partition
-	ended      int      // plain replicas that ended and started again
-	partial    bool     // instances lose the links to too few replicas to tell them from replicas that crashed
-	unordered  []string // engines that no instance could order at the end of a partition
-	mistaken   int      // calls that ran although their answer says that they did not
+	// notices are what plain replicas state in their answers. One that asks for a rest rejects its
+	// calls.
+	notices   map[*fleetEngine]pool.Notice
+	received  map[*fleetEngine][]time.Duration // when calls reached a plain replica
+	cuts      []partition
+	ended     int      // plain replicas that ended and started again
+	partial   bool     // instances lose the links to too few replicas to tell them from replicas that crashed
+	unordered []string // engines that no instance could order at the end of a partition
+	mistaken  int      // calls that ran although their answer says that they did not
 }
 
 // A partitionCall is one call and what became of it.
@@ -166,6 +172,7 @@
 	f.addMembers(members)
 	h := &partitionHarness{
 		f: f, calls: map[calls.ID]*partitionCall{}, idle: map[connKey][]time.Duration{},
+		notices: map[*fleetEngine]pool.Notice{}, received: map[*fleetEngine][]time.Duration{},
 		plainDuration: defaultPlainDuration,
 	}
 	f.partitions = h
@@ -292,7 +299,7 @@
 		h.fail(fl, fleetLatency, calls.AttemptFailed{Phase: attempt.Refused, Misdirected: true, Incarnation: d.Replica})
 		return
 	}
-	if h.rejections != nil && !h.rejections.admit(fl) {
+	if h.rejections != nil && !h.rejections.admit(fl) || !h.sendNotices(fl) {
 		return
 	}
 	fl.call.runs++
@@ -307,6 +314,46 @@
 	h.f.at(total, func() { h.transmit(fl, func() { h.complete(fl) }) })
 }
 
+// sendNotices delivers what a plain replica states in its answer, and reports whether it takes the
+// call.
+func (h *partitionHarness) sendNotices(fl *flight) bool {
+	if fl.e.service == "" {
+		return true
+	}
+	h.received[fl.e] = append(h.received[fl.e], h.f.now)
+	n := h.notices[fl.e]
+	if n.IsZero() {
+		return true
+	}
+	for _, m := range []*fleetMember{fl.sender, fl.call.member} {
+		sent, boot := h.f.clock(m), m.boot
+		h.f.at(fleetLatency, func() { h.f.step(m, boot, notice.Received{Replica: fl.e.name, Sent: sent, Notice: n}) })
+	}
+	if n.Rest > 0 {
+		h.fail(fl, fleetLatency, calls.AttemptFailed{Phase: attempt.Refused, Status: 503, Detail: "rest"})
+	}
+	return n.Rest == 0
+}
+
+// mostReceived returns the most calls that reached a plain replica within window since from.
+func (h *partitionHarness) mostReceived(from, window time.Duration) int {
+	most := 0
+	for _, times := range h.received {
+		recent := []time.Duration{}
+		for _, at := range times {
+			if at < from {
+				continue
+			}
+			recent = append(recent, at)
+			for recent[0] <= at-window {
+				recent = recent[1:]
+			}
+			most = max(most, len(recent))
+		}
+	}
+	return most
+}
+
 func (h *partitionHarness) begin(fl *flight) {
 	if fl.done {
 		return
@@ -476,12 +523,31 @@
 	return partitioned, others
 }
 
+// settleWindow is the time over which calls are counted to find when a fleet has settled.
+const settleWindow = 250 * time.Millisecond
+
+// settledAfter returns how long after from callers of partitioned instances were last served less
+// than minServedRatio times as often as those of the others, within a settleWindow that ends before
+// to.
+func (h *partitionHarness) settledAfter(p partition, from, to time.Duration) time.Duration {
+	_, others := h.count(p, from, to)
+	settled := time.Duration(0)
+	for at := from; at+settleWindow <= to; at += settleWindow {
+		partitioned, _ := h.count(p, at, at+settleWindow)
+		if partitioned.calls > 0 && partitioned.share() < minServedRatio*others.share() {
+			settled = at + settleWindow - from
+		}
+	}
+	return settled
+}
+
 // A partitionReport is what callers saw of one partition.
 type partitionReport struct {
-	partitioned, others servedCount // while the users' rule applies
-	early               servedCount // at partitioned instances before that
-	after, afterOthers  servedCount // after partitionReturn
-	broken              bool        // the users' rule is broken
+	partitioned, others servedCount   // while the users' rule applies
+	early               servedCount   // at partitioned instances before that
+	after, afterOthers  servedCount   // after partitionReturn
+	settled, returned   time.Duration // until calls were served as at the others, after the start and after the end
+	broken              bool          // the users' rule is broken
 }
 
 func (r partitionReport) ratio() float64 { return r.partitioned.share() / max(r.others.share(), 0.01) }
@@ -492,6 +558,8 @@
 	r.early, _ = h.count(p, p.from, settled)
 	r.partitioned, r.others = h.count(p, settled, p.to)
 	r.after, r.afterOthers = h.count(p, p.to+partitionReturn, p.to+partitionReturn+observedReturn)
+	r.settled = h.settledAfter(p, p.from, p.to)
+	r.returned = h.settledAfter(p, p.to, p.to+partitionReturn+observedReturn)
 	failed := float64(r.partitioned.calls - r.partitioned.served)
 	all := float64(r.partitioned.calls + r.others.calls)
 	r.broken = r.ratio() < minServedRatio && failed > maxFailures+maxFailedShare*all
@@ -504,9 +572,9 @@
 	t.Helper()
 	for _, p := range h.cuts {
 		r := h.report(p)
-		t.Logf("seed %d, %d of %d cut off: %d of %d calls served there and %d of %d at the others (ratio %.2f); in the first %v %d of %d; after the return %d of %d, %d of %d at the others",
+		t.Logf("seed %d, %d of %d cut off: %d of %d calls served there and %d of %d at the others (ratio %.2f); in the first %v %d of %d; after the return %d of %d, %d of %d at the others; settled after %v, and %v after the return",
 			seed, len(p.members), len(h.f.names), r.partitioned.served, r.partitioned.calls, r.others.served, r.others.calls, r.ratio(),
-			h.f.opt.Bounds.Settle, r.early.served, r.early.calls, r.after.served, r.after.calls, r.afterOthers.served, r.afterOthers.calls)
+			h.f.opt.Bounds.Settle, r.early.served, r.early.calls, r.after.served, r.after.calls, r.afterOthers.served, r.afterOthers.calls, r.settled, r.returned)
 		if r.broken {
 			t.Errorf("seed %d: the users' rule is broken", seed)
 		}
@@ -538,11 +606,25 @@
 	if len(h.unordered) > 0 {
 		t.Errorf("seed %d: at the end of the partition the owners of %v have no link to them", seed, h.unordered)
 	}
+	h.checkRateLimit(t, seed)
 	for _, v := range h.f.violations {
 		t.Errorf("seed %d: %s", seed, v)
 	}
 }
 
+// checkRateLimit reports more calls than the rate limit of a plain replica allows.
+func (h *partitionHarness) checkRateLimit(t *testing.T, seed int) {
+	t.Helper()
+	if !h.notices[h.f.engines["p0"]].Limit.Named {
+		return
+	}
+	most, allowed := h.mostReceived(h.cuts[0].from, limitWindow), int(limitFactor*partitionRateLimit*limitWindow.Seconds())+limitBurst
+	t.Logf("seed %d: at most %d calls at a replica within %v where %d are allowed", seed, most, limitWindow, allowed)
+	if most > allowed {
+		t.Errorf("seed %d: %d calls at a replica within %v, allowed are %d", seed, most, limitWindow, allowed)
+	}
+}
+
 // checkReplica answers the check whether a process listens at an engine's address.
 func (h *partitionHarness) checkReplica(n *fleetMember, act quarantine.Check, reply func(time.Duration, step.Event)) {
 	e := h.f.engines[act.Replica.Name]
@@ -625,6 +707,10 @@
 	}
 }
 
+// partitionRateLimit is the rate limit of a plain replica in a storm, in calls per second: somewhat
+// more than it gets.
+const partitionRateLimit = 25
+
 // disturbedPartitions are storms in which other failures overlap a partition.
 var disturbedPartitions = []partitionStorm{
 	{"instances are killed", firstMembers(0.5), func(h *partitionHarness) { h.f.killRandomly(2500*time.Millisecond, time.Second) }},
@@ -646,6 +732,18 @@
 			return func() { e.silent = false }
 		})
 	}},
+	{"replicas state a rate limit", firstMembers(0.5), func(h *partitionHarness) {
+		for i := range 4 {
+			h.notices[h.f.engines[fmt.Sprintf("p%d", i)]] = pool.Notice{Limit: pool.RateLimit{Named: true, PerSecond: partitionRateLimit}}
+		}
+	}},
+	{"replicas ask for rests", firstMembers(0.5), func(h *partitionHarness) {
+		h.f.periodically(2*time.Second, time.Second, func() func() {
+			e := h.f.engines[fmt.Sprintf("p%d", h.f.rng.IntN(4))]
+			h.notices[e] = pool.Notice{Rest: time.Second}
+			return func() { delete(h.notices, e) }
+		})
+	}},
 	{"most of a zone, and then the rest of it", func(f *fleet) []*fleetMember { return membersOfZone(f)[1:] }, func(h *partitionHarness) {
 		h.f.at(8*time.Second, func() { h.partition(membersOfZone(h.f)[:1], linkHangs) })
 	}},
