--- a/core/instance/partition_test.go
+++ b/core/instance/partition_test.go
@@ -103,13 +103,16 @@
 	rejections *rejectionHarness
 	// notices are what plain replicas state in their answers. One that asks for a rest rejects its
 	// calls.
-	notices   map[*fleetEngine]pool.Notice
-	received  map[*fleetEngine][]time.Duration // when calls reached a plain replica
-	cuts      []partition
-	ended     int      // plain replicas that ended and started again
-	partial   bool     // instances lose the links to too few replicas to tell them from replicas that crashed
-	unordered []string // engines that no instance could order at the end of a partition
-	mistaken  int      // calls that ran although their answer says that they did not
+	notices  map[*fleetEngine]pool.Notice
+	received map[*fleetEngine][]time.Duration // when calls reached a plain replica
+	// silentUntil is when replicas that were silent went on.
+	silentUntil map[*fleetEngine]time.Duration
+	cuts        []partition
+	ended       int      // plain replicas that ended and started again
+	partial     bool     // instances lose the links to too few replicas to tell them from replicas that crashed
+	unordered   []string // engines that no instance could order at the end of a partition
+	unused      []string // instances and replicas that they did not use partitionReturn after a partition
+	mistaken    int      // calls that ran although their answer says that they did not
 }
 
 // A partitionCall is one call and what became of it.
@@ -173,6 +176,7 @@
 	h := &partitionHarness{
 		f: f, calls: map[calls.ID]*partitionCall{}, idle: map[connKey][]time.Duration{},
 		notices: map[*fleetEngine]pool.Notice{}, received: map[*fleetEngine][]time.Duration{},
+		silentUntil:   map[*fleetEngine]time.Duration{},
 		plainDuration: defaultPlainDuration,
 	}
 	f.partitions = h
@@ -462,9 +466,32 @@
 		for _, n := range members {
 			n.links = nil
 		}
+		h.f.at(partitionReturn, func() { h.unused = append(h.unused, h.unusedReplicas(members)...) })
 	})
 }
 
+// unusedReplicas returns the replicas that one of the given instances does not use, although it has
+// run for ownerSettle and its links work.
+func (h *partitionHarness) unusedReplicas(members []*fleetMember) []string {
+	var out []string
+	for _, n := range members {
+		if n.dead || n.frozen || h.f.now-n.startedAt < ownerSettle {
+			continue
+		}
+		for _, name := range sortedKeys(h.f.engines) {
+			r := n.m.state.Pool.Get(name)
+			e := h.f.engines[name]
+			if until, ok := h.silentUntil[e]; ok && h.f.now-until < silenceReturn || e.dead || e.silent || r == nil || h.f.link(n, e) != linkWorks {
+				continue
+			}
+			if now := h.f.clock(n); r.LinkBroken() || r.Ejected(now) {
+				out = append(out, n.id.Name+" "+name)
+			}
+		}
+	}
+	return out
+}
+
 // ownerSettle is the time within which an instance that has started has found out which engines it
 // does not reach, and has released them.
 const ownerSettle = 3 * time.Second
@@ -606,6 +633,9 @@
 	if len(h.unordered) > 0 {
 		t.Errorf("seed %d: at the end of the partition the owners of %v have no link to them", seed, h.unordered)
 	}
+	if len(h.unused) > 0 {
+		t.Errorf("seed %d: %v after the partition these instances do not use these replicas: %v", seed, partitionReturn, h.unused)
+	}
 	h.checkRateLimit(t, seed)
 	for _, v := range h.f.violations {
 		t.Errorf("seed %d: %s", seed, v)
@@ -729,7 +759,10 @@
 		h.f.periodically(2*time.Second, silenceDuration, func() func() {
 			e := h.f.engines[fmt.Sprintf("p%d", h.f.rng.IntN(4))]
 			e.silent = true
-			return func() { e.silent = false }
+			return func() {
+				e.silent = false
+				h.silentUntil[e] = h.f.now
+			}
 		})
 	}},
 	{"replicas state a rate limit", firstMembers(0.5), func(h *partitionHarness) {
--- a/core/links/links_test.go
+++ b/core/links/links_test.go
@@ -222,6 +222,19 @@
 	is.True(a.LinkBroken())
 }
 
+// Guards against calls that are rejected because the peers that seem best do not reach a replica,
+// although another one, of which less is known, may.
+func TestRelaysAreLookedForAmongAllPeers(t *testing.T) {
+	is := is.New(t)
+	tracker := newTracker("a", "b", "c")
+	tracker.addPeer("proven", "z", gossip.LinkReport{Service: "app", Proven: true})
+	tracker.addPeer("earlier", "z", gossip.LinkReport{Service: "app", Proven: true, ProvenAge: time.Second})
+	tracker.Failed(start, tracker.Pool.Get("a"), true)
+	tracker.RelayFailed(start, "proven", "a", ReplicaUnreachable)
+	is.Equal(tracker.ChooseRelay(start, tracker.Pool.Get("a"), nil).Name, "earlier")
+	is.Equal(tracker.ChooseRelay(start, tracker.Pool.Get("b"), nil).Name, "proven")
+}
+
 // TestRelaysWhoseLinksAreProven checks that a peer whose links have worked since this instance's
 // failed is preferred: another one may have lost its links at the same time.
 func TestRelaysWhoseLinksAreProven(t *testing.T) {
