--- a/core/ownership/release_test.go
+++ b/core/ownership/release_test.go
@@ -77,3 +77,22 @@
 		})
 	}
 }
+
+// Guards against engines that nobody can order because their owner has restarted while it cannot
+// reach them: their records still name it, with its former boot.
+func TestEnginesOfAFormerBootAreReleased(t *testing.T) {
+	is := is.New(t)
+	now := clocktest.At(time.Hour)
+	r := testRegistry(now)
+	r.owners["e"] = registry.Ownership{Engine: "e", Owner: "self", Boot: r.Self.Boot - 1, Revision: 7}
+	r.Links.Failed(now, r.Pool.Get("e"), true)
+	later := now.Add(releaseDelay)
+	r.Members.Upsert("peer", "z", "peer")
+	r.Members.MarkHeard(later, "peer")
+	r.Links.ObservePeer(later, "peer", true, nil)
+	r.Out.Reset()
+	is.True(r.releaseUnreachable(later))
+	released := r.released()
+	is.Equal(len(released), 1)
+	is.Equal(released[0].Owner, "")
+}
