rejectbudget: test that instances without links hold no tokens

Taking that out (a scratch copy) failed no test: the storm in which half of the instances lose their links still used enough of the capacity. TestInstancesWithoutLinksHoldNoTokens fails without it.

--- a/core/rejectbudget/rejectbudget_test.go
+++ b/core/rejectbudget/rejectbudget_test.go
@@ -116,6 +116,25 @@
 	is.True(!b.Holds(again.Add(time.Second), a))
 }
 
+// Guards against capacity that nobody may use because instances without links hold tokens.
+func TestInstancesWithoutLinksHoldNoTokens(t *testing.T) {
+	is := is.New(t)
+	b := newBudget("self", 4)
+	r := b.Pool.Get("a")
+	all := bounds.NewRejections(4, 4).Tokens
+	for _, name := range []string{"self", "p", "q"} {
+		b.registered[name] = registry.Instance{Name: name}
+	}
+	b.Tick(start)
+	b.Tick(settled)
+	is.True(b.tokens(settled, r)["p"]+b.tokens(settled, r)["q"] > 0)
+	later := settled.Add(holdersTTL)
+	for _, name := range []string{"p", "q"} {
+		b.Links.ObservePeer(later, name, true, []gossip.LinkReport{{Service: "app", Lost: true}})
+	}
+	is.Equal(b.tokens(later, r), map[string]int{"self": all})
+}
+
 // TestTokensInUse checks which requests use a token: those without an answer, and those that may
 // have been rejected, for some time longer.
 func TestTokensInUse(t *testing.T) {
