--- a/core/links/links_test.go
+++ b/core/links/links_test.go
@@ -65,6 +65,25 @@
 	is.Equal(tracker.events(), []logevent.Number{logevent.LinksLost})
 }
 
+// Guards against sound replicas that are passed over after a partition because calls failed there
+// before the links were known to be lost.
+func TestFailuresOfLostLinksAreCleared(t *testing.T) {
+	is := is.New(t)
+	tracker := newTracker("a", "b")
+	a := tracker.Pool.Get("a")
+	for id := range uint64(3) {
+		a.Start(start, id)
+		tracker.Pool.CallFailed(start, a, id, start)
+	}
+	is.True(a.Ejected(start))
+	tracker.Failed(start, a, true)
+	is.True(a.Ejected(start)) // the replica may have failed
+	tracker.Failed(start, tracker.Pool.Get("b"), true)
+	is.True(tracker.Lost("app"))
+	is.True(!a.Ejected(start))
+	is.Equal(a.Failures(), 0)
+}
+
 // addPeer adds a peer that relays attempts and that reported just before start.
 func (t *Tracker) addPeer(name, zone string, reports ...gossip.LinkReport) {
 	t.Members.Upsert(name, zone, name)
