relay: an answer that its sender does not read any more is no severed connection of the replica

Nobody saw anything: a relaying instance took a failed write to the sender for a connection that the replica had severed, and checked whether its process had ended. Both connections fail with the same errors.

calls.Relay and AttemptFailed.Relayable, which are about a replica's own error response, are PassOnErrorResponse and ErrorResponse now: "relay" means a relayed attempt.

--- a/core/calls/event.go
+++ b/core/calls/event.go
@@ -43,9 +43,9 @@
 		// Incarnation is the replica name in the answer, "" if there is none. It is a
 		// name only, without the start identifier of a pool.Incarnation.
 		Incarnation string
-		// Relayable means that the replica answered with a complete error response that
+		// ErrorResponse means that the replica answered with a complete error response that
 		// can be passed on to the caller.
-		Relayable bool
+		ErrorResponse bool
 		// Relay says why the attempt was not relayed, if it was to be.
 		Relay  links.RelayFailure
 		Detail string // the cause, for logs and the refusal
@@ -98,9 +98,9 @@
 		ID      ID
 		Silence time.Duration // 0: in any case
 	}
-	// Relay passes on the replica's complete error response, which the last
-	// AttemptFailed reported as Relayable.
-	Relay struct{ ID ID }
+	// PassOnErrorResponse passes on the replica's complete error response, which the last
+	// AttemptFailed reported.
+	PassOnErrorResponse struct{ ID ID }
 	// Finish ends a call with a refusal by this instance.
 	Finish struct {
 		ID      ID
@@ -138,7 +138,7 @@
 func (Interrupt) IsAction() {}
 
 // IsAction implements step.Action.
-func (Relay) IsAction() {}
+func (PassOnErrorResponse) IsAction() {}
 
 // IsAction implements step.Action.
 func (Finish) IsAction() {}
--- a/core/forwarding/attempts.go
+++ b/core/forwarding/attempts.go
@@ -122,11 +122,11 @@
 // record records how an attempt at a replica ended. A replica that refused the call and
 // requested a rest may get the call again after the rest.
 func (p *progress) record(replica pool.Incarnation, e calls.AttemptFailed, resting bool) {
-	p.relayable = e.Relayable
+	p.errorResponse = e.ErrorResponse
 	p.answerStarted = p.answerStarted || e.Delivered > 0
 	switch e.Phase {
 	case attempt.NotSent:
-		p.unsent++ // the replica counts as down for a while and may be tried again afterwards
+		p.unsent++ // it may be tried again once its link works, or through a peer
 		return
 	case attempt.Refused:
 		p.refusals++
@@ -144,8 +144,8 @@
 func (f *Forwarder) end(c *calls.Call, s *state, status int, detail string) {
 	run := c.History.RunState()
 	switch {
-	case s.progress.relayable && !s.progress.answerStarted:
-		f.relay(c, status)
+	case s.progress.errorResponse && !s.progress.answerStarted:
+		f.passOnErrorResponse(c, status)
 	case s.progress.answerStarted:
 		f.Calls.Refuse(c, code.Refusal{Code: code.StreamCut, Run: run, Detail: detail})
 	case run == code.NotRun:
@@ -155,11 +155,11 @@
 	}
 }
 
-// relay passes on the replica's own error response.
-func (f *Forwarder) relay(c *calls.Call, status int) {
+// passOnErrorResponse ends a call with the replica's own error response.
+func (f *Forwarder) passOnErrorResponse(c *calls.Call, status int) {
 	f.Out.Log(logevent.CallFailed, "call", c.Forward.Name, "service", c.Service, "code", int(code.UpstreamRefused),
 		"run", string(c.History.RunState()), "status", status, "detail", "the replica's own answer")
-	f.Out.Emit(calls.Relay{ID: c.ID})
+	f.Out.Emit(calls.PassOnErrorResponse{ID: c.ID})
 	f.Calls.Remove(c)
 }
 
@@ -199,7 +199,7 @@
 		if e.Unreachable {
 			f.Quarantine.ReplicaEnded(now, r.Incarnation())
 		}
-	case e.Relayable:
+	case e.ErrorResponse:
 		// The replica works; the call itself may be the cause of the failure.
 		r.End(now, uint64(c.ID), c.Started, false)
 	default:
@@ -229,13 +229,13 @@
 
 // answeredByReplica reports whether an attempt failed by the replica's own complete answer.
 func answeredByReplica(e calls.AttemptFailed) bool {
-	return e.Phase == attempt.Refused || e.Misdirected || e.Relayable
+	return e.Phase == attempt.Refused || e.Misdirected || e.ErrorResponse
 }
 
 // mayBeRejected reports whether the replica rejected the attempt, or may have.
 func mayBeRejected(e calls.AttemptFailed) bool {
 	switch {
-	case e.Phase == attempt.NotSent, e.Misdirected, e.Relayable:
+	case e.Phase == attempt.NotSent, e.Misdirected, e.ErrorResponse:
 		return false
 	default:
 		return true
--- a/core/forwarding/forwarding.go
+++ b/core/forwarding/forwarding.go
@@ -105,7 +105,7 @@
 	refusals      int                // replicas that reported that they did not run the call
 	unsent        int                // replicas that the call could not be sent to
 	answerStarted bool               // the head of an answer was passed on
-	relayable     bool               // the replica's own error response can be passed on
+	errorResponse bool               // the replica's own error response can be passed on
 }
 
 // A lastAttempt is the state of the last attempt.
--- a/core/forwarding/forwarding_test.go
+++ b/core/forwarding/forwarding_test.go
@@ -154,7 +154,7 @@
 		switch act := a.(type) {
 		case calls.Finish:
 			refused[act.ID] = act.Refusal
-		case calls.Relay:
+		case calls.PassOnErrorResponse:
 			relayed = append(relayed, act.ID)
 		}
 	}
@@ -172,7 +172,7 @@
 		code     code.Code
 		run      code.RunState
 	}{
-		{"error response of the replica", progress{relayable: true}, attempt.Answered, true, 0, ""},
+		{"error response of the replica", progress{errorResponse: true}, attempt.Answered, true, 0, ""},
 		{"stream that has begun", progress{answerStarted: true}, attempt.Answered, false, code.StreamCut, code.Ran},
 		{"nothing ran", progress{}, attempt.Refused, false, code.NoCapacity, code.NotRun},
 		{"it may have run", progress{}, attempt.MaybeSent, false, code.UpstreamBroke, code.MayHaveRun},
--- a/core/instance/announced_world_test.go
+++ b/core/instance/announced_world_test.go
@@ -513,7 +513,7 @@
 		if f.crashes != nil {
 			f.crashes.handleFinish(act)
 		}
-	case calls.Relay:
+	case calls.PassOnErrorResponse:
 	}
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -137,7 +137,7 @@
 		case calls.Finish:
 			handlers.Finish(act.Refusal)
 			return
-		case calls.Relay:
+		case calls.PassOnErrorResponse:
 			handlers.Relay()
 			return
 		case calls.Dispatch:
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -307,7 +307,7 @@
 	case resp.StatusCode >= http.StatusInternalServerError:
 		progress.Advance(attempt.Answered)
 		f.keepFailedAnswer(resp)
-		failure.Relayable = f.failed != nil
+		failure.ErrorResponse = f.failed != nil
 		failure.Detail = fmt.Sprintf("the replica failed: status %d", resp.StatusCode)
 	case d.Forward.Stream && reply.Stream:
 		progress.Advance(attempt.Answered)
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -117,7 +117,11 @@
 	w.WriteHeader(http.StatusBadGateway)
 }
 
-// passOn passes a replica's answer on as it arrives.
+// errSenderGone is the error of passing an answer on to an instance that does not read it any more.
+var errSenderGone = errors.New("the sender of the attempt is gone")
+
+// passOn passes a replica's answer on as it arrives. An error other than errSenderGone is of the
+// connection to the replica.
 func passOn(w http.ResponseWriter, resp *http.Response) error {
 	for name, values := range service.EndToEndHeaders(resp.Header) {
 		w.Header()[name] = values
@@ -130,10 +134,10 @@
 		n, err := resp.Body.Read(buf)
 		if n > 0 {
 			if _, err := w.Write(buf[:n]); err != nil {
-				return err
+				return errSenderGone
 			}
 			if err := flush.Flush(); err != nil {
-				return err
+				return errSenderGone
 			}
 		}
 		if errors.Is(err, io.EOF) {
--- a/internal/shell/actions.go
+++ b/internal/shell/actions.go
@@ -44,7 +44,7 @@
 		delete(s.calls, act.ID)
 	case calls.Interrupt:
 		s.interrupt(act.ID, act.Silence)
-	case calls.Relay:
+	case calls.PassOnErrorResponse:
 		s.deliver(act.ID, act)
 		delete(s.calls, act.ID)
 	case exchange.SendRequest:
