standin/fleet: all output of a program is recorded before its exit is reported

Process.Wait, and AwaitLine, returned when the program had ended and its pipe was closed, without waiting for the goroutine that reads the pipe.

--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -72,6 +72,18 @@
 	return append([]string(nil), l.lines...), l.changed
 }
 
+// find returns the first line so far that contains text, and a channel that is closed when the next
+// line is added.
+func (l *outputLog) find(text string) (line string, found bool, changed chan struct{}) {
+	lines, changed := l.snapshot()
+	for _, line := range lines {
+		if strings.Contains(line, text) {
+			return line, true, changed
+		}
+	}
+	return "", false, changed
+}
+
 // Start starts a program and records its output line by line.
 func Start(name, path string, args ...string) (*Process, error) {
 	p := &Process{Name: name, cmd: exec.Command(path, args...), exited: make(chan struct{})}
@@ -82,7 +94,9 @@
 	if err := p.cmd.Start(); err != nil {
 		return nil, err
 	}
+	recorded := make(chan struct{})
 	go func() {
+		defer close(recorded)
 		scanner := bufio.NewScanner(reader)
 		scanner.Buffer(nil, 4<<20)
 		for scanner.Scan() {
@@ -92,6 +106,7 @@
 	go func() {
 		_ = p.cmd.Wait() // the exit status has the same information
 		_ = writer.Close()
+		<-recorded
 		p.status = p.cmd.ProcessState.ExitCode()
 		close(p.exited)
 	}()
