--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -118,15 +118,16 @@
 	deadline := time.NewTimer(AwaitTimeout)
 	defer deadline.Stop()
 	for {
-		lines, changed := p.log.snapshot()
-		for _, line := range lines {
-			if strings.Contains(line, text) {
-				return line, nil
-			}
+		line, found, changed := p.log.find(text)
+		if found {
+			return line, nil
 		}
 		select {
 		case <-changed:
 		case <-p.exited:
+			if line, found, _ := p.log.find(text); found {
+				return line, nil
+			}
 			return "", fmt.Errorf("%s exited with %d:\n%s", p.Name, p.status, p.Log())
 		case <-deadline.C:
 			return "", fmt.Errorf("%s: no line with %q:\n%s", p.Name, text, p.Log())
