Logs name the version of a replica's software, and the stream that an attempt goes on with

Nothing is decided by it: replicas are chosen as before.

Cause: the log of an instance could not tell an attempt that begins a stream from one that goes on with one, nor which version of the software its replica runs, so that the two hypotheses (changes within an answer; take-ups by callers) gave the same lines.

Change: the version in a replica's entry and the header that names the call which began a stream are read. upstream_announced and call_sent have software; call_sent has resumes and last_event, call_retried last_event. birchctl losses counts, over all instances, the attempts that went on with a stream, within answers and taken up, by whether the version was the one that began it.

--- a/core/calls/call.go
+++ b/core/calls/call.go
@@ -54,6 +54,8 @@
 	Parts       []route.PromptPart // shared parts of the prompt, in order
 	LengthHint  int                // expected number of tokens of the answer, 0 if unknown
 	Deadline    time.Duration      // how long the caller waits; 0 if it does not say
+	LastEvent   int                // number of the last event of the stream that the caller has, 0 if none
+	Resumes     string             // Name of the call that brought the stream's first event, "" if not stated
 	// Ignored lists the headers that were invalid and are treated as absent.
 	Ignored []string
 }
--- a/core/forwarding/attempts.go
+++ b/core/forwarding/attempts.go
@@ -59,6 +59,7 @@
 	}
 	c.History = c.History.WithFailure(e.Phase)
 	s.failed = failure{AttemptFailed: e, replica: c.Replica}
+	s.progress.lastEvent = max(s.progress.lastEvent, e.Delivered)
 	c.Replica = ""
 	s.progress.record(c.Life, e, f.isResting(now, s.failed.replica))
 	s.charge = s.charge.withFailure(e.Phase)
@@ -98,7 +99,7 @@
 	}
 	s.failed.logged = true
 	f.Out.Log(logevent.CallRetried, "call", c.Forward.Name, "service", c.Service, "fingerprint", c.Forward.Fingerprint.String(),
-		"replica", s.failed.replica, "severed", s.failed.Severed, "unreachable", s.failed.Unreachable, "status", s.failed.Status, "detail", s.failed.Detail)
+		"replica", s.failed.replica, "severed", s.failed.Severed, "unreachable", s.failed.Unreachable, "status", s.failed.Status, "last_event", s.progress.lastEvent, "detail", s.failed.Detail)
 }
 
 // endUnretried ends a call whose attempt failed and logs why it is not retried.
--- a/core/forwarding/forwarding.go
+++ b/core/forwarding/forwarding.go
@@ -106,6 +106,7 @@
 	unsent        int                // replicas that the call could not be sent to
 	answerStarted bool               // the head of an answer was passed on
 	errorResponse bool               // the replica's own error response can be passed on
+	lastEvent     int                // number of the last event that the caller has, 0 if none
 }
 
 // A lastAttempt is the state of the last attempt.
@@ -178,7 +179,7 @@
 	c.Expires = now.Add(limit)
 	c.Priority = rankPriority(rule.Priority)
 	c.History = attempt.New(rule.MayRepeat() && c.Replayable)
-	s := &state{route: rule, service: service}
+	s := &state{route: rule, service: service, progress: progress{lastEvent: c.Forward.LastEvent}}
 	c.State = s
 	if service.Announced.Engine != nil && c.Forward.Model != "" {
 		f.setModel(c, s)
--- a/core/forwarding/place.go
+++ b/core/forwarding/place.go
@@ -226,7 +226,7 @@
 	}
 	f.Out.Log(logevent.CallSent, "call", c.Forward.Name, "fingerprint", c.Forward.Fingerprint.String(), "service", c.Service, "item", c.Item, "attempt", c.History.Attempts,
 		"rank", s.route.Priority, "target_ms", c.Target.Milliseconds(), "gap_ms", s.route.MaxEventGap.Milliseconds(), "tokens", c.PromptTokens,
-		"replica", c.Replica, "waited_ms", now.Since(c.Arrived).Milliseconds(), "ahead_ms", e.Ahead.Milliseconds(),
+		"replica", c.Replica, "software", e.Replica.Announcement().Software, "resumes", c.Forward.Resumes, "last_event", s.progress.lastEvent, "waited_ms", now.Since(c.Arrived).Milliseconds(), "ahead_ms", e.Ahead.Milliseconds(),
 		"prefill_ms", e.Prefill.Milliseconds(), "other_ms", e.Other.Milliseconds(), "cached", e.Cached, "calls_there", e.Calls,
 		"announced_ago_ms", now.Since(e.Replica.AnnouncedAt()).Milliseconds(), "list_age_ms", f.ListAge(now).Milliseconds(), "revision", f.Config.Revision(),
 		"relay", s.lastAttempt.relay)
--- a/core/listing/listing.go
+++ b/core/listing/listing.go
@@ -181,7 +181,7 @@
 		return // a late announcement of an incarnation that has ended
 	}
 	if former == nil {
-		l.Out.Log(logevent.UpstreamAnnounced, "upstream", name, "service", a.Service, "address", a.Address, "zone", a.Zone, "version", version)
+		l.Out.Log(logevent.UpstreamAnnounced, "upstream", name, "service", a.Service, "address", a.Address, "zone", a.Zone, "software", a.Software, "version", version)
 	}
 	if a.Leaving && (former == nil || !former.Leaving()) {
 		l.Out.Log(logevent.UpstreamLeaving, "upstream", name, "source", "list", "version", version, "remaining", a.Remaining.String())
--- a/core/pool/announced.go
+++ b/core/pool/announced.go
@@ -20,7 +20,9 @@
 	// reclaimed at short notice; 0 if it is not, or if the time is unknown.
 	Remaining time.Duration
 	// Born distinguishes incarnations of replicas with the same name; "" if unknown.
-	Born     string
+	Born string
+	// Software is the version of the software that the replica runs; "" if it states none.
+	Software string
 	Engine   bool // runs models
 	Models   []AnnouncedModel
 	InMemory []string // models whose weights are cached in its host memory
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -84,6 +84,8 @@
 			Parts:       parts,
 			LengthHint:  req.LengthHint,
 			Deadline:    req.Deadline,
+			LastEvent:   req.LastEvent,
+			Resumes:     req.Resumes,
 			Ignored:     req.Ignored,
 		},
 	}
--- a/internal/forward/wire.go
+++ b/internal/forward/wire.go
@@ -29,6 +29,7 @@
 	Parts       string // ID:TOKENS, separated by commas; IDs in hex
 	LengthHint  string // the caller's estimate of the output tokens
 	LastEvent   string // number of the last event that the caller has
+	Resumes     string // the ID of the call that brought the first event of a stream that goes on
 	Signature   string // a replica's signature on its answer
 	Expect      string // identity of the replica that must answer
 	Incarnation string // identity of the replica that answered
@@ -68,6 +69,7 @@
 	Parts:          "Birchdrift-Prefix",
 	LengthHint:     "Birchdrift-Length-Hint",
 	LastEvent:      "Last-Event-Id",
+	Resumes:        "Birchdrift-Resumes",
 	Signature:      "Birchdrift-Signature",
 	Expect:         "Birchdrift-Expect",
 	Incarnation:    "Birchdrift-Incarnation",
@@ -99,6 +101,9 @@
 	LengthHint   int
 	Parts        []PromptPart
 	LastEvent    int // 0 if the caller has none
+	// Resumes is the ID of the call that brought the first event of the stream, "" if the caller
+	// names none.
+	Resumes string
 	// Ignored names the headers that cannot be parsed and count as absent. They only
 	// influence decisions, so the call is served without them.
 	Ignored []string
@@ -115,7 +120,7 @@
 // ReadRequest parses a call's headers. It fails only for an invalid deadline; the error
 // names the header.
 func (w WireFormat) ReadRequest(h http.Header) (Request, error) {
-	r := Request{CallID: h.Get(w.CallID)}
+	r := Request{CallID: h.Get(w.CallID), Resumes: h.Get(w.Resumes)}
 	r.Model, r.Adapter, _ = strings.Cut(h.Get(w.Model), "/")
 	if v := h.Get(w.Deadline); v != "" {
 		ms, err := strconv.ParseFloat(v, 64)
--- a/internal/forward/wire_test.go
+++ b/internal/forward/wire_test.go
@@ -29,6 +29,7 @@
 		{"parts", OwnFormat.Parts, "ff:10, a:2", Request{Parts: []PromptPart{{255, 10}, {10, 2}}}, false},
 		{"prompt parts up to an invalid one", OwnFormat.Parts, "ff:10,zz:2,a:3", Request{Parts: []PromptPart{{255, 10}}, Ignored: []string{OwnFormat.Parts}}, false},
 		{"an event", OwnFormat.LastEvent, "7", Request{LastEvent: 7}, false},
+		{"the call that began a stream", OwnFormat.Resumes, "c-1", Request{Resumes: "c-1"}, false},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/losses/call.go
+++ b/internal/losses/call.go
@@ -153,4 +153,5 @@
 		}
 	}
 	l.explainMissed()
+	l.countStreams()
 }
--- a/internal/losses/losses_test.go
+++ b/internal/losses/losses_test.go
@@ -163,3 +163,36 @@
 		}
 	}
 }
+
+// TestStreamsAreFollowed checks the table of streams: attempts that go on within an answer, and
+// those of calls that take a stream up, at whichever instance and in whichever order the logs come.
+func TestStreamsAreFollowed(t *testing.T) {
+	is := is.New(t)
+	sent := func(after int, call, software, resumes string, lastEvent int) string {
+		return logLine(time.Duration(after)*time.Second, logevent.CallSent,
+			fmt.Sprintf(`"call":%q,"service":"s","software":%q,"resumes":%q,"last_event":%d`, call, software, resumes, lastEvent))
+	}
+	lines := []string{
+		sent(5, "b", "v2", "a", 4), // taken up at another version
+		sent(6, "b", "v1", "a", 5), // back at the version that began it
+		sent(7, "d", "v1", "c", 3), // the log does not show where it began
+		sent(8, "e", "v1", "", 3),  // nor does its caller say
+		sent(1, "a", "v2", "", 0),  // failed before the first event
+		sent(2, "a", "v1", "", 0),
+		sent(3, "a", "v2", "", 2),
+		sent(9, "f", "v1", "b", 7), // names the call that took it up
+	}
+	l, err := Read(strings.NewReader(strings.Join(lines, "\n")))
+	is.NoErr(err)
+	var out strings.Builder
+	is.NoErr(l.Report(&out))
+	for _, want := range []string{
+		"STREAMS OF  WENT ON            ALL  SAME VERSION  OTHER VERSION  BEGINNING NOT LOGGED",
+		"s           within the answer  2    1             1              0",
+		"s           taken up           4    1             1              2",
+	} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("%q is missing in\n%s", want, out.String())
+		}
+	}
+}
--- a/internal/losses/record.go
+++ b/internal/losses/record.go
@@ -49,6 +49,11 @@
 	Service  string    `json:"service"`
 	Reason   string    `json:"reason"`
 
+	// Fields of attempts of streams.
+	Software  string `json:"software"`
+	Resumes   string `json:"resumes"`
+	LastEvent int    `json:"last_event"`
+
 	// Fields of retries.
 	Part retrybudget.Part `json:"part"`
 	Boot uint64           `json:"boot"`
@@ -67,8 +72,10 @@
 	placements     []*placement
 	openPlacements map[placementKey]*placement
 	orders         map[orderKey][]time.Time
-	retries        map[string]*retryLog // by service
-	placerStarts   []time.Time          // when some instance became the placer
+	retries        map[string]*retryLog  // by service
+	streams        map[string]*streamLog // by service
+	streamAttempts []streamAttempt
+	placerStarts   []time.Time // when some instance became the placer
 	starts         map[string][]time.Time
 	first          time.Time
 	last           time.Time
@@ -84,7 +91,7 @@
 func Read(in io.Reader) (*Log, error) {
 	l := &Log{
 		calls: map[string]*call{}, openPlacements: map[placementKey]*placement{}, orders: map[orderKey][]time.Time{}, starts: map[string][]time.Time{},
-		retries: map[string]*retryLog{},
+		retries: map[string]*retryLog{}, streams: map[string]*streamLog{},
 	}
 	scanner := bufio.NewScanner(in)
 	scanner.Buffer(make([]byte, 0, 64<<10), maxLineSize)
@@ -122,6 +129,7 @@
 
 // addEvent adds one event to the log.
 func (l *Log) addEvent(r record) {
+	l.addStreamEvent(r)
 	switch r.Event {
 	case logevent.CallSent, logevent.RetryCharged, logevent.CallNotRepeated:
 		l.addRetryEvent(r)
--- a/internal/losses/report.go
+++ b/internal/losses/report.go
@@ -26,7 +26,7 @@
 const barSymbols = "#~-x?"
 
 // Report writes the tables of calls by reason, zone, rank, model and time window, and the
-// table of retries.
+// tables of retries and of streams.
 func (l *Log) Report(out io.Writer) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	all := slices.SortedFunc(maps.Values(l.calls), func(a, b *call) int {
@@ -46,6 +46,7 @@
 	writeTable(w, "MODEL, MOST LOST", models[:min(topModels, len(models))])
 	l.writeWindows(w, all)
 	l.writeRetries(w)
+	l.writeStreams(w)
 	return w.Flush()
 }
 
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -212,7 +212,7 @@
 	}
 	out := &peerpb.Announced{
 		Service: a.Service, Address: a.Address, Zone: a.Zone, Slots: uint32(a.Slots),
-		Draining: a.Leaving, LeftMs: uint32(a.Remaining.Milliseconds()), Born: a.Born,
+		Draining: a.Leaving, LeftMs: uint32(a.Remaining.Milliseconds()), Born: a.Born, Software: a.Software,
 		Engine: a.Engine, HostCopies: a.InMemory, DiskCopies: a.OnDisk,
 	}
 	for _, m := range a.Models {
@@ -227,7 +227,7 @@
 	}
 	out := &pool.Announcement{
 		Service: a.GetService(), Address: a.GetAddress(), Zone: a.GetZone(), Slots: int(a.GetSlots()),
-		Leaving: a.GetDraining(), Remaining: time.Duration(a.GetLeftMs()) * time.Millisecond, Born: a.GetBorn(),
+		Leaving: a.GetDraining(), Remaining: time.Duration(a.GetLeftMs()) * time.Millisecond, Born: a.GetBorn(), Software: a.GetSoftware(),
 		Engine: a.GetEngine(), InMemory: a.GetHostCopies(), OnDisk: a.GetDiskCopies(),
 	}
 	for _, m := range a.GetModels() {
