Failing test: streams that go on at replicas of another software version

Each stream is checked for the versions of its events, and for how often it goes on when its caller takes it up, beside how often new streams begin.

--- a/core/instance/announced_world_test.go
+++ b/core/instance/announced_world_test.go
@@ -94,6 +94,8 @@
 	logCounts map[logevent.Number]int
 	// leaves, if not nil, makes engines leave and records the calls that reach them afterwards.
 	leaves *leaveHarness
+	// streams, if not nil, carries out the attempts of streams event by event.
+	streams *streamHarness
 	// partitions, if not nil, carries out the attempts of calls over the links of their instance.
 	partitions *partitionHarness
 }
@@ -158,6 +160,7 @@
 	name           string
 	service        string // of a plain replica; "": it runs models
 	slots          int    // 0: eight
+	software       string // its version
 	address        string // "": same as name
 	zone           string
 	sequence       uint64 // number of orders that this incarnation accepted
@@ -499,8 +502,14 @@
 		if f.partitions != nil {
 			f.partitions.interrupt(act)
 		}
+		if f.streams != nil {
+			f.streams.interrupt(act)
+		}
 	case calls.Finish:
 		f.refused++
+		if f.streams != nil {
+			f.streams.handleFinish(act)
+		}
 		if f.partitions != nil {
 			f.partitions.handleFinish(act)
 		}
@@ -521,6 +530,8 @@
 // outcome is passed to reply.
 func (f *fleet) serveFrom(n *fleetMember, boot uint64, d calls.Dispatch, reply func(time.Duration, step.Event)) {
 	switch {
+	case f.streams != nil:
+		f.streams.serve(n, boot, d, reply)
 	case f.partitions != nil:
 		f.partitions.serve(n, boot, d, reply)
 	case f.crashes != nil:
@@ -686,7 +697,7 @@
 func (f *fleet) announce(e *fleetEngine) {
 	a := &pool.Announcement{
 		Service: cmp.Or(e.service, "llm"), Address: cmp.Or(e.address, e.name), Zone: e.zone, Slots: cmp.Or(e.slots, 8), Engine: e.service == "",
-		Born: fmt.Sprint(e.restarts), Leaving: e.leaving,
+		Born: fmt.Sprint(e.restarts), Software: e.software, Leaving: e.leaving,
 	}
 	for _, m := range sortedKeys(e.models) {
 		a.Models = append(a.Models, pool.AnnouncedModel{Name: m})
--- /dev/null
+++ b/core/instance/streams_test.go
@@ -0,0 +1,263 @@
+package instance
+
+// Guards against streams that hold events of replicas of two software versions.
+//
+// A stream that had begun went on at any replica: within its answer, after an attempt had failed,
+// and when its caller took it up with another request, at whichever instance.
+
+import (
+	"flag"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/birchdrift/birchdrift/core/calls"
+)
+
+// streamSeeds is the number of seeds per storm. For a longer run, use -streams.seeds=50.
+var streamSeeds = flag.Int("streams.seeds", 2, "number of seeds per storm with replicas of several software versions")
+
+// streamMembers is the number of instances of the large fleet. For the largest one that the design
+// allows, use -streams.members=370.
+var streamMembers = flag.Int("streams.members", 46, "number of instances of a large fleet before replicas of several software versions")
+
+// The users' rule: while two replicas of their version serve, the share of streams that go on when
+// their callers take them up is at least half of the share of new streams that begin, if there are
+// at least minTakeUps of them.
+const (
+	minGoOnRatio = 0.5
+	minTakeUps   = 12
+)
+
+// goOnGoal is the goal of this product for the ratio of the two shares, where the instances that
+// know the streams are not all disturbed at once.
+const goOnGoal = 0.9
+
+// oneVersion makes all engines run one version.
+func oneVersion(int) string { return "v1" }
+
+// modelPeriod is the number of engines after which the same models are held again.
+const modelPeriod = 4
+
+// twoVersions makes half of the engines that hold a model run another version.
+func twoVersions(engine int) string { return [...]string{"v1", "v2"}[engine/modelPeriod%2] }
+
+// threeVersions makes engines that hold the same model run three versions.
+func threeVersions(engine int) string { return [...]string{"v1", "v2", "v3"}[engine/modelPeriod%3] }
+
+// A streamStorm is a fault scenario for a fleet before replicas of several versions.
+type streamStorm struct {
+	name    string
+	version func(engine int) string
+	do      func(h *streamHarness)
+	// goal is the least ratio of the shares of streams that go on and of new ones that begin.
+	goal float64
+}
+
+// crashEngines crashes an engine every interval.
+func (h *streamHarness) crashEngines(interval time.Duration) {
+	h.f.periodically(interval, time.Hour, func() func() {
+		if all := h.running(); len(all) > 0 {
+			h.crash(all[h.f.rng.IntN(len(all))])
+		}
+		return func() {}
+	})
+}
+
+// killMembers kills a member every interval, and starts it again after span.
+func (h *streamHarness) killMembers(interval, span time.Duration) {
+	h.f.periodically(interval, time.Hour, func() func() {
+		h.kill(h.f.randomMember(), span)
+		return func() {}
+	})
+}
+
+// resetCallers breaks a share of the callers' connections every interval.
+func (h *streamHarness) resetCallers(interval time.Duration, share float64) {
+	h.f.periodically(interval, time.Hour, func() func() {
+		for _, c := range h.openCalls() {
+			if h.f.rng.Float64() < share {
+				h.f.step(c.member, c.boot, calls.CallerGone{ID: c.id})
+				h.broken(c)
+			}
+		}
+		return func() {}
+	})
+}
+
+// killAllBut kills all members but a few at once, and starts them again after span.
+func (h *streamHarness) killAllBut(survivors int, span time.Duration) {
+	names := slices.Clone(h.f.names)
+	h.f.rng.Shuffle(len(names), func(i, k int) { names[i], names[k] = names[k], names[i] })
+	for _, name := range names[survivors:] {
+		h.kill(h.f.members[name], span)
+	}
+}
+
+var streamStorms = []streamStorm{
+	{"engines break answers off", twoVersions, func(h *streamHarness) { h.breakShare = 0.3 }, goOnGoal},
+	{"three versions, engines break answers off", threeVersions, func(h *streamHarness) { h.breakShare = 0.3 }, goOnGoal},
+	{"engines crash", twoVersions, func(h *streamHarness) { h.crashEngines(700 * time.Millisecond) }, goOnGoal},
+	{"connections of callers are reset", twoVersions, func(h *streamHarness) { h.resetCallers(time.Second, 0.5) }, goOnGoal},
+	{"callers do not say what they take up", twoVersions, func(h *streamHarness) {
+		h.unnamed = true
+		h.resetCallers(time.Second, 0.5)
+	}, 0},
+	{"callers take streams up twice", twoVersions, func(h *streamHarness) {
+		h.duplicates = true
+		h.resetCallers(time.Second, 0.5)
+	}, goOnGoal},
+	{"instances killed one after the other", twoVersions, func(h *streamHarness) { h.killMembers(1500*time.Millisecond, time.Second) }, goOnGoal},
+	{"instances killed in quick succession", threeVersions, func(h *streamHarness) { h.killMembers(400*time.Millisecond, time.Second) }, goOnGoal},
+	{"all instances but one killed", twoVersions, func(h *streamHarness) {
+		h.f.periodically(6*time.Second, time.Hour, func() func() {
+			h.killAllBut(1, time.Second)
+			return func() {}
+		})
+	}, minGoOnRatio},
+	{"all instances killed", twoVersions, func(h *streamHarness) {
+		h.f.periodically(8*time.Second, time.Hour, func() func() {
+			h.killAllBut(0, time.Second)
+			return func() {}
+		})
+	}, 0},
+	{"instances freeze", twoVersions, func(h *streamHarness) {
+		h.f.periodically(4*time.Second, 3*time.Second, func() func() {
+			n := h.f.randomMember()
+			n.frozen = true
+			return func() { h.f.thaw(n) }
+		})
+	}, goOnGoal},
+	{"a zone cut off, instances killed", twoVersions, func(h *streamHarness) {
+		h.f.periodically(9*time.Second, 5*time.Second, func() func() {
+			h.f.cutZones = map[string]bool{"z1": true}
+			return func() { h.f.cutZones = nil }
+		})
+		h.killMembers(1500*time.Millisecond, time.Second)
+	}, goOnGoal},
+	{"instances stop in turn", twoVersions, func(h *streamHarness) {
+		next := 0
+		h.f.periodically(2*time.Second, time.Hour, func() func() {
+			n := h.f.members[h.f.names[next%len(h.f.names)]]
+			next++
+			h.f.step(n, n.boot, Stop{})
+			h.f.at(1500*time.Millisecond, func() { h.kill(n, 500*time.Millisecond) })
+			return func() {}
+		})
+	}, goOnGoal},
+	{"a release, back and on again, beside kills and broken answers", oneVersion, func(h *streamHarness) {
+		h.breakShare = 0.1
+		h.killMembers(1500*time.Millisecond, time.Second)
+		h.release("v1", "v2", 300*time.Millisecond, 4)
+		h.f.at(9*time.Second, func() { h.release("v2", "v1", 300*time.Millisecond, 4) })
+		h.f.at(18*time.Second, func() { h.release("v1", "v3", 300*time.Millisecond, 0) })
+	}, goOnGoal},
+	{"a release beside crashes and resets", oneVersion, func(h *streamHarness) {
+		h.crashEngines(1500 * time.Millisecond)
+		h.resetCallers(time.Second, 0.3)
+		h.release("v1", "v2", 400*time.Millisecond, 0)
+		h.f.at(12*time.Second, func() { h.release("v2", "v3", 400*time.Millisecond, 0) })
+	}, goOnGoal},
+	{"a release while instances miss updates and are killed", oneVersion, func(h *streamHarness) {
+		h.f.periodically(3*time.Second, 2500*time.Millisecond, func() func() {
+			n := h.f.randomMember()
+			n.noUpdates = true
+			return func() { n.noUpdates = false }
+		})
+		h.killMembers(700*time.Millisecond, time.Second)
+		h.release("v1", "v2", 500*time.Millisecond, 4)
+		h.f.at(9*time.Second, func() { h.release("v2", "v3", 500*time.Millisecond, 4) })
+	}, goOnGoal},
+	{"releases while the store is down by turns, instances killed", oneVersion, func(h *streamHarness) {
+		h.f.periodically(5*time.Second, 3*time.Second, func() func() {
+			h.f.store.down = true
+			return func() { h.f.store.down = false }
+		})
+		h.killMembers(900*time.Millisecond, time.Second)
+		h.release("v1", "v2", 700*time.Millisecond, 4)
+		h.f.at(11*time.Second, func() { h.release("v2", "v3", 700*time.Millisecond, 4) })
+	}, goOnGoal},
+	{"the first engine of a version, its instances killed at once", oneVersion, func(h *streamHarness) {
+		for n := range 8 {
+			h.f.at(time.Duration(n)*3*time.Second, func() {
+				e := h.running()[0]
+				h.startEngine("v"+string(rune('2'+n)), e.zone, e)
+				for k := range 10 {
+					h.f.at(time.Duration(k)*250*time.Millisecond, func() { h.kill(h.f.randomMember(), 800*time.Millisecond) })
+				}
+			})
+		}
+	}, goOnGoal},
+	{"engines restart under their names as another version", twoVersions, func(h *streamHarness) {
+		h.f.periodically(600*time.Millisecond, time.Hour, func() func() {
+			all := h.running()
+			e := all[h.f.rng.IntN(len(all))]
+			e.dead = true
+			h.f.at(500*time.Millisecond, func() {
+				e.software = map[string]string{"v1": "v2", "v2": "v1"}[e.software]
+				h.f.restartEngine(e)
+			})
+			return func() {}
+		})
+		h.resetCallers(time.Second, 0.3)
+	}, goOnGoal},
+	{"engines without a version beside others", func(engine int) string { return [...]string{"v1", ""}[engine/modelPeriod%2] }, func(h *streamHarness) {
+		h.breakShare = 0.3
+		h.resetCallers(time.Second, 0.3)
+	}, 0},
+}
+
+// play runs a storm and reports what was found.
+func (s streamStorm) play(t *testing.T, seed uint64, members, engines int, interval, span time.Duration) *streamHarness {
+	t.Helper()
+	h := newStreamFleet(seed, members, engines, s.version)
+	h.startStreams(interval)
+	h.f.run(3 * time.Second)
+	s.do(h)
+	h.f.run(span)
+	return h
+}
+
+// check reports the streams that hold events of two versions, and too few that go on.
+func (s streamStorm) check(t *testing.T, seed uint64, h *streamHarness) {
+	t.Helper()
+	ratio := h.takenUp.share() / h.began.share()
+	t.Logf("seed %d: %d streams, %d of two versions; %d of %d begin, %d of %d that are taken up go on (ratio %.2f), %d more with fewer than two replicas of their version",
+		seed, len(h.streams), h.mixed(), h.began.served, h.began.tried, h.takenUp.served, h.takenUp.tried, ratio, h.alone)
+	if n := h.mixed(); n > 0 {
+		t.Errorf("seed %d: %d streams hold events of two versions", seed, n)
+	}
+	if h.takenUp.tried >= minTakeUps && ratio < s.goal {
+		t.Errorf("seed %d: streams go on %.2f times as often as new ones begin, wanted %.2f", seed, ratio, s.goal)
+	}
+}
+
+// TestStreamsHoldEventsOfOneVersion guards against streams that go on at a replica of another
+// software version than the one that began them, within an answer or when their callers take them
+// up at any instance, and against streams that do not go on although their version serves.
+func TestStreamsHoldEventsOfOneVersion(t *testing.T) {
+	for _, s := range streamStorms {
+		t.Run(s.name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range *streamSeeds {
+				h := s.play(t, uint64(seed+1), 8, 16, 30*time.Millisecond, 25*time.Second)
+				s.check(t, uint64(seed+1), h)
+			}
+		})
+	}
+}
+
+// TestStreamsOfALargeFleetHoldEventsOfOneVersion is the same where instances do not exchange with
+// all others.
+func TestStreamsOfALargeFleetHoldEventsOfOneVersion(t *testing.T) {
+	if testing.Short() {
+		t.Skip("large fleets take long")
+	}
+	for _, s := range streamStorms {
+		t.Run(s.name, func(t *testing.T) {
+			t.Parallel()
+			h := s.play(t, 1, *streamMembers, 48, 15*time.Millisecond, 12*time.Second)
+			s.check(t, 1, h)
+		})
+	}
+}
