Streams go on at the version that began them, within an answer

What callers saw: an answer whose replica had broken it off went on with the events of a replica of another software version.

Cause: the version stands in a replica's entry and was not read; after a failed attempt the next replica was chosen among all of the service.

Change: a call remembers the replica that brought its first event; the candidates for its next attempt are those of that version, wherever candidates are looked for (choice, rests, limits, models).

--- a/core/forwarding/attempts.go
+++ b/core/forwarding/attempts.go
@@ -21,6 +21,7 @@
 	s := stateOf(c)
 	s.lastAttempt.firstEventAt = now
 	s.progress.answerStarted = s.route.Kind == config.Stream
+	f.recordOrigin(c)
 	r := f.Pool.Get(c.Replica)
 	if r == nil {
 		return
--- a/core/forwarding/forwarding.go
+++ b/core/forwarding/forwarding.go
@@ -75,6 +75,7 @@
 	route          *config.Forward
 	service        config.Service
 	request        modelRequest
+	origin         streamOrigin // of the stream, once it has begun
 	progress       progress
 	lastAttempt    lastAttempt
 	orderWaits     int  // number of orders that it waited for
@@ -116,6 +117,7 @@
 	firstEventAt     clock.Instant // when the first event arrived
 	replicaRestarted bool          // the replica has restarted since
 	relay            string        // the instance that relays it, "" if this one sends it
+	origin           streamOrigin  // of the stream, if the attempt begins it
 }
 
 // New returns a forwarder without any calls.
--- a/core/forwarding/place.go
+++ b/core/forwarding/place.go
@@ -31,7 +31,7 @@
 		return
 	}
 	query := f.query(now, c, s)
-	candidates := f.Pool.Serving(c.Service)
+	candidates := f.candidates(c)
 	if f.probeEngines(now, c, query, candidates) {
 		return
 	}
@@ -217,6 +217,7 @@
 		uncachedTokens: c.PromptTokens - e.Cached,
 		onlyPrefill:    e.Ahead == 0 && e.Calls <= maxCallsForSpeedSample,
 		relay:          relay.PeerName(),
+		origin:         originOf(e.Replica),
 	}
 	e.Replica.StartPrefill(now, uint64(c.ID), pool.Prefill{Rank: s.route.Priority, Work: e.Prefill, Expected: e.Total(), Relayed: relay != nil})
 	if c.Item != "" {
--- a/core/forwarding/wait.go
+++ b/core/forwarding/wait.go
@@ -134,7 +134,7 @@
 // false if there is no such replica.
 func (f *Forwarder) shortestRest(now clock.Instant, c *calls.Call) (left time.Duration, ok bool) {
 	s := stateOf(c)
-	for _, r := range f.Pool.Serving(c.Service) {
+	for _, r := range f.candidates(c) {
 		if !r.Usable() || !r.Resting(now) && !r.OnTrial() || slices.Contains(s.progress.tried, r.Incarnation()) {
 			continue
 		}
@@ -174,7 +174,7 @@
 // modelServed reports whether any engine can serve the call's model, even if not its
 // adapter.
 func (f *Forwarder) modelServed(now clock.Instant, c *calls.Call, s *state) bool {
-	for _, r := range f.Pool.Serving(c.Service) {
+	for _, r := range f.candidates(c) {
 		if r.Usable() && !r.Resting(now) && r.Phase(s.request.model) == pool.Ready {
 			return true
 		}
@@ -220,7 +220,7 @@
 		return calls.MinRetryAfter
 	}
 	best := facts.LoadTime
-	for _, r := range f.Pool.Serving(c.Service) {
+	for _, r := range f.candidates(c) {
 		if r.Usable() {
 			best = min(best, owned.LoadTime(facts, r.Announcement()))
 		}
@@ -235,7 +235,7 @@
 		return false
 	}
 	s := stateOf(c)
-	for _, r := range f.Pool.Serving(c.Service) {
+	for _, r := range f.candidates(c) {
 		if !r.Usable() || slices.Contains(s.progress.tried, r.Incarnation()) || f.Links.Way(now, r, true, nil) == links.Unreachable {
 			continue
 		}
