Models are loaded for streams that only engines of one version can go on with

Cause: the version limits which engines can go on with a stream; placement looks at copies of a model over all versions, so a model with copies elsewhere was never loaded where the stream needed it, and the call ended at once.

Change: the misses of such streams are reported with the version (demand.Item.Software), and the placer loads the model on an engine of that version, once in 10 s. An engine that is said to hold the model does not keep it from that: the instances that miss it know first when an engine has ended. The call waits as long as its caller does (the longest of 2 s, four targets and eight pauses) if the load can be done by then, and ends at once otherwise. Nothing of this happens while one version serves.

--- a/core/demand/demand.go
+++ b/core/demand/demand.go
@@ -4,9 +4,9 @@
 package demand
 
 import (
+	"cmp"
 	"maps"
 	"slices"
-	"sort"
 	"time"
 
 	"github.com/birchdrift/birchdrift/core/clock"
@@ -18,7 +18,10 @@
 
 // An Item is the demand for one model or adapter.
 type Item struct {
-	Name       string
+	Name string
+	// Software is the version of engines' software at which the item is missed, if the demand is
+	// that of streams which only engines of this version can go on with; "" otherwise.
+	Software   string
 	Rate       float64       // calls per second
 	Concurrent float64       // sequences occupied by its calls at that rate
 	Weight     float64       // mean policy weight of its calls; 1 is an ordinary call
@@ -53,7 +56,8 @@
 
 // SumOf returns the total demand reported by the instances for which keep returns true.
 func (t *Totals) SumOf(now clock.Instant, keep func(instance string) bool) []Item {
-	sums := map[string]Item{}
+	type key struct{ name, software string }
+	sums := map[key]Item{}
 	// Reports are added in the order of the instances' names. Floating-point sums depend on
 	// the order, and the state machine must be deterministic.
 	for _, name := range slices.Sorted(maps.Keys(t.reports)) {
@@ -66,17 +70,25 @@
 			continue
 		}
 		for _, it := range r.items {
-			sums[it.Name] = add(sums[it.Name], it)
+			k := key{it.Name, it.Software}
+			sums[k] = add(sums[k], it)
 		}
 	}
 	items := make([]Item, 0, len(sums))
 	for _, it := range sums {
 		items = append(items, it)
 	}
-	sort.Slice(items, func(i, j int) bool { return items[i].Name < items[j].Name })
+	sortItems(items)
 	return items
 }
 
+// sortItems sorts items by name and version.
+func sortItems(items []Item) {
+	slices.SortFunc(items, func(a, b Item) int {
+		return cmp.Or(cmp.Compare(a.Name, b.Name), cmp.Compare(a.Software, b.Software))
+	})
+}
+
 // add returns the sum of two demands for the same item; a may be the zero Item.
 func add(a, b Item) Item {
 	total := a.Rate + b.Rate
@@ -90,6 +102,7 @@
 	}
 	return Item{
 		Name:       b.Name,
+		Software:   b.Software,
 		Rate:       total,
 		Concurrent: a.Concurrent + b.Concurrent,
 		Weight:     weight,
--- a/core/demand/flow.go
+++ b/core/demand/flow.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"sort"
 	"time"
 
 	"github.com/birchdrift/birchdrift/core/clock"
@@ -22,7 +21,13 @@
 
 // A Tracker measures the demand of forwarded calls by model: engine time, calls, and misses,
 // which are calls for which no engine had the model.
-type Tracker struct{ models map[string]*modelDemand }
+type Tracker struct {
+	models        map[string]*modelDemand
+	versionMisses map[versionedModel]*modelDemand // misses of streams that go on at one version
+}
+
+// A versionedModel is a model at engines of one version of their software.
+type versionedModel struct{ model, software string }
 
 type modelDemand struct {
 	at       clock.Instant
@@ -33,7 +38,9 @@
 }
 
 // NewTracker returns a tracker without calls.
-func NewTracker() *Tracker { return &Tracker{models: map[string]*modelDemand{}} }
+func NewTracker() *Tracker {
+	return &Tracker{models: map[string]*modelDemand{}, versionMisses: map[versionedModel]*modelDemand{}}
+}
 
 // model returns the demand of a model, decayed to now.
 func (t *Tracker) model(now clock.Instant, name string) *modelDemand {
@@ -69,11 +76,28 @@
 // RecordMiss records that no engine had the model of a call.
 func (t *Tracker) RecordMiss(now clock.Instant, model string) { t.model(now, model).misses++ }
 
+// RecordVersionMiss records that no engine of a version had the model of a stream that only engines
+// of this version can go on with.
+func (t *Tracker) RecordVersionMiss(now clock.Instant, model, software string) {
+	key := versionedModel{model, software}
+	m := t.versionMisses[key]
+	if m == nil {
+		m = &modelDemand{at: now}
+		t.versionMisses[key] = m
+	}
+	m.decay(now)
+	m.misses++
+}
+
+// minVersionMisses is the count of misses at one version below which they are forgotten: a single
+// one counts for about five seconds.
+const minVersionMisses = 0.08
+
 // longWindowShare is the fraction of the work rate over callWindow that is reported if the rate
 // over workWindow is lower.
 const longWindowShare = 0.4
 
-// Items returns the current demand ordered by model name. Concurrent is the engine time per
+// Items returns the current demand ordered by model name and version. Concurrent is the engine time per
 // second.
 func (t *Tracker) Items(now clock.Instant) []Item {
 	var items []Item
@@ -90,6 +114,14 @@
 			Absent:     m.misses / missWindow.Seconds(),
 		})
 	}
-	sort.Slice(items, func(i, j int) bool { return items[i].Name < items[j].Name })
+	for key, m := range t.versionMisses {
+		m.decay(now)
+		if m.misses < minVersionMisses {
+			delete(t.versionMisses, key)
+			continue
+		}
+		items = append(items, Item{Name: key.model, Software: key.software, Absent: m.misses / missWindow.Seconds()})
+	}
+	sortItems(items)
 	return items
 }
--- a/core/forwarding/attempts.go
+++ b/core/forwarding/attempts.go
@@ -62,6 +62,9 @@
 	c.History = c.History.WithFailure(e.Phase)
 	s.failed = failure{AttemptFailed: e, replica: c.Replica}
 	s.progress.lastEvent = max(s.progress.lastEvent, e.Delivered)
+	if e.Delivered > 0 {
+		s.brokenAt = now
+	}
 	c.Replica = ""
 	s.progress.record(c.Life, e, f.isResting(now, s.failed.replica))
 	s.charge = s.charge.withFailure(e.Phase)
--- a/core/forwarding/forwarding.go
+++ b/core/forwarding/forwarding.go
@@ -86,8 +86,9 @@
 	missReported   bool // it found its model on no engine, and that was reported
 	permitRequests int  // number of permits that it requested
 	denials        []denial
-	failed         failure     // the last failed attempt
-	charge         retryCharge // of its next attempt
+	failed         failure       // the last failed attempt
+	brokenAt       clock.Instant // when the last attempt failed whose answer had begun; zero: none did
+	charge         retryCharge   // of its next attempt
 	probe          probe
 	// notBefore is the earliest time at which the call may be sent, if replicas crashed
 	// under its request; zero: not determined yet.
--- a/core/forwarding/streams.go
+++ b/core/forwarding/streams.go
@@ -2,11 +2,13 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/birchdrift/birchdrift/core/calls"
 	"github.com/birchdrift/birchdrift/core/clock"
 	"github.com/birchdrift/birchdrift/core/code"
 	"github.com/birchdrift/birchdrift/core/config"
+	"github.com/birchdrift/birchdrift/core/links"
 	"github.com/birchdrift/birchdrift/core/logevent"
 	"github.com/birchdrift/birchdrift/core/pool"
 	"github.com/birchdrift/birchdrift/core/streams"
@@ -177,22 +179,75 @@
 	return stateOf(c).origin.known && len(f.candidates(now, c)) < len(f.Pool.Serving(c.Service))
 }
 
-// refuseTakeUp ends a call that takes up a stream which no replica of its version can serve now, and
-// reports whether it did. Other replicas do not help, and its caller has waited for the next event
-// since the stream broke.
-func (f *Forwarder) refuseTakeUp(now clock.Instant, c *calls.Call) bool {
+// maxStreamPause returns how long callers wait for the next event of a stream before they give it
+// up.
+func maxStreamPause(route *config.Forward) time.Duration {
+	return max(minStreamPause, pauseTargets*route.Target, pauseGaps*route.MaxEventGap)
+}
+
+// The time for which the callers of the users' platform wait for the next event: the longest of a
+// fixed time and of multiples of the route's target and of its longest acceptable pause.
+const (
+	minStreamPause = 2 * time.Second
+	pauseTargets   = 4
+	pauseGaps      = 8
+)
+
+// handleNoVersion makes a stream wait that no replica of its version can go on with now, or ends
+// its call at once. It waits only for its model: an engine of its version is asked to load it, and
+// the caller may still wait when that is done. Other replicas do not help.
+func (f *Forwarder) handleNoVersion(now clock.Instant, c *calls.Call) {
+	candidates := f.candidates(now, c)
+	switch {
+	case !slices.ContainsFunc(candidates, (*pool.Replica).Usable):
+		f.endStream(c, "none of its replicas is left")
+	case c.Item == "" || f.modelReachable(now, c):
+		f.endStream(c, "its replicas failed it, lack the adapter, or cannot be reached")
+	case !f.awaitVersion(now, c):
+		f.endStream(c, "none of its replicas will hold the model in time")
+	}
+}
+
+// modelReachable reports whether a replica that could go on with the stream, and has not failed it,
+// holds its model.
+func (f *Forwarder) modelReachable(now clock.Instant, c *calls.Call) bool {
 	s := stateOf(c)
-	if !f.versionLimited(now, c) || c.History.RunState() != code.NotRun || s.progress.answerStarted {
+	return slices.ContainsFunc(f.candidates(now, c), func(r *pool.Replica) bool {
+		return r.Usable() && r.Phase(s.request.model) == pool.Ready && !slices.Contains(s.progress.tried, r.Incarnation()) &&
+			f.Links.Way(now, r, true, nil) != links.Unreachable
+	})
+}
+
+// awaitVersion makes a stream wait until a replica of its version has loaded its model, and reports
+// whether that can be while its caller waits.
+func (f *Forwarder) awaitVersion(now clock.Instant, c *calls.Call) bool {
+	s := stateOf(c)
+	if !s.missReported {
+		s.missReported = true
+		f.Demand.RecordVersionMiss(now, s.request.model, s.origin.software)
+		f.Missed(now)
+	}
+	since := clock.Latest(c.Arrived, s.brokenAt)
+	if now.Since(since)+f.modelETA(now, c, s) >= maxStreamPause(s.route) {
 		return false
 	}
-	detail := "none of its replicas is left"
-	if slices.ContainsFunc(f.candidates(now, c), (*pool.Replica).Usable) {
-		detail = "its replicas do not hold the model or the adapter, or cannot be reached"
+	if !f.Calls.Queued(c) {
+		f.Out.Log(logevent.CallWaits, "call", c.Forward.Name, "item", c.Item, "for", "its model at its version", "software", s.origin.software)
 	}
-	f.Calls.Refuse(c, calls.NotRunRefusal(code.VersionGone, detail, f.staggeredRetryAfter(c)))
+	f.Calls.Enqueue(c)
 	return true
 }
 
+// endStream ends a call whose stream no replica of its version can go on with.
+func (f *Forwarder) endStream(c *calls.Call, detail string) {
+	s := stateOf(c)
+	if c.History.RunState() != code.NotRun || s.progress.answerStarted {
+		f.end(c, s, 0, "no replica of its version can go on with it: "+detail)
+		return
+	}
+	f.Calls.Refuse(c, calls.NotRunRefusal(code.VersionGone, detail, f.staggeredRetryAfter(c)))
+}
+
 // refuseUnknownStream ends a call that takes up a stream of which nobody knows the version that
 // began it.
 func (f *Forwarder) refuseUnknownStream(c *calls.Call) {
--- a/core/forwarding/streams_test.go
+++ b/core/forwarding/streams_test.go
@@ -182,3 +182,53 @@
 		})
 	}
 }
+
+// TestStreamsWaitForTheirModelAtTheirVersion guards against streams that end although an engine of their
+// version can load their model while their callers wait.
+func TestStreamsWaitForTheirModelAtTheirVersion(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		onDisk bool
+		target time.Duration
+		waits  bool
+	}{
+		{"loaded in time", true, time.Second, true},
+		{"loaded too late", false, time.Second, false},
+		{"callers wait for long", false, 2 * time.Second, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := testForwarder(t)
+			announce := func(name, software string, a pool.Announcement) {
+				a.Service, a.Address, a.Zone, a.Slots, a.Engine, a.Software = "s", name, "z", 8, true, software
+				f.Pool.Announce(start, name, a)
+			}
+			held := []pool.AnnouncedModel{{Name: "m"}}
+			announce("a", "v1", pool.Announcement{Models: held})
+			other := pool.Announcement{}
+			if c.onDisk {
+				other.OnDisk = []string{"m"}
+			}
+			announce("b", "v1", other)
+			announce("c", "v2", pool.Announcement{Models: held})
+			call := f.callFor(1)
+			s := stateOf(call)
+			s.route.Target = c.target
+			f.findReplica(start, call)
+			f.Calls.MarkSent(start, call, f.Pool.Get("a"))
+			s.lastAttempt = lastAttempt{origin: originOf(f.Pool.Get("a"))}
+			f.answerBegan(start, call)
+			f.Out.Reset()
+			f.attemptFailed(start, call, calls.AttemptFailed{Attempt: 1, Phase: attempt.Answered, Severed: true, Delivered: 3})
+			is.Equal(f.Calls.Queued(call), c.waits)
+			is.Equal(len(f.dispatches()), 0)
+			items := f.Demand.Items(start)
+			is.Equal(items[len(items)-1].Software, "v1")
+			if c.waits {
+				announce("b", "v1", pool.Announcement{Models: held})
+				f.Calls.RetryQueued(start.Add(time.Second))
+				is.Equal(f.dispatches()[call.ID].Replica, "b")
+			}
+		})
+	}
+}
--- a/core/forwarding/wait.go
+++ b/core/forwarding/wait.go
@@ -93,7 +93,8 @@
 	if f.refuseRateLimited(now, c) {
 		return
 	}
-	if f.refuseTakeUp(now, c) {
+	if f.versionLimited(now, c) {
+		f.handleNoVersion(now, c)
 		return
 	}
 	u := unavailability{
--- a/core/instance/streams_test.go
+++ b/core/instance/streams_test.go
@@ -233,6 +233,9 @@
 	ratio := h.goOnRatio()
 	t.Logf("seed %d: %d streams, %d of two versions; %d of %d begin, %d of %d that are taken up go on (ratio %.2f), %d more with fewer than two replicas of their version",
 		seed, len(h.streams), h.mixed(), served(h.began), len(h.began), served(h.takenUp), len(h.takenUp), ratio, h.alone)
+	for _, reason := range sortedKeys(h.lost) {
+		t.Logf("%d streams were not continued: %s", h.lost[reason], reason)
+	}
 	for _, s := range h.streams {
 		if len(s.versions) > 1 {
 			t.Log(strings.Join(s.history, "\n"))
--- a/core/placement/changes.go
+++ b/core/placement/changes.go
@@ -69,6 +69,13 @@
 	Absent float64 // misses: calls per second that found no copy
 }
 
+// A VersionMiss is a model that streams miss at engines of one version of their software.
+type VersionMiss struct {
+	Model    string
+	Software string
+	Absent   float64 // streams per second
+}
+
 // A Copy is a copy of a model on an engine.
 type Copy struct {
 	Model   string
@@ -84,6 +91,7 @@
 type Engine struct {
 	Name     string
 	Zone     string
+	Software string // version of its software
 	FreeMB   int64
 	Copies   []Copy
 	InMemory map[string]bool // models with weights in its host memory
@@ -100,11 +108,13 @@
 
 // An Input is everything that a placement plan depends on.
 type Input struct {
-	Engines     []Engine
-	Models      map[string]Model
-	Demand      map[string]Demand
-	StoreLoads  int           // loads from the weight store that may start now
-	MinimumStay time.Duration // least age of a copy that may be evicted
+	Engines []Engine
+	Models  map[string]Model
+	Demand  map[string]Demand
+	// VersionMisses are the models that streams miss at engines of the version that began them.
+	VersionMisses []VersionMiss
+	StoreLoads    int           // loads from the weight store that may start now
+	MinimumStay   time.Duration // least age of a copy that may be evicted
 	// Blind reports that the demand has not been observed for long enough to drop copies
 	// for a model without misses.
 	Blind bool
@@ -115,14 +125,15 @@
 // A Change is one change of one engine: Drop is evicted to make room for Load. Either may
 // be empty.
 type Change struct {
-	Engine string
-	Load   string
-	Drop   []string
-	Source pool.WeightSource
-	Value  float64 // value of the load, for logs
-	Cost   float64 // cost of the drops, for logs
-	Work   float64 // work of the model, for logs
-	Copies int     // copies of the model before the change, for logs
+	Engine   string
+	Load     string
+	Software string // version of the engines whose streams miss the model, "" if it is for all calls
+	Drop     []string
+	Source   pool.WeightSource
+	Value    float64 // value of the load, for logs
+	Cost     float64 // cost of the drops, for logs
+	Work     float64 // work of the model, for logs
+	Copies   int     // copies of the model before the change, for logs
 }
 
 // Plan returns the changes to start now, the most valuable first.
@@ -211,10 +222,14 @@
 
 // A candidate is an additional copy of a model.
 type candidate struct {
-	model string
-	value float64
+	model    string
+	software string // version of the engines that can take it, "" for any
+	value    float64
 }
 
+// first reports whether the candidate is the first copy of its model, or the first at its version.
+func (p *planner) first(c candidate) bool { return c.software != "" || p.copies[c.model] == 0 }
+
 // value returns the value of the nth copy of a model: the work that it takes off the
 // others, and more if there are none or they have too much work.
 func (p *planner) value(model string, n int) float64 {
@@ -251,15 +266,50 @@
 			candidates = append(candidates, candidate{model: name, value: value})
 		}
 	}
+	candidates = append(candidates, p.versionCandidates()...)
 	sort.Slice(candidates, func(i, j int) bool {
-		if candidates[i].value != candidates[j].value {
-			return candidates[i].value > candidates[j].value
+		a, b := candidates[i], candidates[j]
+		switch {
+		case a.value != b.value:
+			return a.value > b.value
+		case a.model != b.model:
+			return a.model < b.model
+		default:
+			return a.software < b.software
 		}
-		return candidates[i].model < candidates[j].model
 	})
 	return candidates
 }
 
+// versionCandidates returns the models that streams miss at engines of their version, unless one
+// of these engines loads it. One that is said to hold it does not count: the instances that miss
+// the model know first when an engine has ended.
+func (p *planner) versionCandidates() []candidate {
+	var candidates []candidate
+	for _, m := range p.in.VersionMisses {
+		if _, ok := p.in.Models[m.Model]; !ok || p.loadsAtVersion(m.Model, m.Software) {
+			continue
+		}
+		candidates = append(candidates, candidate{model: m.Model, software: m.Software, value: missValue * m.Absent})
+	}
+	return candidates
+}
+
+// loadsAtVersion reports whether an engine of a version is loading a model.
+func (p *planner) loadsAtVersion(model, software string) bool {
+	for _, e := range p.engines {
+		if !e.Sound || e.Software != software {
+			continue
+		}
+		for _, c := range e.Copies {
+			if c.Model == model && !c.Ready && !c.Leaving {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // A choice is one possible placement of a candidate.
 type choice struct {
 	engine *engine
@@ -285,7 +335,7 @@
 		return Change{}, false
 	}
 	change := Change{
-		Engine: best.engine.Name, Load: c.model, Drop: best.drop, Source: best.source,
+		Engine: best.engine.Name, Load: c.model, Software: c.software, Drop: best.drop, Source: best.source,
 		Value: c.value, Cost: best.cost, Work: p.in.Demand[c.model].Work, Copies: p.copies[c.model],
 	}
 	p.apply(best, c)
@@ -307,7 +357,7 @@
 // evaluate returns the choice to place a candidate on an engine. It returns false if that
 // is not possible or not worth its cost.
 func (p *planner) evaluate(e *engine, c candidate) (choice, bool) {
-	if !e.Open || !e.Sound || e.changing || e.has(c.model) {
+	if !e.Open || !e.Sound || e.changing || e.has(c.model) || c.software != "" && c.software != e.Software {
 		return choice{}, false
 	}
 	o := choice{engine: e, source: e.source(c.model)}
@@ -318,7 +368,7 @@
 			return choice{}, false
 		}
 	}
-	first := p.copies[c.model] == 0
+	first := p.first(c)
 	if c.value < minValue && !first {
 		return choice{}, false
 	}
@@ -328,7 +378,7 @@
 	if !p.chooseVictims(&o, c) {
 		return choice{}, false
 	}
-	if p.in.Blind && len(o.drop) > 0 && p.in.Demand[c.model].Absent == 0 {
+	if p.in.Blind && len(o.drop) > 0 && c.software == "" && p.in.Demand[c.model].Absent == 0 {
 		return choice{}, false
 	}
 	if o.cost > 0 && c.value < minValueRatio*o.cost {
--- a/core/placement/input.go
+++ b/core/placement/input.go
@@ -27,6 +27,13 @@
 		in.Models[m.Name] = Model{MB: m.MemoryMB}
 	}
 	for _, d := range p.AllDemand.Sum(now) {
+		if d.Software != "" {
+			if p.loadedForVersion(now, d.Name, d.Software) {
+				continue
+			}
+			in.VersionMisses = append(in.VersionMisses, VersionMiss{Model: d.Name, Software: d.Software, Absent: d.Absent})
+			continue
+		}
 		in.Demand[d.Name] = Demand{Work: d.Concurrent, Rate: d.Rate, Absent: d.Absent}
 	}
 	for _, r := range p.Pool.Serving(svc.Name) {
@@ -53,11 +60,12 @@
 // that a later plan does not request the same change again.
 func (p *Placer) engine(now clock.Instant, r *pool.Replica, enginePool *config.EnginePool) Engine {
 	e := Engine{
-		Name:   r.Name,
-		Zone:   r.Zone,
-		FreeMB: enginePool.MemoryMB,
-		Sound:  r.Usable() && !r.Vanished() && !r.Ejected(now) && r.RestLeft(now) < pool.LongRest,
-		Open:   p.changes[r.Name] == nil && !now.Before(p.backoffUntil[r.Name]) && p.Asks.OwnerReachable(now, r.Name),
+		Name:     r.Name,
+		Zone:     r.Zone,
+		Software: r.Announcement().Software,
+		FreeMB:   enginePool.MemoryMB,
+		Sound:    r.Usable() && !r.Vanished() && !r.Ejected(now) && r.RestLeft(now) < pool.LongRest,
+		Open:     p.changes[r.Name] == nil && !now.Before(p.backoffUntil[r.Name]) && p.Asks.OwnerReachable(now, r.Name),
 	}
 	e.Limit, e.Limited = r.RateLimit(now)
 	lastReady := clock.Instant{}
--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -52,6 +52,9 @@
 	// demandWarmUp is how long a new placer observes the demand before it drops copies
 	// for models without misses.
 	demandWarmUp = 3 * time.Second
+	// versionLoadInterval is the least time between two loads of a model for the streams of one
+	// version: the slowest load and the time for which its misses are reported after it.
+	versionLoadInterval = 10 * time.Second
 	// missReportInterval is the least time between two notifications of the placer about
 	// misses.
 	missReportInterval = 100 * time.Millisecond
@@ -94,8 +97,13 @@
 	// overLimit holds the copies that exceeded the rate limits of their engines at the
 	// last placement, by service.
 	overLimit map[string]map[copyKey]bool
+	// versionLoads is when a model was last loaded for the streams of a version.
+	versionLoads map[versionKey]clock.Instant
 }
 
+// A versionKey identifies a model at the engines of one version of their software.
+type versionKey struct{ model, software string }
+
 // A copyKey identifies a copy of an item on an engine.
 type copyKey struct{ engine, item string }
 
@@ -103,7 +111,7 @@
 func New(deps Deps) *Placer {
 	return &Placer{
 		Deps: deps, changes: map[string]*change{}, readySince: map[copyKey]clock.Instant{}, backoffUntil: map[string]clock.Instant{},
-		overLimit: map[string]map[copyKey]bool{},
+		overLimit: map[string]map[copyKey]bool{}, versionLoads: map[versionKey]clock.Instant{},
 	}
 }
 
@@ -148,6 +156,13 @@
 	p.Out.Log(logevent.Placing, "orphan", localOnly, "revision", p.Registry.Placer().Revision)
 }
 
+// loadedForVersion reports whether a model was loaded lately for the streams of a version, which may
+// still be reported to miss it.
+func (p *Placer) loadedForVersion(now clock.Instant, model, software string) bool {
+	at, ok := p.versionLoads[versionKey{model, software}]
+	return ok && now.Since(at) < versionLoadInterval
+}
+
 // LoadsLeft returns how many loads from the weight store this instance could start now as
 // the placer; without a configuration there is nothing to load.
 func (p *Placer) LoadsLeft(now clock.Instant) float64 {
@@ -180,6 +195,7 @@
 	}
 	p.loads.refill(now, p.loadRate(), p.Options)
 	p.trackReady(now)
+	maps.DeleteFunc(p.versionLoads, func(_ versionKey, at clock.Instant) bool { return now.Since(at) >= versionLoadInterval })
 	maps.DeleteFunc(p.backoffUntil, func(_ string, until clock.Instant) bool { return !now.Before(until) })
 	for _, engine := range slices.Sorted(maps.Keys(p.changes)) {
 		p.advance(now, p.changes[engine])
@@ -191,6 +207,9 @@
 		for _, c := range Plan(p.input(now, svc)) {
 			p.Out.Log(logevent.Placement, "engine", c.Engine, "load", c.Load, "drop", c.Drop, "source", c.Source.String(),
 				"worth", c.Value, "cost", c.Cost, "work", c.Work, "copies", c.Copies)
+			if c.Software != "" {
+				p.versionLoads[versionKey{c.Load, c.Software}] = now
+			}
 			started := &change{Change: c, incarnation: p.engineState(c.Engine).incarnation, startedAt: now, progressAt: now}
 			p.changes[c.Engine] = started
 			p.advance(now, started)
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -55,7 +55,7 @@
 	}
 	for _, d := range m.Demand {
 		out.Demand = append(out.Demand, &peerpb.Demand{
-			Name: d.Name, Rate: float32(d.Rate), Concurrent: float32(d.Concurrent), Weight: float32(d.Weight),
+			Name: d.Name, Software: d.Software, Rate: float32(d.Rate), Concurrent: float32(d.Concurrent), Weight: float32(d.Weight),
 			Waiting: uint32(d.Waiting), UnmetMs: uint32(d.Unmet.Milliseconds()), IdleMs: uint32(d.Idle.Milliseconds()), Absent: float32(d.Absent),
 		})
 	}
@@ -319,7 +319,7 @@
 	}
 	for _, d := range m.GetDemand() {
 		out.Demand = append(out.Demand, demand.Item{
-			Name: d.GetName(), Rate: float64(d.GetRate()), Concurrent: float64(d.GetConcurrent()),
+			Name: d.GetName(), Software: d.GetSoftware(), Rate: float64(d.GetRate()), Concurrent: float64(d.GetConcurrent()),
 			Weight: float64(d.GetWeight()), Waiting: int(d.GetWaiting()),
 			Unmet: time.Duration(d.GetUnmetMs()) * time.Millisecond, Idle: time.Duration(d.GetIdleMs()) * time.Millisecond,
 			Absent: float64(d.GetAbsent()),
