Streams that go on precede those that begin, and may go on where they broke off

What callers saw, in the storms: a call that took a stream up was refused because its engines had too much to read, like a new one; and a stream whose engine had broken it off ended if no other engine of its version could serve it, though that engine was alive.

Cause: only some replicas can serve a stream that has begun, and it had the rank of a new one; the replica that broke it off was excluded like one that had failed it.

Change: such calls have the most urgent rank at the queue, the permits and the engine, and are not shed; the replica that broke the stream off is used again if no other one is left.

Tests: TestStreamsThatGoOnComeFirst, TestStreamsGoOnWhereTheyBroke; four cases of TestStreamsGoOnAtTheirVersion now go on at the replica that began the stream instead of ending.

--- a/core/forwarding/attempts.go
+++ b/core/forwarding/attempts.go
@@ -142,6 +142,10 @@
 	default:
 		p.possibleRuns++
 	}
+	if e.Delivered > 0 {
+		p.brokeOff = append(p.brokeOff, replica)
+		return
+	}
 	p.tried = append(p.tried, replica)
 }
 
--- a/core/forwarding/forwarding.go
+++ b/core/forwarding/forwarding.go
@@ -107,6 +107,7 @@
 // A progress sums up the results of the attempts so far.
 type progress struct {
 	tried         []pool.Incarnation // replicas that failed the call
+	brokeOff      []pool.Incarnation // replicas that broke the stream off; they may go on with it if no other can
 	possibleRuns  int                // attempts that may have run
 	refusals      int                // replicas that reported that they did not run the call
 	unsent        int                // replicas that the call could not be sent to
--- a/core/forwarding/overload.go
+++ b/core/forwarding/overload.go
@@ -95,10 +95,10 @@
 
 // shed holds back a call that would make others late, or refuses a call that even the
 // best engine cannot serve in time, and reports whether it did either. A call that may
-// have run is always sent.
+// have run is always sent, and so is one that takes up a stream.
 func (f *Forwarder) shed(now clock.Instant, c *calls.Call, best route.Estimate) bool {
 	s := stateOf(c)
-	if c.Item == "" || c.History.RunState() != code.NotRun || s.progress.answerStarted {
+	if c.Item == "" || c.History.RunState() != code.NotRun || s.goesOn() {
 		return false
 	}
 	fc := forecast{
--- a/core/forwarding/permit.go
+++ b/core/forwarding/permit.go
@@ -54,7 +54,7 @@
 	f.Calls.EnterPhase(c, calls.AwaitingPermit)
 	f.Out.Log(logevent.CallWaits, "call", c.Forward.Name, "item", c.Item, "for", "a permit", "replica", best.Replica.Name,
 		"per_s", report.Limit.PerSecond, "by", report.By, "ago_ms", now.Since(report.At).Milliseconds(), "most_ms", wait.Milliseconds())
-	f.Permits.RequestForCall(now, best.Replica, c.ID, s.route.Priority, wait, alone)
+	f.Permits.RequestForCall(now, best.Replica, c.ID, s.rank(), wait, alone)
 }
 
 // permitWait returns how long the call may wait for a permit: only while it can still be
--- a/core/forwarding/place.go
+++ b/core/forwarding/place.go
@@ -46,6 +46,10 @@
 		query.Way = f.way(now, true)
 		best, ok = f.choose(now, s, query, candidates)
 	}
+	if !ok && len(s.progress.brokeOff) > 0 {
+		query.Tried = s.excludedReplicas(now)
+		best, ok = f.choose(now, s, query, candidates)
+	}
 	if ok {
 		f.recordProbeBenefit(now, s, query, best)
 	}
@@ -106,10 +110,10 @@
 		Zone:     f.Self.Zone,
 		Model:    s.request.size,
 		Tokens:   c.PromptTokens,
-		Rank:     s.route.Priority,
+		Rank:     s.rank(),
 		Gap:      s.route.MaxEventGap,
 		Chain:    s.request.chain,
-		Tried:    s.excludedReplicas(now),
+		Tried:    slices.Concat(s.excludedReplicas(now), s.progress.brokeOff),
 		Sure:     !f.Budget.Available(now, c.Service),
 		Salt:     uint64(c.ID) ^ f.Self.Boot,
 		ZoneCost: f.zoneCost,
@@ -222,14 +226,14 @@
 		relay:          relay.PeerName(),
 		origin:         originOf(e.Replica),
 	}
-	e.Replica.StartPrefill(now, uint64(c.ID), pool.Prefill{Rank: s.route.Priority, Work: e.Prefill, Expected: e.Total(), Relayed: relay != nil})
+	e.Replica.StartPrefill(now, uint64(c.ID), pool.Prefill{Rank: s.rank(), Work: e.Prefill, Expected: e.Total(), Relayed: relay != nil})
 	if c.Item != "" {
 		f.router.RecordPrompt(c.Life, s.request.chain, prefixCacheTokens(s))
 		e.Replica.MarkUsed(c.Item)
 		f.Used(now, c.Replica, c.Item)
 	}
 	f.Out.Log(logevent.CallSent, "call", c.Forward.Name, "fingerprint", c.Forward.Fingerprint.String(), "service", c.Service, "item", c.Item, "attempt", c.History.Attempts,
-		"rank", s.route.Priority, "target_ms", c.Target.Milliseconds(), "gap_ms", s.route.MaxEventGap.Milliseconds(), "tokens", c.PromptTokens,
+		"rank", s.rank(), "target_ms", c.Target.Milliseconds(), "gap_ms", s.route.MaxEventGap.Milliseconds(), "tokens", c.PromptTokens,
 		"replica", c.Replica, "software", e.Replica.Announcement().Software, "resumes", c.Forward.Resumes, "last_event", s.progress.lastEvent, "waited_ms", now.Since(c.Arrived).Milliseconds(), "ahead_ms", e.Ahead.Milliseconds(),
 		"prefill_ms", e.Prefill.Milliseconds(), "other_ms", e.Other.Milliseconds(), "cached", e.Cached, "calls_there", e.Calls,
 		"announced_ago_ms", now.Since(e.Replica.AnnouncedAt()).Milliseconds(), "list_age_ms", f.ListAge(now).Milliseconds(), "revision", f.Config.Revision(),
@@ -270,7 +274,7 @@
 	}
 	priority := -1
 	if c.Item != "" {
-		priority = pool.RankOf(s.route.Priority)
+		priority = pool.RankOf(s.rank())
 	}
 	d := c.Dispatch(r, f.Options.Stall)
 	d.Limited = rateLimited(now, r) || f.Rejections.Limited(now, r.Service)
--- a/core/forwarding/streams.go
+++ b/core/forwarding/streams.go
@@ -47,6 +47,18 @@
 	asked  bool       // other instances were asked for it
 }
 
+// goesOn reports whether the call goes on with a stream of which its caller has events.
+func (s *state) goesOn() bool { return s.takeUp.wanted || s.progress.answerStarted }
+
+// rank returns how urgent the call is, 0 first. Streams that go on precede those that begin: their
+// callers have waited since the stream broke, and only some replicas can serve them.
+func (s *state) rank() int {
+	if s.goesOn() {
+		return 0
+	}
+	return s.route.Priority
+}
+
 // newTakeUp returns which stream a call takes up.
 func newTakeUp(c *calls.Call, rule *config.Forward) takeUp {
 	if rule.Kind != config.Stream || c.Forward.LastEvent == 0 && c.Forward.Resumes == "" {
@@ -170,6 +182,7 @@
 	c.Service = o.Service
 	s.service = service
 	s.origin = streamOrigin{known: true, software: o.Software}
+	c.Priority = rankPriority(s.rank())
 	return true
 }
 
@@ -213,8 +226,8 @@
 func (f *Forwarder) modelReachable(now clock.Instant, c *calls.Call) bool {
 	s := stateOf(c)
 	return slices.ContainsFunc(f.candidates(now, c), func(r *pool.Replica) bool {
-		return r.Usable() && r.Phase(s.request.model) == pool.Ready && !slices.Contains(s.progress.tried, r.Incarnation()) &&
-			f.Links.Way(now, r, true, nil) != links.Unreachable
+		failed := slices.Contains(s.progress.tried, r.Incarnation()) || slices.Contains(s.progress.brokeOff, r.Incarnation())
+		return !failed && r.Usable() && r.Phase(s.request.model) == pool.Ready && f.Links.Way(now, r, true, nil) != links.Unreachable
 	})
 }
 
