A stream that a replica began about when it restarted as another version is not continued

Cause: a replica that starts again under its id serves until its new entry is heard of as what its former one said. A stream that began in between is recorded as of the former version.

Change: when an instance hears of a restart as another version, the streams that the former incarnation is said to have begun within the time by which a restart would have been heard of count as ambiguous, here and at their keepers, and are not continued.

What is left breaks off and goes on before anything says that the replica restarted; an answer does not name the version.

--- a/core/forwarding/attempts.go
+++ b/core/forwarding/attempts.go
@@ -256,7 +256,12 @@
 // its previous incarnation. Calls whose connections do not show that would otherwise wait
 // for an answer that cannot come.
 func (f *Forwarder) ReplicaRestarted(now clock.Instant, replica string) {
+	r := f.Pool.Get(replica)
+	f.Streams.ReplicaRestarted(now, r.Incarnation(), r.Announcement().Software)
 	for _, c := range f.Calls.All() {
+		if c.Forward != nil {
+			f.doubtOrigin(now, c, r)
+		}
 		if c.Forward == nil || c.Phase != calls.Running || c.Replica != replica {
 			continue
 		}
--- a/core/forwarding/streams.go
+++ b/core/forwarding/streams.go
@@ -23,6 +23,10 @@
 	known    bool
 	replica  pool.Incarnation // the zero value if another call began it
 	software string           // version of its software, "" if it states none
+	at       clock.Instant    // when the first event arrived
+	// doubtful means that the replica may have restarted as another version before it began the
+	// stream.
+	doubtful bool
 }
 
 // originOf returns the origin of a stream that a replica begins.
@@ -33,6 +37,9 @@
 // fits reports whether the stream may go on at a replica. Two replicas that state no version may
 // run different ones, unless no replica of the service states any.
 func (o streamOrigin) fits(r *pool.Replica, serviceStates bool) bool {
+	if o.doubtful {
+		return false
+	}
 	software := r.Announcement().Software
 	if o.software == "" && serviceStates {
 		return r.Incarnation() == o.replica
@@ -115,10 +122,20 @@
 	}
 	if !s.origin.known {
 		s.origin = s.lastAttempt.origin
+		s.origin.at = now
 	}
 	o := streams.Origin{Service: c.Service, Software: s.origin.software}
-	f.Streams.Begun(now, streams.NewID(c.Forward.Host, c.Forward.Name), o)
-	f.Streams.Begun(now, s.takeUp.stream, o)
+	f.Streams.Begun(now, streams.NewID(c.Forward.Host, c.Forward.Name), o, s.origin.replica)
+	f.Streams.Begun(now, s.takeUp.stream, o, s.origin.replica)
+}
+
+// doubtOrigin marks the stream of a call as one that is not continued, if the replica that began it
+// may have restarted as another version before.
+func (f *Forwarder) doubtOrigin(now clock.Instant, c *calls.Call, r *pool.Replica) {
+	o := &stateOf(c).origin
+	if o.known && o.replica.Name == r.Name && o.replica != r.Incarnation() && o.software != r.Announcement().Software && !f.Streams.BeganLongAgo(now, o.at) {
+		o.doubtful = true
+	}
 }
 
 // streamEnded records that the caller of a call's stream has all of it.
--- a/core/forwarding/streams_test.go
+++ b/core/forwarding/streams_test.go
@@ -110,17 +110,17 @@
 		code      code.Code // with which it ends
 	}{
 		{"known here", "first", 3, func(f *Forwarder) {
-			f.Streams.Begun(start, streams.NewID("h", "first"), streams.Origin{Service: "s", Software: "v2"})
+			f.Streams.Begun(start, streams.NewID("h", "first"), streams.Origin{Service: "s", Software: "v2"}, pool.Incarnation{})
 		}, "b", 0},
 		{"its version is gone", "first", 3, func(f *Forwarder) {
-			f.Streams.Begun(start, streams.NewID("h", "first"), streams.Origin{Service: "s", Software: "v0"})
+			f.Streams.Begun(start, streams.NewID("h", "first"), streams.Origin{Service: "s", Software: "v0"}, pool.Incarnation{})
 		}, "", code.VersionGone},
 		{"its service is not one of the route", "first", 3, func(f *Forwarder) {
-			f.Streams.Begun(start, streams.NewID("h", "first"), streams.Origin{Service: "other", Software: "v2"})
+			f.Streams.Begun(start, streams.NewID("h", "first"), streams.Origin{Service: "other", Software: "v2"}, pool.Incarnation{})
 		}, "", code.VersionGone},
 		{"two streams have its ID", "first", 3, func(f *Forwarder) {
 			for _, software := range []string{"v1", "v2"} {
-				f.Streams.Begun(start, streams.NewID("h", "first"), streams.Origin{Service: "s", Software: software})
+				f.Streams.Begun(start, streams.NewID("h", "first"), streams.Origin{Service: "s", Software: software}, pool.Incarnation{})
 			}
 		}, "", code.StreamUnknown},
 		{"not known, and nobody to ask", "first", 3, nil, "", code.StreamUnknown},
--- a/core/streams/keepers.go
+++ b/core/streams/keepers.go
@@ -115,7 +115,8 @@
 // A Group is streams with the same origin.
 type Group struct {
 	Origin
-	IDs []ID
+	Ambiguous bool // they may be of another version as well
+	IDs       []ID
 }
 
 // isRecording reports whether streams of a service are told to keepers.
@@ -151,16 +152,17 @@
 // tell tells the keepers of streams which version began them.
 func (t *Tracker) tell(ids []ID) {
 	v := t.view()
-	byPeer := map[string]map[Origin][]ID{}
+	byPeer := map[string]map[groupKey][]ID{}
 	peers := map[string]*member.Peer{}
 	for _, id := range ids {
-		origin := t.records[id].origin
+		r := t.records[id]
+		key := groupKey{r.origin, r.ambiguous}
 		for _, p := range v.keepers(id) {
 			if byPeer[p.Name] == nil {
-				byPeer[p.Name] = map[Origin][]ID{}
+				byPeer[p.Name] = map[groupKey][]ID{}
 				peers[p.Name] = p
 			}
-			byPeer[p.Name][origin] = append(byPeer[p.Name][origin], id)
+			byPeer[p.Name][key] = append(byPeer[p.Name][key], id)
 		}
 	}
 	for _, name := range slices.Sorted(maps.Keys(byPeer)) {
@@ -168,14 +170,24 @@
 	}
 }
 
-// groups returns streams by origin as a list in a fixed order.
-func groups(byOrigin map[Origin][]ID) []Group {
+// A groupKey is what the streams of a Group have in common.
+type groupKey struct {
+	origin    Origin
+	ambiguous bool
+}
+
+// groups returns streams as a list in a fixed order.
+func groups(byKey map[groupKey][]ID) []Group {
 	var out []Group
-	for o, ids := range byOrigin {
-		out = append(out, Group{Origin: o, IDs: ids})
+	for key, ids := range byKey {
+		out = append(out, Group{Origin: key.origin, Ambiguous: key.ambiguous, IDs: ids})
 	}
 	slices.SortFunc(out, func(a, b Group) int {
-		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Software, b.Software))
+		order := cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Software, b.Software))
+		if order == 0 && a.Ambiguous != b.Ambiguous && a.Ambiguous {
+			return 1
+		}
+		return order
 	})
 	return out
 }
--- a/core/streams/lookup.go
+++ b/core/streams/lookup.go
@@ -132,7 +132,8 @@
 	for _, g := range e.Request.Began {
 		for _, id := range g.IDs {
 			if id != 0 {
-				t.add(now, id, g.Origin)
+				r := t.add(now, id, g.Origin)
+				r.ambiguous = r.ambiguous || g.Ambiguous
 			}
 		}
 	}
--- a/core/streams/streams.go
+++ b/core/streams/streams.go
@@ -17,11 +17,13 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/birchdrift/birchdrift/core/bounds"
 	"github.com/birchdrift/birchdrift/core/calls"
 	"github.com/birchdrift/birchdrift/core/clock"
+	"github.com/birchdrift/birchdrift/core/pool"
 	"github.com/birchdrift/birchdrift/core/registry"
 	"github.com/birchdrift/birchdrift/core/shared"
 )
@@ -93,8 +95,9 @@
 	origin    Origin
 	ambiguous bool // two streams of different versions have this ID
 	at        clock.Instant
-	own       bool // it began at this instance
-	ended     bool // its caller has all of it, as far as is known here
+	own       bool             // it began at this instance
+	replica   pool.Incarnation // that began it, as far as was known then; only of own streams
+	ended     bool             // its caller has all of it, as far as is known here
 }
 
 // New returns a tracker without records.
@@ -104,18 +107,42 @@
 	return t
 }
 
-// Begun records that a stream began at this instance, or was taken up here.
-func (t *Tracker) Begun(now clock.Instant, id ID, o Origin) {
+// Begun records that a stream began at this instance, or was taken up here. replica is the one that
+// began it, the zero value if another call did.
+func (t *Tracker) Begun(now clock.Instant, id ID, o Origin, replica pool.Incarnation) {
 	if id == 0 {
 		return
 	}
 	r := t.add(now, id, o)
 	r.own = true
+	r.replica = replica
 	if t.isRecording(now, o.Service) {
 		t.tell([]ID{id})
 	}
 }
 
+// ReplicaRestarted records that a replica has restarted as another version. A stream that it began
+// shortly before this instance heard of that may be of either version.
+func (t *Tracker) ReplicaRestarted(now clock.Instant, replica pool.Incarnation, software string) {
+	var doubtful []ID
+	for id, r := range t.records {
+		if r.own && r.replica.Name == replica.Name && r.replica != replica && r.origin.Software != software && !t.BeganLongAgo(now, r.at) {
+			r.ambiguous = true
+			doubtful = append(doubtful, id)
+		}
+	}
+	if len(doubtful) > 0 {
+		slices.Sort(doubtful)
+		t.tell(doubtful)
+	}
+}
+
+// BeganLongAgo reports whether this instance would have heard of a restart of the replica that began
+// a stream at the given time, if it was before that.
+func (t *Tracker) BeganLongAgo(now, at clock.Instant) bool {
+	return now.Since(at) >= t.Options.Bounds.MaxVersionAge()
+}
+
 // Ended records that the caller of a stream has all of it. The stream is still known, since the
 // last events may have been lost on their way.
 func (t *Tracker) Ended(id ID) {
--- a/core/streams/streams_test.go
+++ b/core/streams/streams_test.go
@@ -248,8 +248,8 @@
 	f.list(start, "v1")
 	f.readList(start)
 	v1 := Origin{Service: "s", Software: "v1"}
-	f.Begun(start, 1, v1)
-	f.Begun(start, 2, v1)
+	f.Begun(start, 1, v1, pool.Incarnation{})
+	f.Begun(start, 2, v1, pool.Incarnation{})
 	f.Ended(2)
 	is.Equal(len(f.requests()), 0)
 	f.list(start.Add(time.Second), "v2")
@@ -260,7 +260,7 @@
 	sent := f.requests()
 	is.Equal(len(sent), 1)
 	is.Equal(sent[0].Request.Began, []Group{{Origin: v1, IDs: []ID{1}}})
-	f.Begun(now, 3, Origin{Service: "s", Software: "v2"})
+	f.Begun(now, 3, Origin{Service: "s", Software: "v2"}, pool.Incarnation{})
 	is.Equal(f.requests()[0].Request.Began, []Group{{Origin: Origin{Service: "s", Software: "v2"}, IDs: []ID{3}}})
 }
 
@@ -309,7 +309,7 @@
 func TestSameIDOfTwoStreams(t *testing.T) {
 	is := is.New(t)
 	f := newFixture("i", "z", true, false)
-	f.Begun(start, 1, Origin{Service: "s", Software: "v1"})
+	f.Begun(start, 1, Origin{Service: "s", Software: "v1"}, pool.Incarnation{})
 	is.True(f.Find(start, Query{ID: 1, Service: "s"}).Known)
 	f.HandleRequest(start, RequestReceived{Request: Request{Began: []Group{{Origin: Origin{Service: "s", Software: "v2"}, IDs: []ID{1}}}}})
 	is.Equal(f.Find(start, Query{ID: 1, Service: "s"}).Known, false)
@@ -321,7 +321,7 @@
 	is := is.New(t)
 	f := newFixture("i", "z", true, true)
 	for id := range ID(maxRecords + 10) {
-		f.Begun(start, id+1, Origin{Service: "s"})
+		f.Begun(start, id+1, Origin{Service: "s"}, pool.Incarnation{})
 	}
 	f.Tick(start)
 	is.Equal(len(f.records), maxRecords)
@@ -379,3 +379,39 @@
 	g.HandleReport(now, "p", gossip.Versions{}, now)
 	is.True(!g.OnHold(now, v2)) // the only peer does not know either
 }
+
+// TestRestartsAsAnotherVersion checks that a stream is not known any more if the replica that began it
+// turns out to have restarted as another version shortly after, or before, and that its keepers are
+// told so; earlier streams and restarts as the same version change nothing.
+func TestRestartsAsAnotherVersion(t *testing.T) {
+	former, next := pool.Incarnation{Name: "r", Born: "1"}, pool.Incarnation{Name: "r", Born: "2"}
+	v1 := Origin{Service: "s", Software: "v1"}
+	for _, c := range []struct {
+		name     string
+		after    time.Duration
+		replica  pool.Incarnation
+		software string
+		known    bool
+	}{
+		{"soon after", time.Second, next, "v2", false},
+		{"long after", 3 * time.Second, next, "v2", true},
+		{"as the same version", time.Second, next, "v1", true},
+		{"another replica", time.Second, pool.Incarnation{Name: "q", Born: "2"}, "v2", true},
+		{"the incarnation that began it", time.Second, former, "v2", true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture("i", "z", true, false)
+			f.Members.Upsert("p", "z", "p")
+			f.Begun(start, 1, v1, former)
+			f.requests()
+			f.ReplicaRestarted(start.Add(c.after), c.replica, c.software)
+			is.Equal(f.Find(start, Query{ID: 1, Service: "s"}).Known, c.known)
+			sent := f.requests()
+			is.Equal(len(sent) == 0, c.known)
+			if !c.known {
+				is.Equal(sent[0].Request.Began, []Group{{Origin: v1, Ambiguous: true, IDs: []ID{1}}})
+			}
+		})
+	}
+}
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -190,7 +190,7 @@
 func encodeStreamsRequest(r streams.Request) *peerpb.StreamsRequest {
 	out := &peerpb.StreamsRequest{Wanted: uint64(r.Query.ID), Service: r.Query.Service}
 	for _, g := range r.Began {
-		group := &peerpb.StreamGroup{Service: g.Service, Software: g.Software}
+		group := &peerpb.StreamGroup{Service: g.Service, Software: g.Software, Ambiguous: g.Ambiguous}
 		for _, id := range g.IDs {
 			group.Ids = append(group.Ids, uint64(id))
 		}
@@ -202,7 +202,7 @@
 func decodeStreamsRequest(r *peerpb.StreamsRequest) streams.Request {
 	out := streams.Request{Query: streams.Query{ID: streams.ID(r.GetWanted()), Service: r.GetService()}}
 	for _, g := range r.GetBegan() {
-		group := streams.Group{Origin: streams.Origin{Service: g.GetService(), Software: g.GetSoftware()}}
+		group := streams.Group{Origin: streams.Origin{Service: g.GetService(), Software: g.GetSoftware()}, Ambiguous: g.GetAmbiguous()}
 		for _, id := range g.GetIds() {
 			group.IDs = append(group.IDs, streams.ID(id))
 		}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -121,7 +121,7 @@
 func TestStreamRequestsTravelWhole(t *testing.T) {
 	is := is.New(t)
 	request := streams.Request{
-		Began: []streams.Group{{Origin: streams.Origin{Service: "s", Software: "v1"}, IDs: []streams.ID{1, 1 << 63}}, {Origin: streams.Origin{Service: "s"}, IDs: []streams.ID{2}}},
+		Began: []streams.Group{{Origin: streams.Origin{Service: "s", Software: "v1"}, IDs: []streams.ID{1, 1 << 63}}, {Origin: streams.Origin{Service: "s"}, Ambiguous: true, IDs: []streams.ID{2}}},
 		Query: streams.Query{ID: 3, Service: "t"},
 	}
 	answers := []streams.Answer{
