Streams wait for their adapter at an engine of their version

Cause: such a call ended at once, unlike one for which another engine could be chosen later.

Change: it waits as one that waits for its model does, while its caller waits.

Test: TestStreamsWaitForTheirAdapterAtTheirVersion.

--- a/core/forwarding/streams.go
+++ b/core/forwarding/streams.go
@@ -224,16 +224,19 @@
 )
 
 // handleNoVersion makes a stream wait that no replica of its version can go on with now, or ends
-// its call at once. It waits only for its model: an engine of its version is asked to load it, and
-// the caller may still wait when that is done. Other replicas do not help.
+// its call at once. It waits for its model, which an engine of its version is asked to load, or for
+// its adapter, if its caller may still wait when that is done. Other replicas do not help.
 func (f *Forwarder) handleNoVersion(now clock.Instant, c *calls.Call) {
-	candidates := f.candidates(now, c)
+	s := stateOf(c)
+	reachable := c.Item != "" && f.modelReachable(now, c)
 	switch {
-	case !slices.ContainsFunc(candidates, (*pool.Replica).Usable):
+	case !slices.ContainsFunc(f.candidates(now, c), (*pool.Replica).Usable):
 		f.endStream(c, "none of its replicas is left")
-	case c.Item == "" || f.modelReachable(now, c):
-		f.endStream(c, "its replicas failed it, lack the adapter, or cannot be reached")
-	case !f.awaitVersion(now, c):
+	case c.Item == "", reachable && s.request.adapter == "":
+		f.endStream(c, "its replicas failed it, or cannot be reached")
+	case reachable && !f.awaitForStream(now, c, "its adapter at its version", time.Duration(adapterExpectedShare*float64(c.Target))):
+		f.endStream(c, "none of its replicas will hold the adapter in time")
+	case !reachable && !f.awaitVersion(now, c):
 		f.endStream(c, "none of its replicas will hold the model in time")
 	}
 }
@@ -248,8 +251,8 @@
 	})
 }
 
-// awaitVersion makes a stream wait until a replica of its version has loaded its model, and reports
-// whether that can be while its caller waits.
+// awaitVersion asks for a stream's model at a replica of its version, makes the stream wait for it,
+// and reports whether that can be while its caller waits.
 func (f *Forwarder) awaitVersion(now clock.Instant, c *calls.Call) bool {
 	s := stateOf(c)
 	if !s.missReported {
@@ -257,12 +260,18 @@
 		f.Demand.RecordVersionMiss(now, s.request.model, s.origin.software)
 		f.Missed(now)
 	}
-	since := clock.Latest(c.Arrived, s.brokenAt)
-	if now.Since(since)+f.modelETA(now, c, s) >= maxStreamPause(s.route) {
+	return f.awaitForStream(now, c, "its model at its version", f.modelETA(now, c, s))
+}
+
+// awaitForStream makes a stream wait for something that takes the expected time, and reports
+// whether its caller waits as long.
+func (f *Forwarder) awaitForStream(now clock.Instant, c *calls.Call, what string, expected time.Duration) bool {
+	s := stateOf(c)
+	if now.Since(clock.Latest(c.Arrived, s.brokenAt))+expected >= maxStreamPause(s.route) {
 		return false
 	}
 	if !f.Calls.Queued(c) {
-		f.Out.Log(logevent.CallWaits, "call", c.Forward.Name, "item", c.Item, "for", "its model at its version", "software", s.origin.software)
+		f.Out.Log(logevent.CallWaits, "call", c.Forward.Name, "item", c.Item, "for", what, "software", s.origin.software)
 	}
 	f.Calls.Enqueue(c)
 	return true
--- a/core/forwarding/streams_test.go
+++ b/core/forwarding/streams_test.go
@@ -278,3 +278,28 @@
 		})
 	}
 }
+
+// TestStreamsWaitForTheirAdapterAtTheirVersion guards against streams that end although an engine of their
+// version holds their model and can load their adapter in a moment.
+func TestStreamsWaitForTheirAdapterAtTheirVersion(t *testing.T) {
+	for _, held := range []time.Duration{0, 5 * time.Second} {
+		t.Run(fmt.Sprint("broken for ", held), func(t *testing.T) {
+			is := is.New(t)
+			f := testForwarder(t)
+			for name, software := range map[string]string{"b": "v1", "c": "v2"} {
+				f.Pool.Announce(start, name, pool.Announcement{
+					Service: "s", Address: name, Zone: "z", Slots: 8, Engine: true, Software: software, Models: []pool.AnnouncedModel{{Name: "m"}},
+				})
+			}
+			call := f.callFor(1)
+			s := stateOf(call)
+			call.Item = "m/a"
+			s.request.adapter = "a"
+			s.orderWaits = maxOrderWaits // no order can be requested now
+			s.origin = streamOrigin{known: true, software: "v1"}
+			s.takeUp = takeUp{wanted: true}
+			f.findReplica(start.Add(held), call)
+			is.Equal(f.Calls.Queued(call), held == 0)
+		})
+	}
+}
