An instance that has just started begins streams only at versions that its peers know

Cause: an instance that starts reads a list with the new version alone, takes it for nothing new and begins streams there at once, while peers still take the old version for the only one and go on with the same stream there.

Such streams wait for up to half of their target, also if other replicas are limited. To hear at once, an instance of a full mesh that does not know starts all of its exchanges: only answers to its own requests say up to when a peer knew the list.

--- a/core/exchange/exchange.go
+++ b/core/exchange/exchange.go
@@ -92,9 +92,11 @@
 	DemandFor   func(now clock.Instant, peer string) []demand.Item
 	DemandHeard func(now clock.Instant, peer string, items []demand.Item)
 	// Versions returns what to report to a peer about the versions of replicas' software.
-	// VersionsHeard handles what a peer reported that knows the list up to knownAt.
+	// VersionsHeard handles what a peer reported that knows the list up to knownAt, zero if that is
+	// not known. VersionsKnown reports whether this instance needs no such report.
 	Versions      func(now clock.Instant, peer string) gossip.Versions
 	VersionsHeard func(now clock.Instant, peer string, v gossip.Versions, knownAt clock.Instant)
+	VersionsKnown func(now clock.Instant) bool
 	// Listed and Registered handle records that the peer from sent.
 	Listed     func(now clock.Instant, from string, l gossip.Listed)
 	Registered func(now clock.Instant, from string, records []registry.Record)
@@ -282,7 +284,7 @@
 	if msg.StoreAge > 0 {
 		x.storeAt = clock.Latest(x.storeAt, now.Add(-msg.StoreAge))
 	}
-	x.VersionsHeard(now, msg.From, msg.Versions, asked.Add(-msg.ConfirmedAge))
+	x.VersionsHeard(now, msg.From, msg.Versions, knownUntil(asked, msg))
 	x.applyUses(now, msg)
 	x.Links.ObservePeer(now, msg.From, msg.Relays, msg.Links)
 	x.Rejections.ObservePeer(now, msg.From, msg.Informed, msg.Links)
@@ -295,6 +297,15 @@
 	}
 }
 
+// knownUntil returns the time up to which the sender of a message certainly knows the store, zero if
+// the message does not answer a request of this instance. asked is when that was sent.
+func knownUntil(asked clock.Instant, msg gossip.Message) clock.Instant {
+	if asked.IsZero() || msg.ConfirmedAge == 0 {
+		return clock.Instant{}
+	}
+	return asked.Add(-msg.ConfirmedAge)
+}
+
 func (x *Exchanges) applyRecords(now clock.Instant, from string, r gossip.Records) {
 	for _, res := range r.Residencies {
 		if x.Records.AddResidency(from, res) {
--- a/core/exchange/rhythm.go
+++ b/core/exchange/rhythm.go
@@ -65,15 +65,17 @@
 
 // TickMesh starts the exchanges of a full mesh that are due. In each pair the instance
 // whose name sorts first starts the exchange, so that every instance hears directly from
-// every other within MeshEvery.
+// every other within MeshEvery. One that does not know the versions starts all of its exchanges,
+// since it can go by answers to its own requests only.
 func (x *Exchanges) TickMesh(now clock.Instant) {
 	s := &x.schedule
 	if !x.Roster.FullMesh() || now.Before(s.meshDue) {
 		return
 	}
 	s.meshDue = now.Add(step.Jitter(x.Rand, x.Options.MeshEvery))
+	all := !x.VersionsKnown(now)
 	for _, p := range x.Members.Peers() {
-		if p.Name > x.Self.Name && (!p.Failing() || s.round%failingPeerRounds == 0) {
+		if (all || p.Name > x.Self.Name) && (!p.Failing() || s.round%failingPeerRounds == 0) {
 			x.StartWith(now, p)
 		}
 	}
--- a/core/forwarding/streams.go
+++ b/core/forwarding/streams.go
@@ -203,6 +203,40 @@
 	return true
 }
 
+// awaitHold makes a stream wait that has not begun, if a replica that could serve it may begin none
+// yet because the version of its software is new to this instance. It reports whether it handled the
+// call.
+func (f *Forwarder) awaitHold(now clock.Instant, c *calls.Call) bool {
+	if !f.limitedByHold(now, c) {
+		return false
+	}
+	if worthWaiting(now.Since(c.Arrived), 0, time.Duration(holdWaitShare*float64(c.Target))) {
+		f.Calls.Enqueue(c)
+		return true
+	}
+	if slices.ContainsFunc(f.candidates(now, c), (*pool.Replica).Usable) {
+		return false
+	}
+	f.Calls.Refuse(c, calls.NotRunRefusal(code.NoReplica, "the versions of its replicas are not known yet", f.staggeredRetryAfter(c)))
+	return true
+}
+
+// limitedByHold reports whether a replica that is ready to serve a stream may not begin it yet.
+func (f *Forwarder) limitedByHold(now clock.Instant, c *calls.Call) bool {
+	s := stateOf(c)
+	if s.origin.known || s.route.Kind != config.Stream {
+		return false
+	}
+	return slices.ContainsFunc(f.Pool.Serving(c.Service), func(r *pool.Replica) bool {
+		ready := r.Usable() && (c.Item == "" || r.Phase(c.Item) == pool.Ready)
+		return ready && f.Streams.OnHold(now, streams.Origin{Service: c.Service, Software: r.Announcement().Software})
+	})
+}
+
+// holdWaitShare is the share of its latency target for which a stream waits until its replicas may
+// begin one. An instance that has just started hears from its peers within moments.
+const holdWaitShare = 0.5
+
 // versionLimited reports whether replicas of the call's service are left out because they run another
 // version than the one that began its stream.
 func (f *Forwarder) versionLimited(now clock.Instant, c *calls.Call) bool {
--- a/core/forwarding/wait.go
+++ b/core/forwarding/wait.go
@@ -90,6 +90,9 @@
 		f.awaitExposed(now, c)
 		return
 	}
+	if f.awaitHold(now, c) {
+		return
+	}
 	if f.refuseRateLimited(now, c) {
 		return
 	}
--- a/core/instance/build.go
+++ b/core/instance/build.go
@@ -190,6 +190,7 @@
 		VersionsHeard: func(now clock.Instant, peer string, v gossip.Versions, knownAt clock.Instant) {
 			m.streams.HandleReport(now, peer, v, knownAt)
 		},
+		VersionsKnown: func(now clock.Instant) bool { return m.streams.KnowsVersions(now) },
 	})
 }
 
--- a/core/option/option.go
+++ b/core/option/option.go
@@ -112,9 +112,14 @@
 	TurnWait  bool // sends orders immediately after an owner change
 	// HearRegistry lets owners send orders although their view of the registry is
 	// out of date.
-	HearRegistry bool
-	Rate         bool // ignores the rate limit of loads from the weight store
-	Intents      bool // does not store intents before orders to engines that check no fences
+	HearRegistry   bool
+	VersionHold    bool // begins streams at a version of replicas as soon as it is listed
+	VersionHistory bool // takes the versions in its own list for all that have served lately
+	VersionAge     bool // takes its own list for current, however old it is
+	StreamRecords  bool // tells no other instance which streams it began
+	StreamLookup   bool // asks no other instance for a stream
+	Rate           bool // ignores the rate limit of loads from the weight store
+	Intents        bool // does not store intents before orders to engines that check no fences
 }
 
 // PlatformExchangeInterval returns the time between the exchanges by which updates
--- a/core/streams/keepers.go
+++ b/core/streams/keepers.go
@@ -151,6 +151,9 @@
 
 // tell tells the keepers of streams which version began them.
 func (t *Tracker) tell(ids []ID) {
+	if t.Options.Disable.StreamRecords {
+		return
+	}
 	v := t.view()
 	byPeer := map[string]map[groupKey][]ID{}
 	peers := map[string]*member.Peer{}
--- a/core/streams/lookup.go
+++ b/core/streams/lookup.go
@@ -110,7 +110,7 @@
 // Found: the first that settles the question, or else the last.
 func (t *Tracker) Ask(now clock.Instant, call calls.ID, q Query) bool {
 	peers := t.view().asked(q.ID)
-	if len(peers) == 0 {
+	if len(peers) == 0 || t.Options.Disable.StreamLookup {
 		return false
 	}
 	l := &lookup{call: call, query: q, pending: len(peers)}
--- a/core/streams/streams.go
+++ b/core/streams/streams.go
@@ -104,6 +104,7 @@
 func New(deps Deps) *Tracker {
 	t := &Tracker{Deps: deps, records: map[ID]*record{}, lookups: map[uint64]*lookup{}, recording: map[string]bool{}}
 	t.history = newHistory(t.Options.FirstStart)
+	t.history.trustsList = t.Options.Disable.VersionHistory
 	return t
 }
 
@@ -224,10 +225,34 @@
 }
 
 // listAge returns the age of this instance's copy of the list.
-func (t *Tracker) listAge(now clock.Instant) time.Duration { return now.Since(t.ListKnownUntil()) }
+func (t *Tracker) listAge(now clock.Instant) time.Duration {
+	if t.Options.Disable.VersionAge {
+		return 0
+	}
+	return now.Since(t.ListKnownUntil())
+}
 
 // OnHold reports whether no stream may begin yet at a version, because instances may exist that
 // have not heard of it.
 func (t *Tracker) OnHold(now clock.Instant, o Origin) bool {
-	return t.history.onHold(now, o, t.limits(), len(t.Instances())-1)
+	return !t.Options.Disable.VersionHold && t.history.onHold(now, o, t.limits(), t.peersKnow)
+}
+
+// minUnknowing is the number of peers of a large fleet that must not know the versions of the last
+// Lifetime for an instance to take it that none does. No instance hears from all in time.
+const minUnknowing = 3
+
+// peersKnow reports whether a peer may know the versions of the last Lifetime: one that has not
+// reported that it does not, and that answers.
+func (t *Tracker) peersKnow() bool {
+	if !t.FullMesh() && len(t.history.unknowing) >= minUnknowing {
+		return false
+	}
+	for name := range t.Instances() {
+		p := t.Members.Get(name)
+		if name != t.Self.Name && !t.history.unknowing[name] && (p == nil || !p.Failing()) {
+			return true
+		}
+	}
+	return false
 }
