--- a/core/instance/announced_world_test.go
+++ b/core/instance/announced_world_test.go
@@ -318,10 +318,25 @@
 	n.permitReplies = map[uint64]func(permits.Decision){}
 	n.streamReplies = map[uint64]func(streams.Answer){}
 	n.relayReplies = map[uint64]func(relay.Decided){}
-	n.m = New(n.id, f.opt, f.rng.Uint64())
+	opt := f.opt
+	if n.legacy {
+		opt.Disable.VersionHold = true
+		opt.Disable.StreamRecords = true
+		opt.Disable.StreamLookup = true
+	}
+	n.m = New(n.id, opt, f.rng.Uint64())
 	f.tick(n, n.boot)
 }
 
+// spoken returns a message as the member sends it: an earlier version of the program does not
+// report versions of replicas.
+func (n *fleetMember) spoken(msg gossip.Message) gossip.Message {
+	if n.legacy {
+		msg.Versions = gossip.Versions{}
+	}
+	return msg
+}
+
 func (f *fleet) tick(n *fleetMember, boot uint64) {
 	if n.dead || n.boot != boot {
 		return
@@ -386,6 +401,7 @@
 	case watch.SendRequest:
 		f.at(fleetLatency, func() { f.watch(n, boot, act) })
 	case ownership.Enrol:
+		act.Instance.HoldsVersions = act.Instance.HoldsVersions && !n.legacy
 		f.storeCall(n, nil, func() (step.Event, bool) { return f.enrol(n, act), true }, func(err error) step.Event { return ownership.EnrolReply{Err: err} }, reply)
 	case ownership.RenewLease:
 		sent := f.clock(n)
@@ -493,7 +509,7 @@
 	case exchange.SendReply:
 		if do := n.exchangeReplies[act.Token]; do != nil {
 			delete(n.exchangeReplies, act.Token)
-			do(act.Message)
+			do(n.spoken(act.Message))
 		}
 	case links.Probe:
 		f.probeLink(n, act, reply)
@@ -1248,7 +1264,7 @@
 		p.exchangeReplies[token] = func(msg gossip.Message) {
 			reply(fleetLatency, exchange.Reply{Peer: a.Peer, Address: a.Address, Message: msg})
 		}
-		f.step(p, p.boot, exchange.RequestReceived{Token: token, Message: a.Message})
+		f.step(p, p.boot, exchange.RequestReceived{Token: token, Message: n.spoken(a.Message)})
 	})
 }
 
--- a/core/instance/streams_test.go
+++ b/core/instance/streams_test.go
@@ -227,6 +227,21 @@
 		}
 		h.killMembers(200*time.Millisecond, 300*time.Millisecond)
 	}, 0, 0},
+	{"instances of an earlier build are replaced, beside releases", oneVersion, func(h *streamHarness) {
+		for i, name := range h.f.names {
+			n := h.f.members[name]
+			n.legacy = true
+			h.f.start(name)
+			h.f.at(time.Duration(i+1)*time.Second, func() {
+				n.legacy = false
+				h.kill(n, 200*time.Millisecond)
+			})
+		}
+		for n := range 6 {
+			h.f.at(time.Duration(2+3*n)*time.Second, func() { h.release("v"+string(rune('1'+n)), "v"+string(rune('2'+n)), 300*time.Millisecond, 0) })
+		}
+		h.resetCallers(500*time.Millisecond, 0.4)
+	}, 0, 0},
 	{"engines restart under their names as another version", twoVersions, func(h *streamHarness) {
 		h.f.periodically(600*time.Millisecond, time.Hour, func() func() {
 			all := h.running()
