--- a/core/bounds/bounds_test.go
+++ b/core/bounds/bounds_test.go
@@ -43,6 +43,22 @@
 	}
 }
 
+// TestVersionHoldExceedsAgeOfLists guards against streams that begin at a version of which another
+// instance, whose list counts, has not heard. It adds up the greatest age of such a list.
+func TestVersionHoldExceedsAgeOfLists(t *testing.T) {
+	for _, b := range []Bounds{small, large, {Leave: 10 * time.Second, Settle: 10 * time.Second}} {
+		for _, mesh := range []bool{true, false} {
+			is := is.New(t)
+			timing := Timing{Mesh: mesh, Exchange: exchange}
+			d := b.Delays(timing)
+			understated := d.Wait // by the answer to a watch that was delayed on its way
+			is.True(b.MaxVersionAge()+understated <= b.VersionHold(timing))
+			// The list of each instance counts while the store is healthy.
+			is.True(d.MaxListAge()+d.Read < b.MaxVersionAge())
+		}
+	}
+}
+
 // TestCheckRejectsExcessiveDelays checks that the error names the sum and its delays.
 func TestCheckRejectsExcessiveDelays(t *testing.T) {
 	for _, tt := range []struct {
--- a/internal/pages/pages.go
+++ b/internal/pages/pages.go
@@ -156,12 +156,37 @@
 		"that are set and make the sum exceed the bound are refused at the start, with this list; a bound\n" +
 		"that is too short for the shortest waits is logged (1008). A configuration arrives by the same\n" +
 		"watch; only the bound for leaving replicas is added up so far.\n")
+	writeVersionHold(&b)
 	writeRetryBudget(&b)
 	writeRejections(&b)
 	writeConnections(&b)
 	return b.String()
 }
 
+// writeVersionHold writes the section on versions of replicas' software.
+func writeVersionHold(b *strings.Builder) {
+	columns := []string{"part", "what it is"}
+	rows := [][]string{
+		{"age", "of the list of an instance that takes the only version it has seen for that of all streams"},
+		{"wait", "by which the list may be older than it looks: a watch whose answer was delayed"},
+		{"**sum**", "after which no instance takes another version for the only one"},
+		{"**bound**", "from when an instance has heard of a further version until streams begin there"},
+	}
+	for _, c := range budgetCases {
+		columns = append(columns, c.name)
+		timing := bounds.Timing{Mesh: c.mesh, Exchange: exchangeInterval}
+		age, wait := c.bounds.MaxVersionAge(), c.bounds.Delays(timing).Wait
+		for i, d := range []time.Duration{age, wait, age + wait, c.bounds.VersionHold(timing)} {
+			rows[i] = append(rows[i], d.String())
+		}
+	}
+	b.WriteString("\n## Versions of replicas' software\n\n")
+	writeTableHeader(b, columns...)
+	for _, row := range rows {
+		writeRow(b, row...)
+	}
+}
+
 // A retryCase is a fleet for which docs/design/budgets.md adds up the parts of a retry budget.
 type retryCase struct {
 	instances int
