--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/birchdrift/birchdrift/core/clock"
 	"github.com/birchdrift/birchdrift/core/crash"
@@ -116,6 +117,19 @@
 	is.True(err != nil)
 }
 
+// maxStreamRequest is the size in bytes that docs/CAPACITY.md states for the message about one stream.
+const maxStreamRequest = 32
+
+// TestSizeOfStreamRequests guards against messages about streams that cost more links than stated.
+func TestSizeOfStreamRequests(t *testing.T) {
+	r := streams.Request{Began: []streams.Group{{Origin: streams.Origin{Service: "note-writer", Software: "v1.2"}, IDs: []streams.ID{1 << 63}}}}
+	size := proto.Size(encodeStreamsRequest(r))
+	t.Logf("%d bytes", size)
+	if size > maxStreamRequest {
+		t.Errorf("a message about one stream has %d bytes, want at most %d", size, maxStreamRequest)
+	}
+}
+
 // TestStreamRequestsTravelWhole checks that requests about streams and their answers arrive as they
 // were sent.
 func TestStreamRequestsTravelWhole(t *testing.T) {
