Crash reports carry the shared parts of the prompts in flight; logs and birchctl show them

Nothing is decided by them yet. 1804 lists the shared parts of a request's prompt, 1504 those in flight at a replica that ended, and birchctl losses the parts under which five replicas or more ended, with the requests with them that were sent and served. Reports to peers name model and parts beside the fingerprints, which instances of earlier builds read as before; relayed attempts carry them in two headers.

--- a/core/calls/call.go
+++ b/core/calls/call.go
@@ -60,6 +60,15 @@
 	Ignored []string
 }
 
+// Identity returns what identifies the request in reports of crashes.
+func (r *ForwardRequest) Identity() crash.Request {
+	parts := make([]crash.PartID, 0, len(r.Parts))
+	for _, p := range r.Parts {
+		parts = append(parts, crash.PartID(p.ID))
+	}
+	return crash.NewRequest(r.Fingerprint, r.Model, parts)
+}
+
 // A Phase is the current phase of a call.
 type Phase int
 
--- a/core/crash/blame.go
+++ b/core/crash/blame.go
@@ -82,7 +82,9 @@
 		if r.At.Before(c.at) {
 			c.at = r.At
 		}
-		c.requests = append(c.requests, r.Requests...)
+		for _, request := range r.Requests {
+			c.requests = append(c.requests, request.Fingerprint)
+		}
 	}
 	var crashes []*replicaCrash
 	for _, replica := range slices.SortedFunc(maps.Keys(byReplica), pool.Incarnation.Compare) {
--- a/core/crash/crash.go
+++ b/core/crash/crash.go
@@ -12,8 +12,10 @@
 package crash
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
+	"strconv"
 
 	"github.com/birchdrift/birchdrift/core/clock"
 	"github.com/birchdrift/birchdrift/core/pool"
@@ -27,6 +29,36 @@
 // String returns the fingerprint as used in logs and in keys of the store.
 func (f Fingerprint) String() string { return fmt.Sprintf("%016x", uint64(f)) }
 
+// A PartID identifies a shared part of a prompt, as its caller names it.
+type PartID uint64
+
+// String returns the identifier as callers write it.
+func (p PartID) String() string { return strconv.FormatUint(uint64(p), 16) }
+
+// MaxParts is the number of parts of a prompt that count. Requests with more are rare and have
+// mostly parts of their own at the end.
+const MaxParts = 64
+
+// A Request is one request in flight, with what it has in common with others.
+type Request struct {
+	Fingerprint Fingerprint
+	Model       string   // "" if it names none
+	Parts       []PartID // parts of its prompt that other requests may have too, in order
+}
+
+// NewRequest returns a request with these parts of its prompt. The last part is the request's own
+// or its session's.
+func NewRequest(fingerprint Fingerprint, model string, parts []PartID) Request {
+	r := Request{Fingerprint: fingerprint, Model: model}
+	if n := min(len(parts)-1, MaxParts); n > 0 {
+		r.Parts = parts[:n]
+	}
+	return r
+}
+
+// compareRequests orders requests by their fingerprints.
+func compareRequests(a, b Request) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) }
+
 // A Report lists the requests that one instance had in flight at a replica that ended without
 // having reported itself as leaving.
 type Report struct {
@@ -34,16 +66,26 @@
 	Boot     uint64 // of the observer
 	Seq      uint64 // rises with each replica that ended under the observer's calls
 	Replica  pool.Incarnation
-	Requests []Fingerprint // in ascending order
+	Service  string    // of the replica
+	Requests []Request // in ascending order of their fingerprints
 	clock.EventTime
 }
 
 // Has reports whether the request was in flight at the replica.
 func (r Report) Has(request Fingerprint) bool {
-	_, found := slices.BinarySearch(r.Requests, request)
+	_, found := SearchRequests(r.Requests, request)
 	return found
 }
 
+// SearchRequests returns where a request is in the list, or where it would be inserted. The list is
+// in ascending order of fingerprints.
+func SearchRequests(requests []Request, request Fingerprint) (i int, found bool) {
+	return slices.BinarySearchFunc(requests, Request{Fingerprint: request}, compareRequests)
+}
+
+// SortRequests sorts requests by their fingerprints.
+func SortRequests(requests []Request) { slices.SortFunc(requests, compareRequests) }
+
 // A Success records that a request was answered completely.
 type Success struct {
 	Request Fingerprint
--- a/core/crash/crash_test.go
+++ b/core/crash/crash_test.go
@@ -21,6 +21,15 @@
 // incarnation returns an incarnation of a replica.
 func incarnation(name, born string) pool.Incarnation { return pool.Incarnation{Name: name, Born: born} }
 
+// whole returns requests whose prompts have no shared parts.
+func whole(fingerprints ...Fingerprint) []Request {
+	var out []Request
+	for _, f := range fingerprints {
+		out = append(out, Request{Fingerprint: f})
+	}
+	return out
+}
+
 // restartReports returns reports like crashReports, of a number of replicas that take turns and
 // restart under their names.
 func restartReports(replicas int, requests ...[]Fingerprint) []Report {
@@ -36,7 +45,7 @@
 	var reports []Report
 	for n, inFlight := range requests {
 		reports = append(reports, Report{
-			Observer: "i", Seq: uint64(n + 1), Replica: incarnation(string(rune('a'+n)), ""), Requests: inFlight, EventTime: clock.EventTime{At: start.Add(time.Duration(n) * crashInterval)},
+			Observer: "i", Seq: uint64(n + 1), Replica: incarnation(string(rune('a'+n)), ""), Requests: whole(inFlight...), EventTime: clock.EventTime{At: start.Add(time.Duration(n) * crashInterval)},
 		})
 	}
 	return reports
@@ -48,7 +57,7 @@
 	var reports []Report
 	for i := range n {
 		reports = append(reports, Report{
-			Observer: "i", Seq: uint64(100 + i), Replica: incarnation("other"+string(rune('a'+i)), ""), Requests: []Fingerprint{Fingerprint(100 + i)},
+			Observer: "i", Seq: uint64(100 + i), Replica: incarnation("other"+string(rune('a'+i)), ""), Requests: whole(Fingerprint(100 + i)),
 			EventTime: clock.EventTime{At: start.Add(last - time.Duration(i)*time.Second)},
 		})
 	}
@@ -102,19 +111,19 @@
 		{"blamed before", crashReports(inFlight{1}), nil, map[Fingerprint]int{1: 1}, []Fingerprint{1}},
 		{"requests without a fingerprint", crashReports(repeat(4, 0)...), nil, nil, nil},
 		{"one crash in two reports", append(crashReports(repeat(2, 1)...), Report{
-			Observer: "j", Replica: incarnation("b", ""), Requests: inFlight{1}, EventTime: clock.EventTime{At: start.Add(crashInterval).Add(time.Second)},
+			Observer: "j", Replica: incarnation("b", ""), Requests: whole(1), EventTime: clock.EventTime{At: start.Add(crashInterval).Add(time.Second)},
 		}), nil, nil, nil},
 		{"one crash in two reports, one of them from an instance that was paused", append(crashReports(repeat(2, 1)...), Report{
-			Observer: "j", Replica: incarnation("b", ""), Requests: inFlight{1}, EventTime: clock.EventTime{At: start.Add(5 * crashInterval)},
+			Observer: "j", Replica: incarnation("b", ""), Requests: whole(1), EventTime: clock.EventTime{At: start.Add(5 * crashInterval)},
 		}), nil, nil, nil},
 		{"one replica that restarts repeatedly", restartReports(1, repeat(3, 1)...), nil, nil, []Fingerprint{1}},
 		{"two replicas that restart in turn", restartReports(2, repeat(6, 1)...), nil, nil, []Fingerprint{1}},
 		{"two replicas that restart in turn, another request at all crashes", restartReports(2, repeat(3, 1, 9)...), nil, nil, nil},
 		{"one incarnation in two reports", append(restartReports(1, repeat(2, 1)...), Report{
-			Observer: "j", Replica: incarnation("a", "1"), Requests: inFlight{1}, EventTime: clock.EventTime{At: start.Add(5 * crashInterval)},
+			Observer: "j", Replica: incarnation("a", "1"), Requests: whole(1), EventTime: clock.EventTime{At: start.Add(5 * crashInterval)},
 		}), nil, nil, nil},
 		{"another observer's report completes a crash", append(crashReports(inFlight{9}, inFlight{1, 9}, inFlight{1, 9}, inFlight{1}), Report{
-			Observer: "j", Replica: incarnation("a", ""), Requests: inFlight{1}, EventTime: clock.EventTime{At: start},
+			Observer: "j", Replica: incarnation("a", ""), Requests: whole(1), EventTime: clock.EventTime{At: start},
 		}), nil, nil, []Fingerprint{1}},
 	}
 	for _, c := range cases {
--- a/core/forwarding/attempts.go
+++ b/core/forwarding/attempts.go
@@ -187,7 +187,7 @@
 	case r == nil:
 	case !r.HasCall(uint64(c.ID)):
 		if e.Severed {
-			f.Quarantine.SeveredByReplicaEnd(now, c.Forward.Fingerprint, c.Life)
+			f.Quarantine.SeveredByReplicaEnd(now, c.Forward.Identity(), c.Service, c.Life)
 		}
 	case e.Misdirected && e.Incarnation != "" && e.Incarnation != c.Replica:
 		r.DropCall(uint64(c.ID))
@@ -219,7 +219,7 @@
 			f.Pool.CallFailed(now, r, uint64(c.ID), c.Started)
 		}
 		if e.Severed {
-			f.Quarantine.Severed(now, c.Forward.Fingerprint, r)
+			f.Quarantine.Severed(now, c.Forward.Identity(), r)
 		}
 	}
 }
@@ -293,7 +293,16 @@
 
 // callerLeft handles a caller that disconnected while its call ran at r.
 func (f *Forwarder) callerLeft(now clock.Instant, c *calls.Call, r *pool.Replica) {
-	f.Quarantine.CallerDisconnected(now, c.Forward.Fingerprint, r)
+	f.Quarantine.CallerDisconnected(now, c.Forward.Identity(), r)
+}
+
+// partNames returns the parts of a call's prompt that other requests may have too, for logs.
+func partNames(c *calls.Call) []string {
+	var out []string
+	for _, part := range c.Forward.Identity().Parts {
+		out = append(out, part.String())
+	}
+	return out
 }
 
 // quarantinedRefusal returns the refusal of a call whose request is in quarantine for the
--- a/core/forwarding/forwarding_test.go
+++ b/core/forwarding/forwarding_test.go
@@ -13,6 +13,7 @@
 	"github.com/birchdrift/birchdrift/core/code"
 	"github.com/birchdrift/birchdrift/core/config"
 	"github.com/birchdrift/birchdrift/core/crash"
+	"github.com/birchdrift/birchdrift/core/crash/crashtest"
 	"github.com/birchdrift/birchdrift/core/demand"
 	"github.com/birchdrift/birchdrift/core/links"
 	"github.com/birchdrift/birchdrift/core/member"
@@ -354,7 +355,7 @@
 	c.Forward.Fingerprint = 7
 	is.True(!f.mustDelay(start, c, s))
 	for seq := range uint64(crash.MaxCrashes) {
-		report := crash.Report{Observer: "i", Seq: seq, Replica: pool.Incarnation{Name: string(rune('a' + seq))}, Requests: []crash.Fingerprint{7, 8}}
+		report := crash.Report{Observer: "i", Seq: seq, Replica: pool.Incarnation{Name: string(rune('a' + seq))}, Requests: crashtest.Requests(7, 8)}
 		f.Quarantine.HandlePeerReports(start, "i", []crash.Report{report}, nil)
 	}
 	is.True(f.mustDelay(start, c, s))
--- a/core/forwarding/place.go
+++ b/core/forwarding/place.go
@@ -232,7 +232,7 @@
 		e.Replica.MarkUsed(c.Item)
 		f.Used(now, c.Replica, c.Item)
 	}
-	f.Out.Log(logevent.CallSent, "call", c.Forward.Name, "fingerprint", c.Forward.Fingerprint.String(), "service", c.Service, "item", c.Item, "attempt", c.History.Attempts,
+	f.Out.Log(logevent.CallSent, "call", c.Forward.Name, "fingerprint", c.Forward.Fingerprint.String(), "parts", partNames(c), "service", c.Service, "item", c.Item, "attempt", c.History.Attempts,
 		"rank", s.rank(), "target_ms", c.Target.Milliseconds(), "gap_ms", s.route.MaxEventGap.Milliseconds(), "tokens", c.PromptTokens,
 		"replica", c.Replica, "software", e.Replica.Announcement().Software, "resumes", c.Forward.Resumes, "last_event", s.progress.lastEvent, "waited_ms", now.Since(c.Arrived).Milliseconds(), "ahead_ms", e.Ahead.Milliseconds(),
 		"prefill_ms", e.Prefill.Milliseconds(), "other_ms", e.Other.Milliseconds(), "cached", e.Cached, "calls_there", e.Calls,
--- a/core/gossip/gossip_test.go
+++ b/core/gossip/gossip_test.go
@@ -9,6 +9,7 @@
 	"github.com/birchdrift/birchdrift/core/clock"
 	"github.com/birchdrift/birchdrift/core/clock/clocktest"
 	"github.com/birchdrift/birchdrift/core/crash"
+	"github.com/birchdrift/birchdrift/core/crash/crashtest"
 	"github.com/birchdrift/birchdrift/core/era"
 	"github.com/birchdrift/birchdrift/core/pool"
 	"github.com/birchdrift/birchdrift/core/registry"
@@ -35,7 +36,7 @@
 	}
 	crashed := func(seq uint64, requests ...crash.Fingerprint) func(*Set) bool {
 		return func(s *Set) bool {
-			return s.AddCrash("", crash.Report{Observer: "i", Boot: 1, Seq: seq, Requests: requests, EventTime: clock.EventTime{At: clocktest.At(time.Hour)}})
+			return s.AddCrash("", crash.Report{Observer: "i", Boot: 1, Seq: seq, Requests: crashtest.Requests(requests...), EventTime: clock.EventTime{At: clocktest.At(time.Hour)}})
 		}
 	}
 	served := func(at time.Duration) func(*Set) bool {
--- a/core/instance/gone_test.go
+++ b/core/instance/gone_test.go
@@ -10,6 +10,7 @@
 	"github.com/birchdrift/birchdrift/core/attempt"
 	"github.com/birchdrift/birchdrift/core/calls"
 	"github.com/birchdrift/birchdrift/core/crash"
+	"github.com/birchdrift/birchdrift/core/crash/crashtest"
 	"github.com/birchdrift/birchdrift/core/forwarding"
 	"github.com/birchdrift/birchdrift/core/option"
 	"github.com/birchdrift/birchdrift/core/owned"
@@ -99,7 +100,7 @@
 		}, nil},
 		{"the call waits for the trial runs of a suspected request", calls.Waiting, func(h *soloHarness) {
 			for seq := range uint64(crash.MaxCrashes) {
-				r := crash.Report{Observer: "j", Seq: seq, Replica: pool.Incarnation{Name: fmt.Sprint(seq)}, Requests: []crash.Fingerprint{7, 8}}
+				r := crash.Report{Observer: "j", Seq: seq, Replica: pool.Incarnation{Name: fmt.Sprint(seq)}, Requests: crashtest.Requests(7, 8)}
 				h.m.quarantine.HandlePeerReports(h.now, "j", []crash.Report{r}, nil)
 			}
 			h.arrive("m0", "")
--- a/core/quarantine/evidence.go
+++ b/core/quarantine/evidence.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -56,7 +57,8 @@
 type evidence struct {
 	at        clock.Instant // time of the first sign
 	address   string
-	requests  []crash.Fingerprint // in flight at the replica; in ascending order
+	service   string          // of the replica
+	requests  []crash.Request // in flight at the replica; in ascending order of their fingerprints
 	endedAt   clock.Instant       // first sign that the replica's process has ended; zero: there was none
 	checkSent bool                // a Check was sent
 	seq       uint64              // sequence number of the report, 0 if none was sent
@@ -65,29 +67,32 @@
 
 // Severed records that a request's call was severed by its replica, or by the replica's
 // machine, before the response was complete.
-func (t *Tracker) Severed(now clock.Instant, request crash.Fingerprint, r *pool.Replica) {
-	if request == 0 || r.Leaving() {
+func (t *Tracker) Severed(now clock.Instant, request crash.Request, r *pool.Replica) {
+	if request.Fingerprint == 0 || r.Leaving() {
 		return // the end of a leaving replica is planned
 	}
 	replica := r.Incarnation()
 	e := t.evidenceOf(now, replica)
 	e.address = r.Address
+	e.service = r.Service
 	e.add(request)
 }
 
-// SeveredByReplicaEnd records that a request's call was at an incarnation of a replica that is
-// known to have ended, since its next incarnation is running.
-func (t *Tracker) SeveredByReplicaEnd(now clock.Instant, request crash.Fingerprint, replica pool.Incarnation) {
-	if request == 0 {
+// SeveredByReplicaEnd records that a request's call was at an incarnation of a service's replica that
+// is known to have ended, since its next incarnation is running.
+func (t *Tracker) SeveredByReplicaEnd(now clock.Instant, request crash.Request, service string, replica pool.Incarnation) {
+	if request.Fingerprint == 0 {
 		return
 	}
 	t.ReplicaEnded(now, replica)
-	t.evidenceOf(now, replica).add(request)
+	e := t.evidenceOf(now, replica)
+	e.service = service
+	e.add(request)
 }
 
 // add records that a request was in flight.
-func (e *evidence) add(request crash.Fingerprint) {
-	i, found := slices.BinarySearch(e.requests, request)
+func (e *evidence) add(request crash.Request) {
+	i, found := crash.SearchRequests(e.requests, request.Fingerprint)
 	if found || len(e.requests) == maxRequests {
 		return
 	}
@@ -96,14 +101,14 @@
 
 // A disconnect is a call whose caller disconnected while it was in flight at a replica.
 type disconnect struct {
-	request crash.Fingerprint
+	request crash.Request
 	at      clock.Instant
 }
 
 // CallerDisconnected records that the caller of a request disconnected while its call was in
 // flight at a replica. The replica may still crash because of that request.
-func (t *Tracker) CallerDisconnected(now clock.Instant, request crash.Fingerprint, r *pool.Replica) {
-	if request == 0 || r.Leaving() {
+func (t *Tracker) CallerDisconnected(now clock.Instant, request crash.Request, r *pool.Replica) {
+	if request.Fingerprint == 0 || r.Leaving() {
 		return
 	}
 	recent := slices.DeleteFunc(t.disconnects[r.Incarnation()], func(d disconnect) bool { return d.expired(now) })
@@ -166,17 +171,38 @@
 	if e.seq == 0 {
 		t.seq++
 		e.seq = t.seq
-		t.Out.Log(logevent.UpstreamEnded, "upstream", replica.Name, "calls", len(e.requests))
+		t.Out.Log(logevent.UpstreamEnded, "upstream", replica.Name, "calls", len(e.requests), "parts", partNames(e.requests))
 	}
 	t.addSuspects(e.requests)
 	r := crash.Report{
-		Observer: t.Self.Name, Boot: t.Self.Boot, Seq: e.seq, Replica: replica, Requests: slices.Clone(e.requests),
+		Observer: t.Self.Name, Boot: t.Self.Boot, Seq: e.seq, Replica: replica, Service: e.service, Requests: slices.Clone(e.requests),
 		EventTime: clock.EventTime{At: e.at},
 	}
 	t.Records.AddCrash("", r)
 	t.scheduleUpdates(now, true, t.ownReportInterval(r))
 }
 
+// maxLoggedParts bounds the parts in one line of the log.
+const maxLoggedParts = 32
+
+// partNames returns the parts of requests for logs, the most frequent first.
+func partNames(requests []crash.Request) []string {
+	count := map[crash.PartID]int{}
+	for _, r := range requests {
+		for _, part := range r.Parts {
+			count[part]++
+		}
+	}
+	parts := slices.SortedFunc(maps.Keys(count), func(a, b crash.PartID) int {
+		return cmp.Or(cmp.Compare(count[b], count[a]), cmp.Compare(a, b))
+	})
+	var out []string
+	for _, part := range parts[:min(len(parts), maxLoggedParts)] {
+		out = append(out, part.String())
+	}
+	return out
+}
+
 // checkReplicas emits one Check for each replica that severed calls, checkDelay after the first
 // of them, unless its process is known to have ended.
 func (t *Tracker) checkReplicas(now clock.Instant) {
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -150,7 +150,7 @@
 // blamed. In a fleet whose instances relay reports, peers' reports that are not urgent are passed
 // on with the next regular exchanges, and own ones are sent once per relayedShareInterval at most.
 func (t *Tracker) urgent(r crash.Report) bool {
-	return slices.ContainsFunc(r.Requests, t.suspected)
+	return slices.ContainsFunc(r.Requests, func(request crash.Request) bool { return t.suspected(request.Fingerprint) })
 }
 
 // scheduleUpdates schedules the evaluation of new records after settleTime and, if share is
@@ -165,9 +165,9 @@
 }
 
 // addSuspects marks the requests of a crash report as possible causes.
-func (t *Tracker) addSuspects(requests []crash.Fingerprint) {
+func (t *Tracker) addSuspects(requests []crash.Request) {
 	for _, r := range requests {
-		t.suspects[r] = true
+		t.suspects[r.Fingerprint] = true
 	}
 }
 
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -10,6 +10,7 @@
 	"github.com/birchdrift/birchdrift/core/clock"
 	"github.com/birchdrift/birchdrift/core/clock/clocktest"
 	"github.com/birchdrift/birchdrift/core/crash"
+	"github.com/birchdrift/birchdrift/core/crash/crashtest"
 	"github.com/birchdrift/birchdrift/core/member"
 	"github.com/birchdrift/birchdrift/core/option"
 	"github.com/birchdrift/birchdrift/core/pool"
@@ -64,11 +65,14 @@
 	return f.Out.Actions()
 }
 
+// whole returns a request whose prompt has no shared parts.
+func whole(fingerprint crash.Fingerprint) crash.Request { return crash.Request{Fingerprint: fingerprint} }
+
 // crash simulates the crash of a replica that runs requests.
 func (f *fixture) crash(name string, requests ...crash.Fingerprint) {
 	r := f.replica(name, false)
 	for _, request := range requests {
-		f.Severed(f.now, request, r)
+		f.Severed(f.now, whole(request), r)
 	}
 	f.ReplicaEnded(f.now, incarnation(name))
 }
@@ -96,41 +100,41 @@
 		{"nothing listens, then severed", func(b *fixture) {
 			r := b.replica("r", false)
 			b.ReplicaEnded(b.now, incarnation("r"))
-			b.Severed(b.now, bad, r)
+			b.Severed(b.now, whole(bad), r)
 		}, 1},
 		{"severed, and a check shows that nothing listens", func(b *fixture) {
-			b.Severed(b.now, bad, b.replica("r", false))
+			b.Severed(b.now, whole(bad), b.replica("r", false))
 			b.advance(2 * checkDelay)
 			b.Checked(b.now, Checked{Replica: incarnation("r"), Ended: true})
 		}, 1},
 		{"severed, and a check shows that it listens", func(b *fixture) {
-			b.Severed(b.now, bad, b.replica("r", false))
+			b.Severed(b.now, whole(bad), b.replica("r", false))
 			b.advance(2 * checkDelay)
 			b.Checked(b.now, Checked{Replica: incarnation("r")})
 		}, 0},
-		{"severed, without a check result", func(b *fixture) { b.Severed(b.now, bad, b.replica("r", false)) }, 0},
+		{"severed, without a check result", func(b *fixture) { b.Severed(b.now, whole(bad), b.replica("r", false)) }, 0},
 		{"nothing listens, and no call was severed", func(b *fixture) { b.ReplicaEnded(b.now, incarnation("r")) }, 0},
 		{"severed by a leaving replica", func(b *fixture) {
-			b.Severed(b.now, bad, b.replica("r", true))
+			b.Severed(b.now, whole(bad), b.replica("r", true))
 			b.ReplicaEnded(b.now, incarnation("r"))
 		}, 0},
 		{"severed long before nothing listens", func(b *fixture) {
-			b.Severed(b.now, bad, b.replica("r", false))
+			b.Severed(b.now, whole(bad), b.replica("r", false))
 			b.advance(2 * evidenceWindow)
 			b.ReplicaEnded(b.now, incarnation("r"))
 		}, 0},
 		{"caller disconnected just before", func(b *fixture) {
-			b.CallerDisconnected(b.now, bad, b.replica("r", false))
+			b.CallerDisconnected(b.now, whole(bad), b.replica("r", false))
 			b.advance(100 * time.Millisecond)
 			b.crash("r", 8)
 		}, 2},
 		{"caller disconnected just before, no other calls", func(b *fixture) {
-			b.CallerDisconnected(b.now, bad, b.replica("r", false))
+			b.CallerDisconnected(b.now, whole(bad), b.replica("r", false))
 			b.advance(100 * time.Millisecond)
 			b.ReplicaEnded(b.now, incarnation("r"))
 		}, 1},
 		{"caller disconnected long before", func(b *fixture) {
-			b.CallerDisconnected(b.now, bad, b.replica("r", false))
+			b.CallerDisconnected(b.now, whole(bad), b.replica("r", false))
 			b.advance(2 * disconnectWindow)
 			b.crash("r", 8)
 		}, 1},
@@ -162,7 +166,7 @@
 	b := newFixture()
 	r := b.replica("r", false)
 	for request := range crash.Fingerprint(20) {
-		b.Severed(b.now, request+1, r)
+		b.Severed(b.now, whole(request+1), r)
 	}
 	b.crash("gone", bad)
 	is.Equal(actionsOf[Check](b.advance(time.Second)), []Check{{Replica: incarnation("r"), Address: "r"}})
@@ -221,7 +225,7 @@
 			var late []crash.Report
 			for n, replica := range []string{"a", "b", "c", "d"} {
 				late = append(late, crash.Report{
-					Observer: "j", Seq: uint64(n), Replica: incarnation(replica), Requests: []crash.Fingerprint{8}, EventTime: clock.EventTime{Age: time.Duration(3-n) * time.Second},
+					Observer: "j", Seq: uint64(n), Replica: incarnation(replica), Requests: crashtest.Requests(8), EventTime: clock.EventTime{Age: time.Duration(3-n) * time.Second},
 				})
 			}
 			b.HandlePeerReports(b.now, "j", late, nil)
@@ -230,7 +234,7 @@
 			var late []crash.Report
 			for n, replica := range []string{"a", "b", "c"} {
 				late = append(late, crash.Report{
-					Observer: "j", Seq: uint64(n), Replica: incarnation(replica), Requests: []crash.Fingerprint{8}, EventTime: clock.EventTime{Age: time.Duration(3-n) * time.Second},
+					Observer: "j", Seq: uint64(n), Replica: incarnation(replica), Requests: crashtest.Requests(8), EventTime: clock.EventTime{Age: time.Duration(3-n) * time.Second},
 				})
 			}
 			b.HandlePeerReports(b.now, "j", late, nil)
@@ -304,7 +308,7 @@
 	}
 	is.True(b.exchanges <= 2+int(500*time.Millisecond/shareInterval))
 	report := func(seq uint64) []crash.Report {
-		return []crash.Report{{Observer: "j", Seq: seq, Replica: incarnation("x"), Requests: []crash.Fingerprint{8}}}
+		return []crash.Report{{Observer: "j", Seq: seq, Replica: incarnation("x"), Requests: crashtest.Requests(8)}}
 	}
 	b.advance(time.Second)
 	before := b.exchanges
@@ -319,7 +323,7 @@
 	b.advance(time.Second)
 	is.Equal(b.exchanges, before)
 	for seq := range uint64(4) {
-		report := crash.Report{Observer: "k", Seq: seq, Replica: incarnation(string(rune('p' + seq))), Requests: []crash.Fingerprint{8}}
+		report := crash.Report{Observer: "k", Seq: seq, Replica: incarnation(string(rune('p' + seq))), Requests: crashtest.Requests(8)}
 		b.HandlePeerReports(b.now, "k", []crash.Report{report}, nil)
 		b.advance(10 * time.Millisecond)
 	}
@@ -365,7 +369,7 @@
 	is.True(len(b.suspects) <= maxReports*maxRequests)
 	busy := b.replica("busy", false)
 	for n := range crash.Fingerprint(4 * maxRequests) {
-		b.CallerDisconnected(b.now, n+1, busy)
+		b.CallerDisconnected(b.now, whole(n+1), busy)
 		b.now = b.now.Add(time.Millisecond)
 	}
 	is.True(len(b.disconnects[incarnation("busy")]) <= maxRequests)
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -26,11 +26,11 @@
 	// Requested is the event that a peer asks this instance to relay an attempt. It is
 	// answered by a Decided with the same Token.
 	Requested struct {
-		Token       uint64
-		From        string // the peer
-		Call        string // the caller's identifier of the call, for logs
-		Replica     string
-		Fingerprint crash.Fingerprint
+		Token   uint64
+		From    string // the peer
+		Call    string // the caller's identifier of the call, for logs
+		Replica string
+		Request crash.Request
 	}
 	// Decided is the action that answers a Requested. If Failure is RelaySucceeded, the
 	// attempt is sent to Address and followed by an Ended with the same Token.
@@ -95,7 +95,7 @@
 // A relayed is one attempt in flight.
 type relayed struct {
 	replica pool.Incarnation
-	request crash.Fingerprint
+	request crash.Request
 	sent    clock.Instant
 }
 
@@ -113,7 +113,7 @@
 	if failure == links.RelaySucceeded {
 		d.Address = r.Address
 		r.ExposeRelay(e.Token)
-		x.inFlight[e.Token] = relayed{replica: r.Incarnation(), request: e.Fingerprint, sent: now}
+		x.inFlight[e.Token] = relayed{replica: r.Incarnation(), request: e.Request, sent: now}
 	}
 	x.Out.Log(logevent.CallRelayed, "call", e.Call, "from", e.From, "replica", e.Replica, "failure", failure.String(), "in_flight", len(x.inFlight))
 	x.Out.Emit(d)
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -46,7 +46,7 @@
 // request sends a request and returns the decision.
 func (x *Relay) request(token uint64, from, replica string) Decided {
 	x.Out.Reset()
-	x.HandleRequest(start, Requested{Token: token, From: from, Replica: replica, Fingerprint: 7})
+	x.HandleRequest(start, Requested{Token: token, From: from, Replica: replica, Request: crash.Request{Fingerprint: 7}})
 	for _, a := range x.Out.Actions() {
 		if d, ok := a.(Decided); ok {
 			return d
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -239,7 +239,7 @@
 		address = d.Relay.Address
 		f.handler.Peers.SetKey(header)
 		relay.Attempt{
-			Replica: d.Replica, From: f.handler.Name, Call: f.call.Forward.Name, Fingerprint: f.call.Forward.Fingerprint, Repeatable: d.Repeatable,
+			Replica: d.Replica, From: f.handler.Name, Call: f.call.Forward.Name, Request: f.call.Forward.Identity(), Repeatable: d.Repeatable,
 		}.SetHeaders(header)
 	}
 	return service.Call{
--- a/internal/losses/call.go
+++ b/internal/losses/call.go
@@ -154,4 +154,5 @@
 	}
 	l.explainMissed()
 	l.countStreams()
+	l.countParts()
 }
--- a/internal/losses/losses_test.go
+++ b/internal/losses/losses_test.go
@@ -196,3 +196,33 @@
 		}
 	}
 }
+
+// TestPartsOfCrashedReplicasAreListed checks the table of parts of prompts under which replicas ended.
+func TestPartsOfCrashedReplicasAreListed(t *testing.T) {
+	is := is.New(t)
+	var lines []string
+	for n := range 6 {
+		at := time.Duration(n) * time.Second
+		call := fmt.Sprintf("c%d", n)
+		lines = append(lines,
+			logLine(at, logevent.CallSent, fmt.Sprintf(`"call":%q,"parts":["f","bad"]`, call)),
+			logLine(at, logevent.CallSent, fmt.Sprintf(`"call":"sound%d","parts":["f"]`, n)),
+			logLine(at+time.Second, logevent.CallServed, fmt.Sprintf(`"call":"sound%d"`, n)),
+			logLine(at+time.Second, logevent.UpstreamEnded, fmt.Sprintf(`"upstream":"r%d","parts":["f","bad"]`, n)),
+			logLine(at+time.Second, logevent.UpstreamEnded, fmt.Sprintf(`"upstream":"r%d","parts":["f"]`, n)))
+	}
+	lines = append(lines, logLine(9*time.Second, logevent.CallSent, `"call":"d","parts":["bad"]`))
+	l, err := Read(strings.NewReader(strings.Join(lines, "\n")))
+	is.NoErr(err)
+	var out strings.Builder
+	is.NoErr(l.Report(&out))
+	for _, want := range []string{
+		"ENDED UNDER PART  REPLICAS  FIFTH AT  SENT  SENT LATER THAN 3s AFTER IT  SERVED",
+		"bad               6         03:04:10  7     1                            0",
+		"f                 6         03:04:10  12    0                            6",
+	} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("%q is missing in\n%s", want, out.String())
+		}
+	}
+}
--- a/internal/losses/record.go
+++ b/internal/losses/record.go
@@ -54,6 +54,10 @@
 	Resumes   string `json:"resumes"`
 	LastEvent int    `json:"last_event"`
 
+	// Fields of attempts and of replicas that ended.
+	Parts    []string `json:"parts"`
+	Upstream string   `json:"upstream"`
+
 	// Fields of retries.
 	Part retrybudget.Part `json:"part"`
 	Boot uint64           `json:"boot"`
@@ -75,6 +79,8 @@
 	retries        map[string]*retryLog  // by service
 	streams        map[string]*streamLog // by service
 	streamAttempts []streamAttempt
+	parts          map[string]*partLog // by part
+	servedCalls    []string
 	placerStarts   []time.Time // when some instance became the placer
 	starts         map[string][]time.Time
 	first          time.Time
@@ -91,7 +97,7 @@
 func Read(in io.Reader) (*Log, error) {
 	l := &Log{
 		calls: map[string]*call{}, openPlacements: map[placementKey]*placement{}, orders: map[orderKey][]time.Time{}, starts: map[string][]time.Time{},
-		retries: map[string]*retryLog{}, streams: map[string]*streamLog{},
+		retries: map[string]*retryLog{}, streams: map[string]*streamLog{}, parts: map[string]*partLog{},
 	}
 	scanner := bufio.NewScanner(in)
 	scanner.Buffer(make([]byte, 0, 64<<10), maxLineSize)
@@ -130,6 +136,7 @@
 // addEvent adds one event to the log.
 func (l *Log) addEvent(r record) {
 	l.addStreamEvent(r)
+	l.addPartEvent(r)
 	switch r.Event {
 	case logevent.CallSent, logevent.RetryCharged, logevent.CallNotRepeated:
 		l.addRetryEvent(r)
--- a/internal/losses/report.go
+++ b/internal/losses/report.go
@@ -26,7 +26,7 @@
 const barSymbols = "#~-x?"
 
 // Report writes the tables of calls by reason, zone, rank, model and time window, and the
-// tables of retries and of streams.
+// tables of retries, of streams and of parts of prompts.
 func (l *Log) Report(out io.Writer) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	all := slices.SortedFunc(maps.Values(l.calls), func(a, b *call) int {
@@ -47,6 +47,7 @@
 	l.writeWindows(w, all)
 	l.writeRetries(w)
 	l.writeStreams(w)
+	l.writeParts(w)
 	return w.Flush()
 }
 
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"github.com/birchdrift/birchdrift/core/clock"
@@ -226,22 +225,47 @@
 func fromMilliseconds(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
 
 func encodeCrash(c crash.Report) *peerpb.Crash {
-	out := &peerpb.Crash{Observer: c.Observer, Boot: c.Boot, Seq: c.Seq, Replica: c.Replica.Name, Born: c.Replica.Born, AgeMs: toMilliseconds(c.Age)}
+	out := &peerpb.Crash{Observer: c.Observer, Boot: c.Boot, Seq: c.Seq, Replica: c.Replica.Name, Born: c.Replica.Born, Service: c.Service, AgeMs: toMilliseconds(c.Age)}
 	for _, r := range c.Requests {
-		out.Requests = append(out.Requests, uint64(r))
+		out.Requests = append(out.Requests, uint64(r.Fingerprint))
+		if len(r.Parts) > 0 {
+			out.Prompts = append(out.Prompts, encodePrompt(r))
+		}
+	}
+	return out
+}
+
+func encodePrompt(r crash.Request) *peerpb.CrashedPrompt {
+	out := &peerpb.CrashedPrompt{Request: uint64(r.Fingerprint), Model: r.Model}
+	for _, part := range r.Parts {
+		out.Parts = append(out.Parts, uint64(part))
 	}
 	return out
 }
 
 func decodeCrash(c *peerpb.Crash) crash.Report {
 	out := crash.Report{
-		Observer: c.GetObserver(), Boot: c.GetBoot(), Seq: c.GetSeq(), Replica: pool.Incarnation{Name: c.GetReplica(), Born: c.GetBorn()},
+		Observer: c.GetObserver(), Boot: c.GetBoot(), Seq: c.GetSeq(), Replica: pool.Incarnation{Name: c.GetReplica(), Born: c.GetBorn()}, Service: c.GetService(),
 		EventTime: eventTimeOfAge(c.GetAgeMs()),
 	}
 	for _, r := range c.GetRequests() {
-		out.Requests = append(out.Requests, crash.Fingerprint(r))
+		out.Requests = append(out.Requests, crash.Request{Fingerprint: crash.Fingerprint(r)})
+	}
+	crash.SortRequests(out.Requests) // lookups require sorted requests, and a peer may send them unsorted
+	for _, p := range c.GetPrompts() {
+		if i, found := crash.SearchRequests(out.Requests, crash.Fingerprint(p.GetRequest())); found {
+			out.Requests[i].Model = p.GetModel()
+			out.Requests[i].Parts = decodeParts(p.GetParts())
+		}
+	}
+	return out
+}
+
+func decodeParts(parts []uint64) []crash.PartID {
+	var out []crash.PartID
+	for _, part := range parts[:min(len(parts), crash.MaxParts)] {
+		out = append(out, crash.PartID(part))
 	}
-	slices.Sort(out.Requests) // lookups require sorted requests, and a peer may send them unsorted
 	return out
 }
 
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -46,7 +46,8 @@
 				{Key: "owners/f", Revision: 15, Gone: true},
 			},
 			Crashes: []crash.Report{{
-				Observer: "a", Boot: 18, Seq: 19, Replica: pool.Incarnation{Name: "e", Born: "29"}, Requests: []crash.Fingerprint{20, 1 << 63}, EventTime: clock.EventTime{Age: 21 * time.Millisecond},
+				Observer: "a", Boot: 18, Seq: 19, Replica: pool.Incarnation{Name: "e", Born: "29"}, Service: "s",
+				Requests: []crash.Request{{Fingerprint: 20, Model: "m", Parts: []crash.PartID{46, 1 << 63}}, {Fingerprint: 1 << 63}}, EventTime: clock.EventTime{Age: 21 * time.Millisecond},
 			}},
 			Successes: []crash.Success{{Request: 22, EventTime: clock.EventTime{Age: 23 * time.Millisecond}}},
 			Leaving:   []gossip.Leaving{{Incarnation: pool.Incarnation{Name: "e", Born: "24"}}},
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -45,7 +45,7 @@
 		return
 	}
 	session, err := h.Shell.BeginRelay(r.Context(), relay.Requested{
-		From: a.From, Call: a.Call, Replica: a.Replica, Fingerprint: a.Fingerprint,
+		From: a.From, Call: a.Call, Replica: a.Replica, Request: a.Request,
 	})
 	if err != nil {
 		return // the sender has canceled the attempt
--- a/internal/relay/wire.go
+++ b/internal/relay/wire.go
@@ -7,9 +7,11 @@
 package relay
 
 import (
+	"fmt"
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 
 	"github.com/birchdrift/birchdrift/core/attempt"
 	"github.com/birchdrift/birchdrift/core/crash"
@@ -22,6 +24,8 @@
 	headerFrom        = "Birchdrift-Relay-From"        // name of the instance that sends it
 	headerCall        = "Birchdrift-Relay-Call"        // the caller's identifier of the call
 	headerFingerprint = "Birchdrift-Relay-Fingerprint" // in hex
+	headerModel       = "Birchdrift-Relay-Model"       // of the request
+	headerParts       = "Birchdrift-Relay-Parts"       // of its prompt, in hex
 	headerRepeatable  = "Birchdrift-Relay-Repeatable"  // "true": the call may run more than once
 )
 
@@ -39,15 +43,15 @@
 var AnswerHeaders = []string{headerRelayed, headerFailure, headerDetail}
 
 // headers are the names of all headers of this package.
-var headers = slices.Concat([]string{headerReplica, headerFrom, headerCall, headerFingerprint, headerRepeatable}, AnswerHeaders)
+var headers = slices.Concat([]string{headerReplica, headerFrom, headerCall, headerFingerprint, headerModel, headerParts, headerRepeatable}, AnswerHeaders)
 
 // An Attempt describes an attempt that is to be relayed.
 type Attempt struct {
-	Replica     string
-	From        string // name of the instance that sends it
-	Call        string // the caller's identifier of the call, for logs
-	Fingerprint crash.Fingerprint
-	Repeatable  bool
+	Replica    string
+	From       string // name of the instance that sends it
+	Call       string // the caller's identifier of the call, for logs
+	Request    crash.Request
+	Repeatable bool
 }
 
 // SetHeaders adds the headers that describe the attempt.
@@ -55,7 +59,11 @@
 	h.Set(headerReplica, a.Replica)
 	h.Set(headerFrom, a.From)
 	h.Set(headerCall, a.Call)
-	h.Set(headerFingerprint, strconv.FormatUint(uint64(a.Fingerprint), 16))
+	h.Set(headerFingerprint, strconv.FormatUint(uint64(a.Request.Fingerprint), 16))
+	if len(a.Request.Parts) > 0 {
+		h.Set(headerModel, a.Request.Model)
+		h.Set(headerParts, formatParts(a.Request.Parts))
+	}
 	h.Set(headerRepeatable, strconv.FormatBool(a.Repeatable))
 }
 
@@ -66,12 +74,45 @@
 	if err != nil {
 		return a, err
 	}
-	a.Fingerprint = crash.Fingerprint(fingerprint)
+	a.Request.Fingerprint = crash.Fingerprint(fingerprint)
+	a.Request.Model = h.Get(headerModel)
+	if a.Request.Parts, err = parseParts(h.Get(headerParts)); err != nil {
+		return a, err
+	}
 	a.Repeatable, err = strconv.ParseBool(h.Get(headerRepeatable))
 	removeHeaders(h)
 	return a, err
 }
 
+// formatParts lists the parts of a prompt.
+func formatParts(parts []crash.PartID) string {
+	var out []string
+	for _, part := range parts {
+		out = append(out, part.String())
+	}
+	return strings.Join(out, ",")
+}
+
+// parseParts parses what formatParts returns.
+func parseParts(v string) ([]crash.PartID, error) {
+	if v == "" {
+		return nil, nil
+	}
+	fields := strings.Split(v, ",")
+	if len(fields) > crash.MaxParts {
+		return nil, fmt.Errorf("%d parts of a prompt, at most %d are allowed", len(fields), crash.MaxParts)
+	}
+	var out []crash.PartID
+	for _, field := range fields {
+		part, err := strconv.ParseUint(field, 16, 64)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, crash.PartID(part))
+	}
+	return out, nil
+}
+
 func removeHeaders(h http.Header) {
 	for _, name := range headers {
 		h.Del(name)
