--- a/core/quarantine/evidence.go
+++ b/core/quarantine/evidence.go
@@ -59,10 +59,10 @@
 	address   string
 	service   string          // of the replica
 	requests  []crash.Request // in flight at the replica; in ascending order of their fingerprints
-	endedAt   clock.Instant       // first sign that the replica's process has ended; zero: there was none
-	checkSent bool                // a Check was sent
-	seq       uint64              // sequence number of the report, 0 if none was sent
-	reported  int                 // number of requests in the last report
+	endedAt   clock.Instant   // first sign that the replica's process has ended; zero: there was none
+	checkSent bool            // a Check was sent
+	seq       uint64          // sequence number of the report, 0 if none was sent
+	reported  int             // number of requests in the last report
 }
 
 // Severed records that a request's call was severed by its replica, or by the replica's
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -66,7 +66,9 @@
 }
 
 // whole returns a request whose prompt has no shared parts.
-func whole(fingerprint crash.Fingerprint) crash.Request { return crash.Request{Fingerprint: fingerprint} }
+func whole(fingerprint crash.Fingerprint) crash.Request {
+	return crash.Request{Fingerprint: fingerprint}
+}
 
 // crash simulates the crash of a replica that runs requests.
 func (f *fixture) crash(name string, requests ...crash.Fingerprint) {
