--- a/core/instance/crash_test.go
+++ b/core/instance/crash_test.go
@@ -67,6 +67,11 @@
 	severedShare float64
 	// keepsNames makes engines that restart keep their names.
 	keepsNames bool
+	// restartDelay is the time after which a crashed engine is replaced.
+	restartDelay time.Duration
+	// parts, if not nil, gives sound requests shared parts of prompts, and observes which of them
+	// begin, and which parts crash engines.
+	parts *partHarness
 	// keepsEntries keeps the entries of crashed engines until the engines write them again.
 	keepsEntries bool
 }
@@ -75,7 +80,8 @@
 type crashCall struct {
 	request calls.Request
 	poison  bool
-	noRetry bool // the caller does not retry it: it is already a retry, or poison sends it again
+	part    crash.PartID // that crashes its engines, 0 if the whole request does
+	noRetry bool         // the caller does not retry it: it is already a retry, or poison sends it again
 	ran     bool
 }
 
@@ -91,7 +97,7 @@
 	h := &crashHarness{
 		f: f, calls: map[calls.ID]*crashCall{}, runs: map[string][]*crashRun{},
 		crashTimes: map[crash.Fingerprint][]time.Duration{}, arrivals: map[crash.Fingerprint][]time.Duration{},
-		startCounts: map[string]int{}, refused: map[crash.Fingerprint]int{},
+		startCounts: map[string]int{}, refused: map[crash.Fingerprint]int{}, restartDelay: restartDelay,
 	}
 	f.crashes = h
 	return h
@@ -117,6 +123,9 @@
 
 // arrive delivers a call that crashes no engine.
 func (h *crashHarness) arrive(n *fleetMember, r calls.Request) {
+	if h.parts != nil {
+		h.parts.prepare(r)
+	}
 	h.calls[r.ID] = &crashCall{request: r}
 	h.f.step(n, n.boot, calls.Arrived{Call: r})
 }
@@ -143,6 +152,9 @@
 	if c.poison {
 		h.arrivals[c.request.Forward.Fingerprint] = append(h.arrivals[c.request.Forward.Fingerprint], h.f.now)
 	}
+	if c.part != 0 {
+		h.parts.reached[c.part] = append(h.parts.reached[c.part], h.f.now)
+	}
 	r := &crashRun{call: c, reply: reply, d: d}
 	h.runs[e.name] = append(h.runs[e.name], r)
 	switch {
@@ -168,6 +180,7 @@
 	h.f.at(h.f.firstTokenDelay, func() {
 		if !r.done {
 			r.began = true
+			h.began(r)
 			r.reply(0, calls.AnswerBegan{ID: r.d.ID})
 		}
 	})
@@ -180,6 +193,16 @@
 	})
 }
 
+// began records that the answer to a call began.
+func (h *crashHarness) began(r *crashRun) {
+	if h.parts == nil {
+		return
+	}
+	if s := h.parts.byCall[r.d.ID]; s != nil {
+		s.began = true
+	}
+}
+
 // sever breaks the connection of a call.
 func (r *crashRun) sever() {
 	r.done = true
@@ -198,11 +221,14 @@
 	}
 	e.dead = true
 	poisons := map[crash.Fingerprint]bool{}
+	parts := map[crash.PartID]bool{}
 	for _, r := range h.runs[e.name] {
 		if r.done {
 			continue
 		}
-		if r.call.poison {
+		if r.call.part != 0 {
+			parts[r.call.part] = true
+		} else if r.call.poison {
 			poisons[r.call.request.Forward.Fingerprint] = true
 		}
 		r.sever()
@@ -210,11 +236,14 @@
 	for p := range poisons {
 		h.crashTimes[p] = append(h.crashTimes[p], h.f.now)
 	}
+	for part := range parts {
+		h.parts.crashed[part] = append(h.parts.crashed[part], h.f.now)
+	}
 	delete(h.runs, e.name)
 	if !h.keepsEntries {
 		h.f.at(entryLifetime, func() { h.f.setKey("servers/"+e.name, nil) })
 	}
-	h.f.at(restartDelay, func() { h.restart(e) })
+	h.f.at(h.restartDelay, func() { h.restart(e) })
 }
 
 // restart starts another engine at the address of one that ended, with the same models, so that
@@ -259,6 +288,9 @@
 	if a.Refusal.Code == codeQuarantined {
 		h.refused[fingerprint]++
 		if !c.poison {
+			if h.parts != nil {
+				h.parts.soundEnd++
+			}
 			h.f.recordViolation("call %d was quarantined, but it crashed no engine", a.ID)
 		}
 	}
@@ -275,7 +307,7 @@
 		forward := *r.Forward
 		r.Forward = &forward
 		r.ID = calls.ID(h.f.eventSeq)
-		h.calls[r.ID] = &crashCall{request: r, noRetry: true}
+		h.calls[r.ID] = &crashCall{request: r, noRetry: true, poison: c.poison, part: c.part}
 		h.f.step(n, n.boot, calls.Arrived{Call: r})
 	})
 }
