proxytest: echo waits for the reply to its own line

Cause: a fault of the test. A line whose echo timed out while the link hung is answered once the link works again. If that reply and the next one do not arrive in one read, the second reply stays in the socket, and the echo over the link that hangs again reads it in place of a reply to its own line.

The check is the same and stricter: a reply to another line no longer passes for a working link.

--- a/internal/upstream/proxytest/link_test.go
+++ b/internal/upstream/proxytest/link_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"syscall"
 	"testing"
@@ -39,16 +40,24 @@
 	return l.Addr().String()
 }
 
-// echo sends a line and waits for the reply.
+// echo sends a line and waits for its reply, past the late replies to lines that were sent before.
 func echo(conn net.Conn, timeout time.Duration) error {
 	if err := conn.SetDeadline(time.Now().Add(timeout)); err != nil {
 		return err
 	}
-	if _, err := fmt.Fprintln(conn, "line"); err != nil {
+	line := fmt.Sprintln(time.Now().UnixNano())
+	if _, err := io.WriteString(conn, line); err != nil {
 		return err
 	}
-	_, err := bufio.NewReader(conn).ReadString('\n')
-	return err
+	for replies := bufio.NewReader(conn); ; {
+		reply, err := replies.ReadString('\n')
+		if err != nil {
+			return err
+		}
+		if reply == line {
+			return nil
+		}
+	}
 }
 
 // TestLinkFaults checks what open and new connections over a link do for each fault, and that the
