--- a/core/crash/blame.go
+++ b/core/crash/blame.go
@@ -10,6 +10,7 @@
 	"github.com/birchdrift/birchdrift/core/pool"
 )
 
+// Limits for a whole request.
 const (
 	// MaxCrashes is how many replicas may end under a request before it is blamed: the users'
 	// bound for a request that crashes replicas.
@@ -19,54 +20,125 @@
 	// attempts each, which bring a harmless request to no more replicas than that. A request
 	// with as many crashes that is sent again is therefore not harmless.
 	certainLimit = 4
-	// coincidenceWindow is the time before the last crash of a request in which there must have
-	// been no crashes but its own. If replicas end for another reason, three of them may end
-	// under any request, if its caller retries it a few times.
-	coincidenceWindow = 10 * time.Second
 )
 
+// Limits for parts of prompts. They count occasions: replicas that end at the same moment may have
+// a common cause, and requests with a popular part are at each of them.
+const (
+	// minPartOccasions is on how many occasions replicas may end under a part with which no
+	// request was served yet, before it is blamed.
+	minPartOccasions = 3
+	// certainPartOccasions is the same, regardless of what else was in flight there or crashed at
+	// the time.
+	certainPartOccasions = 5
+	// servedPartOccasions is the same for a part with which requests were served before the
+	// crashes, but none since. A popular part is in flight at most replicas, and after a few
+	// crashes at once it takes a moment until it is known to have been served.
+	servedPartOccasions = 7
+	// occasionGap is the least time between two occasions.
+	occasionGap = 100 * time.Millisecond
+	// minFurtherCrashes is at how many crashes beside those that single requests explain requests
+	// with a part must have been, for it to explain these as well.
+	minFurtherCrashes = 2
+)
+
+// coincidenceWindow is the time before the last crash of a cause in which there must have been no
+// crashes but its own. If replicas end for another reason, three of them may end under any request,
+// if its caller retries it a few times.
+const coincidenceWindow = 10 * time.Second
+
+// Limits from which requests with a part are held back: sent one after the other.
+const (
+	// heldPartCrashes is how many replicas must have ended under a part with which no request was
+	// served yet.
+	heldPartCrashes = 2
+	// heldServedCrashes is the same for a part with which requests were served before.
+	heldServedCrashes = 5
+)
+
+// A History is what is known of traits beside the reports of crashes.
+type History struct {
+	// Served returns when a request with a trait last succeeded, zero if that is not known.
+	Served func(Trait) clock.Instant
+	// Blamed are the causes that were blamed before. For them one more crash is enough.
+	Blamed []Cause
+}
+
+// LastSuccess returns when a request with all traits of a cause last succeeded, at the latest.
+func (h History) LastSuccess(c Cause) clock.Instant {
+	at := h.Served(c[0])
+	for _, t := range c[1:] {
+		if other := h.Served(t); other.Before(at) {
+			at = other
+		}
+	}
+	return at
+}
+
+// An inFlight is a request that was in flight at a replica that ended.
+type inFlight struct {
+	whole  Trait
+	traits []Trait // whole first
+}
+
 // A replicaCrash is the end of one incarnation of a replica, merged from all reports of it.
 // Crashes are counted by incarnation, since a restarted replica may crash again, under any
 // name: counted by name, a request that crashes two replicas in turn would never be blamed.
 type replicaCrash struct {
+	index    int // among the merged crashes
 	replica  pool.Incarnation
 	at       clock.Instant // time of the earliest report
-	requests []Fingerprint // in ascending order
+	requests []inFlight    // in ascending order of whole
 }
 
-// An Attribution is a request that is blamed, with the replicas that ended under it.
+// has reports whether a request with all traits of a cause was in flight.
+func (c *replicaCrash) has(cause Cause) bool {
+	return slices.ContainsFunc(c.requests, func(r inFlight) bool { return cause.Covers(r.traits) })
+}
+
+// An Attribution is a cause that is blamed, with the replicas that ended under requests with it.
 type Attribution struct {
-	Request  Fingerprint
+	Cause    Cause
 	Replicas []pool.Incarnation
 }
 
-// Blame returns the requests to blame for the crashes in the reports, with the replicas that
-// ended under them. served returns when a request last succeeded; limit returns how many
-// crashes are needed to blame a request. Only reports up to settled count: later ones may be
-// incomplete, because those of other instances may not have arrived.
-func Blame(reports []Report, served func(Fingerprint) clock.Instant, limit func(Fingerprint) int, settled clock.Instant) []Attribution {
-	crashes := mergeReports(reports, settled)
-	byRequest := crashesByRequest(crashes, served, limit)
-	explained := map[*replicaCrash]bool{}
+// Blame returns the causes to blame for the crashes in the reports. Only reports up to settled
+// count: later ones may be incomplete, because those of other instances may not have arrived.
+func Blame(reports []Report, known History, settled clock.Instant) []Attribution {
+	j := newJudge(mergeReports(reports, settled), known)
 	var attributions []Attribution
-	blame := func(request Fingerprint) {
-		attributions = append(attributions, Attribution{Request: request, Replicas: replicasOf(byRequest[request])})
-		for _, c := range byRequest[request] {
-			explained[c] = true
+	for {
+		blamed := j.nextBlamed()
+		if len(blamed) == 0 {
+			return attributions
 		}
-		delete(byRequest, request)
-	}
-	for _, request := range slices.Sorted(maps.Keys(byRequest)) {
-		if len(byRequest[request]) >= certainLimit {
-			blame(request)
+		for _, c := range blamed {
+			attributions = append(attributions, Attribution{Cause: c.cause, Replicas: replicasOf(j.crashesUnder(c.cause))})
+		}
+		for _, c := range blamed {
+			j.explain(c)
 		}
 	}
+}
+
+// Held returns the causes other than whole requests under which so many replicas ended that
+// requests with them are sent one after the other.
+func Held(reports []Report, known History, now clock.Instant) []Cause {
+	j := newJudge(mergeReports(reports, now), known)
+	var held []Cause
 	for {
-		request, ok := nextBlamed(crashes, byRequest, explained, limit)
-		if !ok {
-			return attributions
+		heaviest := j.heaviest()
+		if len(heaviest) == 0 {
+			return held
+		}
+		for _, c := range heaviest {
+			if c.held() {
+				held = append(held, c.cause)
+			}
+		}
+		for _, c := range heaviest {
+			j.explain(c)
 		}
-		blame(request)
 	}
 }
 
@@ -82,8 +154,10 @@
 		if r.At.Before(c.at) {
 			c.at = r.At
 		}
-		for _, request := range r.Requests {
-			c.requests = append(c.requests, request.Fingerprint)
+		for _, traits := range r.Traits() {
+			if len(traits) > 0 {
+				c.requests = append(c.requests, inFlight{whole: traits[0], traits: traits})
+			}
 		}
 	}
 	var crashes []*replicaCrash
@@ -92,67 +166,359 @@
 		if settled.Before(c.at) {
 			continue
 		}
-		slices.Sort(c.requests)
-		c.requests = slices.Compact(c.requests)
+		slices.SortStableFunc(c.requests, func(a, b inFlight) int { return cmp.Compare(a.whole, b.whole) })
+		c.requests = slices.CompactFunc(c.requests, func(a, b inFlight) bool { return a.whole == b.whole })
+		c.index = len(crashes)
 		crashes = append(crashes, c)
 	}
 	return crashes
 }
 
-// crashesByRequest returns the crashes by request, for the requests with enough crashes to be
-// blamed, without the crashes after which the request succeeded. Nearly all requests have one
-// crash and are skipped early.
-func crashesByRequest(crashes []*replicaCrash, served func(Fingerprint) clock.Instant, limit func(Fingerprint) int) map[Fingerprint][]*replicaCrash {
-	count := map[Fingerprint]int{}
+// A judge finds the causes that explain crashes.
+type judge struct {
+	known     History
+	crashes   []*replicaCrash
+	wholes    map[Trait]bool            // traits of being one request
+	byTrait   map[Trait][]*replicaCrash // that count against it, for the traits with enough of them
+	explained map[*replicaCrash]explanation
+}
+
+// An explanation says what explains a crash.
+type explanation int
+
+// The explanations.
+const (
+	notExplained explanation = iota
+	byWhole                  // a whole request
+	byPart                   // a part of prompts
+)
+
+func newJudge(crashes []*replicaCrash, known History) *judge {
+	j := &judge{known: known, crashes: crashes, wholes: map[Trait]bool{}, byTrait: map[Trait][]*replicaCrash{}, explained: map[*replicaCrash]explanation{}}
+	count := map[Trait]int{}
 	for _, c := range crashes {
-		for _, request := range c.requests {
-			count[request]++
+		for t := range c.traits() {
+			count[t]++
+		}
+	}
+	blamed := map[Trait]bool{}
+	for _, cause := range known.Blamed {
+		if len(cause) == 1 {
+			blamed[cause[0]] = true
 		}
 	}
-	byRequest := map[Fingerprint][]*replicaCrash{}
 	for _, c := range crashes {
-		for _, request := range c.requests {
-			if request != 0 && count[request] >= limit(request) && served(request).Before(c.at) {
-				byRequest[request] = append(byRequest[request], c)
+		for t, whole := range c.traits() {
+			// Nearly all traits have one crash and are skipped here.
+			if (count[t] >= heldPartCrashes || blamed[t]) && known.Served(t).Before(c.at) {
+				j.byTrait[t] = append(j.byTrait[t], c)
+				j.wholes[t] = whole
 			}
 		}
 	}
-	return byRequest
+	return j
+}
+
+// traits returns the traits of the requests in flight, and whether they are those of being one
+// request.
+func (c *replicaCrash) traits() map[Trait]bool {
+	traits := map[Trait]bool{}
+	for _, r := range c.requests {
+		for _, t := range r.traits {
+			traits[t] = traits[t] || t == r.whole
+		}
+	}
+	return traits
+}
+
+// explain records that a candidate explains its crashes.
+func (j *judge) explain(c candidate) {
+	by := byPart
+	if c.whole {
+		by = byWhole
+	}
+	for _, x := range c.crashes {
+		j.explained[x] = max(j.explained[x], by)
+	}
+}
+
+// explainedUpTo returns the crashes that have no better explanation than most.
+func (j *judge) explainedUpTo(most explanation, crashes []*replicaCrash) []*replicaCrash {
+	return slices.DeleteFunc(slices.Clone(crashes), func(c *replicaCrash) bool { return j.explained[c] > most })
+}
+
+// unexplained returns the crashes of a trait that nothing else explains. What single requests explain
+// may still be due to a part, if other requests with it were at further crashes.
+func (j *judge) unexplained(t Trait) []*replicaCrash {
+	all := j.explainedUpTo(notExplained, j.byTrait[t])
+	if j.wholes[t] || len(all) < minFurtherCrashes {
+		return all
+	}
+	return j.explainedUpTo(byWhole, j.byTrait[t])
+}
+
+// crashesUnder returns all crashes that count against a cause.
+func (j *judge) crashesUnder(cause Cause) []*replicaCrash {
+	served := j.known.LastSuccess(cause)
+	return slices.DeleteFunc(slices.Clone(j.crashes), func(c *replicaCrash) bool { return !served.Before(c.at) || !c.has(cause) })
+}
+
+// A candidate is a cause that may explain crashes that nothing else explains.
+type candidate struct {
+	cause   Cause
+	crashes []*replicaCrash // in the order of their replicas
+	whole   bool            // the cause is a whole request
+	served  bool            // requests with each of its traits were served before the crashes
+	blamed  bool            // it was blamed before
+}
+
+// weight returns how well the candidate explains its crashes. A part with which requests were
+// served before the crashes is a less likely cause.
+func (c candidate) weight() int {
+	if c.served && !c.whole {
+		return len(c.crashes)
+	}
+	return 2 * len(c.crashes)
+}
+
+// occasions returns the number of moments at which replicas ended.
+func (c candidate) occasions() int {
+	var times []clock.Instant
+	for _, x := range c.crashes {
+		times = append(times, x.at)
+	}
+	slices.SortFunc(times, func(a, b clock.Instant) int { return cmp.Compare(a.Mono, b.Mono) })
+	n := 0
+	var last clock.Instant
+	for _, at := range times {
+		if n == 0 || at.Since(last) >= occasionGap {
+			n++
+			last = at
+		}
+	}
+	return n
 }
 
-// nextBlamed returns the request with the most crashes that no other request explains, if they
-// are enough to blame it. If another request has as many crashes, some of them the same, or if
-// the request may have been there by coincidence, it is not blamed before more crashes decide.
-func nextBlamed(crashes []*replicaCrash, byRequest map[Fingerprint][]*replicaCrash, explained map[*replicaCrash]bool, limit func(Fingerprint) int) (Fingerprint, bool) {
-	candidates := map[Fingerprint][]*replicaCrash{}
-	requestsAt := map[*replicaCrash][]Fingerprint{}
-	for request, crashes := range byRequest {
-		unexplained := slices.DeleteFunc(slices.Clone(crashes), func(c *replicaCrash) bool { return explained[c] })
-		if len(unexplained) < limit(request) {
+// suffices reports whether there are enough crashes to blame the candidate, and whether there are so
+// many that nothing else needs to be considered.
+func (c candidate) suffices() (enough, certain bool) {
+	switch {
+	case c.whole:
+		n := len(c.crashes)
+		return n >= MaxCrashes || c.blamed, n >= certainLimit
+	case c.served:
+		n := c.occasions()
+		return n >= servedPartOccasions || c.blamed, n >= servedPartOccasions
+	default:
+		n := c.occasions()
+		return n >= minPartOccasions || c.blamed, n >= certainPartOccasions
+	}
+}
+
+// held reports whether requests with the cause are sent one after the other.
+func (c candidate) held() bool {
+	switch {
+	case c.whole:
+		return false // SendDelay goes by their own crashes
+	case c.blamed:
+		return true
+	case c.served:
+		return len(c.crashes) >= heldServedCrashes
+	default:
+		return len(c.crashes) >= heldPartCrashes
+	}
+}
+
+// overlaps reports whether both candidates explain some of the same crashes.
+func (c candidate) overlaps(other candidate) bool {
+	return slices.ContainsFunc(c.crashes, func(x *replicaCrash) bool { return slices.Contains(other.crashes, x) })
+}
+
+// candidates returns the causes of the unexplained crashes, the best explanation first.
+func (j *judge) candidates() []candidate {
+	bySet := map[string][]Trait{}
+	sets := map[string][]*replicaCrash{}
+	for _, t := range slices.Sorted(maps.Keys(j.byTrait)) {
+		crashes := j.unexplained(t)
+		if len(crashes) == 0 {
 			continue
 		}
-		candidates[request] = unexplained
-		for _, c := range unexplained {
-			requestsAt[c] = append(requestsAt[c], request)
+		key := setKey(crashes)
+		bySet[key] = append(bySet[key], t)
+		sets[key] = crashes
+	}
+	var out []candidate
+	for _, key := range slices.Sorted(maps.Keys(bySet)) {
+		for _, cause := range j.group(bySet[key], sets[key]) {
+			out = append(out, j.newCandidate(cause, sets[key]))
 		}
 	}
-	byCrashes := slices.SortedFunc(maps.Keys(candidates), func(a, b Fingerprint) int {
-		return cmp.Or(cmp.Compare(len(candidates[b]), len(candidates[a])), cmp.Compare(a, b))
+	for _, cause := range j.known.Blamed {
+		out = j.addBlamed(out, cause)
+	}
+	slices.SortStableFunc(out, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(b.weight(), a.weight()), cmp.Compare(len(a.cause), len(b.cause)), slices.Compare(a.cause, b.cause))
 	})
-	disputed := map[*replicaCrash]bool{}
-	for _, request := range byCrashes {
-		own := candidates[request]
+	return out
+}
+
+func (j *judge) newCandidate(cause Cause, crashes []*replicaCrash) candidate {
+	return candidate{cause: cause, crashes: crashes, whole: len(cause) == 1 && j.wholes[cause[0]], served: !j.known.LastSuccess(cause).IsZero()}
+}
+
+// setKey returns a string that is the same for the same crashes.
+func setKey(crashes []*replicaCrash) string {
+	key := make([]byte, 0, 2*len(crashes))
+	for _, c := range crashes {
+		key = append(key, byte(c.index>>8), byte(c.index))
+	}
+	return string(key)
+}
+
+// group returns the causes that traits with the same crashes make up. Traits that the same request
+// had at each crash cannot be told apart and are one cause. If one request was at all of them, it is
+// the cause; if several were, what they have in common is.
+func (j *judge) group(traits []Trait, crashes []*replicaCrash) []Cause {
+	if len(traits) == 1 {
+		return []Cause{newCause(traits[0])}
+	}
+	joint := map[Trait][]Trait{}
+	for _, t := range traits {
+		joint[t] = jointTraits(t, traits, crashes)
+	}
+	var out []Cause
+	used := map[Trait]bool{}
+	for _, t := range traits {
+		if j.wholes[t] {
+			continue
+		}
+		var wholes []Trait
+		parts := []Trait{}
+		for _, other := range joint[t] {
+			if j.wholes[other] {
+				wholes = append(wholes, other)
+			} else {
+				parts = append(parts, other)
+			}
+		}
 		switch {
-		case slices.ContainsFunc(own, func(c *replicaCrash) bool { return disputed[c] }):
-		case hasRival(request, candidates, requestsAt):
-			for _, c := range own {
-				disputed[c] = true
+		case len(wholes) == 1:
+			used[t] = true
+		case used[t]:
+		default:
+			out = append(out, newCause(parts...))
+			for _, other := range joint[t] {
+				used[other] = true
+			}
+		}
+	}
+	for _, t := range traits {
+		if j.wholes[t] && !used[t] {
+			out = append(out, newCause(t))
+		}
+	}
+	return out
+}
+
+// jointTraits returns those of the traits that some request had together with t at each crash, t
+// among them.
+func jointTraits(t Trait, traits []Trait, crashes []*replicaCrash) []Trait {
+	joint := slices.Clone(traits)
+	for _, c := range crashes {
+		together := map[Trait]bool{}
+		for _, r := range c.requests {
+			if slices.Contains(r.traits, t) {
+				for _, other := range r.traits {
+					together[other] = true
+				}
 			}
-		case !maybeCoincidence(own, crashes):
-			return request, true
 		}
+		joint = slices.DeleteFunc(joint, func(other Trait) bool { return !together[other] })
+	}
+	return joint
+}
+
+// addBlamed adds a cause that was blamed before to the candidates, or marks it among them.
+func (j *judge) addBlamed(candidates []candidate, cause Cause) []candidate {
+	for i := range candidates {
+		if slices.Equal(candidates[i].cause, cause) {
+			candidates[i].blamed = true
+			return candidates
+		}
+	}
+	crashes := j.explainedUpTo(notExplained, j.crashesUnder(cause))
+	if len(crashes) == 0 {
+		return candidates
+	}
+	c := j.newCandidate(cause, crashes)
+	c.blamed = true
+	return append(candidates, c)
+}
+
+// heaviest returns the best candidates: all with the greatest weight.
+func (j *judge) heaviest() []candidate {
+	all := j.candidates()
+	n := 0
+	for n < len(all) && all[n].weight() == all[0].weight() {
+		n++
+	}
+	return all[:n]
+}
+
+// nextBlamed returns the explanations of crashes that nothing else explains and that are good enough
+// to be blamed, the best first. Causes that explain as many crashes, some of them the same, are
+// rivals: none is blamed before more crashes decide, or all are if that many are certain. What
+// shares crashes with a better explanation is left to the next call.
+func (j *judge) nextBlamed() []candidate {
+	candidates := slices.DeleteFunc(j.candidates(), func(c candidate) bool {
+		enough, _ := c.suffices()
+		return !enough
+	})
+	var blamed []candidate
+	taken := map[*replicaCrash]bool{} // by better explanations, or disputed
+	for i, c := range candidates {
+		if slices.ContainsFunc(c.crashes, func(x *replicaCrash) bool { return taken[x] }) {
+			take(taken, c)
+			continue
+		}
+		rivals := rivalsOf(c, candidates[i+1:])
+		switch _, certain := c.suffices(); {
+		case certain:
+			blamed = append(blamed, c)
+			blamed = append(blamed, slices.DeleteFunc(rivals, func(r candidate) bool {
+				_, certain := r.suffices()
+				return !certain
+			})...)
+		case len(rivals) == 0 && !maybeCoincidence(c.crashes, j.crashes):
+			blamed = append(blamed, c)
+		case len(rivals) == 0:
+			continue // others may explain some of its crashes
+		}
+		take(taken, c)
 	}
-	return 0, false
+	return blamed
+}
+
+// take records that a candidate's crashes need no other explanation for now.
+func take(taken map[*replicaCrash]bool, c candidate) {
+	for _, x := range c.crashes {
+		taken[x] = true
+	}
+}
+
+// rivalsOf returns those of the following candidates, the best first, that explain as many crashes,
+// some of them the same.
+func rivalsOf(c candidate, following []candidate) []candidate {
+	var rivals []candidate
+	for _, other := range following {
+		if other.weight() < c.weight() {
+			break
+		}
+		if c.overlaps(other) {
+			rivals = append(rivals, other)
+		}
+	}
+	return rivals
 }
 
 // maybeCoincidence reports whether other crashes, explained or not, happened within
@@ -169,16 +535,6 @@
 	})
 }
 
-// hasRival reports whether another request has as many crashes, some of them the same.
-// requestsAt maps each crash to its requests.
-func hasRival(request Fingerprint, candidates map[Fingerprint][]*replicaCrash, requestsAt map[*replicaCrash][]Fingerprint) bool {
-	return slices.ContainsFunc(candidates[request], func(c *replicaCrash) bool {
-		return slices.ContainsFunc(requestsAt[c], func(other Fingerprint) bool {
-			return other != request && len(candidates[other]) == len(candidates[request])
-		})
-	})
-}
-
 // replicasOf returns the replicas of the crashes.
 func replicasOf(crashes []*replicaCrash) []pool.Incarnation {
 	var out []pool.Incarnation
--- a/core/crash/crash.go
+++ b/core/crash/crash.go
@@ -68,15 +68,40 @@
 	Replica  pool.Incarnation
 	Service  string    // of the replica
 	Requests []Request // in ascending order of their fingerprints
+	traits   [][]Trait // of the requests, nil if they were not computed
 	clock.EventTime
 }
 
-// Has reports whether the request was in flight at the replica.
-func (r Report) Has(request Fingerprint) bool {
+// WithTraits returns the report with the traits of its requests, so that they are not computed each
+// time that they are needed.
+func (r Report) WithTraits() Report {
+	r.traits = r.Traits()
+	return r
+}
+
+// Traits returns the traits of each request.
+func (r Report) Traits() [][]Trait {
+	if r.traits != nil {
+		return r.traits
+	}
+	out := make([][]Trait, 0, len(r.Requests))
+	for _, request := range r.Requests {
+		out = append(out, request.Traits(r.Service))
+	}
+	return out
+}
+
+// HasRequest reports whether the request was in flight at the replica.
+func (r Report) HasRequest(request Fingerprint) bool {
 	_, found := SearchRequests(r.Requests, request)
 	return found
 }
 
+// Has reports whether a request with the cause was in flight at the replica.
+func (r Report) Has(c Cause) bool {
+	return slices.ContainsFunc(r.Traits(), func(traits []Trait) bool { return c.Covers(traits) })
+}
+
 // SearchRequests returns where a request is in the list, or where it would be inserted. The list is
 // in ascending order of fingerprints.
 func SearchRequests(requests []Request, request Fingerprint) (i int, found bool) {
@@ -86,8 +111,9 @@
 // SortRequests sorts requests by their fingerprints.
 func SortRequests(requests []Request) { slices.SortFunc(requests, compareRequests) }
 
-// A Success records that a request was answered completely.
+// A Success records that a request with a trait was served, so that replicas do not crash because of
+// the trait alone.
 type Success struct {
-	Request Fingerprint
+	Trait Trait
 	clock.EventTime
 }
--- a/core/crash/crash_test.go
+++ b/core/crash/crash_test.go
@@ -64,16 +64,14 @@
 	return reports
 }
 
-func blamed(reports []Report, served map[Fingerprint]clock.Instant, limits map[Fingerprint]int) []Fingerprint {
-	limit := func(r Fingerprint) int {
-		if n, ok := limits[r]; ok {
-			return n
-		}
-		return MaxCrashes
+func blamed(reports []Report, served map[Fingerprint]clock.Instant, before []Fingerprint) []Fingerprint {
+	known := History{Served: func(t Trait) clock.Instant { return served[Fingerprint(t)] }}
+	for _, r := range before {
+		known.Blamed = append(known.Blamed, Cause{r.Trait()})
 	}
 	var out []Fingerprint
-	for _, a := range Blame(reports, func(r Fingerprint) clock.Instant { return served[r] }, limit, start.Add(time.Hour)) {
-		out = append(out, a.Request)
+	for _, a := range Blame(reports, known, start.Add(time.Hour)) {
+		out = append(out, Fingerprint(a.Cause.ID()))
 	}
 	slices.Sort(out)
 	return out
@@ -90,7 +88,7 @@
 		name    string
 		reports []Report
 		served  map[Fingerprint]clock.Instant
-		limits  map[Fingerprint]int
+		before  []Fingerprint
 		want    []Fingerprint
 	}{
 		{"two replicas are too few", crashReports(repeat(2, 1)...), nil, nil, nil},
@@ -108,7 +106,7 @@
 		{"its crashes are explained by another request", crashReports(inFlight{1, 9}, inFlight{1, 9}, inFlight{1, 9}, inFlight{1}, inFlight{1}), nil, nil, []Fingerprint{1}},
 		{"succeeded since", crashReports(repeat(3, 1)...), map[Fingerprint]clock.Instant{1: start.Add(2 * crashInterval).Add(1)}, nil, nil},
 		{"succeeded in between", crashReports(repeat(4, 1)...), map[Fingerprint]clock.Instant{1: start.Add(1)}, nil, []Fingerprint{1}},
-		{"blamed before", crashReports(inFlight{1}), nil, map[Fingerprint]int{1: 1}, []Fingerprint{1}},
+		{"blamed before", crashReports(inFlight{1}), nil, []Fingerprint{1}, []Fingerprint{1}},
 		{"requests without a fingerprint", crashReports(repeat(4, 0)...), nil, nil, nil},
 		{"one crash in two reports", append(crashReports(repeat(2, 1)...), Report{
 			Observer: "j", Replica: incarnation("b", ""), Requests: whole(1), EventTime: clock.EventTime{At: start.Add(crashInterval).Add(time.Second)},
@@ -129,9 +127,9 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			is.Equal(blamed(c.reports, c.served, c.limits), c.want)
+			is.Equal(blamed(c.reports, c.served, c.before), c.want)
 			slices.Reverse(c.reports)
-			is.Equal(blamed(c.reports, c.served, c.limits), c.want) // in any order
+			is.Equal(blamed(c.reports, c.served, c.before), c.want) // in any order
 		})
 	}
 }
@@ -142,11 +140,10 @@
 func TestUnsettledReportsAreIgnored(t *testing.T) {
 	is := is.New(t)
 	reports := crashReports(slices.Repeat([][]Fingerprint{{1}}, 3)...)
-	never := func(Fingerprint) clock.Instant { return clock.Instant{} }
-	limit := func(Fingerprint) int { return MaxCrashes }
+	known := History{Served: func(Trait) clock.Instant { return clock.Instant{} }}
 	third := reports[2].At
-	is.Equal(len(Blame(reports, never, limit, third.Add(-1))), 0)
-	is.Equal(Blame(reports, never, limit, third), []Attribution{{Request: 1, Replicas: []pool.Incarnation{incarnation("a", ""), incarnation("b", ""), incarnation("c", "")}}})
+	is.Equal(len(Blame(reports, known, third.Add(-1))), 0)
+	is.Equal(Blame(reports, known, third), []Attribution{{Cause: Cause{1}, Replicas: []pool.Incarnation{incarnation("a", ""), incarnation("b", ""), incarnation("c", "")}}})
 }
 
 // TestEventTimesKeepTheirAge checks that an event time in a message has the same age on arrival
--- a/core/forwarding/attempts.go
+++ b/core/forwarding/attempts.go
@@ -40,7 +40,7 @@
 // served logs a complete answer and its timing.
 func (f *Forwarder) served(now clock.Instant, c *calls.Call, e calls.Completed) {
 	s := stateOf(c)
-	f.Quarantine.Served(now, c.Forward.Fingerprint)
+	f.Quarantine.Served(now, s.traits)
 	f.streamEnded(c)
 	f.Out.Log(logevent.CallServed, "call", c.Forward.Name, "replica", c.Replica, "attempts", c.History.Attempts,
 		"waited_ms", c.Started.Since(c.Arrived).Milliseconds(), "first_ms", s.lastAttempt.firstEventAt.Since(c.Started).Milliseconds(),
@@ -311,12 +311,12 @@
 	return calls.NotRunRefusal(code.Quarantined, "", left)
 }
 
-// RefuseQuarantined ends the calls of a request that has been put into quarantine for the
+// RefuseQuarantined ends the calls of requests with a cause that has been put into quarantine for the
 // given time. A replica that has not begun to run such a call drops it when its connection
 // closes, and so does not crash.
-func (f *Forwarder) RefuseQuarantined(request crash.Fingerprint, left time.Duration) {
+func (f *Forwarder) RefuseQuarantined(cause crash.Cause, left time.Duration) {
 	for _, c := range f.Calls.All() {
-		if c.Forward == nil || c.Forward.Fingerprint != request {
+		if c.Forward == nil || !cause.Covers(stateOf(c).traits) {
 			continue
 		}
 		f.abandon(c)
--- a/core/forwarding/forwarding.go
+++ b/core/forwarding/forwarding.go
@@ -21,6 +21,7 @@
 	"github.com/birchdrift/birchdrift/core/clock"
 	"github.com/birchdrift/birchdrift/core/code"
 	"github.com/birchdrift/birchdrift/core/config"
+	"github.com/birchdrift/birchdrift/core/crash"
 	"github.com/birchdrift/birchdrift/core/demand"
 	"github.com/birchdrift/birchdrift/core/links"
 	"github.com/birchdrift/birchdrift/core/logevent"
@@ -78,6 +79,7 @@
 	route          *config.Forward
 	service        config.Service
 	request        modelRequest
+	traits         []crash.Trait // of its request
 	takeUp         takeUp
 	origin         streamOrigin // of the stream, once it has begun
 	progress       progress
@@ -175,7 +177,8 @@
 	if !ok || service.Announced == nil {
 		return calls.NotRunRefusal(code.NoReplica, fmt.Sprintf("no service %q", name), calls.MinRetryAfter), false
 	}
-	if left := f.Quarantine.Remaining(now, c.Forward.Fingerprint); left > 0 {
+	traits := c.Forward.Identity().Traits(name)
+	if left := f.Quarantine.Remaining(now, traits); left > 0 {
 		return quarantinedRefusal(left), false
 	}
 	limit := rule.Timeout
@@ -187,7 +190,7 @@
 	c.Expires = now.Add(limit)
 	c.Priority = rankPriority(rule.Priority)
 	c.History = attempt.New(rule.MayRepeat() && c.Replayable)
-	s := &state{route: rule, service: service, progress: progress{lastEvent: c.Forward.LastEvent}}
+	s := &state{route: rule, service: service, traits: traits, progress: progress{lastEvent: c.Forward.LastEvent}}
 	c.State = s
 	s.takeUp = newTakeUp(c, rule)
 	if service.Announced.Engine != nil && c.Forward.Model != "" {
--- a/core/forwarding/forwarding_test.go
+++ b/core/forwarding/forwarding_test.go
@@ -50,7 +50,7 @@
 		ListAge: func(clock.Instant) time.Duration { return 0 },
 		Roster:  &watchers.Roster{Self: state.Self, Options: state.Options, Members: state.Members},
 		Quarantine: quarantine.New(quarantine.Deps{
-			State: state, Tell: func(clock.Instant) {}, Direct: func() bool { return true }, Cut: func(crash.Fingerprint, time.Duration) {},
+			State: state, Tell: func(clock.Instant) {}, Direct: func() bool { return true }, Cut: func(crash.Cause, time.Duration) {},
 		}),
 		Streams: streams.New(streams.Deps{
 			State: state, Instances: func() map[string]registry.Instance { return nil }, FullMesh: func() bool { return true },
@@ -353,13 +353,14 @@
 	c, s := f.testCall(config.Stream, true)
 	c.Expires = start.Add(time.Minute)
 	c.Forward.Fingerprint = 7
+	s.traits = c.Forward.Identity().Traits("s")
 	is.True(!f.mustDelay(start, c, s))
 	for seq := range uint64(crash.MaxCrashes) {
 		report := crash.Report{Observer: "i", Seq: seq, Replica: pool.Incarnation{Name: string(rune('a' + seq))}, Requests: crashtest.Requests(7, 8)}
 		f.Quarantine.HandlePeerReports(start, "i", []crash.Report{report}, nil)
 	}
 	is.True(f.mustDelay(start, c, s))
-	after := start.Add(f.Quarantine.SendDelay(7))
+	after := start.Add(f.Quarantine.SendDelay(s.traits))
 	c.Phase = calls.Waiting
 	is.True(!f.mustDelay(after, c, s))
 	failAttempt := func(b calls.AttemptFailed) {
@@ -371,8 +372,8 @@
 	is.True(!f.mustDelay(after, c, s))
 	failAttempt(calls.AttemptFailed{Phase: attempt.MaybeSent, Severed: true})
 	is.True(f.mustDelay(after, c, s))
-	later := after.Add(f.Quarantine.SendDelay(7))
+	later := after.Add(f.Quarantine.SendDelay(s.traits))
 	is.True(!f.mustDelay(later, c, s))
-	f.Calls.Add(&calls.Call{Request: calls.Request{ID: 2, Forward: &calls.ForwardRequest{Fingerprint: 7}}, Phase: calls.Running})
+	f.Calls.Add(&calls.Call{Request: calls.Request{ID: 2, Forward: &calls.ForwardRequest{Fingerprint: 7}}, Phase: calls.Running, State: &state{traits: s.traits}})
 	is.True(f.mustDelay(later, c, s))
 }
--- a/core/forwarding/permit.go
+++ b/core/forwarding/permit.go
@@ -116,7 +116,7 @@
 	if r == nil || r.Incarnation() != incarnation || c.Item != "" && r.Phase(c.Item) != pool.Ready {
 		return false
 	}
-	if f.Quarantine.Remaining(now, c.Forward.Fingerprint) > 0 || f.mustDelay(now, c, s) {
+	if f.Quarantine.Remaining(now, s.traits) > 0 || f.mustDelay(now, c, s) {
 		return false
 	}
 	e, ok := f.router.Choose(now, f.query(now, c, s), []*pool.Replica{r})
--- a/core/forwarding/permit_test.go
+++ b/core/forwarding/permit_test.go
@@ -165,7 +165,7 @@
 		"replica terminated": func(f *Forwarder, _ *calls.Call, _ *pool.Replica) { f.Pool.MarkTerminated("r") },
 		"model absent":       func(f *Forwarder, _ *calls.Call, _ *pool.Replica) { f.Pool.MarkAbsent("r", "m") },
 		"request in quarantine": func(f *Forwarder, c *calls.Call, _ *pool.Replica) {
-			f.RefuseQuarantined(c.Forward.Fingerprint, time.Second)
+			f.RefuseQuarantined(crash.Cause{c.Forward.Fingerprint.Trait()}, time.Second)
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -175,6 +175,7 @@
 			f.exhaustLimit(start, r)
 			c := f.callFor(1)
 			c.Forward.Fingerprint = crash.Fingerprint(7)
+			stateOf(c).traits = c.Forward.Identity().Traits("s")
 			f.findReplica(start, c)
 			is.Equal(c.Phase, calls.AwaitingPermit)
 			event(f, c, r)
--- a/core/forwarding/place.go
+++ b/core/forwarding/place.go
@@ -21,7 +21,7 @@
 // findReplica sends the call to the best replica, orders what must be loaded there
 // first, makes the call wait, or refuses it.
 func (f *Forwarder) findReplica(now clock.Instant, c *calls.Call) {
-	if left := f.Quarantine.Remaining(now, c.Forward.Fingerprint); left > 0 {
+	if left := f.Quarantine.Remaining(now, stateOf(c).traits); left > 0 {
 		f.Calls.Refuse(c, quarantinedRefusal(left))
 		return
 	}
@@ -86,7 +86,7 @@
 // mustDelay reports whether a call must not be sent yet because replicas crashed under its
 // request.
 func (f *Forwarder) mustDelay(now clock.Instant, c *calls.Call, s *state) bool {
-	delay := f.Quarantine.SendDelay(c.Forward.Fingerprint)
+	delay := f.Quarantine.SendDelay(s.traits)
 	if delay == 0 {
 		return false
 	}
@@ -94,13 +94,14 @@
 		s.notBefore = now.Add(delay)
 		f.Out.Log(logevent.CallWaits, "call", c.Forward.Name, "for", "other attempts of its request, under which replicas crashed")
 	}
-	return now.Before(s.notBefore) || f.requestRunning(c.Forward.Fingerprint)
+	return now.Before(s.notBefore) || f.suspectRunning(s.traits)
 }
 
-// requestRunning reports whether a call of the request is running at a replica.
-func (f *Forwarder) requestRunning(request crash.Fingerprint) bool {
+// suspectRunning reports whether a call is running at a replica that is suspected for the same
+// reason as one with these traits.
+func (f *Forwarder) suspectRunning(traits []crash.Trait) bool {
 	return slices.ContainsFunc(f.Calls.All(), func(c *calls.Call) bool {
-		return c.Phase == calls.Running && c.Forward != nil && c.Forward.Fingerprint == request
+		return c.Phase == calls.Running && c.Forward != nil && f.Quarantine.SameSuspicion(traits, stateOf(c).traits)
 	})
 }
 
--- a/core/forwarding/streams.go
+++ b/core/forwarding/streams.go
@@ -198,6 +198,7 @@
 	}
 	c.Service = o.Service
 	s.service = service
+	s.traits = c.Forward.Identity().Traits(o.Service)
 	s.origin = streamOrigin{known: true, software: o.Software}
 	c.Priority = rankPriority(s.rank())
 	return true
--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -209,7 +209,7 @@
 	holders     map[string]stamped[LeaseHolder]
 	registered  map[string]stamped[registry.Record]
 	crashes     map[string]stamped[crash.Report]
-	successes   map[crash.Fingerprint]stamped[crash.Success]
+	successes   map[crash.Trait]stamped[crash.Success]
 	leaving     map[pool.Incarnation]stamped[Leaving]
 	limits      map[pool.Incarnation]stamped[Limit]
 	rests       map[pool.Incarnation]stamped[Rest]
@@ -231,7 +231,7 @@
 		holders:     map[string]stamped[LeaseHolder]{},
 		registered:  map[string]stamped[registry.Record]{},
 		crashes:     map[string]stamped[crash.Report]{},
-		successes:   map[crash.Fingerprint]stamped[crash.Success]{},
+		successes:   map[crash.Trait]stamped[crash.Success]{},
 		leaving:     map[pool.Incarnation]stamped[Leaving]{},
 		limits:      map[pool.Incarnation]stamped[Limit]{},
 		rests:       map[pool.Incarnation]stamped[Rest]{},
@@ -293,7 +293,7 @@
 // AddSuccess stores the record and reports whether it was new. Ages in messages are imprecise,
 // so a success that is hardly later than the known one is not new.
 func (s *Set) AddSuccess(from string, x crash.Success) bool {
-	return put(s, s.successes, x.Request, from, x, func(old crash.Success) bool { return x.At.Since(old.At) > minSuccessGap })
+	return put(s, s.successes, x.Trait, from, x, func(old crash.Success) bool { return x.At.Since(old.At) > minSuccessGap })
 }
 
 // minSuccessGap is how much later than the known success of a request another one must be to
@@ -310,8 +310,8 @@
 	return out
 }
 
-// LastSuccess returns when a request last succeeded according to the records.
-func (s *Set) LastSuccess(r crash.Fingerprint) clock.Instant { return s.successes[r].record.At }
+// LastSuccess returns when a request with a trait last succeeded according to the records.
+func (s *Set) LastSuccess(t crash.Trait) clock.Instant { return s.successes[t].record.At }
 
 // PruneCrashes removes the crash reports and successes older than age, and all but the newest
 // keep crash reports. It reports whether it removed crash reports.
--- a/core/gossip/gossip_test.go
+++ b/core/gossip/gossip_test.go
@@ -41,7 +41,7 @@
 	}
 	served := func(at time.Duration) func(*Set) bool {
 		return func(s *Set) bool {
-			return s.AddSuccess("", crash.Success{Request: 1, EventTime: clock.EventTime{At: clocktest.At(at)}})
+			return s.AddSuccess("", crash.Success{Trait: 1, EventTime: clock.EventTime{At: clocktest.At(at)}})
 		}
 	}
 	leaving := func(born string) func(*Set) bool {
@@ -158,7 +158,7 @@
 	now := clocktest.At(time.Hour)
 	for seq := range uint64(5) {
 		s.AddCrash("", crash.Report{Observer: "i", Seq: seq, EventTime: clock.EventTime{At: now.Add(-time.Duration(seq) * time.Minute)}})
-		s.AddSuccess("", crash.Success{Request: crash.Fingerprint(seq), EventTime: clock.EventTime{At: now.Add(-time.Duration(seq) * time.Minute)}})
+		s.AddSuccess("", crash.Success{Trait: crash.Trait(seq), EventTime: clock.EventTime{At: now.Add(-time.Duration(seq) * time.Minute)}})
 	}
 	is.True(!s.PruneCrashes(now, time.Hour, 5))
 	is.True(s.PruneCrashes(now, 3*time.Minute, 5))
--- a/core/instance/announced_world_test.go
+++ b/core/instance/announced_world_test.go
@@ -442,8 +442,8 @@
 			if f.store.values[q.Value().Key] == nil {
 				f.setKey(q.Value().Key, &fleetValue{data: &q})
 			}
-			return quarantine.VerdictStored{Request: q.Request}, true
-		}, func(err error) step.Event { return quarantine.VerdictStored{Request: act.Quarantine.Request, Err: err} }, reply)
+			return quarantine.VerdictStored{ID: q.ID}, true
+		}, func(err error) step.Event { return quarantine.VerdictStored{ID: act.Quarantine.ID, Err: err} }, reply)
 	case quarantine.RemoveVerdict:
 		f.storeCall(n, nil, func() (step.Event, bool) {
 			f.setKey(act.Quarantine.Value().Key, nil)
--- a/core/instance/build.go
+++ b/core/instance/build.go
@@ -137,7 +137,7 @@
 			}
 		},
 		LinksAtFault: m.links.AtFault,
-		Cut:          func(request crash.Fingerprint, left time.Duration) { m.forwarding.RefuseQuarantined(request, left) },
+		Cut:          func(cause crash.Cause, left time.Duration) { m.forwarding.RefuseQuarantined(cause, left) },
 	})
 	m.orders.registry.Quarantined = m.quarantine.Restored
 	m.orders.registry.SteppedBack = m.quarantine.SteppedBack
--- a/core/instance/crash_test.go
+++ b/core/instance/crash_test.go
@@ -593,7 +593,7 @@
 	for range 3000 {
 		n := 0
 		for _, m := range h.f.members {
-			if m.m.quarantine.Remaining(clocktest.At(time.Hour+h.f.now), 1000) > 0 {
+			if m.m.quarantine.Remaining(clocktest.At(time.Hour+h.f.now), []crash.Trait{1000}) > 0 {
 				n++
 			}
 		}
--- a/core/quarantine/evidence.go
+++ b/core/quarantine/evidence.go
@@ -173,12 +173,12 @@
 		e.seq = t.seq
 		t.Out.Log(logevent.UpstreamEnded, "upstream", replica.Name, "calls", len(e.requests), "parts", partNames(e.requests))
 	}
-	t.addSuspects(e.requests)
 	r := crash.Report{
 		Observer: t.Self.Name, Boot: t.Self.Boot, Seq: e.seq, Replica: replica, Service: e.service, Requests: slices.Clone(e.requests),
 		EventTime: clock.EventTime{At: e.at},
-	}
+	}.WithTraits()
 	t.Records.AddCrash("", r)
+	t.addSuspects(now, r)
 	t.scheduleUpdates(now, true, t.ownReportInterval(r))
 }
 
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -76,8 +76,8 @@
 	// LinksAtFault reports whether connections to a replica fail because this instance has
 	// lost its links.
 	LinksAtFault func(now clock.Instant, replica pool.Incarnation) bool
-	// Cut cancels the calls of a request that are in flight at this instance.
-	Cut func(request crash.Fingerprint, remaining time.Duration)
+	// Cut cancels the calls of requests with a cause that are in flight at this instance.
+	Cut func(cause crash.Cause, remaining time.Duration)
 }
 
 // A Tracker tracks which requests are quarantined.
@@ -86,8 +86,13 @@
 	evidence    map[pool.Incarnation]*evidence
 	disconnects map[pool.Incarnation][]disconnect // oldest first
 	seq         uint64                            // of the last own report
-	suspects    map[crash.Fingerprint]bool        // requests in crash reports
-	verdicts    map[crash.Fingerprint]*verdict
+	suspects    map[crash.Trait]clock.Instant     // traits in crash reports, with the times of their last crashes
+	served      servedTraits
+	held        []crash.Cause // other than whole requests, of which calls are sent one after the other
+	heldDue     clock.Instant // when held is determined again; zero: nothing has changed
+	heldAt      clock.Instant // when it was last determined
+	verdicts    map[crash.CauseID]*verdict
+	byTrait     map[crash.Trait][]crash.CauseID // verdicts by the first traits of their causes
 	records     records
 
 	evaluateDue clock.Instant // zero: nothing to evaluate
@@ -102,28 +107,47 @@
 		Deps:        deps,
 		evidence:    map[pool.Incarnation]*evidence{},
 		disconnects: map[pool.Incarnation][]disconnect{},
-		suspects:    map[crash.Fingerprint]bool{},
-		verdicts:    map[crash.Fingerprint]*verdict{},
+		suspects:    map[crash.Trait]clock.Instant{},
+		verdicts:    map[crash.CauseID]*verdict{},
+		byTrait:     map[crash.Trait][]crash.CauseID{},
 	}
 }
 
-// Served records that a request succeeded, so replicas did not crash because of it.
-func (t *Tracker) Served(now clock.Instant, request crash.Fingerprint) {
-	if !t.suspects[request] {
-		return
+// Served records that a request with these traits succeeded, so replicas did not crash because of
+// them.
+func (t *Tracker) Served(now clock.Instant, traits []crash.Trait) {
+	t.served.add(now, traits)
+	added := false
+	for _, trait := range traits {
+		if t.informs(now, trait) {
+			added = t.Records.AddSuccess("", crash.Success{Trait: trait, EventTime: clock.EventTime{At: now}}) || added
+		}
 	}
-	if t.Records.AddSuccess("", crash.Success{Request: request, EventTime: clock.EventTime{At: now}}) {
+	if added {
+		t.holdBack(now)
 		t.scheduleUpdates(now, true, shareInterval)
 	}
 }
 
+// informs reports whether a success with a trait tells other instances anything: replicas crashed
+// under such requests since the last one, or they are quarantined.
+func (t *Tracker) informs(now clock.Instant, trait crash.Trait) bool {
+	crashed, ok := t.suspects[trait]
+	if !ok {
+		return false
+	}
+	last := t.Records.LastSuccess(trait)
+	return !crashed.Before(last) || slices.ContainsFunc(t.byTrait[trait], func(id crash.CauseID) bool { return !t.verdicts[id].since.Before(last) })
+}
+
 // HandlePeerReports handles crash reports and successes from a peer.
 func (t *Tracker) HandlePeerReports(now clock.Instant, from string, reports []crash.Report, served []crash.Success) {
 	changed, urgent := false, false
 	for _, r := range reports {
 		r.EventTime = r.FromWire(now)
+		r = r.WithTraits()
 		if now.MaxElapsed(r.At) < reportRetention && len(r.Requests) <= maxRequests && t.Records.AddCrash(from, r) {
-			t.addSuspects(r.Requests)
+			t.addSuspects(now, r)
 			changed = true
 			urgent = urgent || t.urgent(r)
 		}
@@ -133,6 +157,7 @@
 		changed = t.Records.AddSuccess(from, s) || changed
 	}
 	if changed {
+		t.holdBack(now)
 		t.scheduleUpdates(now, urgent && !t.Direct(), shareInterval)
 	}
 }
@@ -147,10 +172,11 @@
 }
 
 // urgent reports whether enough replicas crashed under a request in the report for it to be
-// blamed. In a fleet whose instances relay reports, peers' reports that are not urgent are passed
-// on with the next regular exchanges, and own ones are sent once per relayedShareInterval at most.
+// blamed, or under a part of prompts for requests with it to be held back. In a fleet whose instances
+// relay reports, peers' reports that are not urgent are passed on with the next regular exchanges, and
+// own ones are sent once per relayedShareInterval at most.
 func (t *Tracker) urgent(r crash.Report) bool {
-	return slices.ContainsFunc(r.Requests, func(request crash.Request) bool { return t.suspected(request.Fingerprint) })
+	return slices.ContainsFunc(r.Traits(), func(traits []crash.Trait) bool { return t.suspectedCause(traits) != nil })
 }
 
 // scheduleUpdates schedules the evaluation of new records after settleTime and, if share is
@@ -164,10 +190,24 @@
 	}
 }
 
-// addSuspects marks the requests of a crash report as possible causes.
-func (t *Tracker) addSuspects(requests []crash.Request) {
-	for _, r := range requests {
-		t.suspects[r.Fingerprint] = true
+// addSuspects marks the traits of the requests in a crash report as possible causes, and makes known
+// which of them this instance has served before.
+func (t *Tracker) addSuspects(now clock.Instant, r crash.Report) {
+	for _, traits := range r.Traits() {
+		for _, trait := range traits {
+			if _, known := t.suspects[trait]; !known {
+				t.shareServed(trait)
+			}
+			t.suspects[trait] = clock.Latest(t.suspects[trait], r.At)
+		}
+	}
+	t.holdBack(now)
+}
+
+// shareServed makes known when this instance last served a request with a trait, unless that is known.
+func (t *Tracker) shareServed(trait crash.Trait) {
+	if at, ok := t.served.at(trait); ok && t.Records.LastSuccess(trait).IsZero() {
+		t.Records.AddSuccess("", crash.Success{Trait: trait, EventTime: clock.EventTime{At: at}})
 	}
 }
 
@@ -175,6 +215,9 @@
 func (t *Tracker) Tick(now clock.Instant) {
 	t.checkReplicas(now)
 	t.reportEnded(now)
+	if due(now, t.heldDue) {
+		t.updateHeld(now)
+	}
 	if due(now, t.evaluateDue) {
 		t.evaluate(now)
 	}
@@ -198,17 +241,18 @@
 	if t.Records.PruneCrashes(now, reportRetention, maxReports) {
 		clear(t.suspects)
 		for _, r := range t.Records.Crashes() {
-			t.addSuspects(r.Requests)
+			t.addSuspects(now, r)
 		}
 	}
+	t.served.prune(now)
 	t.pruneEvidence(now)
 	t.pruneVerdicts(now)
 }
 
-// observed reports whether this instance itself had the request in flight at a replica that
+// observed reports whether this instance itself had a request with a cause in flight at a replica that
 // ended.
-func (t *Tracker) observed(request crash.Fingerprint) bool {
+func (t *Tracker) observed(has func(crash.Report) bool) bool {
 	return slices.ContainsFunc(t.Records.Crashes(), func(r crash.Report) bool {
-		return r.Observer == t.Self.Name && r.Has(request)
+		return r.Observer == t.Self.Name && has(r)
 	})
 }
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -42,7 +42,7 @@
 		Direct:            func() bool { return true },
 		ConnectionRefused: func(clock.Instant, pool.Incarnation) {},
 		LinksAtFault:      func(clock.Instant, pool.Incarnation) bool { return false },
-		Cut:               func(r crash.Fingerprint, _ time.Duration) { b.canceled = append(b.canceled, r) },
+		Cut:               func(c crash.Cause, _ time.Duration) { b.canceled = append(b.canceled, crash.Fingerprint(c.ID())) },
 	})
 	return b
 }
@@ -70,6 +70,9 @@
 	return crash.Request{Fingerprint: fingerprint}
 }
 
+// traits returns the traits of such a request.
+func traits(fingerprint crash.Fingerprint) []crash.Trait { return whole(fingerprint).Traits("s") }
+
 // crash simulates the crash of a replica that runs requests.
 func (f *fixture) crash(name string, requests ...crash.Fingerprint) {
 	r := f.replica(name, false)
@@ -181,18 +184,18 @@
 	is := is.New(t)
 	b := newFixture()
 	for _, name := range []string{"a", "b", "c"} {
-		is.Equal(b.Remaining(b.now, bad), time.Duration(0))
+		is.Equal(b.Remaining(b.now, traits(bad)), time.Duration(0))
 		b.crash(name, bad)
 		b.advance(time.Second)
 	}
 	is.Equal(b.canceled, []crash.Fingerprint{bad})
-	is.True(b.Remaining(b.now, bad) > initialTerm-2*time.Second)
-	is.True(b.Remaining(b.now, bad) <= initialTerm)
+	is.True(b.Remaining(b.now, traits(bad)) > initialTerm-2*time.Second)
+	is.True(b.Remaining(b.now, traits(bad)) <= initialTerm)
 	b.now = b.now.Add(initialTerm)
-	is.Equal(b.Remaining(b.now, bad), time.Duration(0))
+	is.Equal(b.Remaining(b.now, traits(bad)), time.Duration(0))
 	b.crash("d", bad)
 	b.advance(time.Second)
-	is.True(b.Remaining(b.now, bad) > 2*initialTerm-2*time.Second)
+	is.True(b.Remaining(b.now, traits(bad)) > 2*initialTerm-2*time.Second)
 	b.now = b.now.Add(4 * initialTerm)
 	b.advance(2 * pruneEvery)
 	is.Equal(len(b.verdicts), 0)
@@ -208,7 +211,7 @@
 		b.advance(time.Second)
 	}
 	b.now.Wall = b.now.Wall.Add(initialTerm)
-	is.Equal(b.Remaining(b.now, bad), time.Duration(0))
+	is.Equal(b.Remaining(b.now, traits(bad)), time.Duration(0))
 }
 
 // TestEarlyRelease checks what releases a request before its term has passed.
@@ -219,9 +222,9 @@
 		released bool
 	}{
 		{"nothing", func(*fixture) {}, false},
-		{"a call in flight succeeds", func(b *fixture) { b.Served(b.now, bad) }, true},
+		{"a call in flight succeeds", func(b *fixture) { b.Served(b.now, traits(bad)) }, true},
 		{"it succeeds at another instance", func(b *fixture) {
-			b.HandlePeerReports(b.now, "j", nil, []crash.Success{{Request: bad}})
+			b.HandlePeerReports(b.now, "j", nil, []crash.Success{{Trait: crash.Trait(bad)}})
 		}, true},
 		{"another request was at the same replicas and at more", func(b *fixture) {
 			var late []crash.Report
@@ -250,10 +253,10 @@
 				b.crash(name, bad)
 				b.advance(time.Second)
 			}
-			is.True(b.Remaining(b.now, bad) > 0)
+			is.True(b.Remaining(b.now, traits(bad)) > 0)
 			c.simulate(b)
 			b.advance(2 * settleTime)
-			is.Equal(b.Remaining(b.now, bad) == 0, c.released)
+			is.Equal(b.Remaining(b.now, traits(bad)) == 0, c.released)
 		})
 	}
 }
@@ -275,23 +278,23 @@
 	b.Outage.Observe(b.now, nil)
 	first := actionsOf[StoreVerdict](b.advance(time.Second))
 	is.Equal(len(first), 1)
-	is.Equal(first[0].Quarantine, registry.Quarantine{Request: bad, Replicas: 4})
+	is.Equal(first[0].Quarantine, registry.Quarantine{ID: crash.CauseID(bad), Replicas: 4})
 	is.True(first[0].Term <= maxLeaseTTL)
-	b.VerdictStored(b.now, VerdictStored{Request: bad, Err: errors.New("no answer")})
+	b.VerdictStored(b.now, VerdictStored{ID: crash.CauseID(bad), Err: errors.New("no answer")})
 	again := actionsOf[StoreVerdict](b.advance(2 * recordRetryDelay))
 	is.Equal(len(again), 1)
-	is.Equal(again[0].Quarantine.Request, bad)
-	b.VerdictStored(b.now, VerdictStored{Request: bad})
+	is.Equal(again[0].Quarantine.ID, crash.CauseID(bad))
+	b.VerdictStored(b.now, VerdictStored{ID: crash.CauseID(bad)})
 	next := actionsOf[StoreVerdict](b.advance(time.Second))
 	is.Equal(len(next), 1)
-	is.Equal(next[0].Quarantine.Request, other)
-	b.Served(b.now, bad)
-	is.Equal(actionsOf[RemoveVerdict](b.advance(2*settleTime)), []RemoveVerdict{{Quarantine: registry.Quarantine{Request: bad, Replicas: 4}}})
+	is.Equal(next[0].Quarantine.ID, crash.CauseID(other))
+	b.Served(b.now, traits(bad))
+	is.Equal(actionsOf[RemoveVerdict](b.advance(2*settleTime)), []RemoveVerdict{{Quarantine: registry.Quarantine{ID: crash.CauseID(bad), Replicas: 4}}})
 
 	late := newFixture()
-	late.Restored(late.now, registry.Quarantine{Request: bad, Replicas: 3})
+	late.Restored(late.now, registry.Quarantine{ID: crash.CauseID(bad), Replicas: 3})
 	is.Equal(late.canceled, []crash.Fingerprint{bad})
-	is.True(late.Remaining(late.now, bad) > 0)
+	is.True(late.Remaining(late.now, traits(bad)) > 0)
 	is.Equal(len(actionsOf[StoreVerdict](late.advance(time.Second))), 0)
 }
 
@@ -379,7 +382,7 @@
 	is.Equal(len(b.disconnects), 0)
 	is.True(len(b.evidence) <= maxReports)
 	for n := range crash.Fingerprint(2 * maxVerdicts) {
-		b.Restored(b.now, registry.Quarantine{Request: n + 1_000_000, Replicas: 3})
+		b.Restored(b.now, registry.Quarantine{ID: crash.CauseID(n + 1_000_000), Replicas: 3})
 	}
 	b.advance(2 * pruneEvery)
 	is.Equal(len(b.verdicts), maxVerdicts)
@@ -412,15 +415,15 @@
 			b.crash(name, bad, 8)
 		}
 		b.advance(2 * confirmDelay)
-		is.Equal(b.SendDelay(bad), time.Duration(0))
+		is.Equal(b.SendDelay(traits(bad)), time.Duration(0))
 		b.crash("c", bad, 8)
 		b.crash("d", 8)
 		b.advance(2 * confirmDelay)
-		is.Equal(b.SendDelay(bad), b.SendDelay(bad))
-		is.Equal(b.SendDelay(9), time.Duration(0))
-		delays[b.SendDelay(bad)] = true
-		b.Served(b.now.Add(time.Millisecond), bad)
-		is.Equal(b.SendDelay(bad), time.Duration(0)) // a request that succeeded is harmless
+		is.Equal(b.SendDelay(traits(bad)), b.SendDelay(traits(bad)))
+		is.Equal(b.SendDelay(traits(9)), time.Duration(0))
+		delays[b.SendDelay(traits(bad))] = true
+		b.Served(b.now.Add(time.Millisecond), traits(bad))
+		is.Equal(b.SendDelay(traits(bad)), time.Duration(0)) // a request that succeeded is harmless
 	}
 	is.Equal(len(delays), len(names)) // no two instances at once
 	for delay := range delays {
@@ -439,7 +442,7 @@
 		writer.crash(name, bad)
 	}
 	is.Equal(len(actionsOf[StoreVerdict](writer.advance(2*time.Second))), 1)
-	writer.VerdictStored(writer.now, VerdictStored{Request: bad})
+	writer.VerdictStored(writer.now, VerdictStored{ID: crash.CauseID(bad)})
 	is.Equal(len(actionsOf[StoreVerdict](writer.advance(2*time.Second))), 0)
 	writer.SteppedBack(writer.now)
 	is.Equal(len(actionsOf[StoreVerdict](writer.advance(2*time.Second))), 1)
@@ -451,7 +454,7 @@
 		for _, peer := range names {
 			reader.Members.Upsert(peer, "z", peer)
 		}
-		reader.Restored(reader.now, registry.Quarantine{Request: bad, Replicas: 3})
+		reader.Restored(reader.now, registry.Quarantine{ID: crash.CauseID(bad), Replicas: 3})
 		reader.SteppedBack(reader.now)
 		rewrites += len(actionsOf[StoreVerdict](reader.advance(2 * time.Second)))
 	}
--- a/core/quarantine/record.go
+++ b/core/quarantine/record.go
@@ -32,8 +32,8 @@
 	}
 	// VerdictStored is the event that answers a StoreVerdict.
 	VerdictStored struct {
-		Request crash.Fingerprint
-		Err     error // also nil if the verdict was already there
+		ID  crash.CauseID
+		Err error // also nil if the verdict was already there
 	}
 	// RemoveVerdict is an action: remove a verdict that no longer holds from the store.
 	RemoveVerdict struct{ Quarantine registry.Quarantine }
@@ -52,37 +52,33 @@
 // verdicts at once do not exhaust the store's request rate.
 type records struct {
 	job   step.Job
-	queue []crash.Fingerprint // verdicts to write, oldest first
+	queue []crash.CauseID // verdicts to write, oldest first
 }
 
 // writeNextRecord starts to write the next verdict in the queue.
 func (t *Tracker) writeNextRecord(now clock.Instant) {
 	r := &t.records
-	for len(r.queue) > 0 && t.Remaining(now, r.queue[0]) == 0 {
+	for len(r.queue) > 0 && t.verdicts[r.queue[0]].remaining(now) == 0 {
 		r.queue = r.queue[1:] // the verdict no longer holds
 	}
 	if len(r.queue) == 0 || !r.job.Due(now) || t.Outage.Down() {
 		return
 	}
-	request := r.queue[0]
-	v := t.verdicts[request]
+	v := t.verdicts[r.queue[0]]
 	r.job.Begin(now)
-	t.Out.Emit(StoreVerdict{
-		Quarantine: registry.Quarantine{Request: request, Replicas: v.replicas},
-		Term:       min(v.remaining(now), maxLeaseTTL),
-	})
+	t.Out.Emit(StoreVerdict{Quarantine: v.record(), Term: min(v.remaining(now), maxLeaseTTL)})
 }
 
 // VerdictStored handles the result of a StoreVerdict.
 func (t *Tracker) VerdictStored(now clock.Instant, e VerdictStored) {
 	if e.Err != nil {
-		t.Out.Log(logevent.QuarantineNotKept, "fingerprint", e.Request.String(), "error", e.Err.Error())
+		t.Out.Log(logevent.QuarantineNotKept, "fingerprint", e.ID.String(), "error", e.Err.Error())
 		t.records.job.End(now.Add(step.Jitter(t.Rand, recordRetryDelay)))
 		return
 	}
 	t.records.job.End(now)
-	t.records.queue = slices.DeleteFunc(t.records.queue, func(r crash.Fingerprint) bool { return r == e.Request })
-	if v := t.verdicts[e.Request]; v != nil {
+	t.records.queue = slices.DeleteFunc(t.records.queue, func(id crash.CauseID) bool { return id == e.ID })
+	if v := t.verdicts[e.ID]; v != nil {
 		v.recorded = true
 		v.wrote = true
 	}
@@ -92,20 +88,29 @@
 // back: those that this instance wrote, and those for which it comes first among the instances,
 // in case their writer is gone.
 func (t *Tracker) SteppedBack(now clock.Instant) {
-	for _, request := range slices.Sorted(maps.Keys(t.verdicts)) {
-		v := t.verdicts[request]
-		if v.remaining(now) == 0 || slices.Contains(t.records.queue, request) {
+	for _, id := range slices.Sorted(maps.Keys(t.verdicts)) {
+		v := t.verdicts[id]
+		if v.remaining(now) == 0 || slices.Contains(t.records.queue, id) {
 			continue
 		}
-		if v.wrote || v.recorded && t.position(request) == 0 {
-			t.records.queue = append(t.records.queue, request)
+		if v.wrote || v.recorded && t.position(id) == 0 {
+			t.records.queue = append(t.records.queue, id)
 		}
 	}
 }
 
+// record returns the verdict's record in the store.
+func (v *verdict) record() registry.Quarantine {
+	q := registry.Quarantine{ID: v.cause.ID(), Replicas: v.replicas}
+	if !v.whole {
+		q.Traits = v.cause
+	}
+	return q
+}
+
 // removeRecord removes a verdict that this instance wrote or read from the store.
-func (t *Tracker) removeRecord(v *verdict, request crash.Fingerprint) {
+func (t *Tracker) removeRecord(v *verdict) {
 	if v.recorded {
-		t.Out.Emit(RemoveVerdict{Quarantine: registry.Quarantine{Request: request, Replicas: v.replicas}})
+		t.Out.Emit(RemoveVerdict{Quarantine: v.record()})
 	}
 }
--- a/core/quarantine/verdict.go
+++ b/core/quarantine/verdict.go
@@ -14,7 +14,7 @@
 	"github.com/birchdrift/birchdrift/core/rendezvous"
 )
 
-// This file decides which requests are quarantined, and for how long.
+// This file decides which causes are quarantined, and for how long.
 
 const (
 	// initialTerm is how long a request is quarantined when it is blamed for the first time. By
@@ -33,11 +33,13 @@
 	maxVerdicts = 1024
 )
 
-// A verdict is the decision to quarantine a request.
+// A verdict is the decision to quarantine the requests with a cause.
 type verdict struct {
+	cause     crash.Cause
+	whole     bool // the cause is a whole request
 	since     clock.Instant
 	term      time.Duration
-	replicas  int  // number of replicas that ended under the request
+	replicas  int  // number of replicas that ended under such requests
 	evaluated bool // follows from reports that this instance has, or had
 	wrote     bool // this instance wrote it to the platform's store
 	recorded  bool // it is in the platform's store: this instance wrote it there or read it there
@@ -55,39 +57,71 @@
 // own. While it is kept, one more crash under the request is enough to blame it again.
 func (v *verdict) remembered(now clock.Instant) bool { return now.MaxElapsed(v.since) < 2*v.term }
 
-// Remaining returns how long a request remains quarantined, 0 if it may run.
-func (t *Tracker) Remaining(now clock.Instant, request crash.Fingerprint) time.Duration {
-	return t.verdicts[request].remaining(now)
+// Remaining returns how long a request with these traits remains quarantined, 0 if it may run.
+func (t *Tracker) Remaining(now clock.Instant, traits []crash.Trait) time.Duration {
+	left := time.Duration(0)
+	for _, trait := range traits {
+		for _, id := range t.byTrait[trait] {
+			if v := t.verdicts[id]; v.cause.Covers(traits) {
+				left = max(left, v.remaining(now))
+			}
+		}
+	}
+	return left
 }
 
 // SendDelay returns how long a call of a request waits before it is sent. It is 0 unless so
-// many replicas crashed under the request that the next crash decides whether it is blamed. In
-// that case the instances send their calls of it one after the other, each after the effect of
-// the previous one has been evaluated. This delays a harmless request, but a harmful one crashes
-// one more replica instead of one per instance.
-func (t *Tracker) SendDelay(request crash.Fingerprint) time.Duration {
-	if !t.suspected(request) {
+// many replicas crashed under the request, or under others with the same part in their prompts, that
+// the next crash may decide whether it is blamed. In that case the instances send such calls one
+// after the other, each after the effect of the previous one has been evaluated. This delays a
+// harmless request, but a harmful one crashes one more replica instead of one per instance.
+func (t *Tracker) SendDelay(traits []crash.Trait) time.Duration {
+	cause := t.suspectedCause(traits)
+	if cause == nil {
 		return 0
 	}
-	return time.Duration(t.sendSlot(request)+1) * verdictDelay
+	return time.Duration(t.sendSlot(cause.ID())+1) * verdictDelay
+}
+
+// suspectedCause returns the cause for which a request is sent after others only, nil if there is
+// none.
+func (t *Tracker) suspectedCause(traits []crash.Trait) crash.Cause {
+	if len(traits) == 0 {
+		return nil
+	}
+	if t.suspected(traits[0]) {
+		return crash.Cause{traits[0]}
+	}
+	for _, cause := range t.held {
+		if cause.Covers(traits) {
+			return cause
+		}
+	}
+	return nil
+}
+
+// SameSuspicion reports whether two requests are sent one after the other because of the same cause.
+func (t *Tracker) SameSuspicion(a, b []crash.Trait) bool {
+	cause := t.suspectedCause(a)
+	return cause != nil && cause.Covers(b)
 }
 
 // suspected reports whether enough replicas crashed under a request since its last success for
 // it to be blamed.
-func (t *Tracker) suspected(request crash.Fingerprint) bool {
-	if !t.suspects[request] {
+func (t *Tracker) suspected(request crash.Trait) bool {
+	if _, ok := t.suspects[request]; !ok {
 		return false
 	}
-	return len(replicasUnder(request, t.Records.Crashes(), t.Records.LastSuccess(request))) >= crash.MaxCrashes
+	return len(replicasUnder(hasRequest(request), t.Records.Crashes(), t.Records.LastSuccess(request))) >= crash.MaxCrashes
 }
 
 // sendSlot returns the time slot in which this instance sends its calls of a suspected request.
-func (t *Tracker) sendSlot(request crash.Fingerprint) int { return t.position(request) % sendSlots }
+func (t *Tracker) sendSlot(id crash.CauseID) int { return t.position(id) % sendSlots }
 
 // position returns how many instances come before this one in the order of their rendezvous
-// hashing scores for a request.
-func (t *Tracker) position(request crash.Fingerprint) int {
-	key := rendezvous.Key(request.String())
+// hashing scores for a cause.
+func (t *Tracker) position(id crash.CauseID) int {
+	key := rendezvous.Key(id.String())
 	own := rendezvous.Score(key, t.Self.Name)
 	before := 0
 	for _, p := range t.Members.Peers() {
@@ -98,32 +132,34 @@
 	return before
 }
 
-// crashLimit returns how many replicas must have crashed under a request for it to be blamed.
-func (t *Tracker) crashLimit(request crash.Fingerprint) int {
-	if t.verdicts[request] != nil {
-		return 1
+// history returns what is known of traits beside the reports of crashes.
+func (t *Tracker) history() crash.History {
+	h := crash.History{Served: t.Records.LastSuccess}
+	for _, id := range slices.Sorted(maps.Keys(t.verdicts)) {
+		h.Blamed = append(h.Blamed, t.verdicts[id].cause)
 	}
-	return crash.MaxCrashes
+	return h
 }
 
-// evaluate blames requests for the reported crashes, and releases those whose crashes another
-// request explains, or that succeeded since.
+// evaluate blames causes for the reported crashes, and releases those whose crashes another cause
+// explains, or with which requests succeeded since.
 func (t *Tracker) evaluate(now clock.Instant) {
 	settled := now.Add(-settleTime)
 	reports := t.Records.Crashes()
-	attributions := crash.Blame(reports, t.Records.LastSuccess, t.crashLimit, settled)
-	blamed := map[crash.Fingerprint]bool{}
+	attributions := crash.Blame(reports, t.history(), settled)
+	blamed := map[crash.CauseID]bool{}
 	explained := map[pool.Incarnation]bool{}
 	for _, a := range attributions {
-		blamed[a.Request] = true
-		t.blame(now, a)
+		blamed[a.Cause.ID()] = true
+		t.blame(now, a, reports)
 		for _, replica := range a.Replicas {
 			explained[replica] = true
 		}
 	}
-	for _, request := range slices.Sorted(maps.Keys(t.verdicts)) {
-		if !blamed[request] && t.cleared(request, replicasUnder(request, reports, clock.Instant{}), explained) {
-			t.release(request)
+	for _, id := range slices.Sorted(maps.Keys(t.verdicts)) {
+		v := t.verdicts[id]
+		if !blamed[id] && t.cleared(v, replicasUnder(v.isIn, reports, clock.Instant{}), explained) {
+			t.release(v)
 		}
 	}
 	t.evaluateDue = clock.Instant{}
@@ -132,22 +168,49 @@
 	}
 }
 
-// blame quarantines a request from now on.
-func (t *Tracker) blame(now clock.Instant, a crash.Attribution) {
-	v := t.verdicts[a.Request]
+// blame quarantines the requests with a cause from now on.
+func (t *Tracker) blame(now clock.Instant, a crash.Attribution, reports []crash.Report) {
+	id := a.Cause.ID()
+	v := t.verdicts[id]
 	if v.remaining(now) > 0 {
 		v.evaluated = true
 		return
 	}
-	next := &verdict{since: now, term: initialTerm, replicas: len(a.Replicas), evaluated: true}
+	next := &verdict{cause: a.Cause, whole: isWhole(a.Cause, reports), since: now, term: initialTerm, replicas: len(a.Replicas), evaluated: true}
 	if v != nil {
 		next.term = min(2*v.term, maxTerm)
 	}
-	if t.Stored && t.observed(a.Request) {
-		t.records.queue = append(t.records.queue, a.Request)
+	if t.Stored && t.observed(next.isIn) {
+		t.records.queue = append(t.records.queue, id)
 	}
-	t.apply(a.Request, next)
-	t.Out.Log(logevent.RequestQuarantined, "fingerprint", a.Request.String(), "upstreams", replicaNames(a.Replicas), "term", next.term.String())
+	t.apply(next)
+	t.Out.Log(logevent.RequestQuarantined, "fingerprint", id.String(), "parts", partsOf(a.Cause, reports), "upstreams", replicaNames(a.Replicas), "term", next.term.String())
+}
+
+// isWhole reports whether a cause is a whole request.
+func isWhole(c crash.Cause, reports []crash.Report) bool {
+	return len(c) == 1 && slices.ContainsFunc(reports, func(r crash.Report) bool {
+		return r.HasRequest(crash.Fingerprint(c[0]))
+	})
+}
+
+// partsOf returns the parts of prompts that a cause consists of, as callers name them, for logs.
+func partsOf(c crash.Cause, reports []crash.Report) []string {
+	found := map[crash.PartID]bool{}
+	for _, r := range reports {
+		for _, request := range r.Requests {
+			for _, trait := range c {
+				if part, ok := request.PartOf(r.Service, trait); ok {
+					found[part] = true
+				}
+			}
+		}
+	}
+	var out []string
+	for _, part := range slices.Sorted(maps.Keys(found)) {
+		out = append(out, part.String())
+	}
+	return out
 }
 
 // replicaNames returns the names of the replicas for logs.
@@ -161,37 +224,69 @@
 
 // Restored handles a verdict that was read from the platform's store.
 func (t *Tracker) Restored(now clock.Instant, q registry.Quarantine) {
-	if t.Remaining(now, q.Request) > 0 || t.verdicts[q.Request] != nil {
+	if t.verdicts[q.ID] != nil || q.Cause().ID() != q.ID {
 		return
 	}
-	t.apply(q.Request, &verdict{since: now, term: initialTerm, replicas: q.Replicas, recorded: true})
-	t.Out.Log(logevent.RequestQuarantined, "fingerprint", q.Request.String(), "source", "the store", "term", initialTerm.String())
+	t.apply(&verdict{cause: q.Cause(), whole: len(q.Traits) == 0, since: now, term: initialTerm, replicas: q.Replicas, recorded: true})
+	t.Out.Log(logevent.RequestQuarantined, "fingerprint", q.ID.String(), "source", "the store", "term", initialTerm.String())
 }
 
-// apply installs a verdict and cancels the request's calls in flight.
-func (t *Tracker) apply(request crash.Fingerprint, v *verdict) {
-	t.verdicts[request] = v
-	t.Cut(request, v.term)
+// apply installs a verdict and cancels the calls in flight of requests with its cause.
+func (t *Tracker) apply(v *verdict) {
+	id := v.cause.ID()
+	if t.verdicts[id] == nil {
+		t.byTrait[v.cause[0]] = append(t.byTrait[v.cause[0]], id)
+	}
+	t.verdicts[id] = v
+	t.Cut(v.cause, v.term)
 }
 
-// cleared reports whether a request that is no longer blamed may run again: it succeeded since
-// the verdict, or other requests explain the crashes of all replicas that ended under it. That
-// reports were pruned, or that another request may be to blame as well, is not enough.
-func (t *Tracker) cleared(request crash.Fingerprint, under []pool.Incarnation, explained map[pool.Incarnation]bool) bool {
-	v := t.verdicts[request]
-	if v.since.Before(t.Records.LastSuccess(request)) {
+// remove removes a verdict.
+func (t *Tracker) remove(v *verdict) {
+	id := v.cause.ID()
+	delete(t.verdicts, id)
+	rest := slices.DeleteFunc(t.byTrait[v.cause[0]], func(other crash.CauseID) bool { return other == id })
+	if len(rest) == 0 {
+		delete(t.byTrait, v.cause[0])
+		return
+	}
+	t.byTrait[v.cause[0]] = rest
+}
+
+// lastSuccess returns when a request with all traits of a cause last succeeded, at the latest.
+func (t *Tracker) lastSuccess(c crash.Cause) clock.Instant { return t.history().LastSuccess(c) }
+
+// cleared reports whether requests with a cause that is no longer blamed may run again: one succeeded
+// since the verdict, or other causes explain the crashes of all replicas that ended under them. That
+// reports were pruned, or that another cause may be to blame as well, is not enough.
+func (t *Tracker) cleared(v *verdict, under []pool.Incarnation, explained map[pool.Incarnation]bool) bool {
+	if v.since.Before(t.lastSuccess(v.cause)) {
 		return true
 	}
 	unexplained := slices.ContainsFunc(under, func(replica pool.Incarnation) bool { return !explained[replica] })
 	return v.evaluated && len(under) >= v.replicas && !unexplained
 }
 
-// replicasUnder returns the replicas that are reported to have ended under a request after
-// since, sorted, each incarnation once.
-func replicasUnder(request crash.Fingerprint, reports []crash.Report, since clock.Instant) []pool.Incarnation {
+// isIn reports whether a request with the verdict's cause was in flight at the replica of a report.
+func (v *verdict) isIn(r crash.Report) bool {
+	if v.whole {
+		return hasRequest(v.cause[0])(r)
+	}
+	return r.Has(v.cause)
+}
+
+// hasRequest returns a function that reports whether a request was in flight at the replica of a
+// report.
+func hasRequest(t crash.Trait) func(crash.Report) bool {
+	return func(r crash.Report) bool { return r.HasRequest(crash.Fingerprint(t)) }
+}
+
+// replicasUnder returns the replicas of the reports after since for which has is true, sorted, each
+// incarnation once.
+func replicasUnder(has func(crash.Report) bool, reports []crash.Report, since clock.Instant) []pool.Incarnation {
 	var under []pool.Incarnation
 	for _, r := range reports {
-		if since.Before(r.At) && r.Has(request) {
+		if since.Before(r.At) && has(r) {
 			under = append(under, r.Replica)
 		}
 	}
@@ -199,25 +294,23 @@
 	return slices.Compact(under)
 }
 
-// release ends the quarantine of a request.
-func (t *Tracker) release(request crash.Fingerprint) {
-	t.Out.Log(logevent.RequestReleased, "fingerprint", request.String())
-	t.removeRecord(t.verdicts[request], request)
-	delete(t.verdicts, request)
+// release ends the quarantine of requests with a cause.
+func (t *Tracker) release(v *verdict) {
+	t.Out.Log(logevent.RequestReleased, "fingerprint", v.cause.ID().String())
+	t.removeRecord(v)
+	t.remove(v)
 	t.Pool.NoteCapacityChange()
 }
 
 // pruneVerdicts removes the verdicts that are no longer remembered, and the oldest beyond
 // maxVerdicts.
 func (t *Tracker) pruneVerdicts(now clock.Instant) {
-	maps.DeleteFunc(t.verdicts, func(_ crash.Fingerprint, v *verdict) bool { return !v.remembered(now) })
-	if len(t.verdicts) <= maxVerdicts {
-		return
-	}
-	byAge := slices.SortedFunc(maps.Keys(t.verdicts), func(a, b crash.Fingerprint) int {
-		return cmp.Or(cmp.Compare(t.verdicts[b].since.Mono, t.verdicts[a].since.Mono), cmp.Compare(a, b))
+	byAge := slices.SortedFunc(maps.Values(t.verdicts), func(a, b *verdict) int {
+		return cmp.Or(cmp.Compare(b.since.Mono, a.since.Mono), slices.Compare(a.cause, b.cause))
 	})
-	for _, request := range byAge[maxVerdicts:] {
-		delete(t.verdicts, request)
+	for i, v := range byAge {
+		if i >= maxVerdicts || !v.remembered(now) {
+			t.remove(v)
+		}
 	}
 }
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -12,6 +12,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -84,12 +85,21 @@
 	Revision era.Revision `json:"-"`
 }
 
-// A Quarantine is the record of a request that is not run because replicas terminated
-// while they were running it. It is attached to a lease of its own and is deleted when
-// the quarantine ends.
+// A Quarantine is the record of a cause with which requests are not run, because replicas
+// terminated while they were running such requests. It is attached to a lease of its own and is
+// deleted when the quarantine ends.
 type Quarantine struct {
-	Request  crash.Fingerprint `json:"-"`
-	Replicas int               `json:"replicas"` // number of replicas that terminated
+	ID       crash.CauseID `json:"-"`
+	Replicas int           `json:"replicas"`         // number of replicas that terminated
+	Traits   []crash.Trait `json:"traits,omitempty"` // of the cause, unless it is a whole request
+}
+
+// Cause returns the cause of the quarantine.
+func (q Quarantine) Cause() crash.Cause {
+	if len(q.Traits) == 0 {
+		return crash.Cause{crash.Trait(q.ID)}
+	}
+	return crash.Cause(q.Traits)
 }
 
 // An EraRecord is the record of the store's current era. Claims are written on the condition
@@ -194,9 +204,9 @@
 	if gone {
 		return
 	}
-	request, err := strconv.ParseUint(strings.TrimPrefix(key, quarantinePrefix), 16, 64)
-	q := Quarantine{Request: crash.Fingerprint(request)}
-	if err != nil || request == 0 || json.Unmarshal(value, &q) != nil {
+	id, err := strconv.ParseUint(strings.TrimPrefix(key, quarantinePrefix), 16, 64)
+	q := Quarantine{ID: crash.CauseID(id)}
+	if err != nil || id == 0 || json.Unmarshal(value, &q) != nil || !slices.IsSorted(q.Traits) || slices.Contains(q.Traits, 0) {
 		c.Unreadable = append(c.Unreadable, key)
 		return
 	}
@@ -250,7 +260,7 @@
 func (r EraRecord) Value() Value { return value(r.Key(), r) }
 
 // Value encodes the quarantine's record.
-func (q Quarantine) Value() Value { return value(quarantinePrefix+q.Request.String(), q) }
+func (q Quarantine) Value() Value { return value(quarantinePrefix+q.ID.String(), q) }
 
 // value encodes record under key. It panics on failure, which cannot happen, since records
 // consist of plain fields only.
--- a/core/registry/registry_test.go
+++ b/core/registry/registry_test.go
@@ -5,6 +5,8 @@
 
 	"github.com/matryer/is"
 
+	"github.com/birchdrift/birchdrift/core/crash"
+
 	"github.com/birchdrift/birchdrift/core/era"
 )
 
@@ -57,7 +59,12 @@
 // its deletion yields no change, and that invalid records are listed as unreadable.
 func TestQuarantineRoundTrip(t *testing.T) {
 	is := is.New(t)
-	q := Quarantine{Request: 1<<63 + 5, Replicas: 3}
+	part := Quarantine{ID: 9, Replicas: 5, Traits: []crash.Trait{3, 1<<63 + 5}}
+	is.Equal(part.Cause(), crash.Cause{3, 1<<63 + 5})
+	encoded := part.Value()
+	is.Equal(ChangeOf([]Record{{Key: encoded.Key, Data: encoded.Data, Revision: 1}}), Change{Quarantines: []Quarantine{part}})
+	q := Quarantine{ID: 1<<63 + 5, Replicas: 3}
+	is.Equal(q.Cause(), crash.Cause{1<<63 + 5})
 	v := q.Value()
 	is.Equal(ChangeOf([]Record{{Key: v.Key, Data: v.Data, Revision: 1}}), Change{Quarantines: []Quarantine{q}})
 	is.Equal(ChangeOf([]Record{{Key: v.Key, Revision: 2, Gone: true}}), Change{})
@@ -65,6 +72,8 @@
 		{Key: quarantinePrefix + "no number", Data: v.Data},
 		{Key: quarantinePrefix + "0", Data: v.Data},
 		{Key: v.Key, Data: []byte("[]")},
+		{Key: v.Key, Data: []byte(`{"replicas":3,"traits":[2,1]}`)},
+		{Key: v.Key, Data: []byte(`{"replicas":3,"traits":[0]}`)},
 	} {
 		is.Equal(ChangeOf([]Record{r}), Change{Unreadable: []string{r.Key}})
 	}
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -37,7 +37,7 @@
 		}),
 		Refusing: func(clock.Instant) bool { return false },
 		Quarantine: quarantine.New(quarantine.Deps{
-			State: state, Tell: func(clock.Instant) {}, Direct: func() bool { return true }, Cut: func(crash.Fingerprint, time.Duration) {},
+			State: state, Tell: func(clock.Instant) {}, Direct: func() bool { return true }, Cut: func(crash.Cause, time.Duration) {},
 			ConnectionRefused: func(clock.Instant, pool.Incarnation) {}, LinksAtFault: func(clock.Instant, pool.Incarnation) bool { return false },
 		}),
 	})
--- a/internal/environment/driver.go
+++ b/internal/environment/driver.go
@@ -244,7 +244,7 @@
 // storeVerdict writes a verdict under a lease of its own, so that it expires with the
 // lease.
 func (d *driver) storeVerdict(ctx context.Context, a quarantine.StoreVerdict) {
-	reply := quarantine.VerdictStored{Request: a.Quarantine.Request}
+	reply := quarantine.VerdictStored{ID: a.Quarantine.ID}
 	d.host.PlatformCalled()
 	lease, err := d.store.Grant(ctx, a.Term)
 	if err != nil {
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -114,7 +114,7 @@
 		out.Crashes = append(out.Crashes, encodeCrash(c))
 	}
 	for _, s := range records.Successes {
-		out.Successes = append(out.Successes, &peerpb.Success{Request: uint64(s.Request), AgeMs: toMilliseconds(s.Age)})
+		out.Successes = append(out.Successes, &peerpb.Success{Trait: uint64(s.Trait), AgeMs: toMilliseconds(s.Age)})
 	}
 	for _, l := range records.Leaving {
 		out.LeavingReplicas = append(out.LeavingReplicas, encodeIncarnation(l.Incarnation))
@@ -396,7 +396,7 @@
 	}
 	for _, s := range m.GetSuccesses() {
 		out.Successes = append(out.Successes, crash.Success{
-			Request: crash.Fingerprint(s.GetRequest()), EventTime: eventTimeOfAge(s.GetAgeMs()),
+			Trait: crash.Trait(s.GetTrait()), EventTime: eventTimeOfAge(s.GetAgeMs()),
 		})
 	}
 	for _, l := range m.GetLeavingReplicas() {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -49,7 +49,7 @@
 				Observer: "a", Boot: 18, Seq: 19, Replica: pool.Incarnation{Name: "e", Born: "29"}, Service: "s",
 				Requests: []crash.Request{{Fingerprint: 20, Model: "m", Parts: []crash.PartID{46, 1 << 63}}, {Fingerprint: 1 << 63}}, EventTime: clock.EventTime{Age: 21 * time.Millisecond},
 			}},
-			Successes: []crash.Success{{Request: 22, EventTime: clock.EventTime{Age: 23 * time.Millisecond}}},
+			Successes: []crash.Success{{Trait: 22, EventTime: clock.EventTime{Age: 23 * time.Millisecond}}},
 			Leaving:   []gossip.Leaving{{Incarnation: pool.Incarnation{Name: "e", Born: "24"}}},
 			Rests:     []gossip.Rest{{Incarnation: pool.Incarnation{Name: "e", Born: "33"}, Left: 34 * time.Millisecond}},
 			Limits: []gossip.Limit{{Incarnation: pool.Incarnation{Name: "e", Born: "31"}, LimitReport: pool.LimitReport{
