Crash reports are bounded by the parts of the prompts that they list

Cause: a report listed up to 64 parts of each of up to 128 requests, and 1024 reports are kept: 8 million parts, with the traits derived from them far more than an instance may take, if callers make up parts.

Change: a report lists 512 parts at most; requests with many parts give way to those with few. The oldest reports are dropped once all list more than 131,072 traits, the bound on suspected requests before parts were listed.

Evidence: TestMemoryIsBoundedForParts and TestPruneCrashesByTraits; without the limit on parts a report of the test has 8192.

--- a/core/crash/crash.go
+++ b/core/crash/crash.go
@@ -56,6 +56,27 @@
 	return r
 }
 
+// PartCount returns the number of parts of the requests' prompts, each counted at every request.
+func PartCount(requests []Request) int {
+	n := 0
+	for _, r := range requests {
+		n += len(r.Parts)
+	}
+	return n
+}
+
+// LimitParts returns the requests with the first parts of each prompt, as many as possible for the
+// number of all to stay within limit.
+func LimitParts(requests []Request, limit int) []Request {
+	out := slices.Clone(requests)
+	for most := MaxParts; PartCount(out) > limit; most-- {
+		for i, r := range out {
+			out[i].Parts = r.Parts[:min(len(r.Parts), most)]
+		}
+	}
+	return out
+}
+
 // compareRequests orders requests by their fingerprints.
 func compareRequests(a, b Request) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) }
 
@@ -91,6 +112,15 @@
 	return out
 }
 
+// TraitCount returns the number of traits of all requests.
+func (r Report) TraitCount() int {
+	n := 0
+	for _, traits := range r.Traits() {
+		n += len(traits)
+	}
+	return n
+}
+
 // HasRequest reports whether the request was in flight at the replica.
 func (r Report) HasRequest(request Fingerprint) bool {
 	_, found := SearchRequests(r.Requests, request)
--- a/core/crash/crash_test.go
+++ b/core/crash/crash_test.go
@@ -134,6 +134,18 @@
 	}
 }
 
+// TestLimitParts checks that requests with many parts give way to those with few.
+func TestLimitParts(t *testing.T) {
+	is := is.New(t)
+	requests := []Request{{Fingerprint: 1, Parts: []PartID{1}}, {Fingerprint: 2, Parts: []PartID{1, 2, 3, 4, 5}}, {Fingerprint: 3}}
+	is.Equal(LimitParts(requests, 6), requests)
+	limited := LimitParts(requests, 4)
+	is.Equal(limited[0].Parts, []PartID{1})
+	is.Equal(limited[1].Parts, []PartID{1, 2, 3})
+	is.Equal(len(requests[1].Parts), 5)
+	is.Equal(PartCount(LimitParts(requests, 0)), 0)
+}
+
 // TestUnsettledReportsAreIgnored checks that a report counts only once it has settled: before
 // that the reports of other instances may be missing, and a request that was there by
 // coincidence would be blamed.
--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -314,14 +314,18 @@
 func (s *Set) LastSuccess(t crash.Trait) clock.Instant { return s.successes[t].record.At }
 
 // PruneCrashes removes the crash reports and successes older than age, and all but the newest
-// keep crash reports. It reports whether it removed crash reports.
-func (s *Set) PruneCrashes(now clock.Instant, age time.Duration, keep int) bool {
+// crash reports: so many reports, with so many traits of requests in all, are kept. It reports
+// whether it removed crash reports.
+func (s *Set) PruneCrashes(now clock.Instant, age time.Duration, reports, traits int) bool {
 	before := len(s.crashes)
 	names := slices.SortedFunc(maps.Keys(s.crashes), func(a, b string) int {
 		return cmp.Or(cmp.Compare(s.crashes[b].record.At.Mono, s.crashes[a].record.At.Mono), cmp.Compare(a, b))
 	})
+	kept := 0
 	for i, name := range names {
-		if i >= keep || now.MaxElapsed(s.crashes[name].record.At) > age {
+		r := s.crashes[name].record
+		kept += r.TraitCount()
+		if i >= reports || kept > traits || now.MaxElapsed(r.At) > age {
 			delete(s.crashes, name)
 		}
 	}
--- a/core/gossip/gossip_test.go
+++ b/core/gossip/gossip_test.go
@@ -160,11 +160,29 @@
 		s.AddCrash("", crash.Report{Observer: "i", Seq: seq, EventTime: clock.EventTime{At: now.Add(-time.Duration(seq) * time.Minute)}})
 		s.AddSuccess("", crash.Success{Trait: crash.Trait(seq), EventTime: clock.EventTime{At: now.Add(-time.Duration(seq) * time.Minute)}})
 	}
-	is.True(!s.PruneCrashes(now, time.Hour, 5))
-	is.True(s.PruneCrashes(now, 3*time.Minute, 5))
+	is.True(!s.PruneCrashes(now, time.Hour, 5, 100))
+	is.True(s.PruneCrashes(now, 3*time.Minute, 5, 100))
 	is.Equal(len(s.Crashes()), 4)
 	is.True(s.LastSuccess(4).IsZero())
-	is.True(s.PruneCrashes(now, time.Hour, 2))
+	is.True(s.PruneCrashes(now, time.Hour, 2, 100))
+	is.Equal(len(s.Crashes()), 2)
+	for _, r := range s.Crashes() {
+		is.True(now.Since(r.At) <= time.Minute)
+	}
+}
+
+// TestPruneCrashesByTraits guards against reports that take unlimited memory because callers make up
+// parts of prompts.
+func TestPruneCrashesByTraits(t *testing.T) {
+	is := is.New(t)
+	s := NewSet()
+	now := clocktest.At(time.Hour)
+	for seq := range uint64(5) {
+		request := crash.NewRequest(crash.Fingerprint(seq+1), "", []crash.PartID{1, 2, 3})
+		s.AddCrash("", crash.Report{Observer: "i", Seq: seq, Requests: []crash.Request{request}, EventTime: clock.EventTime{At: now.Add(-time.Duration(seq) * time.Minute)}})
+	}
+	is.True(!s.PruneCrashes(now, time.Hour, 5, 15)) // three traits each: the request, and two parts
+	is.True(s.PruneCrashes(now, time.Hour, 5, 8))
 	is.Equal(len(s.Crashes()), 2)
 	for _, r := range s.Crashes() {
 		is.True(now.Since(r.At) <= time.Minute)
--- a/core/quarantine/evidence.go
+++ b/core/quarantine/evidence.go
@@ -174,7 +174,7 @@
 		t.Out.Log(logevent.UpstreamEnded, "upstream", replica.Name, "calls", len(e.requests), "parts", partNames(e.requests))
 	}
 	r := crash.Report{
-		Observer: t.Self.Name, Boot: t.Self.Boot, Seq: e.seq, Replica: replica, Service: e.service, Requests: slices.Clone(e.requests),
+		Observer: t.Self.Name, Boot: t.Self.Boot, Seq: e.seq, Replica: replica, Service: e.service, Requests: crash.LimitParts(e.requests, maxReportParts),
 		EventTime: clock.EventTime{At: e.at},
 	}.WithTraits()
 	t.Records.AddCrash("", r)
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -41,6 +41,12 @@
 	// maxRequests bounds the requests in one report: twice the slots of a large engine, all
 	// used by one instance.
 	maxRequests = 128
+	// maxReportParts bounds the parts of prompts in one report: those of the requests that an
+	// instance of a small site has in flight at a busy engine, at the most that count.
+	maxReportParts = 512
+	// maxTraits bounds the traits in all reports that are kept, newest first, whatever parts
+	// callers make up. With what is derived from them they take at most 10 MB.
+	maxTraits = maxReports * maxRequests
 	// settleTime is how long the reports of other instances may take to arrive, including the
 	// check of the replica and a few hops. If reports were evaluated earlier, a request that
 	// was in flight by coincidence would be blamed while the report with the actual cause is
@@ -146,7 +152,7 @@
 	for _, r := range reports {
 		r.EventTime = r.FromWire(now)
 		r = r.WithTraits()
-		if now.MaxElapsed(r.At) < reportRetention && len(r.Requests) <= maxRequests && t.Records.AddCrash(from, r) {
+		if now.MaxElapsed(r.At) < reportRetention && len(r.Requests) <= maxRequests && crash.PartCount(r.Requests) <= maxReportParts && t.Records.AddCrash(from, r) {
 			t.addSuspects(now, r)
 			changed = true
 			urgent = urgent || t.urgent(r)
@@ -238,7 +244,7 @@
 
 // prune removes old records.
 func (t *Tracker) prune(now clock.Instant) {
-	if t.Records.PruneCrashes(now, reportRetention, maxReports) {
+	if t.Records.PruneCrashes(now, reportRetention, maxReports, maxTraits) {
 		clear(t.suspects)
 		for _, r := range t.Records.Crashes() {
 			t.addSuspects(now, r)
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -388,6 +389,38 @@
 	is.Equal(len(b.verdicts), maxVerdicts)
 }
 
+// TestMemoryIsBoundedForParts guards against reports that take unlimited memory because callers make
+// up parts of prompts.
+func TestMemoryIsBoundedForParts(t *testing.T) {
+	is := is.New(t)
+	b := newFixture()
+	const traitsPerReport = maxRequests + 2*maxReportParts
+	next := crash.PartID(1)
+	for n := range 2 * maxTraits / traitsPerReport {
+		r := b.replica(fmt.Sprint("r", n), false)
+		for f := range maxRequests {
+			var parts []crash.PartID
+			for range crash.MaxParts + 1 {
+				next++
+				parts = append(parts, next)
+			}
+			b.Severed(b.now, crash.NewRequest(crash.Fingerprint(n*maxRequests+f+1), "m", parts), r)
+		}
+		b.ReplicaEnded(b.now, r.Incarnation())
+		b.advance(30 * time.Millisecond)
+	}
+	b.advance(2 * pruneEvery)
+	traits := 0
+	for _, r := range b.Records.Crashes() {
+		is.True(crash.PartCount(r.Requests) <= maxReportParts)
+		traits += r.TraitCount()
+	}
+	is.True(traits > 0)
+	is.True(traits <= maxTraits)
+	is.True(len(b.suspects) <= maxTraits)
+	is.True(len(b.Records.Crashes()) >= maxTraits/traitsPerReport) // no more are dropped than necessary
+}
+
 // BenchmarkEvaluate measures one evaluation of the maximum number of reports, each with the
 // requests that an instance of a small site has in flight at a busy engine.
 func BenchmarkEvaluate(b *testing.B) {
