Tests of the rule of blame for parts of prompts

Each case is one property of the rule: how many occasions, parts that cannot be told apart, parts that were served before, between or since, crashes at one moment, one request that its caller repeats, one model.

--- a/core/crash/crash_test.go
+++ b/core/crash/crash_test.go
@@ -1,6 +1,7 @@
 package crash
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -170,3 +171,182 @@
 	asleep := clock.Instant{Mono: start.Mono, Wall: start.Wall.Add(time.Minute)}
 	is.Equal(clock.EventTime{At: start}.ForWire(asleep).Age, time.Minute)
 }
+
+// A partCrash is a replica that ended, and the parts of the requests in flight there. Each request is
+// another one, with a part of its own.
+type partCrash struct {
+	after    time.Duration // since start
+	requests [][]PartID
+}
+
+// partReports returns the reports of crashes under requests with parts.
+func partReports(crashes ...partCrash) []Report {
+	var reports []Report
+	own := PartID(1_000_000)
+	for n, c := range crashes {
+		r := Report{Observer: "i", Seq: uint64(n + 1), Replica: incarnation(fmt.Sprintf("r%02d", n), ""), Service: "s", EventTime: clock.EventTime{At: start.Add(c.after)}}
+		for _, parts := range c.requests {
+			own++
+			r.Requests = append(r.Requests, Request{Fingerprint: Fingerprint(own), Parts: append(slices.Clone(parts), own)})
+		}
+		reports = append(reports, r)
+	}
+	return reports
+}
+
+// everySecond returns crashes one second apart, each under one request with the next of the parts.
+func everySecond(requests ...[]PartID) []partCrash {
+	var out []partCrash
+	for n, parts := range requests {
+		out = append(out, partCrash{time.Duration(n) * time.Second, [][]PartID{parts}})
+	}
+	return out
+}
+
+// blamedParts returns the causes that are blamed, as the parts that they consist of, sorted.
+func blamedParts(crashes []partCrash, served map[PartID]clock.Instant) [][]PartID {
+	known := History{Served: func(t Trait) clock.Instant {
+		for part, at := range served {
+			if t == partTrait("s", "", part) {
+				return at
+			}
+		}
+		return clock.Instant{}
+	}}
+	reports := partReports(crashes...)
+	var out [][]PartID
+	for _, a := range Blame(reports, known, start.Add(time.Hour)) {
+		out = append(out, partsIn(a.Cause, reports))
+	}
+	slices.SortFunc(out, slices.Compare)
+	return out
+}
+
+// partsIn returns the parts that a cause consists of, sorted.
+func partsIn(c Cause, reports []Report) []PartID {
+	var out []PartID
+	for _, r := range reports {
+		for _, request := range r.Requests {
+			for _, t := range c {
+				if part, ok := request.PartOf(r.Service, t); ok {
+					out = append(out, part)
+				}
+			}
+		}
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
+// TestBlameOfParts guards against a part of prompts that crashes replicas and is not blamed, and
+// against sound parts that are blamed beside it. Parts 1 and 2 crash replicas, the others are sound.
+func TestBlameOfParts(t *testing.T) {
+	type parts = []PartID
+	repeat := func(n int, requests ...parts) []parts { return slices.Repeat(requests, n) }
+	before, between, after := start.Add(-time.Second), start.Add(1500*time.Millisecond), start.Add(time.Minute)
+	atOnce := func(n int, requests ...parts) []partCrash {
+		var out []partCrash
+		for range n {
+			out = append(out, partCrash{0, requests})
+		}
+		return out
+	}
+	cases := []struct {
+		name    string
+		crashes []partCrash
+		served  map[PartID]clock.Instant
+		want    []parts
+	}{
+		{"two crashes are too few", everySecond(repeat(2, parts{1})...), nil, nil},
+		{"three crashes", everySecond(repeat(3, parts{1})...), nil, []parts{{1}}},
+		{"no part in common", everySecond(parts{1}, parts{2}, parts{3}, parts{4}, parts{5}), nil, nil},
+		{"with a sound part that was served before: not told apart", everySecond(repeat(3, parts{8, 1})...), map[PartID]clock.Instant{8: before}, []parts{{1, 8}}},
+		{"with sound parts that were served after", everySecond(repeat(3, parts{8, 1})...), map[PartID]clock.Instant{8: after}, []parts{{1}}},
+		{"always with the same other part", everySecond(repeat(3, parts{8, 1})...), nil, []parts{{1, 8}}},
+		{"always with the same other part, until it comes without it", everySecond(parts{8, 1}, parts{8, 1}, parts{8, 1}, parts{1}), nil, []parts{{1}}},
+		{"with other sound parts each time", everySecond(parts{7, 1}, parts{8, 1}, parts{9, 1}), nil, []parts{{1}}},
+		{"served since", everySecond(repeat(6, parts{1})...), map[PartID]clock.Instant{1: after}, nil},
+		{"served in between, too few since", everySecond(repeat(4, parts{1})...), map[PartID]clock.Instant{1: between}, nil},
+		{"served before: six are too few", everySecond(repeat(6, parts{1})...), map[PartID]clock.Instant{1: before}, nil},
+		{"served before: seven", everySecond(repeat(7, parts{1})...), map[PartID]clock.Instant{1: before}, []parts{{1}}},
+		{"many at the same moment", atOnce(9, parts{1}), nil, nil},
+		{"a popular part beside it that was not served yet", []partCrash{
+			{0, [][]PartID{{1, 8}, {8}}}, {time.Second, [][]PartID{{1}, {8}}}, {2 * time.Second, [][]PartID{{1}}}, {3 * time.Second, [][]PartID{{1}}},
+		}, nil, []parts{{1}}},
+		{"two parts", everySecond(parts{1}, parts{2}, parts{1}, parts{2}, parts{1}, parts{2}, parts{1}, parts{2}, parts{1}, parts{2}), nil, []parts{{1}, {2}}},
+		{"three among other crashes", everySecond(parts{1}, parts{3}, parts{1}, parts{4}, parts{1}), nil, nil},
+		{"five among other crashes", everySecond(parts{1}, parts{3}, parts{1}, parts{4}, parts{1}, parts{1}, parts{5}, parts{1}), nil, []parts{{1}}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(blamedParts(c.crashes, c.served), c.want)
+			slices.Reverse(c.crashes)
+			is.Equal(blamedParts(c.crashes, c.served), c.want) // in any order
+		})
+	}
+}
+
+// TestOneRequestIsBlamedBeforeItsParts guards against a part that is refused because one request with
+// it, which its caller repeats, crashes replicas.
+func TestOneRequestIsBlamedBeforeItsParts(t *testing.T) {
+	is := is.New(t)
+	reports := partReports(everySecond(slices.Repeat([][]PartID{{8}}, 5)...)...)
+	for i := range reports {
+		reports[i].Requests[0].Fingerprint = 1
+	}
+	known := History{Served: func(Trait) clock.Instant { return clock.Instant{} }}
+	for _, n := range []int{3, 4, 5} {
+		attributions := Blame(reports[:n], known, start.Add(time.Hour))
+		is.Equal(len(attributions), 1)
+		is.Equal(attributions[0].Cause, Cause{Fingerprint(1).Trait()})
+	}
+}
+
+// TestAPartOfOneModel guards against a part that is refused at all models because it crashes the
+// replicas of one. Other models serve it.
+func TestAPartOfOneModel(t *testing.T) {
+	is := is.New(t)
+	reports := partReports(everySecond(slices.Repeat([][]PartID{{1}}, 4)...)...)
+	for i := range reports {
+		reports[i].Requests[0].Model = "m"
+	}
+	general, ofModel := partTrait("s", "", 1), partTrait("s", "m", 1)
+	known := History{Served: func(t Trait) clock.Instant {
+		if t == general {
+			return start.Add(time.Minute)
+		}
+		return clock.Instant{}
+	}}
+	attributions := Blame(reports, known, start.Add(time.Hour))
+	is.Equal(len(attributions), 1)
+	is.Equal(attributions[0].Cause, Cause{ofModel})
+	is.True(attributions[0].Cause.Covers(reports[0].Requests[0].Traits("s")))
+	is.True(!attributions[0].Cause.Covers(Request{Fingerprint: 9, Model: "other", Parts: []PartID{1}}.Traits("s")))
+	is.True(!attributions[0].Cause.Covers(Request{Fingerprint: 9, Model: "m", Parts: []PartID{1}}.Traits("other")))
+}
+
+// TestHeld checks from when on requests with a part are sent one after the other.
+func TestHeld(t *testing.T) {
+	before, after := start.Add(-time.Second), start.Add(time.Minute)
+	cases := []struct {
+		name    string
+		crashes int
+		served  clock.Instant
+		want    int
+	}{
+		{"one crash", 1, clock.Instant{}, 0},
+		{"two crashes", 2, clock.Instant{}, 1},
+		{"served before: four crashes", 4, before, 0},
+		{"served before: five crashes", 5, before, 1},
+		{"served since", 5, after, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			reports := partReports(everySecond(slices.Repeat([][]PartID{{1}}, c.crashes)...)...)
+			known := History{Served: func(Trait) clock.Instant { return c.served }}
+			is.Equal(len(Held(reports, known, start.Add(time.Hour))), c.want)
+		})
+	}
+}
