--- a/core/crash/crash_test.go
+++ b/core/crash/crash_test.go
@@ -287,6 +287,21 @@
 	}
 }
 
+// TestLimitsOfPartsStayWithinUsersBounds guards against a part that is blamed only after more crashes
+// than users allow. Requests with a held part crash one replica after the other, so what is blamed after
+// the fifth crash costs one late request each.
+func TestLimitsOfPartsStayWithinUsersBounds(t *testing.T) {
+	const (
+		usersCrashes = 5 // after which no request with the part may be sent
+		usersLate    = 3 // requests that may be sent later nevertheless
+	)
+	is := is.New(t)
+	is.True(minPartOccasions <= certainPartOccasions)
+	is.True(certainPartOccasions <= usersCrashes)
+	is.True(servedPartOccasions <= usersCrashes+usersLate)
+	is.True(heldServedCrashes <= usersCrashes)
+}
+
 // TestOneRequestIsBlamedBeforeItsParts guards against a part that is refused because one request with
 // it, which its caller repeats, crashes replicas.
 func TestOneRequestIsBlamedBeforeItsParts(t *testing.T) {
--- a/core/instance/parts_test.go
+++ b/core/instance/parts_test.go
@@ -275,6 +275,13 @@
 		h.f.run(2 * time.Second)
 		h.keepSending(250*time.Millisecond, badModel, badPart, h.middle(badModel, badPart))
 	}, true},
+	{"a large fleet, a part that was served before", true, func(h *partHarness) {
+		h.soundOf = func(int) []crash.PartID { return []crash.PartID{badPart} }
+		h.f.run(2 * time.Second)
+		h.soundOf = nil
+		h.f.run(2 * time.Second)
+		h.keepSending(200*time.Millisecond, badModel, badPart, h.middle(badModel, badPart))
+	}, true},
 	{"engines crash beside", false, func(h *partHarness) {
 		h.crashEngines(700 * time.Millisecond)
 		h.keepSending(250*time.Millisecond, badModel, badPart, h.middle(badModel, badPart))
--- a/core/quarantine/evidence.go
+++ b/core/quarantine/evidence.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/birchdrift/birchdrift/core/bounds"
 	"github.com/birchdrift/birchdrift/core/clock"
 	"github.com/birchdrift/birchdrift/core/crash"
 	"github.com/birchdrift/birchdrift/core/logevent"
@@ -17,17 +18,10 @@
 // leaving.
 
 const (
-	// checkDelay is how long after a severed call the replica is checked, if no other call
-	// shows earlier that its process has ended: a process that ends closes its connections one
-	// after the other, its listener among them.
-	checkDelay = 30 * time.Millisecond
 	// evidenceWindow is the time from the first sign of a crash within which severed calls and
 	// other signs count as evidence of the same crash: shorter than the seconds that a replica
 	// takes to restart.
 	evidenceWindow = 2 * time.Second
-	// confirmDelay is the time from the first sign that a replica's process has ended to the
-	// report. If the links to many replicas broke in that time, the links are at fault.
-	confirmDelay = 20 * time.Millisecond
 	// disconnectWindow is how long before its replica's crash a caller may have disconnected
 	// for its call to still count as in flight there: a replica takes a moment to notice the
 	// disconnect, and the crash takes a moment to show.
@@ -136,13 +130,13 @@
 	}
 }
 
-// reportEnded reports the replicas that have crashed, confirmDelay after the first sign, and again
+// reportEnded reports the replicas that have crashed, bounds.CrashConfirmDelay after the first sign, and again
 // when more requests turn out to have been in flight there. If the links of this instance are at
 // fault, it drops the evidence.
 func (t *Tracker) reportEnded(now clock.Instant) {
 	for _, replica := range slices.SortedFunc(maps.Keys(t.evidence), pool.Incarnation.Compare) {
 		e := t.evidence[replica]
-		if e.endedAt.IsZero() || len(e.requests) == e.reported || now.Before(e.endedAt.Add(confirmDelay)) {
+		if e.endedAt.IsZero() || len(e.requests) == e.reported || now.Before(e.endedAt.Add(bounds.CrashConfirmDelay)) {
 			continue
 		}
 		if e.reported == 0 && t.LinksAtFault(now, replica) {
@@ -203,12 +197,12 @@
 	return out
 }
 
-// checkReplicas emits one Check for each replica that severed calls, checkDelay after the first
+// checkReplicas emits one Check for each replica that severed calls, bounds.CrashCheckDelay after the first
 // of them, unless its process is known to have ended.
 func (t *Tracker) checkReplicas(now clock.Instant) {
 	for _, replica := range slices.SortedFunc(maps.Keys(t.evidence), pool.Incarnation.Compare) {
 		e := t.evidence[replica]
-		if !e.endedAt.IsZero() || e.checkSent || now.Before(e.at.Add(checkDelay)) {
+		if !e.endedAt.IsZero() || e.checkSent || now.Before(e.at.Add(bounds.CrashCheckDelay)) {
 			continue
 		}
 		e.checkSent = true
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -24,6 +24,7 @@
 	"slices"
 	"time"
 
+	"github.com/birchdrift/birchdrift/core/bounds"
 	"github.com/birchdrift/birchdrift/core/clock"
 	"github.com/birchdrift/birchdrift/core/crash"
 	"github.com/birchdrift/birchdrift/core/pool"
@@ -47,20 +48,11 @@
 	// maxTraits bounds the traits in all reports that are kept, newest first, whatever parts
 	// callers make up. With what is derived from them they take at most 10 MB.
 	maxTraits = maxReports * maxRequests
-	// settleTime is how long the reports of other instances may take to arrive, including the
-	// check of the replica and a few hops. If reports were evaluated earlier, a request that
-	// was in flight by coincidence would be blamed while the report with the actual cause is
-	// still on its way. It is within the users' bound of three seconds, in which an instance
-	// must learn what others know about crashes.
-	settleTime = 400 * time.Millisecond
 	// verdictDelay is the time from sending a call until its effect on the replica has been
 	// evaluated: the call's transmission and run, the check, and the reports.
-	verdictDelay = settleTime + 200*time.Millisecond
-	// shareInterval is the minimum interval between exchanges for crash reports: calls that are
-	// severed together are reported together, at most ten times per second.
-	shareInterval = 100 * time.Millisecond
+	verdictDelay = bounds.CrashSettleTime + 200*time.Millisecond
 	// relayedShareInterval is the same in a fleet whose instances relay reports, for reports
-	// of crashes that are too few to blame a request: at shareInterval, exchanges fill links of
+	// of crashes that are too few to blame a request: at bounds.CrashShareInterval, exchanges fill links of
 	// 10 Mbit/s while replicas crash.
 	relayedShareInterval = time.Second
 	// pruneEvery is the interval at which old records are removed.
@@ -131,7 +123,7 @@
 	}
 	if added {
 		t.holdBack(now)
-		t.scheduleUpdates(now, true, shareInterval)
+		t.scheduleUpdates(now, true, bounds.CrashShareInterval)
 	}
 }
 
@@ -164,7 +156,7 @@
 	}
 	if changed {
 		t.holdBack(now)
-		t.scheduleUpdates(now, urgent && !t.Direct(), shareInterval)
+		t.scheduleUpdates(now, urgent && !t.Direct(), bounds.CrashShareInterval)
 	}
 }
 
@@ -172,7 +164,7 @@
 // carries a report of this instance.
 func (t *Tracker) ownReportInterval(r crash.Report) time.Duration {
 	if t.Direct() || t.urgent(r) {
-		return shareInterval
+		return bounds.CrashShareInterval
 	}
 	return relayedShareInterval
 }
@@ -185,11 +177,11 @@
 	return slices.ContainsFunc(r.Traits(), func(traits []crash.Trait) bool { return t.suspectedCause(traits) != nil })
 }
 
-// scheduleUpdates schedules the evaluation of new records after settleTime and, if share is
+// scheduleUpdates schedules the evaluation of new records after bounds.CrashSettleTime and, if share is
 // true, an exchange with peers, at the earliest an interval after the last one.
 func (t *Tracker) scheduleUpdates(now clock.Instant, share bool, interval time.Duration) {
 	if t.evaluateDue.IsZero() {
-		t.evaluateDue = now.Add(settleTime)
+		t.evaluateDue = now.Add(bounds.CrashSettleTime)
 	}
 	if due := clock.Latest(now, t.sharedAt.Add(interval)); share && (t.shareDue.IsZero() || due.Before(t.shareDue)) {
 		t.shareDue = due
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/birchdrift/birchdrift/core/bounds"
 	"github.com/birchdrift/birchdrift/core/clock"
 	"github.com/birchdrift/birchdrift/core/clock/clocktest"
 	"github.com/birchdrift/birchdrift/core/crash"
@@ -110,12 +111,12 @@
 		}, 1},
 		{"severed, and a check shows that nothing listens", func(b *fixture) {
 			b.Severed(b.now, whole(bad), b.replica("r", false))
-			b.advance(2 * checkDelay)
+			b.advance(2 * bounds.CrashCheckDelay)
 			b.Checked(b.now, Checked{Replica: incarnation("r"), Ended: true})
 		}, 1},
 		{"severed, and a check shows that it listens", func(b *fixture) {
 			b.Severed(b.now, whole(bad), b.replica("r", false))
-			b.advance(2 * checkDelay)
+			b.advance(2 * bounds.CrashCheckDelay)
 			b.Checked(b.now, Checked{Replica: incarnation("r")})
 		}, 0},
 		{"severed, without a check result", func(b *fixture) { b.Severed(b.now, whole(bad), b.replica("r", false)) }, 0},
@@ -155,7 +156,7 @@
 			is := is.New(t)
 			b := newFixture()
 			c.simulate(b)
-			b.advance(2 * confirmDelay)
+			b.advance(2 * bounds.CrashConfirmDelay)
 			reported := 0
 			for _, r := range b.Records.Crashes() {
 				reported += len(r.Requests)
@@ -256,7 +257,7 @@
 			}
 			is.True(b.Remaining(b.now, traits(bad)) > 0)
 			c.simulate(b)
-			b.advance(2 * settleTime)
+			b.advance(2 * bounds.CrashSettleTime)
 			is.Equal(b.Remaining(b.now, traits(bad)) == 0, c.released)
 		})
 	}
@@ -290,7 +291,7 @@
 	is.Equal(len(next), 1)
 	is.Equal(next[0].Quarantine.ID, crash.CauseID(other))
 	b.Served(b.now, traits(bad))
-	is.Equal(actionsOf[RemoveVerdict](b.advance(2*settleTime)), []RemoveVerdict{{Quarantine: registry.Quarantine{ID: crash.CauseID(bad), Replicas: 4}}})
+	is.Equal(actionsOf[RemoveVerdict](b.advance(2*bounds.CrashSettleTime)), []RemoveVerdict{{Quarantine: registry.Quarantine{ID: crash.CauseID(bad), Replicas: 4}}})
 
 	late := newFixture()
 	late.Restored(late.now, registry.Quarantine{ID: crash.CauseID(bad), Replicas: 3})
@@ -306,13 +307,13 @@
 	is := is.New(t)
 	b := newFixture()
 	b.crash("a", bad)
-	b.advance(2 * confirmDelay)
+	b.advance(2 * bounds.CrashConfirmDelay)
 	is.Equal(b.exchanges, 1)
 	for n := range 50 {
 		b.crash(string(rune('b'+n)), bad)
 		b.advance(10 * time.Millisecond)
 	}
-	is.True(b.exchanges <= 2+int(500*time.Millisecond/shareInterval))
+	is.True(b.exchanges <= 2+int(500*time.Millisecond/bounds.CrashShareInterval))
 	report := func(seq uint64) []crash.Report {
 		return []crash.Report{{Observer: "j", Seq: seq, Replica: incarnation("x"), Requests: crashtest.Requests(8)}}
 	}
@@ -333,7 +334,7 @@
 		b.HandlePeerReports(b.now, "k", []crash.Report{report}, nil)
 		b.advance(10 * time.Millisecond)
 	}
-	b.advance(shareInterval)
+	b.advance(bounds.CrashShareInterval)
 	is.True(b.exchanges > before)
 	is.True(b.exchanges <= before+2)
 	b.advance(2 * relayedShareInterval)
@@ -447,11 +448,11 @@
 		for _, name := range []string{"a", "b"} {
 			b.crash(name, bad, 8)
 		}
-		b.advance(2 * confirmDelay)
+		b.advance(2 * bounds.CrashConfirmDelay)
 		is.Equal(b.SendDelay(traits(bad)), time.Duration(0))
 		b.crash("c", bad, 8)
 		b.crash("d", 8)
-		b.advance(2 * confirmDelay)
+		b.advance(2 * bounds.CrashConfirmDelay)
 		is.Equal(b.SendDelay(traits(bad)), b.SendDelay(traits(bad)))
 		is.Equal(b.SendDelay(traits(9)), time.Duration(0))
 		delays[b.SendDelay(traits(bad))] = true
--- a/core/quarantine/verdict.go
+++ b/core/quarantine/verdict.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/birchdrift/birchdrift/core/bounds"
 	"github.com/birchdrift/birchdrift/core/clock"
 	"github.com/birchdrift/birchdrift/core/crash"
 	"github.com/birchdrift/birchdrift/core/logevent"
@@ -144,7 +145,7 @@
 // evaluate blames causes for the reported crashes, and releases those whose crashes another cause
 // explains, or with which requests succeeded since.
 func (t *Tracker) evaluate(now clock.Instant) {
-	settled := now.Add(-settleTime)
+	settled := now.Add(-bounds.CrashSettleTime)
 	reports := t.Records.Crashes()
 	attributions := crash.Blame(reports, t.history(), settled)
 	blamed := map[crash.CauseID]bool{}
@@ -164,7 +165,7 @@
 	}
 	t.evaluateDue = clock.Instant{}
 	if slices.ContainsFunc(reports, func(r crash.Report) bool { return settled.Before(r.At) }) {
-		t.evaluateDue = now.Add(settleTime)
+		t.evaluateDue = now.Add(bounds.CrashSettleTime)
 	}
 }
 
--- a/internal/pages/pages.go
+++ b/internal/pages/pages.go
@@ -157,6 +157,7 @@
 		"that is too short for the shortest waits is logged (1008). A configuration arrives by the same\n" +
 		"watch; only the bound for leaving replicas is added up so far.\n")
 	writeVersionHold(&b)
+	writeCrashes(&b)
 	writeRetryBudget(&b)
 	writeRejections(&b)
 	writeConnections(&b)
@@ -187,6 +188,32 @@
 	}
 }
 
+// writeCrashes writes the section on crash reports.
+func writeCrashes(b *strings.Builder) {
+	columns := []string{"part", "what it is"}
+	var cases []bounds.Crashes
+	sum := []string{"**sum**", "from the crash that decides to the last call of the requests that are blamed"}
+	bound := []string{"**bound**", "`--settle-time`"}
+	for _, c := range budgetCases {
+		columns = append(columns, c.name)
+		crashes := c.bounds.Crashes(bounds.Timing{Mesh: c.mesh, Exchange: exchangeInterval})
+		cases = append(cases, crashes)
+		sum = append(sum, crashes.Sum().String())
+		bound = append(bound, c.bounds.Settle.String())
+	}
+	b.WriteString("\n## Requests that crash replicas\n\n")
+	writeTableHeader(b, columns...)
+	for i, part := range cases[0].All() {
+		cells := []string{part.Name, part.Meaning}
+		for _, c := range cases {
+			cells = append(cells, c.All()[i].Longest.String())
+		}
+		writeRow(b, cells...)
+	}
+	writeRow(b, sum...)
+	writeRow(b, bound...)
+}
+
 // A retryCase is a fleet for which docs/design/budgets.md adds up the parts of a retry budget.
 type retryCase struct {
 	instances int
