Instances take turns with suspected calls; parts that were served before need crashes in such turns

Causes: (1) a call of a suspected request waited from its arrival. While all engines of a model were away, the waits of all instances ran out, and when the first engine was back, each instance sent one at once; so did the retry of a call that crashed one. (2) Eight engines crashed within a second, before any request with the popular parts beside the bad one was served: all of these parts were at as many crashes, which was taken for certain.

Change: (1) an instance sends calls of a suspected cause only in its turn, counted from the last crash that all have been told of, or from the call's own severed attempt. (2) A part with which requests were served before is blamed only after two further crashes in such turns, and not while another part is at as many crashes, give or take one. A sound part is served in its turns and so cleared.

TestRetriesAreStaggered compared the waits of four instances at one moment; it now goes through three rounds of turns and checks that no two of them may send at any moment, that nobody sends right after a crash or a severed attempt, and that turns return.

--- a/core/crash/blame.go
+++ b/core/crash/blame.go
@@ -31,10 +31,14 @@
 	// certainPartOccasions is the same, regardless of what else was in flight there or crashed at
 	// the time.
 	certainPartOccasions = 5
-	// servedPartOccasions is the same for a part with which requests were served before the
-	// crashes, but none since. A popular part is in flight at most replicas, and after a few
-	// crashes at once it takes a moment until it is known to have been served.
-	servedPartOccasions = 7
+	// servedPartTurns is how many further replicas must end under a part with which requests were
+	// served before the crashes, but none since, while requests with it are sent one after the
+	// other. A popular part is in flight at most replicas, and when many end in a short time none
+	// of its requests may be served in between; sent one after the other, one soon is.
+	servedPartTurns = 2
+	// turnGap is the least time between two crashes under requests that are sent one after the
+	// other.
+	turnGap = 500 * time.Millisecond
 	// occasionGap is the least time between two occasions.
 	occasionGap = 100 * time.Millisecond
 	// minFurtherCrashes is at how many crashes beside those that single requests explain requests
@@ -275,22 +279,27 @@
 // weight returns how well the candidate explains its crashes. A part with which requests were
 // served before the crashes is a less likely cause.
 func (c candidate) weight() int {
-	if c.served && !c.whole {
+	if c.isServedPart() {
 		return len(c.crashes)
 	}
 	return 2 * len(c.crashes)
 }
 
-// occasions returns the number of moments at which replicas ended.
-func (c candidate) occasions() int {
+// times returns when the replicas ended, in ascending order.
+func (c candidate) times() []clock.Instant {
 	var times []clock.Instant
 	for _, x := range c.crashes {
 		times = append(times, x.at)
 	}
 	slices.SortFunc(times, func(a, b clock.Instant) int { return cmp.Compare(a.Mono, b.Mono) })
+	return times
+}
+
+// occasions returns the number of moments at which replicas ended.
+func (c candidate) occasions() int {
 	n := 0
 	var last clock.Instant
-	for _, at := range times {
+	for _, at := range c.times() {
 		if n == 0 || at.Since(last) >= occasionGap {
 			n++
 			last = at
@@ -299,6 +308,21 @@
 	return n
 }
 
+// turns returns the number of replicas that ended after requests with the cause were held back.
+func (c candidate) turns() int {
+	n := 0
+	times := c.times()
+	for i := heldServedCrashes; i < len(times); i++ {
+		if times[i].Since(times[i-1]) >= turnGap {
+			n++
+		}
+	}
+	return n
+}
+
+// isServedPart reports whether the cause is a part with which requests were served before the crashes.
+func (c candidate) isServedPart() bool { return c.served && !c.whole }
+
 // suffices reports whether there are enough crashes to blame the candidate, and whether there are so
 // many that nothing else needs to be considered.
 func (c candidate) suffices() (enough, certain bool) {
@@ -307,8 +331,8 @@
 		n := len(c.crashes)
 		return n >= MaxCrashes || c.blamed, n >= certainLimit
 	case c.served:
-		n := c.occasions()
-		return n >= servedPartOccasions || c.blamed, n >= servedPartOccasions
+		certain = c.turns() >= servedPartTurns
+		return certain || c.blamed, certain
 	default:
 		n := c.occasions()
 		return n >= minPartOccasions || c.blamed, n >= certainPartOccasions
@@ -483,6 +507,8 @@
 		}
 		rivals := rivalsOf(c, candidates[i+1:])
 		switch _, certain := c.suffices(); {
+		case c.isServedPart() && len(rivals) > 0:
+			// requests with the sound ones are soon served
 		case certain:
 			blamed = append(blamed, c)
 			blamed = append(blamed, slices.DeleteFunc(rivals, func(r candidate) bool {
@@ -507,11 +533,16 @@
 }
 
 // rivalsOf returns those of the following candidates, the best first, that explain as many crashes,
-// some of them the same.
+// some of them the same. A part with which requests were served before has rivals that explain a few
+// crashes less, too.
 func rivalsOf(c candidate, following []candidate) []candidate {
+	least := c.weight()
+	if c.isServedPart() {
+		least -= minFurtherCrashes - 1
+	}
 	var rivals []candidate
 	for _, other := range following {
-		if other.weight() < c.weight() {
+		if other.weight() < least {
 			break
 		}
 		if c.overlaps(other) {
--- a/core/crash/crash_test.go
+++ b/core/crash/crash_test.go
@@ -251,6 +251,13 @@
 		}
 		return out
 	}
+	inASecond := func(n int, requests ...parts) []partCrash {
+		var out []partCrash
+		for i := range n {
+			out = append(out, partCrash{time.Duration(i) * time.Second / time.Duration(n), requests})
+		}
+		return out
+	}
 	cases := []struct {
 		name    string
 		crashes []partCrash
@@ -269,6 +276,8 @@
 		{"served in between, too few since", everySecond(repeat(4, parts{1})...), map[PartID]clock.Instant{1: between}, nil},
 		{"served before: six are too few", everySecond(repeat(6, parts{1})...), map[PartID]clock.Instant{1: before}, nil},
 		{"served before: seven", everySecond(repeat(7, parts{1})...), map[PartID]clock.Instant{1: before}, []parts{{1}}},
+		{"served before: many within a second", inASecond(9, parts{1}), map[PartID]clock.Instant{1: before}, nil},
+		{"served before, with another popular part at each crash and at one more", append(everySecond(repeat(8, parts{1}, parts{8})[1:]...), partCrash{8 * time.Second, [][]PartID{{8}, {1}}}), map[PartID]clock.Instant{1: before, 8: before}, nil},
 		{"many at the same moment", atOnce(9, parts{1}), nil, nil},
 		{"a popular part beside it that was not served yet", []partCrash{
 			{0, [][]PartID{{1, 8}, {8}}}, {time.Second, [][]PartID{{1}, {8}}}, {2 * time.Second, [][]PartID{{1}}}, {3 * time.Second, [][]PartID{{1}}},
@@ -298,8 +307,8 @@
 	is := is.New(t)
 	is.True(minPartOccasions <= certainPartOccasions)
 	is.True(certainPartOccasions <= usersCrashes)
-	is.True(servedPartOccasions <= usersCrashes+usersLate)
 	is.True(heldServedCrashes <= usersCrashes)
+	is.True(heldServedCrashes+servedPartTurns <= usersCrashes+usersLate)
 }
 
 // TestOneRequestIsBlamedBeforeItsParts guards against a part that is refused because one request with
--- a/core/forwarding/attempts.go
+++ b/core/forwarding/attempts.go
@@ -92,7 +92,7 @@
 	c.Phase = calls.Waiting
 	s.probe = probe{}
 	if s.failed.Severed {
-		s.notBefore = clock.Instant{} // the replica may have crashed under the call
+		s.severedAt, s.held = now, false
 	}
 	f.findReplica(now, c)
 }
--- a/core/forwarding/forwarding.go
+++ b/core/forwarding/forwarding.go
@@ -92,9 +92,8 @@
 	brokenAt       clock.Instant // when the last attempt failed whose answer had begun; zero: none did
 	charge         retryCharge   // of its next attempt
 	probe          probe
-	// notBefore is the earliest time at which the call may be sent, if replicas crashed
-	// under its request; zero: not determined yet.
-	notBefore clock.Instant
+	severedAt      clock.Instant // when its last attempt was severed; zero: it was not
+	held           bool          // it waits for others that are suspected for the same reason
 }
 
 // A modelRequest describes the model that a forwarded call asks for. It is the zero
--- a/core/forwarding/forwarding_test.go
+++ b/core/forwarding/forwarding_test.go
@@ -360,7 +360,9 @@
 		f.Quarantine.HandlePeerReports(start, "i", []crash.Report{report}, nil)
 	}
 	is.True(f.mustDelay(start, c, s))
-	after := start.Add(f.Quarantine.SendDelay(s.traits))
+	delay, suspected := f.Quarantine.SendDelay(start, s.traits, s.severedAt)
+	is.True(suspected)
+	after := start.Add(delay)
 	c.Phase = calls.Waiting
 	is.True(!f.mustDelay(after, c, s))
 	failAttempt := func(b calls.AttemptFailed) {
@@ -372,7 +374,8 @@
 	is.True(!f.mustDelay(after, c, s))
 	failAttempt(calls.AttemptFailed{Phase: attempt.MaybeSent, Severed: true})
 	is.True(f.mustDelay(after, c, s))
-	later := after.Add(f.Quarantine.SendDelay(s.traits))
+	delay, _ = f.Quarantine.SendDelay(after, s.traits, s.severedAt)
+	later := after.Add(delay)
 	is.True(!f.mustDelay(later, c, s))
 	f.Calls.Add(&calls.Call{Request: calls.Request{ID: 2, Forward: &calls.ForwardRequest{Fingerprint: 7}}, Phase: calls.Running, State: &state{traits: s.traits}})
 	is.True(f.mustDelay(later, c, s))
--- a/core/forwarding/place.go
+++ b/core/forwarding/place.go
@@ -86,15 +86,15 @@
 // mustDelay reports whether a call must not be sent yet because replicas crashed under its
 // request.
 func (f *Forwarder) mustDelay(now clock.Instant, c *calls.Call, s *state) bool {
-	delay := f.Quarantine.SendDelay(s.traits)
-	if delay == 0 {
+	delay, suspected := f.Quarantine.SendDelay(now, s.traits, s.severedAt)
+	if !suspected {
 		return false
 	}
-	if s.notBefore.IsZero() {
-		s.notBefore = now.Add(delay)
-		f.Out.Log(logevent.CallWaits, "call", c.Forward.Name, "for", "other attempts of its request, under which replicas crashed")
+	if !s.held {
+		s.held = true
+		f.Out.Log(logevent.CallWaits, "call", c.Forward.Name, "for", "other attempts of its request, or with the same part in the prompt, under which replicas crashed")
 	}
-	return now.Before(s.notBefore) || f.suspectRunning(s.traits)
+	return delay > 0 || f.suspectRunning(s.traits)
 }
 
 // suspectRunning reports whether a call is running at a replica that is suspected for the same
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -434,35 +434,56 @@
 }
 
 // TestRetriesAreStaggered checks that a request under which so many replicas crashed that the
-// next crash decides is sent by one instance after the other, and that any other request is
-// sent at once.
+// next crash decides is sent by one instance after the other, also if it could not be sent at first,
+// and that any other request is sent at once.
 func TestRetriesAreStaggered(t *testing.T) {
 	is := is.New(t)
 	names := []string{"i", "j", "k", "l"}
-	delays := map[time.Duration]bool{}
+	turns := map[time.Duration][]string{} // instances that may send, by the time since the crash
+	const step = 50 * time.Millisecond
 	for _, self := range names {
 		b := newFixtureNamed(self)
 		for _, other := range names {
 			b.Members.Upsert(other, "z", other)
 		}
+		notSuspected := func(request crash.Fingerprint) {
+			t.Helper()
+			delay, suspected := b.SendDelay(b.now, traits(request), clock.Instant{})
+			is.Equal(delay, time.Duration(0))
+			is.True(!suspected)
+		}
 		for _, name := range []string{"a", "b"} {
 			b.crash(name, bad, 8)
 		}
 		b.advance(2 * bounds.CrashConfirmDelay)
-		is.Equal(b.SendDelay(traits(bad)), time.Duration(0))
+		notSuspected(bad)
+		crashed := b.now
 		b.crash("c", bad, 8)
 		b.crash("d", 8)
 		b.advance(2 * bounds.CrashConfirmDelay)
-		is.Equal(b.SendDelay(traits(bad)), b.SendDelay(traits(bad)))
-		is.Equal(b.SendDelay(traits(9)), time.Duration(0))
-		delays[b.SendDelay(traits(bad))] = true
+		notSuspected(9)
+		for since := time.Duration(0); since < 3*sendSlots*verdictDelay; since += step {
+			delay, suspected := b.SendDelay(crashed.Add(since), traits(bad), clock.Instant{})
+			is.True(suspected)
+			is.True(delay <= sendSlots*verdictDelay)
+			if delay == 0 {
+				turns[since] = append(turns[since], self)
+			}
+			if delay, _ := b.SendDelay(crashed.Add(since), traits(bad), crashed.Add(since)); delay < verdictDelay {
+				t.Errorf("a call that was severed just now is sent after %v", delay)
+			}
+		}
 		b.Served(b.now.Add(time.Millisecond), traits(bad))
-		is.Equal(b.SendDelay(traits(bad)), time.Duration(0)) // a request that succeeded is harmless
+		notSuspected(bad) // a request that succeeded is harmless
+	}
+	count := map[string]int{}
+	for since, instances := range turns {
+		is.True(since >= verdictDelay)
+		is.Equal(len(instances), 1) // no two instances at once
+		count[instances[0]]++
 	}
-	is.Equal(len(delays), len(names)) // no two instances at once
-	for delay := range delays {
-		is.True(delay >= verdictDelay)
-		is.True(delay <= sendSlots*verdictDelay)
+	for _, name := range names {
+		is.True(count[name] >= 2*int(verdictDelay/step)) // turns return
 	}
 }
 
--- a/core/quarantine/verdict.go
+++ b/core/quarantine/verdict.go
@@ -25,9 +25,9 @@
 	// maxTerm bounds the terms of a request that is blamed repeatedly, each of which is twice
 	// the one before.
 	maxTerm = 8 * time.Hour
-	// sendSlots is the number of time slots over which the instances stagger their calls of a
-	// suspected request: one for each instance of a small site; in a large fleet several
-	// instances share one.
+	// sendSlots is the number of turns in which the instances send their calls of a suspected
+	// request: one for each instance of a small site; in a large fleet several instances share
+	// one.
 	sendSlots = 8
 	// maxVerdicts bounds the verdicts that are kept, newest first. That many take 0.1 MB. Each
 	// requires three replicas to crash.
@@ -71,17 +71,42 @@
 	return left
 }
 
-// SendDelay returns how long a call of a request waits before it is sent. It is 0 unless so
-// many replicas crashed under the request, or under others with the same part in their prompts, that
-// the next crash may decide whether it is blamed. In that case the instances send such calls one
-// after the other, each after the effect of the previous one has been evaluated. This delays a
-// harmless request, but a harmful one crashes one more replica instead of one per instance.
-func (t *Tracker) SendDelay(traits []crash.Trait) time.Duration {
+// SendDelay returns how long a call of a request waits at least before it is sent. suspected is false
+// unless so many replicas crashed under the request, or under others with the same part in their
+// prompts, that the next crash may decide whether it is blamed. In that case the instances take turns
+// from the last of these crashes on, each long enough for the effect of a call to be evaluated. This
+// delays a harmless request, but a harmful one crashes one more replica instead of one per instance.
+//
+// severedAt is when the call's last attempt was severed, zero if it was not: the replica may have
+// crashed, although no report says so yet.
+func (t *Tracker) SendDelay(now clock.Instant, traits []crash.Trait, severedAt clock.Instant) (delay time.Duration, suspected bool) {
 	cause := t.suspectedCause(traits)
 	if cause == nil {
-		return 0
+		return 0, false
+	}
+	const round = sendSlots * verdictDelay
+	first := time.Duration(t.sendSlot(cause.ID())+1) * verdictDelay
+	elapsed := now.Since(clock.Latest(t.lastCrash(cause), severedAt)) - first
+	switch inRound := elapsed % round; {
+	case elapsed < 0:
+		return -elapsed, true
+	case inRound >= verdictDelay:
+		return round - inRound, true
+	default:
+		return 0, true
+	}
+}
+
+// lastCrash returns when a replica last ended under a request with a suspected cause. All instances
+// have the same reports, and so the same time.
+func (t *Tracker) lastCrash(c crash.Cause) clock.Instant {
+	at := t.suspects[c[0]]
+	for _, trait := range c[1:] {
+		if other := t.suspects[trait]; other.Before(at) {
+			at = other
+		}
 	}
-	return time.Duration(t.sendSlot(cause.ID())+1) * verdictDelay
+	return at
 }
 
 // suspectedCause returns the cause for which a request is sent after others only, nil if there is
@@ -116,7 +141,7 @@
 	return len(replicasUnder(hasRequest(request), t.Records.Crashes(), t.Records.LastSuccess(request))) >= crash.MaxCrashes
 }
 
-// sendSlot returns the time slot in which this instance sends its calls of a suspected request.
+// sendSlot returns the turn in which this instance sends its calls of a suspected request.
 func (t *Tracker) sendSlot(id crash.CauseID) int { return t.position(id) % sendSlots }
 
 // position returns how many instances come before this one in the order of their rendezvous
