An instance with most new connections keeps descriptors for its calls

Seen in a test of real processes: an instance with 128 descriptors and one core that gets most new connections serves 104 of 300 first attempts; the others wait until their deadline.

Cause: accepted connections take all descriptors. New ones wait in the queue of the listener, and calls that were read find none for a connection to a replica.

--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -138,6 +138,7 @@
 		}
 		s.listeners = append(s.listeners, &listener{net: bound})
 	}
+	s.listeners[0].net = s.newCallerListener(s.listeners[0].net)
 	if s.set.Advertise == "" {
 		s.set.Advertise = s.listeners[1].net.Addr().String()
 	}
