--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 # take ten times as long with the race detector and all seeds run the same code. To run all seeds: go test -race ./instance
 # in core.
 race:
-	cd core && go test -race -short -timeout $(TEST_TIME) $(SKIP) ./instance -crash.seeds=1 -notice.seeds=1 -leave.seeds=1 -reject.seeds=1
+	cd core && go test -race -short -timeout $(TEST_TIME) $(SKIP) ./instance -crash.seeds=1 -notice.seeds=1 -leave.seeds=1 -reject.seeds=1 -parts.seeds=1 -streams.seeds=1
 	cd core && go test -race $(SKIP) ./own/book/...
 	go test -race $(SKIP) ./internal/...
 
--- a/core/instance/crowding_test.go
+++ b/core/instance/crowding_test.go
@@ -6,6 +6,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/birchdrift/birchdrift/core/option"
 )
 
 const (
@@ -43,7 +45,7 @@
 		t.Run(s.name, func(t *testing.T) {
 			t.Parallel()
 			for seed := range uint64(2) {
-				h := newPartHarness(seed+1, s.members, 32)
+				h := newPartHarness(seed+1, s.members, 32, option.Disabled{})
 				h.f.run(2 * time.Second)
 				began := h.f.now
 				before, _ := h.beginShare(firstPart(badModel), began-4*time.Second, began)
--- a/core/instance/parts_test.go
+++ b/core/instance/parts_test.go
@@ -80,12 +80,12 @@
 }
 
 // newPartHarness returns the harness of a fleet with the given number of instances and engines.
-func newPartHarness(seed uint64, members, engines int) *partHarness {
+func newPartHarness(seed uint64, members, engines int, disable option.Disabled) *partHarness {
 	b, contact := bounds.Default(), 3*time.Second
 	if members > watchers.FullMeshLimit {
 		b, contact = largeBounds, 4*time.Second
 	}
-	f := newFleetWithBounds(seed, members, engines, option.Disabled{}, false, b)
+	f := newFleetWithBounds(seed, members, engines, disable, false, b)
 	f.adapterShare = 0
 	f.opt.ExchangeEvery = 500 * time.Millisecond
 	h := &partHarness{
@@ -373,7 +373,7 @@
 				members, engines = *partMembers, 64
 			}
 			for seed := range *partSeeds {
-				h := newPartHarness(uint64(seed+1), members, engines)
+				h := newPartHarness(uint64(seed+1), members, engines, option.Disabled{})
 				began := h.f.now
 				s.do(h)
 				h.f.run(30 * time.Second)
@@ -383,6 +383,42 @@
 	}
 }
 
+// TestPartStormsDetectDisabledMechanisms checks that for each mechanism that stops parts of prompts, or
+// spares sound ones, some storm detects that it is disabled.
+func TestPartStormsDetectDisabledMechanisms(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		disable option.Disabled
+	}{
+		{"parts in reports", option.Disabled{PartReports: true}},
+		{"the hold of suspected parts", option.Disabled{PartHold: true}},
+		{"successes of parts", option.Disabled{PartSuccesses: true}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(2) {
+				for _, s := range partStorms {
+					if s.large {
+						continue
+					}
+					h := newPartHarness(seed+1, 8, 32, c.disable)
+					s.do(h)
+					h.f.run(30 * time.Second)
+					late := 0
+					for _, part := range sortedParts(h.bad) {
+						late = max(late, h.late(part))
+					}
+					if late > maxLateParts || h.soundEnd > 0 {
+						t.Logf("storm %q, seed %d: %d requests late, %d sound ones rejected", s.name, seed+1, late, h.soundEnd)
+						return
+					}
+				}
+			}
+			t.Errorf("no storm detected that %s is disabled", c.name)
+		})
+	}
+}
+
 // checkParts reports what broke the users' bounds.
 func (h *partHarness) checkParts(t *testing.T, seed int, began time.Duration, judgesService bool) {
 	t.Helper()
--- a/core/logevent/logevent.go
+++ b/core/logevent/logevent.go
@@ -179,7 +179,7 @@
 	{CancelFailed, "cancel_failed", "A request to a replica to cancel a call failed; the replica notices the closed connection.", "None; if there are many for one upstream, check it."},
 	{HeaderIgnored, "header_ignored", "A header of a forwarded call is invalid and is ignored; it only influences decisions.", "Correct the caller that sends it."},
 	{CallNotRepeated, "call_not_repeated", "An attempt of a forwarded call failed and is not retried at another replica; see `reason`.", "If there are many because the retry budget is used up, an upstream is failing."},
-	{RequestQuarantined, "request_quarantined", "A request is quarantined for `term`, because the replicas named in `upstreams` terminated while they ran it.", "Find the calls by their `fingerprint` in event 1804, and what in them terminates the replicas."},
+	{RequestQuarantined, "request_quarantined", "A request, or every request with the `parts` in its prompt, is quarantined for `term`, because the replicas named in `upstreams` terminated while they ran such requests.", "Find the calls by their `fingerprint`, or `parts`, in event 1804, and what in them terminates the replicas."},
 	{RequestReleased, "request_released", "A request is no longer quarantined: it was served, or the terminations of the replicas are attributed to another request.", "None."},
 	{QuarantineNotKept, "quarantine_not_kept", "Writing a quarantine to the platform's store failed; it is retried. All running instances know of the quarantine.", "Check the platform if it persists."},
 	{PermitFailed, "permit_failed", "The coordinator of the permits of a rate-limited replica did not respond; another peer is asked.", "Check the network between the instances if it persists."},
--- a/core/option/option.go
+++ b/core/option/option.go
@@ -118,6 +118,9 @@
 	VersionAge     bool // takes its own list for current, however old it is
 	StreamRecords  bool // tells no other instance which streams it began
 	StreamLookup   bool // asks no other instance for a stream
+	PartReports    bool // reports no parts of prompts of the requests at replicas that crashed
+	PartHold       bool // sends requests with a suspected part of the prompt like any other
+	PartSuccesses  bool // tells no other instance that requests with a suspected part were served
 	Rate           bool // ignores the rate limit of loads from the weight store
 	Intents        bool // does not store intents before orders to engines that check no fences
 }
--- a/core/quarantine/evidence.go
+++ b/core/quarantine/evidence.go
@@ -167,8 +167,12 @@
 		e.seq = t.seq
 		t.Out.Log(logevent.UpstreamEnded, "upstream", replica.Name, "calls", len(e.requests), "parts", partNames(e.requests))
 	}
+	parts := maxReportParts
+	if t.Options.Disable.PartReports {
+		parts = 0
+	}
 	r := crash.Report{
-		Observer: t.Self.Name, Boot: t.Self.Boot, Seq: e.seq, Replica: replica, Service: e.service, Requests: crash.LimitParts(e.requests, maxReportParts),
+		Observer: t.Self.Name, Boot: t.Self.Boot, Seq: e.seq, Replica: replica, Service: e.service, Requests: crash.LimitParts(e.requests, parts),
 		EventTime: clock.EventTime{At: e.at},
 	}.WithTraits()
 	t.Records.AddCrash("", r)
--- a/core/quarantine/held.go
+++ b/core/quarantine/held.go
@@ -36,7 +36,10 @@
 	t.heldDue = clock.Instant{}
 	t.heldAt = now
 	before := len(t.held)
-	t.held = crash.Held(t.Records.Crashes(), t.history(), now)
+	t.held = nil
+	if !t.Options.Disable.PartHold {
+		t.held = crash.Held(t.Records.Crashes(), t.history(), now)
+	}
 	if len(t.held) < before {
 		t.Pool.NoteCapacityChange()
 	}
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -114,6 +114,9 @@
 // Served records that a request with these traits succeeded, so replicas did not crash because of
 // them.
 func (t *Tracker) Served(now clock.Instant, traits []crash.Trait) {
+	if t.Options.Disable.PartSuccesses {
+		traits = traits[:min(1, len(traits))]
+	}
 	t.served.add(now, traits)
 	added := false
 	for _, trait := range traits {
