--- a/core/crash/crash.go
+++ b/core/crash/crash.go
@@ -1,5 +1,5 @@
 // Package crash holds the reports that instances exchange about replicas that ended under their
-// calls, and decides which request is to blame.
+// calls, and decides which requests are to blame.
 //
 // No instance sees why a replica ended. It only sees which requests it had in flight there, and
 // an engine runs dozens. A request that crashes replicas was in flight at all of them, while
@@ -7,6 +7,10 @@
 // therefore explains them, and these crashes no longer count against the other requests. A
 // request that succeeded afterwards does not crash replicas.
 //
+// Replicas may also crash under a part of the prompt that many requests share, none of them like
+// another. What is blamed is therefore a Cause: the traits that the requests at the crashes had in
+// common.
+//
 // Each instance reports the requests that it had in flight itself. Reports only grow, so they
 // may arrive in any order, from any peer and more than once.
 package crash
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -2,18 +2,21 @@
 //
 // A request may crash every replica that starts to run it, through a fault that its content
 // triggers. Its caller sees a broken connection and retries, and the limits on attempts do not
-// stop that: each retry has another request ID, and may reach any instance. What is known about
-// a request is therefore kept by its fingerprint, over all its retries, and shared by all
-// instances:
+// stop that: each retry has another request ID, and may reach any instance. If a part of the prompt
+// triggers the fault, other requests with that part do the same. What is known is therefore kept by
+// what requests have in common (crash.Trait): being the same request, over all its retries, or having
+// a part in the prompt. It is shared by all instances:
 //
 //  1. An instance whose call is severed checks whether the replica's process still exists
 //     (evidence.go). An unreachable replica, a broken connection or a planned end is not
 //     a crash.
 //  2. It reports the requests that it had in flight there to all instances, which all evaluate
 //     the reports by the same rule (core/crash).
-//  3. A blamed request is not run for a while: its calls in flight are canceled, further calls
-//     of it are refused at once (verdict.go).
-//  4. Verdicts are also written to the platform's store, for instances that start later
+//  3. Requests that may be blamed with the next crash are sent by one instance after the other
+//     (held.go, verdict.go).
+//  4. Requests that are blamed are not run for a while: their calls in flight are canceled, further
+//     ones are refused at once (verdict.go).
+//  5. Verdicts are also written to the platform's store, for instances that start later
 //     (record.go). Everything else works without the store.
 //
 // A request that was in flight by coincidence runs like any other, until its crashes are
