--- a/review/standin/fleet_test.go
+++ b/review/standin/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -31,14 +32,29 @@
 	Instances []*Instance
 }
 
-// freeAddress returns a loopback address whose port is free now.
-func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
+// Ports of the instances are taken below those that the system gives to outgoing connections.
+const (
+	firstPort = 20000
+	lastPort  = 30000
+)
+
+var usedPorts = map[int]bool{}
+
+// freeAddress returns a loopback address whose port is free now and was not returned before.
+func freeAddress() (string, error) {
+	for range 1000 {
+		port := firstPort + rand.IntN(lastPort-firstPort)
+		if usedPorts[port] {
+			continue
+		}
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			continue
+		}
+		usedPorts[port] = true
+		return l.Addr().String(), l.Close()
 	}
-	defer l.Close()
-	return l.Addr().String()
+	return "", fmt.Errorf("no free port")
 }
 
 var deployValue = regexp.MustCompile(`(?m)^(run|template) = "([^"]*)"`)
@@ -66,7 +82,13 @@
 		return nil, fmt.Errorf("the deploy file names no program or no template")
 	}
 	for i, zone := range zones {
-		f.Instances = append(f.Instances, &Instance{Name: fmt.Sprintf("front-%s-%d", zone, i+1), Zone: zone, Front: freeAddress(), Control: freeAddress(), Ready: freeAddress()})
+		n := &Instance{Name: fmt.Sprintf("front-%s-%d", zone, i+1), Zone: zone}
+		for _, address := range []*string{&n.Front, &n.Control, &n.Ready} {
+			if *address, err = freeAddress(); err != nil {
+				return nil, err
+			}
+		}
+		f.Instances = append(f.Instances, n)
 	}
 	fleets.Lock()
 	defer fleets.Unlock()
