Sight: how much of its processor and its link an instance uses, and what becomes of callers' connections

Cause: nothing told a saturated instance from slow replicas, peers or callers.

Change: the run delay (how long goroutines that could run wait for a processor, by the runtime's own histogram) and the bytes of all connections, with headers and acknowledgments, are sampled at most every 20 ms while callers connect or send. 1010 and 1011 say when the processor or the link is saturated. Metrics: birchdrift_run_delay_seconds, birchdrift_link_bytes_total, birchdrift_caller_connections_total, birchdrift_caller_requests_total. The link's rate is a setting (--link-rate); 0: unknown.

--- a/core/logevent/logevent.go
+++ b/core/logevent/logevent.go
@@ -22,6 +22,8 @@
 	SleepUncounted     Number = 1007
 	BoundTooShort      Number = 1008
 	TooManyCallers     Number = 1009
+	Saturated          Number = 1010
+	SaturationOver     Number = 1011
 	ConfigInstalled    Number = 1101
 	OlderConfigIgnored Number = 1102
 	ConfigFailed       Number = 1103
@@ -124,6 +126,8 @@
 	{SleepUncounted, "sleep_uncounted", "The system has no clock that includes the time for which the machine is suspended. The expiry of leases is therefore checked against the wall clock as well, which may be set back.", "Keep the machine from being suspended, or its wall clock from being set back."},
 	{BoundTooShort, "bound_too_short", "The bound for leaving replicas is shorter than the sum of the least delays that it consists of. These keep their least values, which are listed.", "Configure a longer bound (`--leave-bound`), or more frequent exchanges (`--exchange-every`)."},
 	{TooManyCallers, "too_many_callers", "Callers have so many connections to this instance (`open`) that it closes new ones, unread, to keep descriptors for connections to replicas. Logged once per second at most.", "Check that the load balancer spreads connections; otherwise raise the limit of open files of the process."},
+	{Saturated, "saturated", "The processor or the network link (`cause`) of this instance is saturated: its own work waits `run_delay_ms` for the processor, or it uses `link_use` of the link's rate.", "Check that the load balancer spreads connections (`birchdrift_caller_connections_total`); if all instances are saturated, add instances."},
+	{SaturationOver, "saturation_over", "This instance has not been saturated for a second; it was for `lasted_ms`.", "None."},
 	{ConfigInstalled, "configuration_installed", "A configuration revision is in force on this instance.", "None."},
 	{OlderConfigIgnored, "older_configuration_ignored", "The platform or a peer sent a revision older than the one in force; it is ignored.", "None; many at once are normal after a zone reconnects."},
 	{ConfigFailed, "configuration_failed", "A received configuration is invalid and was not installed; the one in force stays.", "Apply a valid one with `birchctl apply`."},
--- /dev/null
+++ b/core/saturation/saturation_test.go
@@ -0,0 +1,69 @@
+package saturation
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/birchdrift/birchdrift/core/clock"
+)
+
+const (
+	interval = 20 * time.Millisecond
+	linkRate = 1.25e6 // bytes a second
+)
+
+// observe observes n samples of a kind from at on and returns the time after them.
+func observe(d *Detector, at time.Duration, n int, s Sample) time.Duration {
+	s.Span = interval
+	for range n {
+		at += interval
+		d.Observe(clock.Instant{Mono: at}, s)
+	}
+	return at
+}
+
+// Guards against an instance that takes slow replicas, callers or a slow platform for its own
+// saturation: then its work waits for others, and not for the processor.
+func TestWaitingForOthersIsNoSaturation(t *testing.T) {
+	is := is.New(t)
+	d := Detector{LinkRate: linkRate}
+	observe(&d, 0, 100, Sample{RunDelay: 2 * time.Millisecond, Received: 8000, Sent: 8000})
+	is.Equal(d.Cause(), None)
+	is.True(!d.Holds())
+}
+
+// Guards against a saturated processor that is not noticed, or that counts as saturated for ever.
+func TestProcessorSaturation(t *testing.T) {
+	is := is.New(t)
+	var d Detector
+	at := observe(&d, time.Second, 1, Sample{RunDelay: MaxRunDelay + 1})
+	is.Equal(d.Cause(), Processor)
+	is.True(d.Holds())
+	at = observe(&d, at, 10, Sample{})
+	is.Equal(d.Cause(), None)
+	is.True(d.Holds()) // time limits that began before may still run out
+	observe(&d, at, 50, Sample{})
+	is.True(!d.Holds())
+}
+
+// Guards against a saturated link that is not noticed, in either direction, and against a large body
+// that counts as one.
+func TestLinkSaturation(t *testing.T) {
+	full := int64(linkRate * interval.Seconds())
+	for name, s := range map[string]Sample{"received": {Received: full}, "sent": {Sent: full}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := Detector{LinkRate: linkRate}
+			at := observe(&d, time.Second, 3, s)
+			is.Equal(d.Cause(), None)
+			observe(&d, at, 30, s)
+			is.Equal(d.Cause(), Link)
+		})
+	}
+	is := is.New(t)
+	var unknown Detector
+	observe(&unknown, time.Second, 30, Sample{Received: 100 * full})
+	is.Equal(unknown.Cause(), None)
+}
--- /dev/null
+++ b/internal/load/traffic.go
@@ -0,0 +1,101 @@
+package load
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync/atomic"
+	"syscall"
+)
+
+const (
+	// segmentOverhead is the size of the Ethernet, IP and TCP headers of a segment, in bytes; an
+	// acknowledgment has the same.
+	segmentOverhead = 66
+	// segmentPayload is the most bytes of data that a segment carries.
+	segmentPayload = 1448
+)
+
+// A Traffic counts the bytes of connections as they take up the network link, with headers and
+// acknowledgments. It is safe for concurrent use.
+type Traffic struct{ received, sent atomic.Int64 }
+
+// Received returns the number of bytes received so far.
+func (t *Traffic) Received() int64 { return t.received.Load() }
+
+// Sent returns the number of bytes sent so far.
+func (t *Traffic) Sent() int64 { return t.sent.Load() }
+
+// onLink returns the bytes that n bytes of data take up on the link, and those of their
+// acknowledgments in the other direction.
+func onLink(n int) (data, acknowledgments int64) {
+	segments := int64((n + segmentPayload - 1) / segmentPayload)
+	return int64(n) + segments*segmentOverhead, segments * segmentOverhead
+}
+
+// Conn returns c with its bytes counted.
+func (t *Traffic) Conn(c net.Conn) net.Conn { return &countedConn{c, t} }
+
+// A countedConn is a connection whose bytes are counted.
+type countedConn struct {
+	net.Conn
+	traffic *Traffic
+}
+
+// SyscallConn implements syscall.Conn.
+func (c *countedConn) SyscallConn() (syscall.RawConn, error) {
+	if conn, ok := c.Conn.(syscall.Conn); ok {
+		return conn.SyscallConn()
+	}
+	return nil, errors.ErrUnsupported
+}
+
+// Read implements net.Conn.
+func (c *countedConn) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	in, out := onLink(n)
+	c.traffic.received.Add(in)
+	c.traffic.sent.Add(out)
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *countedConn) Write(data []byte) (int, error) {
+	n, err := c.Conn.Write(data)
+	out, in := onLink(n)
+	c.traffic.sent.Add(out)
+	c.traffic.received.Add(in)
+	return n, err
+}
+
+// A Dial opens a connection, as net.Dialer.DialContext does.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Dial returns d with the bytes of its connections counted.
+func (t *Traffic) Dial(d Dial) Dial {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := d(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return t.Conn(conn), nil
+	}
+}
+
+// Listener returns l with the bytes of its connections counted.
+func (t *Traffic) Listener(l net.Listener) net.Listener { return &countedListener{l, t} }
+
+// A countedListener accepts connections whose bytes are counted.
+type countedListener struct {
+	net.Listener
+	traffic *Traffic
+}
+
+// Accept implements net.Listener.
+func (l *countedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return l.traffic.Conn(conn), nil
+}
--- a/internal/server/callers.go
+++ b/internal/server/callers.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/birchdrift/birchdrift/core/logevent"
+	"github.com/birchdrift/birchdrift/internal/telemetry"
 )
 
 // callerShare is the share of the process's descriptors that callers' connections may take. Each may
@@ -23,8 +24,10 @@
 // elsewhere, and those that are connected are still served here.
 type callerListener struct {
 	net.Listener
-	open   atomic.Int64
-	closed func(open int64) // called with the number of connections for each one that is closed
+	metrics *telemetry.Metrics
+	arrived func() // called for each connection
+	open    atomic.Int64
+	closed  func(open int64) // called with the number of connections for each one that is closed
 }
 
 // Accept implements net.Listener.
@@ -34,7 +37,10 @@
 		if err != nil {
 			return nil, err
 		}
-		if open := l.open.Add(1); open > maxCallers() {
+		l.arrived()
+		open := l.open.Add(1)
+		l.metrics.CountConnection(open <= maxCallers())
+		if open > maxCallers() {
 			l.open.Add(-1)
 			_ = conn.Close()
 			l.closed(open - 1)
@@ -71,7 +77,7 @@
 // that it closes connections.
 func (s *Server) newCallerListener(l net.Listener) *callerListener {
 	var logged atomic.Int64
-	return &callerListener{Listener: l, closed: func(open int64) {
+	return &callerListener{Listener: l, metrics: s.metrics, arrived: s.load.sample, closed: func(open int64) {
 		now := time.Now().UnixNano()
 		last := logged.Load()
 		if now-last < connectionLogInterval.Nanoseconds() || !logged.CompareAndSwap(last, now) {
--- /dev/null
+++ b/internal/server/load.go
@@ -0,0 +1,73 @@
+package server
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/birchdrift/birchdrift/core/clock"
+	"github.com/birchdrift/birchdrift/core/logevent"
+	"github.com/birchdrift/birchdrift/core/saturation"
+	"github.com/birchdrift/birchdrift/internal/load"
+	"github.com/birchdrift/birchdrift/internal/telemetry"
+)
+
+// bytesPerMegabit converts Mbit/s to bytes a second.
+const bytesPerMegabit = 1e6 / 8
+
+// A loadWatch watches the load of the process while callers connect or send. It is safe for
+// concurrent use.
+type loadWatch struct {
+	monitor *load.Monitor
+	metrics *telemetry.Metrics
+	log     logr.Logger
+	start   time.Time
+
+	mu       sync.Mutex
+	detector saturation.Detector
+}
+
+func newLoadWatch(monitor *load.Monitor, linkRate float64, metrics *telemetry.Metrics, log logr.Logger) *loadWatch {
+	return &loadWatch{
+		monitor: monitor, metrics: metrics, log: log, start: time.Now(),
+		detector: saturation.Detector{LinkRate: linkRate * bytesPerMegabit},
+	}
+}
+
+// sample takes a sample of the load if one is due.
+func (l *loadWatch) sample() {
+	t := time.Now()
+	s, ok := l.monitor.Sample(t)
+	if !ok {
+		return
+	}
+	l.metrics.ObserveLoad(s)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.instant(t)
+	if !l.detector.Observe(now, s) {
+		return
+	}
+	if l.detector.Holds() {
+		l.log.Info(logevent.Saturated.Name(), "event", int(logevent.Saturated), "cause", l.detector.Cause().String(),
+			"run_delay_ms", s.RunDelay.Milliseconds(), "link_use", l.detector.LinkUse())
+	} else {
+		l.log.Info(logevent.SaturationOver.Name(), "event", int(logevent.SaturationOver), "lasted_ms", l.detector.Since(now).Milliseconds())
+	}
+}
+
+// instant converts a time to an instant of the process.
+func (l *loadWatch) instant(t time.Time) clock.Instant {
+	return clock.Instant{Mono: t.Sub(l.start), Wall: t.Round(0)}
+}
+
+// countRequests counts the requests to a handler of callers, and samples the load.
+func (s *Server) countRequests(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.load.sample()
+		s.metrics.CountRequest()
+		next.ServeHTTP(w, r)
+	})
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -27,6 +27,7 @@
 	"github.com/birchdrift/birchdrift/core/shutdown"
 	"github.com/birchdrift/birchdrift/internal/entry"
 	"github.com/birchdrift/birchdrift/internal/forward"
+	"github.com/birchdrift/birchdrift/internal/load"
 	"github.com/birchdrift/birchdrift/internal/ops"
 	"github.com/birchdrift/birchdrift/internal/own"
 	"github.com/birchdrift/birchdrift/internal/own/engine"
@@ -62,6 +63,8 @@
 	file      []byte // content of the settings file when it was last read
 	ctx       context.Context
 	cancel    context.CancelFunc
+	traffic   *load.Traffic
+	load      *loadWatch
 }
 
 // A listener is one open listener with its HTTP server.
@@ -113,7 +116,8 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	s := &Server{set: set, opt: opt, log: log, tracer: tracer, level: level, metrics: metrics, logs: writer}
+	s := &Server{set: set, opt: opt, log: log, tracer: tracer, level: level, metrics: metrics, logs: writer, traffic: &load.Traffic{}}
+	s.load = newLoadWatch(load.NewMonitor(s.traffic), set.LinkRate, metrics, log)
 	limitMemory(set.MemoryLimit)
 	if err := s.bind(); err != nil {
 		return nil, err
@@ -136,7 +140,7 @@
 			}
 			return trace.Wrap(err, "listening for %s", l.name)
 		}
-		s.listeners = append(s.listeners, &listener{net: bound})
+		s.listeners = append(s.listeners, &listener{net: s.traffic.Listener(bound)})
 	}
 	s.listeners[0].net = s.newCallerListener(s.listeners[0].net)
 	if s.set.Advertise == "" {
@@ -147,7 +151,7 @@
 
 func (s *Server) wire(newEnvironment EnvironmentFactory) {
 	metrics := s.metrics
-	transports := upstream.NewTransports()
+	transports := upstream.NewCountedTransports(s.traffic)
 	unread := upstream.NewUnreadHeaderDetector(s.unreadHeader, metrics.CountUnreadHeader)
 	environment := newEnvironment(s.set, unread.Wrap(transports))
 	unread.AddKnown(environment.Wire.AnswerHeaders())
@@ -174,7 +178,7 @@
 	}
 	relays := &relay.Handler{Shell: s.shell, Service: callers.Service, Wire: environment.Wire, Next: peerServer.Routes()}
 	handlers := []http.Handler{
-		callers.Routes(),
+		s.countRequests(callers.Routes()),
 		peer.RequireKey(s.set.PeerKey, relays),
 		ops.Handler{Shell: s.shell, Metrics: metrics, Key: s.set.OpsKey}.Routes(),
 	}
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -14,6 +14,7 @@
 	"github.com/birchdrift/birchdrift/core/logevent"
 	"github.com/birchdrift/birchdrift/core/own/planner"
 	"github.com/birchdrift/birchdrift/core/retrybudget"
+	"github.com/birchdrift/birchdrift/core/saturation"
 	"github.com/birchdrift/birchdrift/core/step"
 	"github.com/birchdrift/birchdrift/core/streams"
 )
@@ -33,6 +34,12 @@
 	unreadHeaders  *metrics.Counter
 	listAge        *metrics.Histogram
 	relayed        *metrics.Counter
+	runDelay       *metrics.Histogram
+	linkReceived   *metrics.Counter
+	linkSent       *metrics.Counter
+	accepted       *metrics.Counter
+	refused        *metrics.Counter
+	requests       *metrics.Counter
 }
 
 // NewMetrics returns metrics without any observations.
@@ -52,6 +59,12 @@
 		unreadHeaders:  set.NewCounter("birchdrift_unread_headers_total"),
 		listAge:        set.NewHistogram("birchdrift_list_age_seconds"),
 		relayed:        set.NewCounter("birchdrift_relayed_attempts_total"),
+		runDelay:       set.NewHistogram("birchdrift_run_delay_seconds"),
+		linkReceived:   set.NewCounter(`birchdrift_link_bytes_total{direction="received"}`),
+		linkSent:       set.NewCounter(`birchdrift_link_bytes_total{direction="sent"}`),
+		accepted:       set.NewCounter(`birchdrift_caller_connections_total{outcome="accepted"}`),
+		refused:        set.NewCounter(`birchdrift_caller_connections_total{outcome="closed"}`),
+		requests:       set.NewCounter("birchdrift_caller_requests_total"),
 	}
 }
 
@@ -79,6 +92,10 @@
 	{"birchdrift_unreachable_replicas{service}", "Replicas of a service that this instance could not connect to when it last tried.", "If it is not 0 at a few instances only, check their network; at all, check the replicas. See event 1509."},
 	{"birchdrift_list_age_seconds", "Age of this instance's copy of the platform's list when a call was sent according to it.", "Near `--leave-bound`: leaving replicas may get calls. See event 1319."},
 	{"birchdrift_streams_taken_up_total{service,known}", "Streams that their callers took up with another request, by from where it is known which version of the replicas' software began them: `here`, `peer`, `only_one` or `no`; the last are not continued.", "`no` rising: look for instances that ended or were cut off, see event 1817."},
+	{"birchdrift_run_delay_seconds", "Time that work of the process which could go on waited for the processor, sampled while callers connect or send.", "Above 0.02: the processor is saturated, see event 1010."},
+	{"birchdrift_link_bytes_total{direction}", "Bytes of the process's connections as they take up the network link.", "Near `--link-rate`: the link is saturated, see event 1010."},
+	{"birchdrift_caller_connections_total{outcome}", "Connections of callers that were `accepted`, or `closed` before anything was read of them.", "`accepted` at one instance far above the others: check the load balancer. `closed`: see events 1009 and 1010."},
+	{"birchdrift_caller_requests_total", "Requests of callers whose headers were read.", "None by itself."},
 	{"birchdrift_notes_total{event}", "Log events by number.", "Look the number up in docs/events.md."},
 }
 
@@ -106,6 +123,25 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`birchdrift_answers_total{code="%d"}`, code)).Inc()
 }
 
+// ObserveLoad records a sample of the load of the process.
+func (m *Metrics) ObserveLoad(s saturation.Sample) {
+	m.runDelay.Update(s.RunDelay.Seconds())
+	m.linkReceived.AddInt64(s.Received)
+	m.linkSent.AddInt64(s.Sent)
+}
+
+// CountConnection counts a caller's connection that was accepted, or closed unread.
+func (m *Metrics) CountConnection(accepted bool) {
+	if accepted {
+		m.accepted.Inc()
+	} else {
+		m.refused.Inc()
+	}
+}
+
+// CountRequest counts a request of a caller.
+func (m *Metrics) CountRequest() { m.requests.Inc() }
+
 // CountAction updates the metrics that depend on the state machine's actions.
 func (m *Metrics) CountAction(a step.Action) {
 	switch act := a.(type) {
--- a/internal/upstream/timeouts_test.go
+++ b/internal/upstream/timeouts_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/http/httptrace"
+	"syscall"
 	"testing"
 	"time"
 
@@ -90,7 +91,7 @@
 			is := is.New(t)
 			var unacked, idle, interval int
 			trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-				raw, err := info.Conn.(*net.TCPConn).SyscallConn()
+				raw, err := info.Conn.(syscall.Conn).SyscallConn()
 				is.NoErr(err)
 				is.NoErr(raw.Control(func(fd uintptr) {
 					unacked, _ = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -22,6 +22,7 @@
 
 	"github.com/birchdrift/birchdrift/core/attempt"
 	"github.com/birchdrift/birchdrift/core/bounds"
+	"github.com/birchdrift/birchdrift/internal/load"
 )
 
 // TCP and idle limits of connections to upstreams: times and counts.
@@ -41,12 +42,16 @@
 }
 
 // NewTransports returns transports that use HTTP/1.1 only.
-func NewTransports() Transports {
+func NewTransports() Transports { return NewCountedTransports(&load.Traffic{}) }
+
+// NewCountedTransports is like NewTransports and counts the bytes of all connections in traffic.
+func NewCountedTransports(traffic *load.Traffic) Transports {
 	dialer := newDialer()
+	dial := traffic.Dial(dialer.DialContext)
 	return Transports{
-		Reused: newTransport(dialer.DialContext, false),
-		Fresh:  newTransport(dialer.DialContext, true),
-		Abrupt: newTransport(dialAbrupt(dialer), true),
+		Reused: newTransport(dial, false),
+		Fresh:  newTransport(dial, true),
+		Abrupt: newTransport(traffic.Dial(dialAbrupt(dialer)), true),
 	}
 }
 
@@ -60,10 +65,8 @@
 	}
 }
 
-type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
-
 // dialAbrupt returns a dial function whose connections are reset when they are closed.
-func dialAbrupt(d *net.Dialer) dialFunc {
+func dialAbrupt(d *net.Dialer) load.Dial {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := d.DialContext(ctx, network, address)
 		if err != nil {
@@ -76,7 +79,7 @@
 	}
 }
 
-func newTransport(dial dialFunc, fresh bool) *http.Transport {
+func newTransport(dial load.Dial, fresh bool) *http.Transport {
 	return &http.Transport{
 		DialContext:         dial,
 		DisableKeepAlives:   fresh,
