--- a/internal/upstream/proxytest/link.go
+++ b/internal/upstream/proxytest/link.go
@@ -30,6 +30,10 @@
 	address string // IP:port
 	target  string // IP:port
 
+	// to and from limit the bytes to the target and from it; nil: there is no limit. They are set
+	// before the first connection.
+	to, from *Bandwidth
+
 	mu       sync.Mutex
 	resumed  *sync.Cond
 	fault    LinkFault
@@ -53,6 +57,10 @@
 	return l
 }
 
+// Limit limits the bytes that pass to the target and from it. It is called before the first
+// connection.
+func (l *Link) Limit(to, from *Bandwidth) { l.to, l.from = to, from }
+
 // Address returns the address (IP:port) at which the target is reached over the link.
 func (l *Link) Address() string { return l.address }
 
@@ -163,16 +171,20 @@
 	l.last = time.Now()
 	l.conns[client] = true
 	l.conns[server] = true
-	go l.copy(client, server)
-	go l.copy(server, client)
+	go l.copy(client, server, l.to)
+	go l.copy(server, client, l.from)
 }
 
+// linkBuffer is the size of the pieces in which a link passes bytes.
+const linkBuffer = 4 << 10
+
 // copy copies bytes from one connection to another while the link does not hang.
-func (l *Link) copy(from, to *net.TCPConn) {
+func (l *Link) copy(from, to *net.TCPConn, limit *Bandwidth) {
 	defer l.forget(from)
-	buf := make([]byte, 32<<10)
+	buf := make([]byte, linkBuffer)
 	for {
 		n, err := from.Read(buf)
+		limit.Pass(n)
 		if !l.awaitPassage(to) {
 			return
 		}
