A link begins only as many calls as it can carry

Cause (hypothesis 1, for the link): all that callers sent came in at once and waited at the link, where it delays connections to replicas and control traffic as well.

Change: the average bytes of a call on the link, headers and acknowledgments included, give the rate of calls that 0.8 of its rate can carry (--link-rate). Connections beyond are refused, as for the processor; a refused one costs the link no request.

--- a/core/admission/admission_test.go
+++ b/core/admission/admission_test.go
@@ -131,3 +131,72 @@
 	is.True(b.has(at.Add(maxDebt+20*time.Millisecond), 1))
 	is.True(math.Abs(b.tokens-2) < 1e-6)
 }
+
+// A linkModel is an instance whose network link carries a number of calls a second, and callers that
+// connect at a rate.
+type linkModel struct {
+	capacity float64 // calls a second
+	now      time.Duration
+	control  Controller
+
+	arriving, waiting, carried float64 // calls; waiting ones wait at the link
+	arrived, refused           float64
+	longest                    time.Duration // longest wait at the link
+}
+
+// modelCallBytes is the size of a call in the model, in bytes.
+const modelCallBytes = 10 << 10
+
+func (m *linkModel) run(span time.Duration, rate float64) {
+	m.arrived, m.refused, m.longest = 0, 0, 0
+	for range int(span / modelStep) {
+		m.now += modelStep
+		now := clock.Instant{Mono: time.Second + m.now}
+		passed := min(m.waiting, m.capacity*modelStep.Seconds())
+		m.waiting -= passed
+		m.carried += passed
+		if m.now%sampleInterval == 0 {
+			m.control.Observe(now, saturation.Sample{Span: sampleInterval, Received: int64(m.carried * modelCallBytes), Sent: int64(m.carried * modelCallBytes / 2)}, 0)
+			m.carried = 0
+		}
+		for m.arriving += rate * modelStep.Seconds(); m.arriving >= 1; m.arriving-- {
+			m.arrived++
+			if !m.control.Admits(now) {
+				m.refused++
+				continue
+			}
+			m.control.Begin(now)
+			m.waiting++
+		}
+		m.longest = max(m.longest, time.Duration(m.waiting/m.capacity*float64(time.Second)))
+	}
+}
+
+// Guards against an instance that gets more calls than its link can carry and begins all of them, so
+// that their bytes, and those of its control traffic, wait ever longer at the link.
+func TestCallsBeginAsFastAsTheLinkCarriesThem(t *testing.T) {
+	for _, capacity := range []float64{30, 100, 1000} {
+		for _, times := range []float64{1.3, 2, 5, 20} {
+			is := is.New(t)
+			m := linkModel{capacity: capacity, control: Controller{LinkRate: capacity * modelCallBytes}}
+			m.run(10*time.Second, 0.3*capacity)
+			is.Equal(m.refused, 0.)
+			m.run(5*time.Second, times*capacity)
+			served := (m.arrived - m.refused) / 5
+			t.Logf("%.1f times %4.0f calls a second: %4.0f begin, the longest waits %v", times, capacity, served, m.longest)
+			is.True(served >= 0.75*capacity)
+			is.True(m.longest < 300*time.Millisecond) // half of the users' tightest deadline
+			m.run(time.Second, 0.3*capacity)
+			m.run(10*time.Second, 0.3*capacity)
+			is.Equal(m.refused, 0.)
+		}
+	}
+}
+
+// Guards against a limit where the rate of the link is not known.
+func TestUnknownLinkHasNoLimit(t *testing.T) {
+	is := is.New(t)
+	m := linkModel{capacity: 100}
+	m.run(10*time.Second, 200)
+	is.Equal(m.refused, 0.)
+}
--- a/internal/server/load.go
+++ b/internal/server/load.go
@@ -32,9 +32,11 @@
 }
 
 func newLoadWatch(monitor *load.Monitor, linkRate float64, metrics *telemetry.Metrics, log logr.Logger) *loadWatch {
+	rate := linkRate * bytesPerMegabit
 	return &loadWatch{
 		monitor: monitor, metrics: metrics, log: log, start: time.Now(),
-		detector: saturation.Detector{LinkRate: linkRate * bytesPerMegabit},
+		detector:  saturation.Detector{LinkRate: rate},
+		admission: admission.Controller{LinkRate: rate},
 	}
 }
 
