Connections that are refused because of the link cost it as little as possible

Cause: a caller whose connection is established sends its request at once, on a link that is narrower than what all of them send. While the listener is open for the few connections that are admitted, hundreds more are established, are reset, and their requests still come over the link for seconds; connections to replicas, peers and the store time out behind them. Asking callers to close kept connections made more of them connect.

Change: connections are accepted in windows of 20 ms that grow while the limits allow it, those that are established in the last 5 ms are accepted, and the requests of those that are reset are counted. Connecting that takes much longer than usual, to all addresses, says that bytes wait at the link: then nothing is accepted. One connection a second is accepted in any case. Kept connections are closed only as far as calls begin beyond the limit.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -15,60 +15,58 @@
 	"github.com/birchdrift/birchdrift/core/saturation"
 )
 
-const (
-	// reopenTime is the time for which calls must be allowed to begin before connections are
-	// accepted again, so that the listener is not opened for each of them.
-	reopenTime = 30 * time.Millisecond
-	// limitingTime is the time after the last refused connection for which the instance counts as
-	// limiting its callers.
-	limitingTime = time.Second
-)
-
 // A Controller limits the calls of an instance. It is not safe for concurrent use.
 type Controller struct {
 	// LinkRate is the rate of the network link in bytes a second; 0: it is not known.
 	LinkRate float64
 
-	processor limiter
-	link      linkLimiter
-	refusedAt clock.Instant // when connections were last refused
+	processor  limiter
+	link       linkLimiter
+	linkQueued bool // bytes wait at the link
+	window     window
 }
 
-// Observe records a sample of the instance's load, and how long the run delay has been too long by
-// saturation.Detector.
-func (c *Controller) Observe(now clock.Instant, s saturation.Sample, backlog time.Duration) {
-	c.processor.observe(now, backlog, s.RunDelay)
+// Observe records a sample of the instance's load, which d has observed.
+func (c *Controller) Observe(now clock.Instant, s saturation.Sample, d *saturation.Detector) {
+	c.processor.observe(now, d.Backlog(now), s.RunDelay)
 	c.link.observe(now, c.LinkRate, s)
+	c.linkQueued = d.LinkQueued(now)
+}
+
+// Accept records that a connection is accepted, on which a call is expected.
+func (c *Controller) Accept(now clock.Instant) {
+	c.window.accept(now)
+	c.begin(now)
+}
+
+// BeginNext records that a further call begins on a connection, and reports whether its caller should
+// connect to another instance for the next one, since calls begin beyond the limit.
+func (c *Controller) BeginNext(now clock.Instant) (beyond bool) {
+	c.begin(now)
+	return c.processor.overdrawn() || c.link.overdrawn()
 }
 
-// Begin records that a call begins: a connection is accepted, on which one is expected, or a further
-// request is read on a connection.
-func (c *Controller) Begin(now clock.Instant) {
+func (c *Controller) begin(now clock.Instant) {
 	c.processor.begin(now)
 	c.link.begin(now)
 }
 
-// Admits reports whether new connections are accepted.
-func (c *Controller) Admits(now clock.Instant) bool {
-	return c.admits(now, 0)
+// Admits reports whether new connections are accepted, and for how long; 0: there is no limit.
+func (c *Controller) Admits(now clock.Instant) (span time.Duration, ok bool) {
+	link := c.linkAdmits(now, 0)
+	if !(link && c.processor.admits(now, 0)) && !c.window.exempt(now) {
+		c.link.take(now, c.window.close(now, !link)) // the requests of the others come all the same
+		return 0, false
+	}
+	return c.window.left(now)
 }
 
 // Reopens reports whether new connections are accepted again after they were refused.
 func (c *Controller) Reopens(now clock.Instant) bool {
-	return c.admits(now, reopenTime)
-}
-
-// admits reports whether calls may begin for a time at the limit.
-func (c *Controller) admits(now clock.Instant, span time.Duration) bool {
-	if c.processor.admits(now, span) && c.link.admits(now, span) {
-		return true
-	}
-	c.refusedAt = now
-	return false
+	return c.window.reopens(now, c.processor.admits(now, reopenTime) && c.linkAdmits(now, linkReopenTime))
 }
 
-// Limiting reports whether connections have been refused lately. Callers should then connect to
-// other instances.
-func (c *Controller) Limiting(now clock.Instant) bool {
-	return !c.refusedAt.IsZero() && now.Since(c.refusedAt) < limitingTime
+// linkAdmits reports whether the link can carry calls for a time at its limit.
+func (c *Controller) linkAdmits(now clock.Instant, span time.Duration) bool {
+	return c.link.lasts(now, span) && !c.linkQueued
 }
--- a/core/admission/bucket.go
+++ b/core/admission/bucket.go
@@ -13,7 +13,7 @@
 	minBurst = 8
 	// maxDebt is the time within which tokens that were taken beyond those that there were are
 	// made up for.
-	maxDebt = 500 * time.Millisecond
+	maxDebt = time.Second
 )
 
 // A bucket is a token bucket; each call that begins takes a token. The zero bucket has no limit.
@@ -31,14 +31,17 @@
 	b.filledAt = now
 }
 
-// take takes a token.
-func (b *bucket) take(now clock.Instant) {
+// take takes n tokens.
+func (b *bucket) take(now clock.Instant, n float64) {
 	if b.limits() {
 		b.fill(now)
-		b.tokens = max(b.tokens-1, -b.rate*maxDebt.Seconds())
+		b.tokens = max(b.tokens-n, -b.rate*maxDebt.Seconds())
 	}
 }
 
+// overdrawn reports whether more calls began than there were tokens.
+func (b *bucket) overdrawn() bool { return b.limits() && b.tokens < 0 }
+
 // has reports whether there are n tokens.
 func (b *bucket) has(now clock.Instant, n float64) bool {
 	if !b.limits() {
--- a/core/admission/limiter.go
+++ b/core/admission/limiter.go
@@ -119,7 +119,7 @@
 // begin records that a call begins.
 func (l *limiter) begin(now clock.Instant) {
 	l.begun++
-	l.take(now)
+	l.take(now, 1)
 }
 
 // admits reports whether another call may begin, and others for a time at the limit.
--- a/core/admission/link.go
+++ b/core/admission/link.go
@@ -10,8 +10,10 @@
 const (
 	// linkShare is the share of the link's rate that calls may use.
 	linkShare = 0.8
-	// averagedCalls is the number of calls over which their size is averaged.
+	// averagedCalls and averagedTime are the least number of calls and the least time over which their
+	// size is averaged: the bytes of calls come after they began.
 	averagedCalls = 50
+	averagedTime  = time.Second
 	// minCallBytes is the least average size of a call that is assumed, in bytes.
 	minCallBytes = 1 << 10
 )
@@ -21,6 +23,7 @@
 // come after them, connections to replicas and control traffic too, and cannot be taken back.
 type linkLimiter struct {
 	bucket
+	averagedAt     clock.Instant
 	received, sent float64 // bytes since the last average
 	calls          float64 // that began since then
 	perCall        float64 // average bytes of a call in the busier direction, 0 if unknown
@@ -30,9 +33,10 @@
 func (l *linkLimiter) observe(now clock.Instant, linkRate float64, s saturation.Sample) {
 	l.received += float64(s.Received)
 	l.sent += float64(s.Sent)
-	if linkRate <= 0 || l.calls < averagedCalls {
+	if linkRate <= 0 || l.calls < averagedCalls || now.Since(l.averagedAt) < averagedTime {
 		return
 	}
+	l.averagedAt = now
 	average := max(minCallBytes, max(l.received, l.sent)/l.calls)
 	if l.perCall > 0 {
 		average = (average + l.perCall) / 2
@@ -48,8 +52,5 @@
 // begin records that a call begins.
 func (l *linkLimiter) begin(now clock.Instant) {
 	l.calls++
-	l.take(now)
+	l.take(now, 1)
 }
-
-// admits reports whether another call may begin, and others for a time at the limit.
-func (l *linkLimiter) admits(now clock.Instant, span time.Duration) bool { return l.lasts(now, span) }
--- a/core/saturation/saturation.go
+++ b/core/saturation/saturation.go
@@ -25,6 +25,17 @@
 	// linkWindow is the time over which the use of the link is averaged: a large body alone may
 	// use all of it for some tens of milliseconds.
 	linkWindow = 200 * time.Millisecond
+	// minConnects is the number of attempts to connect from which ConnectTime says something of the
+	// link: a single one may go to an address that is slow or far away.
+	minConnects = 2
+	// slowConnectTime is the time above which connecting is slow, if it is slowConnectFactor times as
+	// long as it was lately. Bytes that wait at the link delay every connection.
+	slowConnectTime   = 50 * time.Millisecond
+	slowConnectFactor = 4.
+	// connectWindow is the time over which the usual time to connect is found.
+	connectWindow = 10 * time.Second
+	// connectTTL is the time for which slow connections count.
+	connectTTL = 500 * time.Millisecond
 	// hold is the time after the last saturated sample for which the instance counts as saturated.
 	// Time limits that began while it was saturated have run out by then.
 	hold = time.Second
@@ -36,6 +47,10 @@
 	Span     time.Duration // the time that the sample covers
 	Received int64         // bytes on the link
 	Sent     int64
+	// Connects is the number of attempts to connect to replicas, peers or the platform that ended,
+	// and ConnectTime the shortest time that one of them took.
+	Connects    int
+	ConnectTime time.Duration
 }
 
 // A Cause is what is saturated.
@@ -59,6 +74,10 @@
 
 	backlogSince clock.Instant // when the run delay rose above MaxRunDelay; zero: it is below
 	linkUse      float64
+	connects     int           // attempts to connect that were not judged yet
+	fastest      time.Duration // shortest time that one of them took
+	usualConnect time.Duration // shortest time to connect lately; 0: not known
+	slowConnect  clock.Instant // when connecting was last slow; zero: it is not
 	last         clock.Instant // when it was last saturated
 	cause        Cause         // of the last sample
 	began        clock.Instant
@@ -69,6 +88,7 @@
 // saturated.
 func (d *Detector) Observe(now clock.Instant, s Sample) (changed bool) {
 	d.observeLink(s)
+	d.observeConnects(now, s)
 	switch {
 	case s.RunDelay <= MaxRunDelay:
 		d.backlogSince = clock.Instant{}
@@ -78,7 +98,7 @@
 	switch {
 	case d.Backlog(now) >= MinBacklog:
 		d.cause = Processor
-	case d.linkUse > maxLinkUse:
+	case d.linkUse > maxLinkUse, d.LinkQueued(now):
 		d.cause = Link
 	default:
 		d.cause = None
@@ -103,6 +123,34 @@
 	d.linkUse += weight * (use - d.linkUse)
 }
 
+// observeConnects compares the time to connect with the usual one.
+func (d *Detector) observeConnects(now clock.Instant, s Sample) {
+	if s.Connects > 0 && (d.connects == 0 || s.ConnectTime < d.fastest) {
+		d.fastest = s.ConnectTime
+	}
+	if d.connects += s.Connects; d.connects < minConnects {
+		return
+	}
+	d.connects = 0
+	d.slowConnect = clock.Instant{}
+	usual := float64(d.usualConnect)
+	switch {
+	case d.usualConnect == 0 || d.fastest <= d.usualConnect:
+		d.usualConnect = d.fastest
+	case d.fastest > slowConnectTime && float64(d.fastest) > slowConnectFactor*usual:
+		d.slowConnect = now
+	default:
+		weight := min(1, s.Span.Seconds()/connectWindow.Seconds())
+		d.usualConnect += time.Duration(weight * (float64(d.fastest) - usual))
+	}
+}
+
+// LinkQueued reports whether bytes wait at the link: connecting takes much longer than usual, to all
+// addresses.
+func (d *Detector) LinkQueued(now clock.Instant) bool {
+	return !d.slowConnect.IsZero() && now.Since(d.slowConnect) < connectTTL
+}
+
 // Backlog returns how long the run delay has been above MaxRunDelay, 0 if it is not.
 func (d *Detector) Backlog(now clock.Instant) time.Duration {
 	if d.backlogSince.IsZero() {
--- a/core/saturation/saturation_test.go
+++ b/core/saturation/saturation_test.go
@@ -81,3 +81,33 @@
 	observe(&unknown, time.Second, 30, Sample{Received: 100 * full})
 	is.Equal(unknown.Cause(), None)
 }
+
+// Guards against an instance that does not notice that bytes wait at its link, and against one that takes
+// replicas that are slow, far away or gone for its own link: the others still connect fast.
+func TestLinkQueue(t *testing.T) {
+	const fast, slow = 3 * time.Millisecond, 300 * time.Millisecond
+	for _, c := range []struct {
+		name   string
+		n      int             // attempts in each sample
+		times  []time.Duration // shortest of each sample
+		queued bool
+	}{
+		{"fast", 4, []time.Duration{fast, fast, fast}, false},
+		{"one slow", 1, []time.Duration{fast, fast, slow}, false},
+		{"all slow", 4, []time.Duration{fast, slow, slow}, true},
+		{"all slow, few", 1, []time.Duration{fast, fast, slow, slow}, true},
+		{"always far away", 4, []time.Duration{60 * time.Millisecond, 70 * time.Millisecond, 60 * time.Millisecond}, false},
+		{"fast again", 4, []time.Duration{fast, slow, fast}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			var d Detector
+			at := time.Second
+			for _, took := range c.times {
+				at = observe(&d, at, 1, Sample{Connects: c.n, ConnectTime: took})
+			}
+			is.Equal(d.LinkQueued(clock.Instant{Mono: at}), c.queued)
+			is.True(!d.LinkQueued(clock.Instant{Mono: at + connectTTL}))
+		})
+	}
+}
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -66,8 +66,9 @@
 		}
 		delay = 0
 	}
+	connects, connectTime := m.traffic.takeConnects()
 	received, sent := m.traffic.Received(), m.traffic.Sent()
-	s = saturation.Sample{RunDelay: delay, Span: span, Received: received - m.received, Sent: sent - m.sent}
+	s = saturation.Sample{RunDelay: delay, Span: span, Received: received - m.received, Sent: sent - m.sent, Connects: connects, ConnectTime: connectTime}
 	m.counts = append(m.counts[:0], latencies.Counts...)
 	m.at, m.received, m.sent = now, received, sent
 	return s, true
--- a/internal/load/traffic.go
+++ b/internal/load/traffic.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"net"
+	"sync"
 	"sync/atomic"
 	"syscall"
+	"time"
 )
 
 const (
@@ -17,8 +19,14 @@
 )
 
 // A Traffic counts the bytes of connections as they take up the network link, with headers and
-// acknowledgments. It is safe for concurrent use.
-type Traffic struct{ received, sent atomic.Int64 }
+// acknowledgments, and measures how long it takes to connect. It is safe for concurrent use.
+type Traffic struct {
+	received, sent atomic.Int64
+
+	mu       sync.Mutex
+	connects int           // attempts to connect that have ended since takeConnects
+	fastest  time.Duration // shortest time that one of them took
+}
 
 // Received returns the number of bytes received so far.
 func (t *Traffic) Received() int64 { return t.received.Load() }
@@ -26,6 +34,26 @@
 // Sent returns the number of bytes sent so far.
 func (t *Traffic) Sent() int64 { return t.sent.Load() }
 
+// takeConnects returns the number of attempts to connect that have ended since the last call, and the
+// shortest time that one of them took.
+func (t *Traffic) takeConnects() (n int, fastest time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n, fastest = t.connects, t.fastest
+	t.connects = 0
+	return n, fastest
+}
+
+// connected records an attempt to connect that took d.
+func (t *Traffic) connected(d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.connects == 0 || d < t.fastest {
+		t.fastest = d
+	}
+	t.connects++
+}
+
 // onLink returns the bytes that n bytes of data take up on the link, and those of their
 // acknowledgments in the other direction.
 func onLink(n int) (data, acknowledgments int64) {
@@ -71,10 +99,14 @@
 // A Dial opens a connection, as net.Dialer.DialContext does.
 type Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
-// Dial returns d with the bytes of its connections counted.
+// Dial returns d with its time measured and the bytes of its connections counted.
 func (t *Traffic) Dial(d Dial) Dial {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		start := time.Now()
 		conn, err := d(ctx, network, address)
+		if !errors.Is(err, context.Canceled) {
+			t.connected(time.Since(start))
+		}
 		if err != nil {
 			return nil, err
 		}
--- a/internal/server/listener.go
+++ b/internal/server/listener.go
@@ -3,11 +3,11 @@
 import (
 	"errors"
 	"net"
+	"os"
 	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
-	"golang.org/x/sys/unix"
 
 	"github.com/birchdrift/birchdrift/core/logevent"
 )
@@ -15,9 +15,9 @@
 const (
 	// reopenInterval is the time between two attempts to open a listener again.
 	reopenInterval = 20 * time.Millisecond
-	// maxDrained is the most established connections that are accepted when the listener begins to
-	// refuse others. The system resets the rest.
-	maxDrained = 64
+	// drainTime is the time for which the listener still accepts connections when it begins to refuse
+	// them: those that are being established would be reset.
+	drainTime = 5 * time.Millisecond
 )
 
 // A pausableListener is a TCP listener that refuses connections at times. While it does, no socket
@@ -26,32 +26,32 @@
 type pausableListener struct {
 	address net.Addr
 	log     logr.Logger
-	// admits reports whether connections are accepted, and reopens whether they are accepted again
-	// after they were refused.
-	admits, reopens func() bool
+	// admits reports whether connections are accepted, and for how long; 0: there is no limit.
+	admits func() (span time.Duration, ok bool)
+	// reopens reports whether connections are accepted again after they were refused.
+	reopens func() bool
 
-	drained int // connections accepted since admits last reported false
+	drainUntil time.Time // when connections begin to be refused; zero: they are accepted
 
 	mu     sync.Mutex
 	socket *net.TCPListener
 	closed chan struct{}
 }
 
-func newPausableListener(l *net.TCPListener, admits, reopens func() bool, log logr.Logger) *pausableListener {
+func newPausableListener(l *net.TCPListener, admits func() (time.Duration, bool), reopens func() bool, log logr.Logger) *pausableListener {
 	return &pausableListener{address: l.Addr(), socket: l, admits: admits, reopens: reopens, log: log, closed: make(chan struct{})}
 }
 
-// Accept implements net.Listener. Connections that are established when it begins to refuse others
-// are accepted first, since their requests are on their way.
+// Accept implements net.Listener.
 func (l *pausableListener) Accept() (net.Conn, error) {
 	for {
-		socket := l.current()
-		if l.admits() {
-			l.drained = 0
-			return socket.Accept()
+		end, refuses := l.acceptTime()
+		conn, err := acceptUntil(l.current(), end)
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return conn, err
 		}
-		if l.drained++; l.drained <= maxDrained && hasPending(socket) {
-			return socket.Accept()
+		if !refuses {
+			continue
 		}
 		if err := l.pause(); err != nil {
 			return nil, err
@@ -59,6 +59,25 @@
 	}
 }
 
+// acceptTime returns the time until which connections are accepted now, zero if there is none, and
+// whether they are refused after it.
+func (l *pausableListener) acceptTime() (end time.Time, refuses bool) {
+	span, ok := l.admits()
+	now := time.Now()
+	switch {
+	case !ok && l.drainUntil.IsZero():
+		l.drainUntil = now.Add(drainTime)
+		return l.drainUntil, true
+	case !ok:
+		return l.drainUntil, true
+	}
+	l.drainUntil = time.Time{}
+	if span > 0 {
+		end = now.Add(span)
+	}
+	return end, false
+}
+
 // current returns the socket that listens.
 func (l *pausableListener) current() *net.TCPListener {
 	l.mu.Lock()
@@ -76,6 +95,7 @@
 		case <-time.After(reopenInterval):
 		}
 		if l.reopens() && l.reopen() {
+			l.drainUntil = time.Time{}
 			return nil
 		}
 	}
@@ -118,16 +138,11 @@
 // Addr implements net.Listener.
 func (l *pausableListener) Addr() net.Addr { return l.address }
 
-// hasPending reports whether a connection waits to be accepted.
-func hasPending(l *net.TCPListener) bool {
-	raw, err := l.SyscallConn()
-	if err != nil {
-		return false
+// acceptUntil accepts a connection that is established by a time, at any time if that is zero. It returns
+// an os.ErrDeadlineExceeded if there is none.
+func acceptUntil(l *net.TCPListener, end time.Time) (net.Conn, error) {
+	if err := l.SetDeadline(end); err != nil {
+		return nil, err
 	}
-	pending := false
-	err = raw.Control(func(fd uintptr) {
-		n, err := unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
-		pending = err == nil && n > 0
-	})
-	return err == nil && pending
+	return l.Accept()
 }
--- a/internal/server/load.go
+++ b/internal/server/load.go
@@ -52,7 +52,7 @@
 	defer l.mu.Unlock()
 	now := l.instant(t)
 	changed := l.detector.Observe(now, s)
-	l.admission.Observe(now, s, l.detector.Backlog(now))
+	l.admission.Observe(now, s, &l.detector)
 	if !changed {
 		return
 	}
@@ -69,8 +69,8 @@
 	return clock.Instant{Mono: t.Sub(l.start), Wall: t.Round(0)}
 }
 
-// admits reports whether callers' connections are accepted.
-func (l *loadWatch) admits() bool {
+// admits reports whether callers' connections are accepted, and for how long; 0: there is no limit.
+func (l *loadWatch) admits() (span time.Duration, ok bool) {
 	l.sample()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -85,33 +85,29 @@
 	return l.admission.Reopens(l.instant(time.Now()))
 }
 
-// begin records that a call begins, and reports whether callers should connect to other instances.
-func (l *loadWatch) begin(newConnection bool) (limiting bool) {
+// accepted records that a connection is accepted.
+func (l *loadWatch) accepted() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now := l.instant(time.Now())
-	if !newConnection {
-		l.admission.Begin(now)
-	}
-	return l.admission.Limiting(now)
+	l.admission.Accept(l.instant(time.Now()))
 }
 
-// accepted records that a connection is accepted, on which a call is expected.
-func (l *loadWatch) accepted() {
+// beginNext records that a further call begins on a connection, and reports whether its caller should
+// connect to another instance for the next one.
+func (l *loadWatch) beginNext() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.admission.Begin(l.instant(time.Now()))
+	return l.admission.BeginNext(l.instant(time.Now()))
 }
 
-// countRequests counts the requests to a handler of callers, and samples the load. While connections
-// are refused, callers that have one are asked to close it after the answer: they connect to other
-// instances then.
+// countRequests counts the requests to a handler of callers, and samples the load. Callers whose calls
+// begin beyond what the instance can serve are asked to close their connection after the answer.
 func (s *Server) countRequests(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.load.sample()
 		s.metrics.CountRequest()
 		conn, ok := r.Context().Value(callerConnKey{}).(*callerConn)
-		if s.load.begin(ok && conn.firstRequest()) {
+		if ok && !conn.firstRequest() && s.load.beginNext() {
 			w.Header().Set("Connection", "close")
 		}
 		next.ServeHTTP(w, r)
