Only connections that succeed say that bytes wait at the link

An instance that is partitioned from its replicas sees all its attempts to connect time out. Counted as slow, they would have made it refuse callers for as long as the partition lasts, which no peer's relay would have helped. Found by reading; TestFailedConnectsAreNotCounted and TestDelayedConnectsAreNoLinkQueue failed before (the latter: a saturated processor delays connections as well).

--- a/core/saturation/saturation.go
+++ b/core/saturation/saturation.go
@@ -34,8 +34,9 @@
 	slowConnectFactor = 4.
 	// connectWindow is the time over which the usual time to connect is found.
 	connectWindow = 10 * time.Second
-	// connectTTL is the time for which slow connections count.
-	connectTTL = 500 * time.Millisecond
+	// connectTTL is the time for which slow connections count: longer than an attempt to connect may
+	// take, since none succeeds while more bytes wait.
+	connectTTL = time.Second
 	// hold is the time after the last saturated sample for which the instance counts as saturated.
 	// Time limits that began while it was saturated have run out by then.
 	hold = time.Second
@@ -47,8 +48,9 @@
 	Span     time.Duration // the time that the sample covers
 	Received int64         // bytes on the link
 	Sent     int64
-	// Connects is the number of attempts to connect to replicas, peers or the platform that ended,
-	// and ConnectTime the shortest time that one of them took.
+	// Connects is the number of attempts to connect to replicas, peers or the platform that
+	// succeeded, and ConnectTime the shortest time that one of them took. Attempts that fail say
+	// nothing of the link: it may be partitioned.
 	Connects    int
 	ConnectTime time.Duration
 }
@@ -123,8 +125,11 @@
 	d.linkUse += weight * (use - d.linkUse)
 }
 
-// observeConnects compares the time to connect with the usual one.
+// observeConnects compares the time to connect with the usual one, unless the processor delayed it.
 func (d *Detector) observeConnects(now clock.Instant, s Sample) {
+	if s.RunDelay > MaxRunDelay {
+		return
+	}
 	if s.Connects > 0 && (d.connects == 0 || s.ConnectTime < d.fastest) {
 		d.fastest = s.ConnectTime
 	}
--- a/core/saturation/saturation_test.go
+++ b/core/saturation/saturation_test.go
@@ -111,3 +111,12 @@
 		})
 	}
 }
+
+// Guards against a saturated processor that is taken for a link at which bytes wait.
+func TestDelayedConnectsAreNoLinkQueue(t *testing.T) {
+	is := is.New(t)
+	var d Detector
+	at := observe(&d, time.Second, 1, Sample{Connects: 4, ConnectTime: time.Millisecond})
+	at = observe(&d, at, 2, Sample{Connects: 4, ConnectTime: 300 * time.Millisecond, RunDelay: MaxRunDelay + 1})
+	is.True(!d.LinkQueued(clock.Instant{Mono: at}))
+}
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -1,8 +1,10 @@
 package load
 
 import (
+	"context"
 	"io"
 	"net"
+	"os"
 	"runtime"
 	"sync"
 	"testing"
@@ -87,3 +89,24 @@
 	is.Equal(traffic.Sent(), int64(segmentOverhead+3000+3*segmentOverhead))
 	is.Equal(traffic.Received(), int64(100+segmentOverhead+3*segmentOverhead))
 }
+
+// Guards against an instance that is partitioned from its replicas and takes its link for saturated, so
+// that it refuses callers: attempts to connect that fail say nothing of the link.
+func TestFailedConnectsAreNotCounted(t *testing.T) {
+	is := is.New(t)
+	var traffic Traffic
+	dial := traffic.Dial(func(context.Context, string, string) (net.Conn, error) { return nil, os.ErrDeadlineExceeded })
+	_, err := dial(t.Context(), "tcp", "")
+	is.True(err != nil)
+	n, _ := traffic.takeConnects()
+	is.Equal(n, 0)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	conn, err := traffic.Dial((&net.Dialer{}).DialContext)(t.Context(), "tcp", l.Addr().String())
+	is.NoErr(err)
+	defer conn.Close()
+	n, took := traffic.takeConnects()
+	is.Equal(n, 1)
+	is.True(took > 0)
+}
--- a/internal/load/traffic.go
+++ b/internal/load/traffic.go
@@ -24,7 +24,7 @@
 	received, sent atomic.Int64
 
 	mu       sync.Mutex
-	connects int           // attempts to connect that have ended since takeConnects
+	connects int           // attempts to connect that succeeded since takeConnects
 	fastest  time.Duration // shortest time that one of them took
 }
 
@@ -34,8 +34,8 @@
 // Sent returns the number of bytes sent so far.
 func (t *Traffic) Sent() int64 { return t.sent.Load() }
 
-// takeConnects returns the number of attempts to connect that have ended since the last call, and the
-// shortest time that one of them took.
+// takeConnects returns the number of attempts to connect that have succeeded since the last call, and
+// the shortest time that one of them took.
 func (t *Traffic) takeConnects() (n int, fastest time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -44,7 +44,7 @@
 	return n, fastest
 }
 
-// connected records an attempt to connect that took d.
+// connected records an attempt to connect that succeeded after d.
 func (t *Traffic) connected(d time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -104,12 +104,10 @@
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		start := time.Now()
 		conn, err := d(ctx, network, address)
-		if !errors.Is(err, context.Canceled) {
-			t.connected(time.Since(start))
-		}
 		if err != nil {
 			return nil, err
 		}
+		t.connected(time.Since(start))
 		return t.Conn(conn), nil
 	}
 }
