A saturated instance does not take its own delay for lost links or peers

Change: the machine is told that the process is saturated, at most four times a second, and counts as such for a second. Meanwhile a connection attempt that timed out counts only if no link to the service has worked for a second, a peer that did not answer a relayed attempt is asked again after 100 ms instead of 5 s, and a failed exchange does not make its peer count as failing. A refused connection counts as ever.

TestTimeoutsWhileSaturated, TestRelayTimeoutWhileSaturated and TestFailedExchangesWhileSaturated fail without these conditions.

--- a/core/exchange/exchange.go
+++ b/core/exchange/exchange.go
@@ -251,7 +251,9 @@
 		if p := x.Members.Get(e.Peer); p != nil && p.Live(now) {
 			x.Out.Log(logevent.PeerFailed, "peer", e.Peer, "error", e.Err.Error())
 		}
-		x.Members.MarkFailed(now, e.Peer)
+		if !x.Saturation.Saturated(now) {
+			x.Members.MarkFailed(now, e.Peer)
+		}
 		x.pullNewer(now)
 		return
 	}
--- a/core/instance/exchange_test.go
+++ b/core/instance/exchange_test.go
@@ -21,6 +21,7 @@
 	"github.com/birchdrift/birchdrift/core/ownership"
 	"github.com/birchdrift/birchdrift/core/pool"
 	"github.com/birchdrift/birchdrift/core/registry"
+	"github.com/birchdrift/birchdrift/core/saturation"
 	"github.com/birchdrift/birchdrift/core/step"
 	"github.com/birchdrift/birchdrift/core/watch"
 	"github.com/birchdrift/birchdrift/core/watchers"
@@ -242,3 +243,21 @@
 	m.orders.registry.Merge(now, "b", []registry.Record{owned("new", 20)})
 	is.Equal(ownerOf(m), "")
 }
+
+// Guards against a saturated instance that takes all its peers for failing because their answers came too
+// late for it: it would leave tasks, and the news of its zone, to nobody.
+func TestFailedExchangesWhileSaturated(t *testing.T) {
+	for _, saturated := range []bool{false, true} {
+		is := is.New(t)
+		now := clocktest.At(time.Hour)
+		m := fleetMachine(now, "p0", "p1")
+		if saturated {
+			m.Step(now, saturation.Reported{})
+		}
+		m.Step(now, exchange.Reply{Peer: "p0", Address: "p0", Err: errors.New("context deadline exceeded")})
+		is.Equal(m.state.Members.Get("p0").Failing(), !saturated)
+		later := now.Add(2 * time.Second) // not saturated any more
+		m.Step(later, exchange.Reply{Peer: "p0", Address: "p0", Err: errors.New("context deadline exceeded")})
+		is.True(m.state.Members.Get("p0").Failing())
+	}
+}
--- a/core/instance/machine.go
+++ b/core/instance/machine.go
@@ -56,6 +56,7 @@
 	"github.com/birchdrift/birchdrift/core/rejectbudget"
 	"github.com/birchdrift/birchdrift/core/relay"
 	"github.com/birchdrift/birchdrift/core/retrybudget"
+	"github.com/birchdrift/birchdrift/core/saturation"
 	"github.com/birchdrift/birchdrift/core/shared"
 	"github.com/birchdrift/birchdrift/core/shutdown"
 	"github.com/birchdrift/birchdrift/core/step"
@@ -137,6 +138,8 @@
 		m.exchanges.HandleReply(now, e)
 	case exchange.RequestReceived:
 		m.exchanges.HandleRequest(now, e)
+	case saturation.Reported:
+		m.state.Saturation.Report(now)
 	case Stop:
 		m.stop.Start(now)
 	case OptionsChanged:
--- a/core/links/links.go
+++ b/core/links/links.go
@@ -60,13 +60,14 @@
 
 // Failed records that a connection to a replica could not be established. timedOut means that
 // nothing answered, as opposed to a refusal. An attempt that timed out began before a link that has
-// worked since, so it says nothing about that link any more.
+// worked since, so it says nothing about that link any more; nor does it while this instance is
+// saturated and other links to the service work.
 func (t *Tracker) Failed(now clock.Instant, r *pool.Replica, timedOut bool) {
-	if timedOut && r.ProvenWithin(now, bounds.DialTimeout) {
+	s := t.service(r.Service)
+	if timedOut && (r.ProvenWithin(now, bounds.DialTimeout) || t.Saturation.Saturated(now) && s.provenWithin(now, saturatedProof)) {
 		return
 	}
 	r.LinkFailed(now, timedOut)
-	s := t.service(r.Service)
 	s.failed++
 	s.failedAt = now
 	if len(s.suspects) == 0 {
@@ -84,6 +85,15 @@
 	t.update(now, r.Service)
 }
 
+// saturatedProof is the time for which a link that worked proves that those to the service do, while
+// this instance is saturated.
+const saturatedProof = time.Second
+
+// provenWithin reports whether a link to the service has proved to work within span before now.
+func (s *serviceLinks) provenWithin(now clock.Instant, span time.Duration) bool {
+	return !s.provenAt.IsZero() && now.Since(s.provenAt) <= span
+}
+
 // Proven records that a replica answered a request, or accepted a connection, that was sent at
 // sent.
 func (t *Tracker) Proven(now clock.Instant, r *pool.Replica, sent clock.Instant) {
--- a/core/links/links_test.go
+++ b/core/links/links_test.go
@@ -340,3 +340,52 @@
 		})
 	}
 }
+
+// Guards against a saturated instance that takes its own delay for lost links: it would relay its calls,
+// which costs it as much as sending them, and release its engines.
+func TestTimeoutsWhileSaturated(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		saturated bool
+		proven    bool // a link to another replica has just worked
+		timedOut  bool
+		lost      bool
+	}{
+		{"saturated, and others answer", true, true, true, false},
+		{"saturated, and none answers", true, false, true, true},
+		{"saturated, and refused", true, true, false, true},
+		{"not saturated", false, true, true, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			tracker := newTracker("a", "b", "c")
+			at := start.Add(5 * time.Second)
+			if c.saturated {
+				tracker.Saturation.Report(at)
+			}
+			if c.proven {
+				tracker.Proven(at, tracker.Pool.Get("c"), at)
+			}
+			for _, name := range []string{"a", "b"} {
+				tracker.Failed(at.Add(10*time.Millisecond), tracker.Pool.Get(name), c.timedOut)
+			}
+			is.Equal(tracker.Lost("app"), c.lost)
+		})
+	}
+}
+
+// Guards against a peer that is not asked to relay for seconds because this instance was too slow for its
+// answer.
+func TestRelayTimeoutWhileSaturated(t *testing.T) {
+	for saturated, wait := range map[bool]time.Duration{false: peerBackoff, true: busyBackoff} {
+		is := is.New(t)
+		tracker := newTracker("a")
+		tracker.addPeer("p", "z")
+		if saturated {
+			tracker.Saturation.Report(start)
+		}
+		tracker.RelayFailed(start, "p", "a", PeerUnreachable)
+		is.True(!tracker.Relayable(start.Add(wait-time.Millisecond), tracker.Pool.Get("a"), nil))
+		is.True(tracker.Relayable(start.Add(wait+candidateTTL), tracker.Pool.Get("a"), nil))
+	}
+}
--- a/core/links/peers.go
+++ b/core/links/peers.go
@@ -109,8 +109,12 @@
 	return p != nil && now.Since(p.heardAt) <= reportTTL && p.services[service].lost
 }
 
-// RelayFailed records that a peer did not relay an attempt to a replica.
+// RelayFailed records that a peer did not relay an attempt to a replica. While this instance is
+// saturated, it may itself have been too slow for a peer that seems not to answer.
 func (t *Tracker) RelayFailed(now clock.Instant, peer, replica string, reason RelayFailure) {
+	if reason == PeerUnreachable && t.Saturation.Saturated(now) {
+		reason = PeerBusy
+	}
 	p := t.peers[peer]
 	if p == nil {
 		return
--- a/core/shared/shared.go
+++ b/core/shared/shared.go
@@ -14,6 +14,7 @@
 	"github.com/birchdrift/birchdrift/core/option"
 	"github.com/birchdrift/birchdrift/core/outage"
 	"github.com/birchdrift/birchdrift/core/pool"
+	"github.com/birchdrift/birchdrift/core/saturation"
 	"github.com/birchdrift/birchdrift/core/step"
 )
 
@@ -30,6 +31,8 @@
 	Records *gossip.Set // the records that instances exchange
 	Config  *config.Current
 	Outage  *outage.Tracker
+	// Saturation is the saturation of the instance itself.
+	Saturation *saturation.State
 }
 
 // maxRetryDelay returns the longest delay between a failed call to the platform and
@@ -55,5 +58,7 @@
 		Records: gossip.NewSet(),
 		Config:  &config.Current{},
 		Outage:  outage.New(out, maxRetryDelay(opt)),
+
+		Saturation: &saturation.State{},
 	}
 }
--- a/internal/server/load.go
+++ b/internal/server/load.go
@@ -25,8 +25,10 @@
 	metrics *telemetry.Metrics
 	log     logr.Logger
 	start   time.Time
+	report  func() // tells the machine that the process is saturated
 
 	mu        sync.Mutex
+	reported  clock.Instant // when report was last called
 	detector  saturation.Detector
 	admission admission.Controller
 }
@@ -53,6 +55,10 @@
 	now := l.instant(t)
 	changed := l.detector.Observe(now, s)
 	l.admission.Observe(now, s, &l.detector)
+	if l.detector.Cause() != saturation.None && now.Since(l.reported) >= saturation.ReportInterval {
+		l.reported = now
+		l.report()
+	}
 	if !changed {
 		return
 	}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -168,6 +168,7 @@
 	s.ctx = ctx
 	s.cancel = cancel
 	s.shell = shell.New(ctx, self, instance.New(self, s.opt, self.Boot), environment.Join, peers, s.log, metrics)
+	s.load.report = s.shell.ReportSaturation
 	callers := &entry.Handler{
 		Shell: s.shell, Service: service.NewClient(unread.Wrap(transports)), Metrics: metrics, Tracer: s.tracer, Wire: environment.Wire,
 		Silence: s.set.HeaderTime, Name: self.Name, Peers: peers,
--- a/internal/shell/shell.go
+++ b/internal/shell/shell.go
@@ -27,6 +27,7 @@
 	"github.com/birchdrift/birchdrift/core/notice"
 	"github.com/birchdrift/birchdrift/core/permits"
 	"github.com/birchdrift/birchdrift/core/relay"
+	"github.com/birchdrift/birchdrift/core/saturation"
 	"github.com/birchdrift/birchdrift/core/shutdown"
 	"github.com/birchdrift/birchdrift/core/step"
 	"github.com/birchdrift/birchdrift/core/streams"
@@ -183,6 +184,14 @@
 // HandleNotice passes to the machine what a replica reported about itself in an answer.
 func (s *Shell) HandleNotice(e notice.Received) { s.post(e) }
 
+// ReportSaturation tells the machine that the process is saturated. It never waits for the machine.
+func (s *Shell) ReportSaturation() {
+	select {
+	case s.events <- func(*Shell) step.Event { return saturation.Reported{} }:
+	default: // the machine has much to do; another report follows
+	}
+}
+
 // Exited returns a channel that delivers the machine's Exit after a stop.
 func (s *Shell) Exited() <-chan shutdown.Exit { return s.exited }
 
