A saturated instance tells keepers of streams in batches

Cause: each stream that begins sends a request to each of its keepers at once, up to 240 a second, and those that run out of time are repeated. That costs the processor about as much as the calls themselves. Change: while saturated, the streams of the last 100 ms are told in one request to each keeper. Test: TestKeepersAreToldTogetherWhileSaturated failed before (150 requests instead of 3).

--- a/core/streams/keepers.go
+++ b/core/streams/keepers.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/birchdrift/birchdrift/core/clock"
 	"github.com/birchdrift/birchdrift/core/member"
@@ -149,6 +150,27 @@
 	return out
 }
 
+// saturatedTellInterval is the time between two times that keepers are told of streams while this instance
+// is saturated: a request to each keeper for each stream costs it about as much as the calls themselves.
+const saturatedTellInterval = 100 * time.Millisecond
+
+// delayTelling makes the keepers of a stream be told of it with those of the next moments.
+func (t *Tracker) delayTelling(now clock.Instant, id ID) {
+	if len(t.delayed) == 0 {
+		t.delayedDue = now.Add(saturatedTellInterval)
+	}
+	t.delayed = append(t.delayed, id)
+}
+
+// tellDelayed tells the keepers of the streams that delayTelling has collected, if that is due.
+func (t *Tracker) tellDelayed(now clock.Instant) {
+	if len(t.delayed) == 0 || now.Before(t.delayedDue) {
+		return
+	}
+	t.tell(slices.DeleteFunc(t.delayed, func(id ID) bool { return t.records[id] == nil }))
+	t.delayed = nil
+}
+
 // tell tells the keepers of streams which version began them.
 func (t *Tracker) tell(ids []ID) {
 	if t.Options.Disable.StreamRecords {
--- a/core/streams/streams.go
+++ b/core/streams/streams.go
@@ -88,6 +88,8 @@
 	recording    map[string]bool // services whose streams are told to keepers
 	recordingDue clock.Instant
 	scanDue      clock.Instant
+	delayed      []ID          // streams of which keepers are still to be told
+	delayedDue   clock.Instant // when
 }
 
 // A record is what is known of one stream.
@@ -117,9 +119,14 @@
 	r := t.add(now, id, o)
 	r.own = true
 	r.replica = replica
-	if t.isRecording(now, o.Service) {
-		t.tell([]ID{id})
+	if !t.isRecording(now, o.Service) {
+		return
+	}
+	if t.Saturation.Saturated(now) {
+		t.delayTelling(now, id)
+		return
 	}
+	t.tell([]ID{id})
 }
 
 // ReplicaRestarted records that a replica has restarted as another version. A stream that it began
@@ -168,6 +175,7 @@
 // Tick performs the work that is due.
 func (t *Tracker) Tick(now clock.Instant) {
 	t.history.observeList(now, t.ListKnownUntil(), t.limits())
+	t.tellDelayed(now)
 	if !now.Before(t.scanDue) {
 		t.scanDue = now.Add(scanInterval)
 		t.scan(now)
--- a/core/streams/streams_test.go
+++ b/core/streams/streams_test.go
@@ -415,3 +415,46 @@
 		})
 	}
 }
+
+// Guards against a saturated instance that sends a request to each keeper for each stream that begins, and
+// against streams of which no keeper is told.
+func TestKeepersAreToldTogetherWhileSaturated(t *testing.T) {
+	is := is.New(t)
+	f := newFixture("i", "z", true, false)
+	f.list(start, "v1", "v2")
+	f.readList(start)
+	for _, name := range []string{"a", "b", "c"} {
+		f.Members.Upsert(name, "z", name)
+	}
+	const streams = 50
+	told := func() (requests, ids int) {
+		for _, r := range f.requests() {
+			requests++
+			for _, g := range r.Request.Began {
+				ids += len(g.IDs)
+			}
+		}
+		return requests, ids
+	}
+	begin := func() {
+		for id := range ID(streams) {
+			f.Begun(start, id+1, Origin{Service: "s", Software: "v1"}, pool.Incarnation{})
+		}
+	}
+	begin()
+	requests, ids := told()
+	is.Equal(requests, 3*streams) // at once
+	is.Equal(ids, 3*streams)
+	f.Saturation.Report(start)
+	begin()
+	f.Tick(start.Add(saturatedTellInterval - time.Millisecond))
+	requests, _ = told()
+	is.Equal(requests, 0)
+	f.Tick(start.Add(saturatedTellInterval))
+	requests, ids = told()
+	is.Equal(requests, 3)
+	is.Equal(ids, 3*streams)
+	f.Tick(start.Add(2 * saturatedTellInterval))
+	requests, _ = told()
+	is.Equal(requests, 0)
+}
