--- a/internal/upstream/proxytest/quota.go
+++ b/internal/upstream/proxytest/quota.go
@@ -19,7 +19,8 @@
 )
 
 // LimitProcessor gives the process pid the given share of a core until it ends or the test does:
-// once it has used its share of a period, it is stopped for the rest of it.
+// once it has used its share of a period, it is stopped for the rest of it, and for longer if it has used
+// more.
 func LimitProcessor(t *testing.T, pid int, share float64) {
 	t.Helper()
 	done, ended := make(chan struct{}), make(chan struct{})
@@ -35,7 +36,7 @@
 				return
 			default:
 			}
-			if !runPeriod(pid, time.Duration(share*float64(quotaPeriod))) {
+			if !runPeriod(pid, share) {
 				return
 			}
 		}
@@ -43,7 +44,8 @@
 }
 
 // runPeriod lets a process run for one period, and reports whether it exists.
-func runPeriod(pid int, quota time.Duration) bool {
+func runPeriod(pid int, share float64) bool {
+	quota := time.Duration(share * float64(quotaPeriod))
 	end := time.Now().Add(quotaPeriod)
 	before, err := ProcessorTime(pid)
 	if err != nil {
@@ -61,7 +63,7 @@
 		if syscall.Kill(pid, syscall.SIGSTOP) != nil {
 			return false
 		}
-		time.Sleep(time.Until(end) + used - before - quota)
+		time.Sleep(time.Until(end) + time.Duration(float64(used-before-quota)/share))
 		return syscall.Kill(pid, syscall.SIGCONT) == nil
 	}
 	return true
