Metric: time for which an instance refused new connections

A refused connection leaves no trace at the instance: callers see it, operators did not. TestRefusalsAreCounted.

--- a/internal/server/listener.go
+++ b/internal/server/listener.go
@@ -30,6 +30,8 @@
 	admits func() (span time.Duration, ok bool)
 	// reopens reports whether connections are accepted again after they were refused.
 	reopens func() bool
+	// refused is told for how long connections were refused, from time to time while they are.
+	refused func(time.Duration)
 
 	drainUntil time.Time // when connections begin to be refused; zero: they are accepted
 
@@ -38,8 +40,8 @@
 	closed chan struct{}
 }
 
-func newPausableListener(l *net.TCPListener, admits func() (time.Duration, bool), reopens func() bool, log logr.Logger) *pausableListener {
-	return &pausableListener{address: l.Addr(), socket: l, admits: admits, reopens: reopens, log: log, closed: make(chan struct{})}
+func newPausableListener(l *net.TCPListener, admits func() (time.Duration, bool), reopens func() bool, refused func(time.Duration), log logr.Logger) *pausableListener {
+	return &pausableListener{address: l.Addr(), socket: l, admits: admits, reopens: reopens, refused: refused, log: log, closed: make(chan struct{})}
 }
 
 // Accept implements net.Listener.
@@ -88,12 +90,15 @@
 // pause refuses connections until they are accepted again or the listener is closed.
 func (l *pausableListener) pause() error {
 	_ = l.current().Close() // fails only if it is closed
-	for {
+	for since := time.Now(); ; {
 		select {
 		case <-l.closed:
 			return net.ErrClosed
 		case <-time.After(reopenInterval):
 		}
+		now := time.Now()
+		l.refused(now.Sub(since))
+		since = now
 		if l.reopens() && l.reopen() {
 			l.drainUntil = time.Time{}
 			return nil
--- a/internal/server/listener_test.go
+++ b/internal/server/listener_test.go
@@ -20,7 +20,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := newPausableListener(socket, func() (time.Duration, bool) { return 0, admits.Load() }, admits.Load, logr.Discard())
+	l := newPausableListener(socket, func() (time.Duration, bool) { return 0, admits.Load() }, admits.Load, func(time.Duration) {}, logr.Discard())
 	t.Cleanup(func() { _ = l.Close() })
 	return l
 }
@@ -141,7 +141,7 @@
 		left := window - time.Since(start)
 		return left, left > 0
 	}
-	l := newPausableListener(socket, admits, func() bool { return false }, logr.Discard())
+	l := newPausableListener(socket, admits, func() bool { return false }, func(time.Duration) {}, logr.Discard())
 	defer l.Close()
 	_, _ = acceptAll(l)
 	await(t, func() bool { return refused(l.Addr().String()) })
@@ -162,3 +162,22 @@
 	time.Sleep(3 * reopenInterval)
 	is.True(refused(l.Addr().String()))
 }
+
+// Guards against an instance that refuses connections and does not say for how long.
+func TestRefusalsAreCounted(t *testing.T) {
+	is := is.New(t)
+	var admits atomic.Bool
+	var refusals atomic.Int64
+	l := newTestListener(t, &admits)
+	l.refused = func(span time.Duration) { refusals.Add(int64(span)) }
+	_, _ = acceptAll(l)
+	await(t, func() bool { return refused(l.Addr().String()) })
+	began := time.Now()
+	await(t, func() bool { return refusals.Load() >= int64(5*reopenInterval) })
+	is.True(time.Duration(refusals.Load()) <= time.Since(began)+2*reopenInterval)
+	admits.Store(true)
+	await(t, func() bool { return !refused(l.Addr().String()) })
+	before := refusals.Load()
+	time.Sleep(3 * reopenInterval)
+	is.Equal(refusals.Load(), before)
+}
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -40,6 +40,7 @@
 	accepted       *metrics.Counter
 	refused        *metrics.Counter
 	requests       *metrics.Counter
+	refusal        *metrics.FloatCounter // seconds
 }
 
 // NewMetrics returns metrics without any observations.
@@ -65,6 +66,7 @@
 		accepted:       set.NewCounter(`birchdrift_caller_connections_total{outcome="accepted"}`),
 		refused:        set.NewCounter(`birchdrift_caller_connections_total{outcome="closed"}`),
 		requests:       set.NewCounter("birchdrift_caller_requests_total"),
+		refusal:        set.NewFloatCounter("birchdrift_caller_refusal_seconds_total"),
 	}
 }
 
@@ -95,6 +97,7 @@
 	{"birchdrift_run_delay_seconds", "Time that work of the process which could go on waited for the processor, sampled while callers connect or send.", "Above 0.01: the processor is saturated, see event 1010."},
 	{"birchdrift_link_bytes_total{direction}", "Bytes of the process's connections as they take up the network link.", "Near `--link-rate`: the link is saturated, see event 1010."},
 	{"birchdrift_caller_connections_total{outcome}", "Connections of callers that were `accepted`, or `closed` before anything was read of them.", "`accepted` at one instance far above the others: check the load balancer. `closed`: see events 1009 and 1010."},
+	{"birchdrift_caller_refusal_seconds_total", "Time for which the instance refused new connections of callers, because it could not serve more calls.", "Rising at one instance: check that the load balancer spreads connections. Rising at all: add instances."},
 	{"birchdrift_caller_requests_total", "Requests of callers whose headers were read.", "None by itself."},
 	{"birchdrift_notes_total{event}", "Log events by number.", "Look the number up in docs/events.md."},
 }
@@ -139,6 +142,9 @@
 	}
 }
 
+// AddRefusal adds to the time for which new connections of callers were refused.
+func (m *Metrics) AddRefusal(span time.Duration) { m.refusal.Add(span.Seconds()) }
+
 // CountRequest counts a request of a caller.
 func (m *Metrics) CountRequest() { m.requests.Inc() }
 
