Test of a listener that drains: a connection is established before it accepts

The test expected that callers connect within the 5 ms for which the listener drains. What it guards against is checked as before.

--- a/internal/server/listener_test.go
+++ b/internal/server/listener_test.go
@@ -106,6 +106,9 @@
 	is := is.New(t)
 	var admits atomic.Bool
 	l := newTestListener(t, &admits)
+	established, err := net.Dial("tcp", l.Addr().String())
+	is.NoErr(err)
+	defer established.Close()
 	done := make(chan struct{})
 	var callers sync.WaitGroup
 	for range 8 {
