Tests that notice when a part of admission is taken out

Each part of admission was taken out alone. Four were noticed by no test: the connection that is accepted each second while kept ones use the limit, refusals while bytes wait at the link, the fast fall of a limit, and its end. Each of the four new tests fails without its part.

--- a/core/admission/admission_test.go
+++ b/core/admission/admission_test.go
@@ -226,3 +226,77 @@
 	m.run(10*time.Second, 200)
 	is.Equal(m.refused, 0.)
 }
+
+// Guards against an instance that refuses all connections for as long as calls on those that are open
+// use all that it can serve.
+func TestAConnectionIsAcceptedWhileKeptOnesUseTheLimit(t *testing.T) {
+	is := is.New(t)
+	m := processorModel{capacity: 50}
+	m.run(3*time.Second, 150)
+	accepted, last := 0, m.now
+	for range 5 * int(time.Second/modelStep) {
+		m.run(modelStep, 1000)
+		for range 3 {
+			m.control.BeginNext(m.instant()) // on kept connections
+		}
+		if m.arrived > m.refused {
+			accepted++
+			is.True(m.now-last <= maxRefusal+sampleInterval)
+			last = m.now
+		}
+	}
+	is.True(accepted >= 4)
+}
+
+// Guards against an instance that accepts connections while bytes wait at its link, whose rate need not
+// be known: those of the new calls would wait behind them.
+func TestConnectionsAreRefusedWhileBytesWaitAtTheLink(t *testing.T) {
+	is := is.New(t)
+	var c Controller
+	var d saturation.Detector
+	at := clock.Instant{Mono: time.Second}
+	sample := func(connect time.Duration) {
+		at = at.Add(sampleInterval)
+		s := saturation.Sample{Span: sampleInterval, Connects: 3, ConnectTime: connect}
+		d.Observe(at, s)
+		c.Observe(at, s, &d)
+	}
+	admits := func() bool {
+		_, ok := c.Admits(at)
+		return ok
+	}
+	sample(time.Millisecond)
+	is.True(admits())
+	c.Accept(at)
+	sample(200 * time.Millisecond)
+	is.True(!admits())
+	is.True(!c.Reopens(at))
+	sample(time.Millisecond)
+	is.True(c.Reopens(at))
+	is.True(admits())
+}
+
+// Guards against a limit that falls so slowly that calls wait for seconds, where each suddenly costs
+// the processor much more.
+func TestLimitFollowsASuddenFallOfCapacity(t *testing.T) {
+	is := is.New(t)
+	m := processorModel{capacity: 1000}
+	m.run(5*time.Second, 800)
+	is.Equal(m.refused, 0.)
+	m.capacity = 100
+	m.run(settleTime, 800)
+	m.run(5*time.Second, 800)
+	t.Logf("%.0f of %.0f begin, the longest waits %v", m.arrived-m.refused, m.arrived, m.longest)
+	is.True(m.longest < tightestDeadline)
+	is.True((m.arrived-m.refused)/5 >= 0.75*m.capacity)
+}
+
+// Guards against a limit that stays after the crowd has gone.
+func TestLimitEndsAfterACrowd(t *testing.T) {
+	is := is.New(t)
+	m := processorModel{capacity: 100}
+	m.run(5*time.Second, 300)
+	is.True(m.control.processor.limits())
+	m.run(settleTime+releaseTime, 30)
+	is.True(!m.control.processor.limits())
+}
