--- a/internal/server/load.go
+++ b/internal/server/load.go
@@ -45,11 +45,14 @@
 // sample takes a sample of the load if one is due.
 func (l *loadWatch) sample() {
 	t := time.Now()
-	s, ok := l.monitor.Sample(t)
-	if !ok {
-		return
+	if s, ok := l.monitor.Sample(t); ok {
+		l.metrics.ObserveLoad(s)
+		l.observe(t, s)
 	}
-	l.metrics.ObserveLoad(s)
+}
+
+// observe records a sample.
+func (l *loadWatch) observe(t time.Time, s saturation.Sample) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.instant(t)
--- a/internal/server/load_test.go
+++ b/internal/server/load_test.go
@@ -47,3 +47,26 @@
 	conn = &callerConn{}
 	is.True(!closes()) // it was counted when its connection was accepted
 }
+
+// Guards against an instance that is saturated and whose modules do not know it.
+func TestSaturationIsReported(t *testing.T) {
+	is := is.New(t)
+	w := newLoadWatch(load.NewMonitor(&load.Traffic{}), 0, telemetry.NewMetrics(), logr.Discard())
+	reports := 0
+	w.report = func() { reports++ }
+	at := w.start.Add(time.Minute)
+	observe := func(runDelay, span time.Duration) {
+		const interval = 20 * time.Millisecond
+		for end := at.Add(span); at.Before(end); at = at.Add(interval) {
+			w.observe(at, saturation.Sample{RunDelay: runDelay, Span: interval})
+		}
+	}
+	observe(saturation.MaxRunDelay, time.Second)
+	is.Equal(reports, 0)
+	observe(2*saturation.MaxRunDelay, saturation.MinBacklog+10*saturation.ReportInterval)
+	is.True(reports >= 9)
+	is.True(reports <= 11)
+	before := reports
+	observe(0, time.Second)
+	is.Equal(reports, before)
+}
