--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -129,7 +129,7 @@
 	{"settle-time", "3s", "100ms to 24h", "How long the instance and the platform must have been undisturbed for that bound to hold. How soon the platform is called again after an outage is derived from it.", false, duration(func(s *Settings) *time.Duration { return &s.SettleTime }, 100*time.Millisecond)},
 	{"first-start", "false", "true or false; empty: false", "Whether this is the first start of the whole fleet. An instance that starts later asks the others which versions of replicas served lately, and streams that are taken up are looked up until it knows.", false, optional(boolean(func(s *Settings) *bool { return &s.FirstStart }))},
 	{"processor", "1", "0 to 1024", "Number of cores, or share of one, that the process may use. Instances with the most take on tasks for the fleet.", false, number(func(s *Settings) *float64 { return &s.Processor }, 0, 1024)},
-	{"link-rate", "0", "0 to 1000000; empty: 0", "Rate of the network link in Mbit/s, in each direction; 0: unknown.", false, optional(number(func(s *Settings) *float64 { return &s.LinkRate }, 0, 1e6))},
+	{"link-rate", "0", "0 to 1000000; empty: 0", "Rate of the network link in Mbit/s, in each direction; 0: unknown. New connections of callers are refused while it could not carry their calls.", false, optional(number(func(s *Settings) *float64 { return &s.LinkRate }, 0, 1e6))},
 	{"memory-limit", "0", "0 to 1048576", "Memory in MiB that the process should not exceed; 0 sets no limit.", false, integer(func(s *Settings) *int64 { return &s.MemoryLimit }, 0, 1<<20)},
 }
 
