--- a/internal/server/callers.go
+++ b/internal/server/callers.go
@@ -92,7 +92,7 @@
 // newCallerListener returns a listener for callers that logs, at most once per connectionLogInterval,
 // that it closes connections.
 func (s *Server) newCallerListener(socket *net.TCPListener) *callerListener {
-	l := s.traffic.Listener(newPausableListener(socket, s.load.admits, s.load.reopens, s.metrics.AddRefusal, s.log))
+	l := s.traffic.Listener(newPausableListener(socket, s.load.admits, s.load.reopens, s.metrics.AddRefusalTime, s.log))
 	var logged atomic.Int64
 	return &callerListener{Listener: l, metrics: s.metrics, accepted: s.load.accepted, closed: func(open int64) {
 		now := time.Now().UnixNano()
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -38,9 +38,9 @@
 	linkReceived   *metrics.Counter
 	linkSent       *metrics.Counter
 	accepted       *metrics.Counter
-	refused        *metrics.Counter
+	closed         *metrics.Counter
 	requests       *metrics.Counter
-	refusal        *metrics.FloatCounter // seconds
+	refusalTime    *metrics.FloatCounter // seconds
 }
 
 // NewMetrics returns metrics without any observations.
@@ -64,9 +64,9 @@
 		linkReceived:   set.NewCounter(`birchdrift_link_bytes_total{direction="received"}`),
 		linkSent:       set.NewCounter(`birchdrift_link_bytes_total{direction="sent"}`),
 		accepted:       set.NewCounter(`birchdrift_caller_connections_total{outcome="accepted"}`),
-		refused:        set.NewCounter(`birchdrift_caller_connections_total{outcome="closed"}`),
+		closed:         set.NewCounter(`birchdrift_caller_connections_total{outcome="closed"}`),
 		requests:       set.NewCounter("birchdrift_caller_requests_total"),
-		refusal:        set.NewFloatCounter("birchdrift_caller_refusal_seconds_total"),
+		refusalTime:    set.NewFloatCounter("birchdrift_caller_refusal_seconds_total"),
 	}
 }
 
@@ -138,12 +138,12 @@
 	if accepted {
 		m.accepted.Inc()
 	} else {
-		m.refused.Inc()
+		m.closed.Inc()
 	}
 }
 
-// AddRefusal adds to the time for which new connections of callers were refused.
-func (m *Metrics) AddRefusal(span time.Duration) { m.refusal.Add(span.Seconds()) }
+// AddRefusalTime adds to the time for which new connections of callers were refused.
+func (m *Metrics) AddRefusalTime(span time.Duration) { m.refusalTime.Add(span.Seconds()) }
 
 // CountRequest counts a request of a caller.
 func (m *Metrics) CountRequest() { m.requests.Inc() }
