Logs tell how a served answer ended: status, framing and last event

Cause: call_served named neither the status of the last answer of a stream that went on, nor how its end was known, nor the last event, so the hypotheses of the incident could not be told apart.

--- a/core/calls/event.go
+++ b/core/calls/event.go
@@ -19,6 +19,10 @@
 	Completed struct {
 		ID    ID
 		Pause time.Duration // longest pause between two consecutive pieces of the answer
+		// The following are of forwarded calls, for logs.
+		Status    int    // of the last attempt's answer
+		LastEvent int    // number of the last event that the caller has, 0 if there is none
+		Framing   string // what showed the end of the last attempt's answer
 	}
 	// AttemptFailed reports that an attempt ended without a Completed.
 	AttemptFailed struct {
--- a/core/forwarding/attempts.go
+++ b/core/forwarding/attempts.go
@@ -44,7 +44,8 @@
 	f.streamEnded(c)
 	f.Out.Log(logevent.CallServed, "call", c.Forward.Name, "replica", c.Replica, "attempts", c.History.Attempts,
 		"waited_ms", c.Started.Since(c.Arrived).Milliseconds(), "first_ms", s.lastAttempt.firstEventAt.Since(c.Started).Milliseconds(),
-		"pause_ms", e.Pause.Milliseconds(), "total_ms", now.Since(c.Arrived).Milliseconds())
+		"pause_ms", e.Pause.Milliseconds(), "total_ms", now.Since(c.Arrived).Milliseconds(),
+		"status", e.Status, "last_event", e.LastEvent, "framing", e.Framing)
 }
 
 // attemptFailed retries or ends a call whose attempt failed. If this instance has no retry left,
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -373,7 +374,7 @@
 		return true
 	}
 	if len(data) < maxBufferedAnswer {
-		return f.completed(s)
+		return f.completed(s, resp)
 	}
 	return f.relayRemainder(s, d, resp, progress, watchdog)
 }
@@ -382,19 +383,32 @@
 func (f *forwardCall) relayRemainder(s shell.Session, d calls.Dispatch, resp *http.Response, progress *upstream.Progress, watchdog *Watchdog) bool {
 	_, err := io.Copy(f.w, watchedReader{resp.Body, watchdog})
 	if err == nil {
-		return f.completed(s)
+		return f.completed(s, resp)
 	}
 	f.attemptFailed(s, d, progress, watchdog, f.connectionFailed(d, err, resp.StatusCode))
 	f.handler.Metrics.ObserveAnswer(int(code.StreamCut), time.Since(f.start))
 	panic(http.ErrAbortHandler)
 }
 
-func (f *forwardCall) completed(s shell.Session) bool {
-	s.Completed(f.longestPause)
+func (f *forwardCall) completed(s shell.Session, resp *http.Response) bool {
+	s.Completed(calls.Completed{Pause: f.longestPause, Status: resp.StatusCode, LastEvent: f.lastEvent, Framing: framing(resp)})
 	f.handler.Metrics.ObserveAnswer(int(code.OK), time.Since(f.start))
 	return true
 }
 
+// framing returns what shows the end of an answer: its length, its last chunk, or the end of its
+// connection.
+func framing(resp *http.Response) string {
+	switch {
+	case resp.ContentLength >= 0:
+		return "length"
+	case slices.Contains(resp.TransferEncoding, "chunked"):
+		return "chunks"
+	default:
+		return "connection"
+	}
+}
+
 // relayStream passes on an event stream. It writes each event as it arrives and only whole
 // events, so that another replica can resume after the last one. What precedes the first event
 // is kept until that arrives, so that the call can still be retried elsewhere.
@@ -458,7 +472,7 @@
 		f.writeStreamHead(resp)
 		_, _ = f.w.Write(kept) // a caller that has disconnected needs no answer
 	}
-	return f.completed(s)
+	return f.completed(s, resp)
 }
 
 // writeStreamHead writes status and headers of an event stream once. A stream that resumes
--- a/internal/own/modelapi/model.go
+++ b/internal/own/modelapi/model.go
@@ -234,7 +234,7 @@
 		// The last piece only marks the end and is not counted as a token.
 		entry.WriteJSON(m.w, http.StatusOK, m.format.complete(m.text.String(), p.Reason, m.call.PromptTokens, m.piecesReceived-1))
 	}
-	s.Completed(0)
+	s.Completed(calls.Completed{})
 	m.handler.Metrics.ObserveAnswer(int(code.OK), time.Since(m.startedAt))
 	return calls.AttemptFailed{}, true
 }
--- a/internal/own/modelapi/plain.go
+++ b/internal/own/modelapi/plain.go
@@ -149,7 +149,7 @@
 	p.w.WriteHeader(resp.StatusCode)
 	delivered, err := p.copy(resp.Body, watchdog)
 	if err == nil {
-		s.Completed(0)
+		s.Completed(calls.Completed{})
 		p.handler.Metrics.ObserveAnswer(int(code.OK), time.Since(p.startedAt))
 		return true
 	}
--- a/internal/shell/shell.go
+++ b/internal/shell/shell.go
@@ -283,9 +283,11 @@
 // AnswerBegan tells the machine that the first piece of the answer arrived.
 func (s Session) AnswerBegan() { s.shell.post(calls.AnswerBegan{ID: s.ID}) }
 
-// Completed tells the machine that the answer is complete; pause is the longest time
-// between two of its pieces.
-func (s Session) Completed(pause time.Duration) { s.end(calls.Completed{ID: s.ID, Pause: pause}) }
+// Completed tells the machine that the answer is complete.
+func (s Session) Completed(e calls.Completed) {
+	e.ID = s.ID
+	s.end(e)
+}
 
 // CallerGone tells the machine that the caller disconnected.
 func (s Session) CallerGone() { s.end(calls.CallerGone{ID: s.ID}) }
