Only the rest of a stream follows the events that its caller has

Cause: the answer to an attempt that goes on was treated as that to a first one: what is no stream was passed on whole, whatever its status. That an answer had begun was a flag that each way out had to ask.

Change: entry.callerAnswer owns what was written to a caller and whether that is all; an answer that was not ended is aborted. Behind events only a success that is a stream with a next event is passed on; anything else is a failed attempt. A caller that takes a stream up gets a failure as it is.

--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -37,6 +37,9 @@
 // served elsewhere meanwhile.
 const failedAnswerTimeout = time.Second
 
+// errNoRest is returned for a success that is not the rest of a stream: no stream, or one without events.
+var errNoRest = errors.New("the answer is not the rest of the stream")
+
 // errEventOrder is returned for an event stream whose event numbers have a gap or repeat.
 var errEventOrder = errors.New("the numbers of the events do not follow each other")
 
@@ -45,7 +48,8 @@
 	start := time.Now()
 	ctx, span := h.Tracer.Start(h.Tracer.Extract(r.Context(), r.Header), "entry")
 	defer span.End()
-	f := &forwardCall{handler: h, w: w, r: r, start: start}
+	f := &forwardCall{handler: h, answer: callerAnswer{w: w}, r: r, start: start}
+	defer f.answer.close()
 	req, err := h.Wire.ReadRequest(r.Header)
 	if err == nil {
 		f.body, err = ReadBody(r)
@@ -100,13 +104,12 @@
 // A forwardCall is one forwarded call in progress.
 type forwardCall struct {
 	handler *Handler
-	w       http.ResponseWriter
+	answer  callerAnswer
 	r       *http.Request
 	body    *Body
 	call    calls.Request
 	start   time.Time
 
-	headWritten  bool          // status and headers of the answer were written
 	lastEvent    int           // number of the last event that the caller has
 	longestPause time.Duration // longest time between two events
 	failed       *failedAnswer
@@ -133,12 +136,12 @@
 	})
 }
 
-// finish ends the call with the machine's refusal. If an answer has already begun it
-// aborts the connection, since a normal return would make the answer look complete.
+// finish ends the call with the machine's refusal. An answer that has already begun stays
+// incomplete.
 func (f *forwardCall) finish(r code.Refusal) {
-	if f.headWritten {
+	if f.answer.begun {
 		f.handler.Metrics.ObserveAnswer(int(r.Code), time.Since(f.start))
-		panic(http.ErrAbortHandler)
+		return
 	}
 	f.refuse(r)
 }
@@ -151,7 +154,7 @@
 	if r.Run != code.NotRun && status == http.StatusServiceUnavailable {
 		status = http.StatusBadGateway
 	}
-	head := f.w.Header()
+	head := f.answer.w.Header()
 	if name := f.handler.Wire.CallID; name != "" && f.call.Forward != nil && f.call.Forward.Name != "" {
 		head.Set(name, f.call.Forward.Name)
 	}
@@ -159,30 +162,28 @@
 		head.Set(f.handler.Wire.RetryAfter, strconv.FormatFloat(r.RetryAfter.Seconds(), 'f', 3, 64))
 	}
 	f.closeIfStopping()
-	WriteJSON(f.w, status, NewErrorBody(r))
+	f.answer.refuse(status, NewErrorBody(r))
 }
 
 // closeIfStopping asks the caller to close this connection if the instance is stopping,
 // so that it opens its next one to another instance.
 func (f *forwardCall) closeIfStopping() {
 	if f.handler.Shell.Stopping() {
-		f.w.Header().Set("Connection", "close")
+		f.answer.w.Header().Set("Connection", "close")
 	}
 }
 
 // relayFailedAnswer passes on the replica's own failed answer.
 func (f *forwardCall) relayFailedAnswer() {
 	f.handler.Metrics.ObserveAnswer(int(code.UpstreamRefused), time.Since(f.start))
-	f.writeHead(f.failed.header, f.failed.status)
-	_, _ = f.w.Write(f.failed.body) // a caller that has disconnected needs no answer
+	f.begin(f.failed.header, f.failed.status)
+	_ = f.answer.write(f.failed.body) // a caller that has disconnected needs no answer
+	f.answer.end()
 }
 
 func (f *forwardCall) callerGone(s shell.Session) {
 	s.CallerGone()
 	f.handler.Metrics.ObserveAnswer(int(code.CallerGone), time.Since(f.start))
-	if f.headWritten {
-		panic(http.ErrAbortHandler)
-	}
 }
 
 // attempt carries out one Dispatch and reports whether the call has ended.
@@ -191,7 +192,7 @@
 		f.handler.Metrics.ObserveQueueTime(time.Since(f.start))
 	}
 	name := "attempt"
-	if f.headWritten {
+	if f.answer.begun {
 		name = "resume"
 	}
 	ctx, span := f.handler.Tracer.Start(ctx, name, oteltrace.WithSpanKind(oteltrace.SpanKindClient))
@@ -221,7 +222,7 @@
 		}
 	}
 	f.postNotice(d, sent, resp)
-	return f.answer(s, d, resp, &progress, watchdog)
+	return f.handleAnswer(s, d, resp, &progress, watchdog)
 }
 
 // postNotice passes to the machine what a replica reported about itself in the headers of
@@ -289,7 +290,7 @@
 	failure.Phase = progress.Phase()
 	failure.Stalled = watchdog.Fired()
 	failure.BodyConsumed = f.body.EndAttempt()
-	if f.headWritten {
+	if f.answer.begun {
 		failure.Delivered = max(1, f.lastEvent)
 	}
 	s.AttemptFailed(failure)
@@ -305,9 +306,18 @@
 	return f.attemptFailed(s, d, &progress, watchdog, calls.AttemptFailed{Relay: failure.Reason, Detail: failure.Detail})
 }
 
-// answer handles status and headers of a replica's answer and then passes the answer on
+// goesOn reports whether an attempt goes on with a stream of which the caller has events.
+func (f *forwardCall) goesOn(d calls.Dispatch) bool {
+	return d.Forward.Stream && (f.answer.begun || f.lastEvent > 0)
+}
+
+// handleAnswer handles status and headers of a replica's answer and then passes the answer on
 // or reports the attempt as failed. It reports whether the call has ended.
-func (f *forwardCall) answer(s shell.Session, d calls.Dispatch, resp *http.Response, progress *upstream.Progress, watchdog *Watchdog) bool {
+//
+// Of an attempt that goes on with a stream, only a success that is a stream is passed on behind the
+// events that the caller has. A caller that takes a stream up with another request gets a failure as
+// it is, since the status tells.
+func (f *forwardCall) handleAnswer(s shell.Session, d calls.Dispatch, resp *http.Response, progress *upstream.Progress, watchdog *Watchdog) bool {
 	reply := f.handler.Wire.ReadReply(resp, f.call.Forward.Name)
 	failure := calls.AttemptFailed{Status: resp.StatusCode, Misdirected: reply.Misdirected, Incarnation: reply.Incarnation}
 	switch {
@@ -319,7 +329,7 @@
 	case reply.Invalid:
 		progress.Advance(attempt.Answered)
 		failure.Detail = "the answer is not the replica's own"
-	case resp.StatusCode >= http.StatusInternalServerError:
+	case resp.StatusCode >= http.StatusInternalServerError, f.answer.begun && !reply.Success:
 		progress.Advance(attempt.Answered)
 		f.keepFailedAnswer(resp)
 		failure.ErrorResponse = f.failed != nil
@@ -327,6 +337,9 @@
 	case d.Forward.Stream && reply.Stream:
 		progress.Advance(attempt.Answered)
 		return f.relayStream(s, d, resp, progress, watchdog)
+	case f.goesOn(d) && reply.Success:
+		progress.Advance(attempt.Answered)
+		failure.Detail = errNoRest.Error()
 	default:
 		progress.Advance(attempt.Answered)
 		return f.relayWhole(s, d, resp, progress, watchdog)
@@ -346,15 +359,10 @@
 	f.failed = &failedAnswer{status: resp.StatusCode, header: resp.Header, body: data}
 }
 
-// writeHead writes the status and the end-to-end headers of an answer.
-func (f *forwardCall) writeHead(header http.Header, status int) {
-	out := f.w.Header()
-	for name, values := range service.EndToEndHeaders(header) {
-		out[name] = values
-	}
+// begin begins the caller's answer with status and headers of a replica's.
+func (f *forwardCall) begin(header http.Header, status int) {
 	f.closeIfStopping()
-	f.w.WriteHeader(status)
-	f.headWritten = true
+	f.answer.begin(header, status)
 }
 
 // relayWhole passes on an answer that is not an event stream. A small answer is read
@@ -366,10 +374,10 @@
 	}
 	s.AnswerBegan()
 	if len(data) < maxBufferedAnswer && resp.ContentLength < 0 {
-		f.w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+		f.answer.w.Header().Set("Content-Length", strconv.Itoa(len(data)))
 	}
-	f.writeHead(resp.Header, resp.StatusCode)
-	if _, err := f.w.Write(data); err != nil {
+	f.begin(resp.Header, resp.StatusCode)
+	if err := f.answer.write(data); err != nil {
 		f.callerGone(s)
 		return true
 	}
@@ -381,18 +389,19 @@
 
 // relayRemainder passes on the part of a large answer after the buffered beginning.
 func (f *forwardCall) relayRemainder(s shell.Session, d calls.Dispatch, resp *http.Response, progress *upstream.Progress, watchdog *Watchdog) bool {
-	_, err := io.Copy(f.w, watchedReader{resp.Body, watchdog})
+	_, err := io.Copy(f.answer.w, watchedReader{resp.Body, watchdog})
 	if err == nil {
 		return f.completed(s, resp)
 	}
 	f.attemptFailed(s, d, progress, watchdog, f.connectionFailed(d, err, resp.StatusCode))
 	f.handler.Metrics.ObserveAnswer(int(code.StreamCut), time.Since(f.start))
-	panic(http.ErrAbortHandler)
+	return true
 }
 
 func (f *forwardCall) completed(s shell.Session, resp *http.Response) bool {
 	s.Completed(calls.Completed{Pause: f.longestPause, Status: resp.StatusCode, LastEvent: f.lastEvent, Framing: framing(resp)})
 	f.handler.Metrics.ObserveAnswer(int(code.OK), time.Since(f.start))
+	f.answer.end()
 	return true
 }
 
@@ -414,20 +423,22 @@
 // is kept until that arrives, so that the call can still be retried elsewhere.
 func (f *forwardCall) relayStream(s shell.Session, d calls.Dispatch, resp *http.Response, progress *upstream.Progress, watchdog *Watchdog) bool {
 	events := forward.NewEventReader(resp.Body)
-	flush := http.NewResponseController(f.w)
 	var last time.Time // when the previous event arrived; zero before the first one
 	var kept []byte    // what precedes the first event
 	for {
 		block, err := events.Next()
 		if errors.Is(err, io.EOF) {
-			return f.endStream(s, resp, last.IsZero(), kept)
+			if !last.IsZero() || !f.goesOn(d) {
+				return f.endStream(s, resp, last.IsZero(), kept)
+			}
+			err = errNoRest
 		}
 		if err == nil && block.Number != 0 && block.Number != f.lastEvent+1 {
 			err = errEventOrder
 		}
 		if err != nil {
-			if f.headWritten {
-				_ = flush.Flush() // the events before the failure
+			if f.answer.begun {
+				f.answer.flush() // the events before the failure
 			}
 			return f.attemptFailed(s, d, progress, watchdog, f.connectionFailed(d, err, resp.StatusCode))
 		}
@@ -439,12 +450,12 @@
 			watchdog.Reset()
 			last = f.eventArrived(s, resp, last, kept)
 		}
-		if _, err := f.w.Write(block.Bytes); err != nil {
+		if err := f.answer.write(block.Bytes); err != nil {
 			f.callerGone(s)
 			return true
 		}
 		if !events.Buffered() {
-			_ = flush.Flush() // if the caller has disconnected, the next write fails
+			f.answer.flush()
 		}
 		f.lastEvent = max(block.Number, f.lastEvent)
 	}
@@ -461,28 +472,20 @@
 	}
 	s.AnswerBegan()
 	f.handler.Metrics.ObserveFirstToken(time.Since(f.start))
-	f.writeStreamHead(resp)
-	_, _ = f.w.Write(preceding) // if the caller has disconnected, the next write fails
+	f.begin(resp.Header, resp.StatusCode)
+	_ = f.answer.write(preceding) // if the caller has disconnected, the next write fails
 	return now
 }
 
 // endStream ends a stream that is complete. If it has no event, nothing of it was written yet.
 func (f *forwardCall) endStream(s shell.Session, resp *http.Response, noEvent bool, kept []byte) bool {
 	if noEvent {
-		f.writeStreamHead(resp)
-		_, _ = f.w.Write(kept) // a caller that has disconnected needs no answer
+		f.begin(resp.Header, resp.StatusCode)
+		_ = f.answer.write(kept) // a caller that has disconnected needs no answer
 	}
 	return f.completed(s, resp)
 }
 
-// writeStreamHead writes status and headers of an event stream once. A stream that resumes
-// at another replica keeps those of the first.
-func (f *forwardCall) writeStreamHead(resp *http.Response) {
-	if !f.headWritten {
-		f.writeHead(resp.Header, resp.StatusCode)
-	}
-}
-
 // A watchedReader resets the watchdog whenever bytes arrive.
 type watchedReader struct {
 	io.Reader
--- a/internal/forward/wire.go
+++ b/internal/forward/wire.go
@@ -222,7 +222,8 @@
 	Incarnation string
 	Mismatched  bool // the answer belongs to another call
 	Invalid     bool // the answer must not be passed on
-	Stream      bool // the answer is an event stream
+	Success     bool // the status is one of 200 to 299
+	Stream      bool // the answer is a success and an event stream
 }
 
 // ReadReply reads status and headers of a replica's answer to the call with this ID.
@@ -231,19 +232,19 @@
 		NotRun:      w.NotRun != "" && resp.Header.Get(w.NotRun) != "",
 		Misdirected: resp.StatusCode == w.Misdirected,
 		Incarnation: resp.Header.Get(w.Incarnation),
-		Stream:      w.StreamType != "" && strings.HasPrefix(resp.Header.Get("Content-Type"), w.StreamType),
+		Success:     resp.StatusCode >= 200 && resp.StatusCode < 300,
 	}
+	r.Stream = r.Success && w.StreamType != "" && strings.HasPrefix(resp.Header.Get("Content-Type"), w.StreamType)
 	r.NotRun = r.NotRun || r.Misdirected
 	if echoed := resp.Header.Get(w.CallID); callID != "" && echoed != "" && echoed != callID {
 		r.Mismatched = true
 	}
 	// If the format has signatures, a success must be signed and have no Content-Encoding.
 	// If the call has an ID, a success must also echo it.
-	success := resp.StatusCode >= 200 && resp.StatusCode < 300
-	if success && (w.Signature == "" || resp.Header.Get(w.Signature) == "" || resp.Header.Get("Content-Encoding") != "") {
+	if r.Success && (w.Signature == "" || resp.Header.Get(w.Signature) == "" || resp.Header.Get("Content-Encoding") != "") {
 		r.Invalid = w.Signature != ""
 	}
-	if success && callID != "" && resp.Header.Get(w.CallID) == "" {
+	if r.Success && callID != "" && resp.Header.Get(w.CallID) == "" {
 		r.Invalid = true
 	}
 	if resp.StatusCode < http.StatusOK { // no status of a final answer
--- a/internal/server/forward_test.go
+++ b/internal/server/forward_test.go
@@ -266,6 +266,22 @@
 	if err != nil {
 		i.t.Fatal(err)
 	}
+	return i.sendRequest(req, host)
+}
+
+// sendWith sends a request with further headers.
+func (i *testInstance) sendWith(header http.Header, host string) callResult {
+	i.t.Helper()
+	req, err := http.NewRequest(http.MethodPost, "http://"+i.address+"/", strings.NewReader("body"))
+	if err != nil {
+		i.t.Fatal(err)
+	}
+	req.Header = header
+	return i.sendRequest(req, host)
+}
+
+func (i *testInstance) sendRequest(req *http.Request, host string) callResult {
+	i.t.Helper()
 	req.Host = host
 	req.Header.Set(forward.OwnFormat.CallID, "call-1")
 	req.Header.Set(forward.OwnFormat.Deadline, "4000")
--- /dev/null
+++ b/internal/server/rest_test.go
@@ -0,0 +1,130 @@
+package server
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/birchdrift/birchdrift/internal/forward"
+	"github.com/birchdrift/birchdrift/internal/upstream/proxytest"
+)
+
+// answerIn answers with a status, a content type and a body, framed by its length if length is true and
+// by chunks otherwise.
+func answerIn(status int, contentType, body string, length bool) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set(forward.OwnFormat.Signature, "signed")
+		if contentType != "" {
+			w.Header().Set("Content-Type", contentType)
+		}
+		if length {
+			w.Header().Set("Content-Length", fmt.Sprint(len(body)))
+		}
+		w.WriteHeader(status)
+		if !length {
+			_ = http.NewResponseController(w).Flush()
+		}
+		_, _ = io.WriteString(w, body)
+	}
+}
+
+// A restCase is what a replica answers that is asked to go on with a stream.
+type restCase struct {
+	name   string
+	answer http.HandlerFunc
+	whole  bool // it is the rest of the stream
+}
+
+// restCases are for a stream of six events that breaks off within the fourth.
+func restCases() []restCase {
+	const stream, json = "text/event-stream", "application/json"
+	rest := strings.TrimPrefix(wholeStream(6), wholeStream(3))
+	cases := []restCase{
+		{"the rest", answerIn(200, stream, rest, false), true},
+		{"the rest, with its length", answerIn(200, stream, rest, true), true},
+		{"the rest as another success", answerIn(203, stream, rest, false), true},
+		{"no body", answerIn(204, "", "", false), false},
+		{"no stream", answerIn(200, json, "{}", false), false},
+		{"no content type", answerIn(200, "", rest, true), false},
+		{"a large answer", answerIn(200, json, strings.Repeat("z", 1<<20), true), false},
+		{"a stream of nothing", answerIn(200, stream, "", false), false},
+		{"a stream of nothing, with its length", answerIn(200, stream, "", true), false},
+		{"a comment", answerIn(200, stream, ": z\n\n", false), false},
+		{"part of a comment", answerIn(200, stream, ": z", false), false},
+		{"from the beginning", answerIn(200, stream, wholeStream(6), false), false},
+		{"a gap", answerIn(200, stream, "id: 5\ndata: event 5\n\n", false), false},
+	}
+	for _, status := range []int{300, 301, 302, 304, 307, 400, 401, 403, 404, 409, 410, 413, 418, 421, 429, 451, 499, 500, 502, 503, 599} {
+		cases = append(cases,
+			restCase{fmt.Sprintf("status %d", status), answerIn(status, json, "{}", true), false},
+			restCase{fmt.Sprintf("status %d in the form of a stream", status), answerIn(status, stream, rest, false), false},
+			restCase{fmt.Sprintf("status %d without a body", status), answerIn(status, "", "", false), false})
+	}
+	return cases
+}
+
+// Guards against an answer that is not the rest of a stream and that reaches the caller behind the
+// stream's events, or ends the stream as if it were complete, direct or relayed by a peer.
+func TestOnlyTheRestOfAStreamFollowsItsEvents(t *testing.T) {
+	for _, c := range restCases() {
+		for _, relayed := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, relayed %t", c.name, relayed), func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				var requests atomic.Int32
+				answer := func(w http.ResponseWriter, r *http.Request) {
+					if requests.Add(1) == 1 {
+						eventStream(6, 4)(w, r)
+						return
+					}
+					c.answer(w, r)
+				}
+				got := newRestInstance(t, relayed, answer).send(http.MethodPost, "stream", "/", "body")
+				is.Equal(got.status, http.StatusOK)
+				is.True(requests.Load() >= 2) // a replica that did not run it is not the last one
+				if c.whole {
+					is.NoErr(got.err)
+					is.Equal(got.body, wholeStream(6))
+					return
+				}
+				is.True(got.err != nil) // the caller sees that the answer is not complete
+				is.Equal(got.body, wholeStream(3))
+			})
+		}
+	}
+}
+
+// newRestInstance starts an instance in front of two replicas, which a peer reaches for it if relayed.
+func newRestInstance(t *testing.T, relayed bool, answer http.HandlerFunc) *testInstance {
+	t.Helper()
+	if relayed {
+		return newRelayPair(t, proxytest.Refusing, nil, answer, answer).cut
+	}
+	return newTestInstance(t, answer, answer)
+}
+
+// Guards against a success that is not the rest of a stream and that its caller, who takes the stream
+// up with another request, takes for its end. A failure is the caller's own to judge.
+func TestOnlyTheRestOfAStreamAnswersItsCaller(t *testing.T) {
+	for _, c := range restCases() {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			s := newTestInstanceWith(t, map[string]string{"first-start": "true"}, false, c.answer, c.answer)
+			got := s.sendWith(http.Header{"Last-Event-Id": {"3"}, "Birchdrift-Resumes": {"call-0"}}, "stream")
+			if c.whole {
+				is.NoErr(got.err)
+				is.Equal(got.status/100, 2)
+				is.Equal(got.body, strings.TrimPrefix(wholeStream(6), wholeStream(3)))
+				return
+			}
+			is.True(got.err != nil || got.status >= 300)
+		})
+	}
+}
