A stream goes on only from an event that has a number

Cause: the position in a stream was the highest number so far. Events without one, with 0, or with a number that is no count were passed on beside it and not counted, so the next replica was asked for what the caller had, and its answer was not checked.

Change: forward.Position knows whether the last event had a number; if not, no attempt goes on (AttemptFailed.PositionUnknown). The first event of an attempt that goes on must have the next number; an event with two numbers follows none. A stream without any number is passed on as before.

--- a/core/calls/event.go
+++ b/core/calls/event.go
@@ -29,9 +29,12 @@
 		ID        ID
 		Attempt   int
 		Phase     attempt.Phase
-		Delivered int  // pieces or bytes that reached the caller
-		Resumable bool // the replica may still hold the state of the answer and can continue it
-		Stalled   bool // the replica stopped sending
+		Delivered int // pieces or bytes that reached the caller
+		// PositionUnknown means that the last event that reached the caller has no number, so
+		// that no replica can be asked for what follows.
+		PositionUnknown bool
+		Resumable       bool // the replica may still hold the state of the answer and can continue it
+		Stalled         bool // the replica stopped sending
 		// Severed means that the replica or its machine closed the connection before
 		// the end of the answer.
 		Severed bool
--- a/core/forwarding/repeat.go
+++ b/core/forwarding/repeat.go
@@ -55,7 +55,7 @@
 	s := stateOf(c)
 	p := s.progress
 	switch {
-	case p.answerStarted && !(s.route.Kind == config.Stream && s.route.Resumable):
+	case p.answerStarted && (s.route.Kind != config.Stream || !s.route.Resumable || e.PositionUnknown):
 		return notResumable
 	case !p.answerStarted && !c.History.Repeatable && c.History.RunState() != code.NotRun:
 		return mayHaveRun
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -40,9 +40,6 @@
 // errNoRest is returned for a success that is not the rest of a stream: no stream, or one without events.
 var errNoRest = errors.New("the answer is not the rest of the stream")
 
-// errEventOrder is returned for an event stream whose event numbers have a gap or repeat.
-var errEventOrder = errors.New("the numbers of the events do not follow each other")
-
 // serveForwarded handles a forwarded call until it has its final answer.
 func (h *Handler) serveForwarded(w http.ResponseWriter, r *http.Request) {
 	start := time.Now()
@@ -59,7 +56,7 @@
 		return
 	}
 	f.call = newCallRequest(h.NextID(), r, req, f.body)
-	f.lastEvent = req.LastEvent
+	f.position = forward.Position{Last: req.LastEvent}
 	span.SetAttributes(attribute.String("call", req.CallID))
 	f.run(ctx, h.Shell.Begin(f.call))
 }
@@ -110,7 +107,7 @@
 	call    calls.Request
 	start   time.Time
 
-	lastEvent    int           // number of the last event that the caller has
+	position     forward.Position
 	longestPause time.Duration // longest time between two events
 	failed       *failedAnswer
 
@@ -241,7 +238,7 @@
 		Expect:    d.Replica,
 		Left:      d.Forward.Left,
 		Priority:  d.Forward.Priority,
-		LastEvent: f.lastEvent,
+		LastEvent: f.position.Last,
 	})
 	f.handler.Tracer.Inject(f.r.Context(), header)
 	address := d.Address
@@ -291,7 +288,8 @@
 	failure.Stalled = watchdog.Fired()
 	failure.BodyConsumed = f.body.EndAttempt()
 	if f.answer.begun {
-		failure.Delivered = max(1, f.lastEvent)
+		failure.Delivered = max(1, f.position.Last)
+		failure.PositionUnknown = !f.position.Known()
 	}
 	s.AttemptFailed(failure)
 	return false
@@ -308,7 +306,7 @@
 
 // goesOn reports whether an attempt goes on with a stream of which the caller has events.
 func (f *forwardCall) goesOn(d calls.Dispatch) bool {
-	return d.Forward.Stream && (f.answer.begun || f.lastEvent > 0)
+	return d.Forward.Stream && (f.answer.begun || f.position.Last > 0)
 }
 
 // handleAnswer handles status and headers of a replica's answer and then passes the answer on
@@ -399,7 +397,7 @@
 }
 
 func (f *forwardCall) completed(s shell.Session, resp *http.Response) bool {
-	s.Completed(calls.Completed{Pause: f.longestPause, Status: resp.StatusCode, LastEvent: f.lastEvent, Framing: framing(resp)})
+	s.Completed(calls.Completed{Pause: f.longestPause, Status: resp.StatusCode, LastEvent: f.position.Last, Framing: framing(resp)})
 	f.handler.Metrics.ObserveAnswer(int(code.OK), time.Since(f.start))
 	f.answer.end()
 	return true
@@ -433,8 +431,9 @@
 			}
 			err = errNoRest
 		}
-		if err == nil && block.Number != 0 && block.Number != f.lastEvent+1 {
-			err = errEventOrder
+		position := f.position
+		if err == nil && block.Event {
+			position, err = position.With(block, last.IsZero())
 		}
 		if err != nil {
 			if f.answer.begun {
@@ -457,7 +456,7 @@
 		if !events.Buffered() {
 			f.answer.flush()
 		}
-		f.lastEvent = max(block.Number, f.lastEvent)
+		f.position = position
 	}
 }
 
--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -26,7 +26,37 @@
 type Block struct {
 	Bytes  []byte // valid until the next block is read
 	Event  bool   // it has a field; otherwise it consists of comments or blank lines
-	Number int    // in the event's id field, 0 if there is none
+	Number int    // in the event's id field; 0 if there is none, ambiguousNumber if there are several
+}
+
+// ambiguousNumber is the number of an event with several, which follows no other event.
+const ambiguousNumber = -1
+
+// ErrEventOrder means that an event does not follow the ones before it.
+var ErrEventOrder = errors.New("the numbers of the events do not follow each other")
+
+// A Position is where the caller of a stream is: which event it got last. The zero value is the beginning.
+type Position struct {
+	Last      int  // number of the last event that has one, 0 if none has
+	unordered bool // an event without a number followed it
+}
+
+// Known reports whether a replica can be asked for the events after this position.
+func (p Position) Known() bool { return !p.unordered }
+
+// With returns the position after an event. It fails if the event does not follow; first means that
+// it is the first event of an attempt, which has to show by its number that it follows.
+func (p Position) With(event Block, first bool) (Position, error) {
+	switch {
+	case event.Number == 0 && first && p.Last > 0:
+		return p, ErrEventOrder
+	case event.Number == 0:
+		return Position{Last: p.Last, unordered: true}, nil
+	case event.Number != p.Last+1:
+		return p, ErrEventOrder
+	default:
+		return Position{Last: event.Number}, nil
+	}
 }
 
 // An EventReader reads an event stream one block at a time.
@@ -83,8 +113,8 @@
 	return bytes.Contains(buffered, []byte("\n\n"))
 }
 
-// parseFields reports whether a block has a field, and the number in its id field, or 0 if there is
-// none.
+// parseFields reports whether a block has a field, and the number in its id field: 0 if there is none,
+// or ambiguousNumber if several differ.
 func parseFields(block []byte) (event bool, number int) {
 	for line := range bytes.Lines(block) {
 		if line[0] == '\n' || line[0] == ':' {
@@ -92,11 +122,16 @@
 		}
 		event = true
 		value, ok := bytes.CutPrefix(line, []byte("id:"))
-		if !ok || number != 0 {
+		if !ok {
 			continue
 		}
-		if n, err := strconv.Atoi(string(bytes.TrimSpace(value))); err == nil && n > 0 {
+		n, err := strconv.Atoi(string(bytes.TrimSpace(value)))
+		switch {
+		case err != nil || n <= 0:
+		case number == 0:
 			number = n
+		case number != n:
+			number = ambiguousNumber
 		}
 	}
 	return event, number
