Events of a stream end with CR LF or CR as well as with LF

What callers saw: a stream with such events was cut before its first one; and events that ended with CR LF were taken for one with the next event that ended with LF, so a stream that went on behind the number of the first of them repeated the others.

Cause: only LF LF was taken for the end of an event.

Evidence: TestEventsEndWithAnyLineEnd failed in 6 of 7 cases before.

Change: the reader of events counts line ends of all three kinds, as the format has them; bytes are passed on unchanged.

Result: the test passes.

--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -59,11 +59,49 @@
 	}
 }
 
+// A lineScanner finds the ends of blocks. A line ends in CR LF, LF or CR, and a block in two line
+// ends.
+type lineScanner struct {
+	ends    int  // line ends since the last other byte
+	afterCR bool // an LF that follows belongs to the line end before it
+}
+
+// scan reads data up to the end of the block, or all of it if the block does not end there. It returns
+// the number of bytes.
+func (l *lineScanner) scan(data []byte) (n int, ended bool) {
+	for n < len(data) && l.ends < 2 {
+		l.next(data[n])
+		n++
+	}
+	if ended = l.ends == 2; !ended {
+		return n, false
+	}
+	l.ends = 0
+	if l.afterCR && n < len(data) && data[n] == '\n' {
+		l.afterCR = false
+		n++
+	}
+	return n, true
+}
+
+func (l *lineScanner) next(c byte) {
+	second := c == '\n' && l.afterCR
+	l.afterCR = c == '\r'
+	switch {
+	case second:
+	case c == '\n' || c == '\r':
+		l.ends++
+	default:
+		l.ends = 0
+	}
+}
+
 // An EventReader reads an event stream one block at a time.
 type EventReader struct {
-	in   *bufio.Reader
-	buf  []byte // the current block
-	idle int    // bytes since the last event
+	in    *bufio.Reader
+	lines lineScanner
+	buf   []byte // the current block
+	idle  int    // bytes since the last event
 }
 
 // NewEventReader returns a reader of the events in body.
@@ -75,23 +113,35 @@
 // other error if it was truncated or exceeds a limit (an upstream.LimitError).
 func (e *EventReader) Next() (Block, error) {
 	e.buf = e.buf[:0]
-	for !bytes.HasSuffix(e.buf, []byte("\n\n")) {
-		part, err := e.in.ReadSlice('\n')
-		e.buf = append(e.buf, part...)
+	for ended := false; !ended; {
+		if _, err := e.in.Peek(1); err != nil {
+			return e.last(err)
+		}
+		var n int
+		data, _ := e.in.Peek(e.in.Buffered()) // cannot fail
+		n, ended = e.lines.scan(data)
+		e.buf = append(e.buf, data[:n]...)
+		_, _ = e.in.Discard(n) // cannot fail
 		if len(e.buf) > maxEventSize {
 			return Block{}, &upstream.LimitError{Limit: upstream.EventBytes, Bytes: int64(len(e.buf))}
 		}
-		switch {
-		case err == nil, errors.Is(err, bufio.ErrBufferFull):
-		case errors.Is(err, io.EOF) && len(e.buf) > 0:
-			return Block{}, ErrPartialEvent
-		default:
-			return Block{}, err
-		}
 	}
 	return e.block()
 }
 
+// last returns what is left when reading fails: the LF of a CR LF whose CR ended the block before, or
+// an error.
+func (e *EventReader) last(err error) (Block, error) {
+	switch {
+	case !errors.Is(err, io.EOF) || len(e.buf) == 0:
+		return Block{}, err
+	case string(e.buf) == "\n" && e.lines.ends == 0:
+		return e.block()
+	default:
+		return Block{}, ErrPartialEvent
+	}
+}
+
 // block returns the block that was read.
 func (e *EventReader) block() (Block, error) {
 	b := Block{Bytes: e.buf}
@@ -110,14 +160,16 @@
 // Buffered reports whether Next will return without waiting for the other end.
 func (e *EventReader) Buffered() bool {
 	buffered, _ := e.in.Peek(e.in.Buffered()) // cannot fail
-	return bytes.Contains(buffered, []byte("\n\n"))
+	lines := e.lines
+	_, ended := lines.scan(buffered)
+	return ended
 }
 
 // parseFields reports whether a block has a field, and the number in its id field: 0 if there is none,
 // or ambiguousNumber if several differ.
 func parseFields(block []byte) (event bool, number int) {
-	for line := range bytes.Lines(block) {
-		if line[0] == '\n' || line[0] == ':' {
+	for line := range bytes.FieldsFuncSeq(block, isLineEnd) {
+		if line[0] == ':' {
 			continue
 		}
 		event = true
@@ -136,3 +188,5 @@
 	}
 	return event, number
 }
+
+func isLineEnd(r rune) bool { return r == '\n' || r == '\r' }
--- a/internal/forward/events_test.go
+++ b/internal/forward/events_test.go
@@ -95,3 +95,39 @@
 	is.NoErr(err)
 	is.True(!r.Buffered())
 }
+
+// Guards against events that are taken for one, so that a stream which goes on behind the first repeats
+// the others, and against a stream that is never passed on, because its lines end in CR LF or CR.
+func TestEventsEndWithAnyLineEnd(t *testing.T) {
+	for name, c := range map[string]struct {
+		body    string
+		numbers []int
+	}{
+		"LF":                     {"id: 1\ndata: x\n\nid: 2\n\n", []int{1, 2}},
+		"CR LF":                  {"id: 1\r\ndata: x\r\n\r\nid: 2\r\n\r\n", []int{1, 2}},
+		"CR":                     {"id: 1\rdata: x\r\rid: 2\r\r", []int{1, 2}},
+		"CR LF, then LF":         {"id: 1\r\n\r\nid: 2\n\n", []int{1, 2}},
+		"LF, then CR LF":         {"id: 1\n\nid: 2\r\n\r\n", []int{1, 2}},
+		"an id behind a lone CR": {"data: x\rid: 1\n\n", []int{1}},
+		"comments":               {": z\r\n\r\nid: 1\r\n\r\n: z\r\n\r\n", []int{1}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for _, body := range []io.Reader{strings.NewReader(c.body), iotest.OneByteReader(strings.NewReader(c.body))} {
+				is := is.New(t)
+				r := NewEventReader(body)
+				var numbers []int
+				text := ""
+				block, err := r.Next()
+				for ; err == nil; block, err = r.Next() {
+					text += string(block.Bytes)
+					if block.Event {
+						numbers = append(numbers, block.Number)
+					}
+				}
+				is.True(errors.Is(err, io.EOF))
+				is.Equal(text, c.body)
+				is.Equal(numbers, c.numbers)
+			}
+		})
+	}
+}
