A stream that may go on elsewhere has no announced length

What callers saw: a stream that ended as complete without its last events. The replica that began it had announced a length and broke it off; the one that went on made more bytes, and the caller's answer ended at that length. With a longer length, a whole stream looked cut.

Cause: the head of the first answer went to the caller with its Content-Length, although another replica may end the stream.

Evidence: TestTheLengthOfAStreamIsNotThatOfItsFirstAnswer failed in 2 of 3 cases before; in one of them the caller got two of three events as a whole answer.

Change: the head of a stream is passed on without its length.

Result: the test passes.

--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -363,6 +363,13 @@
 	f.answer.begin(header, status)
 }
 
+// beginStream begins the caller's answer with the head of a stream. Another replica may end the stream,
+// so the length of this answer is not that of the caller's.
+func (f *forwardCall) beginStream(resp *http.Response) {
+	resp.Header.Del("Content-Length")
+	f.begin(resp.Header, resp.StatusCode)
+}
+
 // relayWhole passes on an answer that is not an event stream. A small answer is read
 // whole first.
 func (f *forwardCall) relayWhole(s shell.Session, d calls.Dispatch, resp *http.Response, progress *upstream.Progress, watchdog *Watchdog) bool {
@@ -471,7 +478,7 @@
 	}
 	s.AnswerBegan()
 	f.handler.Metrics.ObserveFirstToken(time.Since(f.start))
-	f.begin(resp.Header, resp.StatusCode)
+	f.beginStream(resp)
 	_ = f.answer.write(preceding) // if the caller has disconnected, the next write fails
 	return now
 }
@@ -479,7 +486,7 @@
 // endStream ends a stream that is complete. If it has no event, nothing of it was written yet.
 func (f *forwardCall) endStream(s shell.Session, resp *http.Response, noEvent bool, kept []byte) bool {
 	if noEvent {
-		f.begin(resp.Header, resp.StatusCode)
+		f.beginStream(resp)
 		_ = f.answer.write(kept) // a caller that has disconnected needs no answer
 	}
 	return f.completed(s, resp)
--- a/internal/server/rest_test.go
+++ b/internal/server/rest_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -128,3 +129,34 @@
 		})
 	}
 }
+
+// Guards against a stream that lacks its last events and looks complete, because the replica that began
+// it announced a length and another one went on with longer or fewer events.
+func TestTheLengthOfAStreamIsNotThatOfItsFirstAnswer(t *testing.T) {
+	const begun, rest = "id: 1\ndata: a\n\n", "id: 2\ndata: bb\n\n"
+	const last = "id: 3\ndata: c\n\n"
+	for name, length := range map[string]int{
+		"of less than the whole stream": len(begun + rest),
+		"of the whole stream":           len(begun + rest + last),
+		"of more than the whole stream": len(begun+rest+last) + 9,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			var requests atomic.Int32
+			answer := func(w http.ResponseWriter, r *http.Request) {
+				if requests.Add(1) == 1 {
+					w.Header().Set("Content-Length", fmt.Sprint(length))
+					answerStream(begun, true)(w, r)
+					return
+				}
+				answerStream(rest, false)(w, r)
+				time.Sleep(50 * time.Millisecond) // so that the caller gets the events one by one
+				_, _ = io.WriteString(w, last)
+			}
+			got := newTestInstance(t, answer, answer).send(http.MethodPost, "stream", "/", "body")
+			is.NoErr(got.err)
+			is.Equal(got.body, begun+rest+last)
+		})
+	}
+}
