A caller that half-closes gets no empty success

Cause: net/http takes the half-close for a caller that is gone; the handler returned without having written anything, and the server ended that as an empty 200. Only an answer that had begun was aborted.

Change: an answer that was not ended is aborted, whether it had begun or not; the same in the product's own environment.

--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -47,10 +47,10 @@
 // end declares that the answer is whole.
 func (a *callerAnswer) end() { a.whole = true }
 
-// close aborts the connection of an answer that has begun and is not whole: a handler that returns
-// would end it as if it were.
+// close aborts the connection of an answer that is not whole: if the handler returned, the server would
+// end the answer as if it were, and one that has not begun as an empty success.
 func (a *callerAnswer) close() {
-	if a.begun && !a.whole {
+	if !a.whole {
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/internal/own/modelapi/model.go
+++ b/internal/own/modelapi/model.go
@@ -98,15 +98,12 @@
 	return false
 }
 
-// handleCallerGone ends the call of a caller that closed its connection. If part of the
-// answer was written, it aborts the connection, so that the answer does not appear to be
-// complete in case the connection is still open.
+// handleCallerGone ends the call of a caller that closed its connection, or its side of it. It aborts
+// the connection, so that no answer appears to be complete.
 func (m *modelCall) handleCallerGone(s shell.Session) {
 	s.CallerGone()
 	m.handler.Metrics.ObserveAnswer(int(code.CallerGone), time.Since(m.startedAt))
-	if m.headerWritten {
-		panic(http.ErrAbortHandler)
-	}
+	panic(http.ErrAbortHandler)
 }
 
 // pause waits for d. It returns false if ctx ends first.
--- a/internal/own/modelapi/plain.go
+++ b/internal/own/modelapi/plain.go
@@ -104,10 +104,12 @@
 	}
 }
 
-// handleCallerGone ends the call of a caller that closed its connection.
+// handleCallerGone ends the call of a caller that closed its connection, or its side of it. It aborts
+// the connection, so that no answer appears to be complete.
 func (p *plainCall) handleCallerGone(s shell.Session) {
 	s.CallerGone()
 	p.handler.Metrics.ObserveAnswer(int(code.CallerGone), time.Since(p.startedAt))
+	panic(http.ErrAbortHandler)
 }
 
 // handleFailure reports a failed attempt to the state machine, or that the caller has
