The first start of the fleet is shown by a record in the store, not by a setting

It outlives all instances; watchers write it where it is missing, also after the store comes back from an older copy, which makes nobody the first.

A test of the era's record looked at the last write alone and now looks for that record.

--- a/core/instance/announced_world_test.go
+++ b/core/instance/announced_world_test.go
@@ -430,6 +430,10 @@
 		}, func(error) step.Event { return Tick{} }, reply)
 	case ownership.Write:
 		sent := f.clock(n)
+		if act.Write.Fleet != nil {
+			f.createFleetRecord(n, act, reply)
+			return
+		}
 		f.storeCall(n, ofEra(act.Write.Era()), func() (step.Event, bool) { return f.commitWrite(act, sent), true }, func(err error) step.Event { return ownership.WriteReply{Write: act.Write, Err: err} }, reply)
 	case quarantine.Check:
 		if f.partitions != nil {
@@ -891,6 +895,24 @@
 	return r
 }
 
+// createFleetRecord writes the fleet's record if there is none. It draws no random numbers, so that the
+// storms of a seed do not depend on it.
+func (f *fleet) createFleetRecord(n *fleetMember, a ownership.Write, reply func(time.Duration, step.Event)) {
+	r := ownership.WriteReply{Write: a.Write}
+	if f.store.down || n.noStore || f.cutZones[n.id.Zone] {
+		r.Err = errors.New("no answer")
+		reply(time.Second, r)
+		return
+	}
+	record := *a.Write.Fleet
+	if key := record.Value().Key; f.store.values[key] == nil {
+		f.setKey(key, &fleetValue{data: &record})
+		r.Revision = f.revisionOf(f.store.revision)
+	}
+	r.Conflict = r.Revision == 0
+	reply(fleetLatency, r)
+}
+
 // A fleetWatch is a watch that is pending at the store.
 type fleetWatch struct {
 	id        uint64
--- a/core/instance/build.go
+++ b/core/instance/build.go
@@ -101,8 +101,9 @@
 	o.registry = ownership.New(ownership.Deps{
 		State:  m.state,
 		Roster: o.roster, Links: m.links, Owned: o.owned,
-		Stopping: m.stop.Started,
-		TellSoon: func(now clock.Instant) { m.exchanges.TellSoon(now) },
+		Stopping:     m.stop.Started,
+		TellSoon:     func(now clock.Instant) { m.exchanges.TellSoon(now) },
+		FirstOfFleet: func() { m.streams.FirstOfFleet() },
 	})
 	o.orderClient = orderclient.New()
 	o.orderClient.Self = m.state.Self
--- a/core/logevent/logevent.go
+++ b/core/logevent/logevent.go
@@ -53,6 +53,7 @@
 	Placing            Number = 1321
 	Placement          Number = 1322
 	PlacementEnded     Number = 1323
+	FirstOfFleet       Number = 1324
 	EngineOrder        Number = 1411
 	EngineAnswer       Number = 1412
 	EngineState        Number = 1413
@@ -156,6 +157,7 @@
 	{Placing, "placing", "This instance is now the placer.", "None."},
 	{Placement, "placement", "The placer decided to load a model on an engine, and to unload others to make room for it.", "None; `worth` and `cost` give the reason."},
 	{PlacementEnded, "placement_ended", "A placement is complete, or was abandoned.", "None."},
+	{FirstOfFleet, "first_of_fleet", "The platform's store had no record of an earlier instance of the fleet, so no stream can have begun before this one started.", "None. Expected once, at the first start of the fleet with `first-start`."},
 	{Order, "order", "An order was sent to an engine.", "None."},
 	{OrderRefused, "order_refused", "An engine rejected an order.", "Read the detail; if the engine is out of memory that is free by the ledger, report a bug."},
 	{OrderLost, "order_lost", "The response to an order was lost; its memory stays booked until the engine's state shows the outcome.", "Check the engine if it persists."},
--- a/core/ownership/era.go
+++ b/core/ownership/era.go
@@ -97,6 +97,7 @@
 	r.Out.Log(logevent.StoreSteppedBack, "era", uint64(r.era.current), "former", uint64(former.current), "engines", r.Owned.Len())
 	r.era.formerValidUntil = now.Add(r.Options.OrderValid)
 	r.Owned.LoseUnsettled(now, "the store went back before the orders of a former owner had ended")
+	r.fleet.known = false // the older copy may lack the record
 	r.claims.due = now
 	r.placer.claimDue = now
 	r.enrolment.due = now
--- a/core/ownership/era_test.go
+++ b/core/ownership/era_test.go
@@ -330,7 +330,9 @@
 				continue
 			}
 			is.Equal(len(w.Write.Claim), 0)
-			eraRecord = w.Write.Mark
+			if w.Write.Mark != nil {
+				eraRecord = w.Write.Mark
+			}
 		}
 		h.advance(100 * time.Millisecond)
 	}
--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -60,15 +60,16 @@
 		Lease era.Lease
 	}
 	// Txn holds the records that one Write writes in one transaction: claims, the
-	// placer's record or an era record.
+	// placer's record, an era record or the fleet's record.
 	Txn struct {
 		Claim []registry.Ownership // each is written only if the record still has its Revision
 		// Release holds the ownerships that this instance gives up; each is written like a
 		// Claim.
 		Release []registry.Ownership
-		Placer  *registry.Placer    // written only if the record still has its Revision
-		Mark    *registry.EraRecord // written only if there is no such record
-		Former  []era.Era           // former eras whose records are deleted together with writing Mark
+		Placer  *registry.Placer      // written only if the record still has its Revision
+		Mark    *registry.EraRecord   // written only if there is no such record
+		Fleet   *registry.FleetRecord // written only if there is no such record
+		Former  []era.Era             // former eras whose records are deleted together with writing Mark
 		// Depends is the revision of the era record. Claim and Placer are written only if
 		// the era record still has it. 0 means no such condition.
 		Depends era.Revision
@@ -101,6 +102,8 @@
 	switch {
 	case t.Mark != nil:
 		return t.Mark.Era
+	case t.Fleet != nil:
+		return t.Fleet.Era
 	case t.Placer != nil:
 		return t.Placer.Era
 	case len(t.Claim) > 0:
@@ -151,6 +154,8 @@
 	Quarantined func(now clock.Instant, q registry.Quarantine)
 	// SteppedBack is called when the store was restored from an older copy of itself.
 	SteppedBack func(now clock.Instant)
+	// FirstOfFleet is called when it is certain that no instance of the fleet ran before this one.
+	FirstOfFleet func()
 }
 
 // A Registry holds the records known to an instance, and maintains the instance's own
@@ -160,6 +165,7 @@
 	enrolment enrolment
 	claims    claims
 	placer    placer
+	fleet     fleetRecord
 
 	era              storeEra
 	formerEraRecords []era.Era // former eras whose records still exist
@@ -196,6 +202,7 @@
 	r.loseFormer(now)
 	r.renewOrEnrol(now)
 	r.writeEraRecord(now)
+	r.writeFleetRecord(now)
 	r.claim(now)
 }
 
@@ -320,6 +327,9 @@
 	for _, name := range c.GoneInstances {
 		r.applyInstanceDeleted(now, name)
 	}
+	if c.Fleet != nil {
+		r.applyFleetRecord(now, *c.Fleet)
+	}
 	for _, m := range c.Marks {
 		r.applyEraRecord(m)
 	}
@@ -388,6 +398,9 @@
 	case e.Write.Mark != nil:
 		r.handleEraRecordReply(now, e)
 		return
+	case e.Write.Fleet != nil:
+		r.handleFleetRecordReply(now, e)
+		return
 	case e.Write.Placer != nil:
 		r.handlePlacerReply(now, e)
 		return
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -1,6 +1,6 @@
 // Package registry defines the records that instances keep in the platform's
 // store: the instances, the owner of each engine, the placer, the quarantined requests,
-// and the eras of the store.
+// the eras of the store, and that the fleet has run.
 //
 // A record is a key with a small JSON value. An instance's own record is attached
 // to its lease and is deleted with it. An ownership record outlives its owner, so
@@ -27,6 +27,7 @@
 	placerKey        = "placer"
 	quarantinePrefix = "quarantine/"
 	eraPrefix        = "eras/"
+	fleetKey         = "fleet"
 )
 
 // An Instance is the record of one entry instance.
@@ -114,6 +115,15 @@
 // Key returns the key of the era's record.
 func (r EraRecord) Key() string { return eraPrefix + strconv.FormatUint(uint64(r.Era), 10) }
 
+// A FleetRecord is the record that an instance of the fleet has run. It is created once, outlives all
+// instances, and names the instance that created it.
+type FleetRecord struct {
+	Name string `json:"name"`
+	Boot uint64 `json:"boot"`
+	// Era is the store era that the record was written for.
+	Era era.Era `json:"era,omitempty"`
+}
+
 // MaxClaims is the maximum number of ownerships in one write. Each needs a condition
 // and a value, and stores limit the total number of both.
 const MaxClaims = 15
@@ -136,7 +146,8 @@
 	PlacerGone    bool
 	Quarantines   []Quarantine
 	Marks         []EraRecord
-	Unreadable    []string // keys of records that cannot be decoded and are ignored
+	Fleet         *FleetRecord // set if it changed
+	Unreadable    []string     // keys of records that cannot be decoded and are ignored
 }
 
 // ChangeOf decodes records into a Change. Of several records with the same key only the
@@ -161,6 +172,8 @@
 	switch {
 	case r.Key == placerKey:
 		c.addPlacer(r.Data, r.Revision, r.Gone)
+	case r.Key == fleetKey:
+		c.addFleetRecord(r)
 	case strings.HasPrefix(r.Key, instancePrefix):
 		c.addInstance(strings.TrimPrefix(r.Key, instancePrefix), r.Data, r.Gone)
 	case strings.HasPrefix(r.Key, quarantinePrefix):
@@ -228,6 +241,19 @@
 	c.Marks = append(c.Marks, m)
 }
 
+// addFleetRecord decodes the fleet's record. One that cannot be decoded names no instance. Deletions are
+// ignored, since the fleet has run all the same.
+func (c *Change) addFleetRecord(r Record) {
+	if r.Gone {
+		return
+	}
+	c.Fleet = &FleetRecord{}
+	if json.Unmarshal(r.Data, c.Fleet) != nil {
+		c.Fleet = &FleetRecord{}
+		c.Unreadable = append(c.Unreadable, fleetKey)
+	}
+}
+
 func (c *Change) addOwner(engine string, value []byte, revision era.Revision, gone bool) {
 	if gone {
 		c.GoneOwners = append(c.GoneOwners, engine)
@@ -256,6 +282,9 @@
 // Value encodes the placer's record.
 func (p Placer) Value() Value { return value(placerKey, p) }
 
+// Value encodes the fleet's record.
+func (f FleetRecord) Value() Value { return value(fleetKey, f) }
+
 // Value encodes the era's record.
 func (r EraRecord) Value() Value { return value(r.Key(), r) }
 
--- a/core/streams/history.go
+++ b/core/streams/history.go
@@ -33,7 +33,8 @@
 
 // A history records the versions that were listed within the last Lifetime.
 type history struct {
-	firstStart bool // no instance ran before this one
+	firstStart bool // this is the first start of the fleet, by the settings
+	first      bool // it is certain that no instance ran before this one
 	trustsList bool // its own list is taken for all that it must know, for tests
 	adopted    bool // a peer that knew the last Lifetime reported it
 	startedAt  clock.Instant
@@ -75,7 +76,7 @@
 
 // knows reports whether all versions of the last Lifetime are known.
 func (h *history) knows(now clock.Instant) bool {
-	return !h.since.IsZero() && (h.firstStart || h.adopted || h.trustsList || now.Since(h.since) >= Lifetime)
+	return !h.since.IsZero() && (h.firstStart && h.first || h.adopted || h.trustsList || now.Since(h.since) >= Lifetime)
 }
 
 // announced records that a version is listed. knownAt is the time up to which the list was known
--- a/core/streams/streams.go
+++ b/core/streams/streams.go
@@ -215,6 +215,9 @@
 	}
 }
 
+// FirstOfFleet records that no instance of the fleet ran before this one.
+func (t *Tracker) FirstOfFleet() { t.history.first = true }
+
 // HandleListRead records that this instance read changes of the list from the store, or the whole
 // list.
 func (t *Tracker) HandleListRead(whole bool) { t.history.listRead(whole) }
--- a/core/streams/streams_test.go
+++ b/core/streams/streams_test.go
@@ -44,6 +44,9 @@
 		ListKnownUntil: func() clock.Instant { return f.knownAt },
 		Found:          func(_ clock.Instant, _ calls.ID, a Answer) { f.found = append(f.found, a) },
 	})
+	if firstStart {
+		f.FirstOfFleet()
+	}
 	return f
 }
 
--- a/internal/environment/driver.go
+++ b/internal/environment/driver.go
@@ -221,6 +221,9 @@
 	switch {
 	case w.Mark != nil:
 		return eraRecordCommit(*w.Mark, w.Former)
+	case w.Fleet != nil:
+		v := w.Fleet.Value()
+		return Commit{Conditions: []Condition{{Key: v.Key}}, Puts: []Put{{Key: v.Key, Value: v.Data}}, Era: w.Fleet.Era}
 	case w.Placer != nil:
 		return placerCommit(*w.Placer, a.Lease, w.Depends)
 	default:
