An event whose lines end in CR LF ends with its last LF

What callers saw: a stream whose replica broke off before the last byte of an event went on with that byte missing, so that a caller that takes LF alone for a line's end found the next event, of another replica, joined to it.

Change: a block with a CR LF in it waits for the LF.

--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -60,35 +60,43 @@
 }
 
 // A lineScanner finds the ends of blocks. A line ends in CR LF, LF or CR, and a block in two line
-// ends.
+// ends. A block with lines that end in CR LF does not end before the LF of its last line.
 type lineScanner struct {
 	ends    int  // line ends since the last other byte
 	afterCR bool // an LF that follows belongs to the line end before it
+	crlf    bool // a line of this block ended in CR LF
 }
 
 // scan reads data up to the end of the block, or all of it if the block does not end there. It returns
 // the number of bytes.
 func (l *lineScanner) scan(data []byte) (n int, ended bool) {
-	for n < len(data) && l.ends < 2 {
+	for n < len(data) && !l.ended() {
+		if l.ends == 2 && data[n] != '\n' {
+			break // a lone CR ended the block
+		}
 		l.next(data[n])
 		n++
 	}
-	if ended = l.ends == 2; !ended {
+	if n == len(data) && !l.ended() {
 		return n, false
 	}
-	l.ends = 0
 	if l.afterCR && n < len(data) && data[n] == '\n' {
-		l.afterCR = false
+		l.next('\n')
 		n++
 	}
+	l.ends, l.crlf = 0, false
 	return n, true
 }
 
+// ended reports whether the block has ended, whatever follows.
+func (l *lineScanner) ended() bool { return l.ends == 2 && !(l.afterCR && l.crlf) }
+
 func (l *lineScanner) next(c byte) {
 	second := c == '\n' && l.afterCR
 	l.afterCR = c == '\r'
 	switch {
 	case second:
+		l.crlf = true
 	case c == '\n' || c == '\r':
 		l.ends++
 	default:
--- a/internal/forward/events_test.go
+++ b/internal/forward/events_test.go
@@ -66,7 +66,7 @@
 
 // Guards against a stream that looks complete although it ended within an event.
 func TestAStreamThatEndsWithinAnEventIsPartial(t *testing.T) {
-	for _, body := range []string{"id: 1\ndata: x\n\nid: 2\n", "id: 1", "\n"} {
+	for _, body := range []string{"id: 1\ndata: x\n\nid: 2\n", "id: 1", "\n", "id: 1\r\n\r\nid: 2\r\n\r", "id: 1\r\n\r"} {
 		is := is.New(t)
 		_, _, err := readBlocks(strings.NewReader(body))
 		is.True(errors.Is(err, ErrPartialEvent))
@@ -131,3 +131,15 @@
 		})
 	}
 }
+
+// Guards against an event whose last line lacks its LF and that is joined to the first line of the next
+// event, of another replica, for a caller that takes LF alone for the end of a line.
+func TestAnEventEndsWithItsWholeLastLine(t *testing.T) {
+	for _, body := range []string{"id: 1\r\ndata: x\r\n\r", "id: 1\r\n\r"} {
+		is := is.New(t)
+		text, events, err := readBlocks(iotest.OneByteReader(strings.NewReader(body)))
+		is.True(errors.Is(err, ErrPartialEvent))
+		is.Equal(text, "")
+		is.Equal(events, 0)
+	}
+}
