A stream that ends with its connection has at least one event

What callers saw: an empty stream with status 200 and the replica's signature, where the replica had terminated between the head of its answer and its first event.

Cause: an answer without length or chunks ends with its connection, and a process that terminates closes its connections, so the end said nothing.

Evidence: found by reading, after a false end in the soak of streams; TestAStreamThatEndsWithItsConnectionHasAnEvent failed in 2 of 2 cases before.

Change: such an answer without an event is a failed attempt. Between two events the same cannot be told (docs/design/streams.md, Limits).

Result: the test passes.

--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -37,6 +37,9 @@
 // served elsewhere meanwhile.
 const failedAnswerTimeout = time.Second
 
+// errNoEvent is returned for a stream that ended with its connection before its first event.
+var errNoEvent = errors.New("the connection ended before the first event")
+
 // errNoRest is returned for a success that is not the rest of a stream: no stream, or one without events.
 var errNoRest = errors.New("the answer is not the rest of the stream")
 
@@ -410,16 +413,23 @@
 	return true
 }
 
+// What shows the end of an answer.
+const (
+	framedByLength     = "length"
+	framedByChunks     = "chunks"
+	framedByConnection = "connection"
+)
+
 // framing returns what shows the end of an answer: its length, its last chunk, or the end of its
 // connection.
 func framing(resp *http.Response) string {
 	switch {
 	case resp.ContentLength >= 0:
-		return "length"
+		return framedByLength
 	case slices.Contains(resp.TransferEncoding, "chunked"):
-		return "chunks"
+		return framedByChunks
 	default:
-		return "connection"
+		return framedByConnection
 	}
 }
 
@@ -433,10 +443,9 @@
 	for {
 		block, err := events.Next()
 		if errors.Is(err, io.EOF) {
-			if !last.IsZero() || !f.goesOn(d) {
+			if err = f.checkEnd(d, resp, last.IsZero()); err == nil {
 				return f.endStream(s, resp, last.IsZero(), kept)
 			}
-			err = errNoRest
 		}
 		position := f.position
 		if err == nil && block.Event {
@@ -467,6 +476,21 @@
 	}
 }
 
+// checkEnd returns an error if the end of an answer is not that of a stream: it has no event, and goes on
+// with a stream or ended with its connection, as that of a replica does which terminates.
+func (f *forwardCall) checkEnd(d calls.Dispatch, resp *http.Response, noEvent bool) error {
+	switch {
+	case !noEvent:
+		return nil
+	case f.goesOn(d):
+		return errNoRest
+	case framing(resp) == framedByConnection:
+		return errNoEvent
+	default:
+		return nil
+	}
+}
+
 // eventArrived records that an event of a stream arrived now, after the previous one at last, which is
 // zero for the first event. It begins the answer with the first event, after what precedes that, and
 // returns the present time.
--- a/internal/server/rest_test.go
+++ b/internal/server/rest_test.go
@@ -160,3 +160,33 @@
 		})
 	}
 }
+
+// Guards against a stream without events that its caller takes for a whole one, because the replica
+// terminated between the head of its answer and the first event, and its answer ends with its connection.
+func TestAStreamThatEndsWithItsConnectionHasAnEvent(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\nBirchdrift-Call: call-1\r\nBirchdrift-Signature: s\r\nContent-Type: text/event-stream\r\n\r\n"
+	for name, begun := range map[string]string{"nothing": "", "a comment": ": z\n\n"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			var requests atomic.Int32
+			answer := func(w http.ResponseWriter, r *http.Request) {
+				if requests.Add(1) > 1 {
+					eventStream(3, 0)(w, r)
+					return
+				}
+				_, _ = io.Copy(io.Discard, r.Body)
+				conn, buffered, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					return
+				}
+				_, _ = buffered.WriteString(head + begun)
+				_ = buffered.Flush()
+				_ = conn.Close()
+			}
+			got := newTestInstance(t, answer, answer).send(http.MethodPost, "stream", "/", "body")
+			is.NoErr(got.err)
+			is.Equal(got.body, wholeStream(3))
+		})
+	}
+}
