--- a/internal/server/rest_test.go
+++ b/internal/server/rest_test.go
@@ -190,3 +190,27 @@
 		})
 	}
 }
+
+// Guards against a stream that goes on behind the head and the events of a failure, where a replica answers
+// with a failure in the form of a stream and breaks it off.
+func TestAFailureInTheFormOfAStreamDoesNotGoOn(t *testing.T) {
+	is := is.New(t)
+	var requests atomic.Int32
+	answer := func(w http.ResponseWriter, r *http.Request) {
+		if requests.Add(1) > 1 {
+			eventStream(3, 0)(w, r)
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set(forward.OwnFormat.Signature, "signed")
+		w.Header().Set("Content-Type", "text/event-stream")
+		w.WriteHeader(http.StatusNotFound)
+		_, _ = io.WriteString(w, "id: 1\ndata: not found\n\n")
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	got := newTestInstance(t, answer, answer).send(http.MethodPost, "stream", "/", "body")
+	is.NoErr(got.err)
+	is.Equal(got.status, http.StatusOK)
+	is.Equal(got.body, wholeStream(3))
+}
