--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -40,8 +40,8 @@
 // errNoEvent is returned for a stream that ended with its connection before its first event.
 var errNoEvent = errors.New("the connection ended before the first event")
 
-// errNoRest is returned for a success that is not the rest of a stream: no stream, or one without events.
-var errNoRest = errors.New("the answer is not the rest of the stream")
+// errNoContinuation is returned for a success that is not the rest of a stream: no stream, or one without events.
+var errNoContinuation = errors.New("the answer is not the rest of the stream")
 
 // serveForwarded handles a forwarded call until it has its final answer.
 func (h *Handler) serveForwarded(w http.ResponseWriter, r *http.Request) {
@@ -340,7 +340,7 @@
 		return f.relayStream(s, d, resp, progress, watchdog)
 	case f.goesOn(d) && reply.Success:
 		progress.Advance(attempt.Answered)
-		failure.Detail = errNoRest.Error()
+		failure.Detail = errNoContinuation.Error()
 	default:
 		progress.Advance(attempt.Answered)
 		return f.relayWhole(s, d, resp, progress, watchdog)
@@ -483,7 +483,7 @@
 	case !noEvent:
 		return nil
 	case f.goesOn(d):
-		return errNoRest
+		return errNoContinuation
 	case framing(resp) == framedByConnection:
 		return errNoEvent
 	default:
