A relayed answer that ends with its connection counts as one

What callers saw: as in "A stream that ends with its connection has at least one event", where the attempt was relayed by a peer: an empty stream as a whole one.

Cause: the peer sends such an answer in chunks, or with the length 0, so the instance that asked could not tell that the replica had given neither.

Evidence: TestAStreamThatEndsWithItsConnectionHasAnEvent, relayed, failed in 2 of 2 cases before.

Change: the peer says so with a header of the relay.

Result: the test passes.

--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -146,6 +146,9 @@
 		w.Header()[name] = values
 	}
 	w.Header().Set(headerRelayed, "true")
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		w.Header().Set(headerUnframed, "true")
+	}
 	w.WriteHeader(resp.StatusCode)
 	flush := http.NewResponseController(w)
 	buf := make([]byte, bufferSize)
--- a/internal/relay/wire.go
+++ b/internal/relay/wire.go
@@ -35,12 +35,15 @@
 	headerRelayed = "Birchdrift-Relayed"
 	// headerFailure says why the attempt was not relayed: a links.RelayFailure as a number.
 	headerFailure = "Birchdrift-Relay-Failure"
+	// headerUnframed is "true" on an answer that the replica ended with its connection, without a
+	// length or chunks.
+	headerUnframed = "Birchdrift-Relay-Unframed"
 	// headerDetail explains a failed attempt.
 	headerDetail = "Birchdrift-Relay-Detail"
 )
 
 // AnswerHeaders are the names of the headers of an answer.
-var AnswerHeaders = []string{headerRelayed, headerFailure, headerDetail}
+var AnswerHeaders = []string{headerRelayed, headerFailure, headerUnframed, headerDetail}
 
 // headers are the names of all headers of this package.
 var headers = slices.Concat([]string{headerReplica, headerFrom, headerCall, headerFingerprint, headerModel, headerParts, headerRepeatable}, AnswerHeaders)
@@ -129,8 +132,14 @@
 // ReadAnswer removes the headers of this package from a peer's answer. If the answer is not the
 // replica's, ok is false and the Failure says why. An instance of a version that does not relay
 // attempts answers without these headers, and did nothing with the attempt.
+//
+// An answer that the replica ended with its connection has neither ContentLength nor TransferEncoding,
+// although the peer sends it with one of them.
 func ReadAnswer(resp *http.Response) (f Failure, ok bool) {
 	defer removeHeaders(resp.Header)
+	if resp.Header.Get(headerUnframed) == "true" {
+		resp.ContentLength, resp.TransferEncoding = -1, nil
+	}
 	if resp.Header.Get(headerRelayed) == "true" {
 		return Failure{}, true
 	}
--- a/internal/server/rest_test.go
+++ b/internal/server/rest_test.go
@@ -165,8 +165,11 @@
 // terminated between the head of its answer and the first event, and its answer ends with its connection.
 func TestAStreamThatEndsWithItsConnectionHasAnEvent(t *testing.T) {
 	head := "HTTP/1.1 200 OK\r\nBirchdrift-Call: call-1\r\nBirchdrift-Signature: s\r\nContent-Type: text/event-stream\r\n\r\n"
-	for name, begun := range map[string]string{"nothing": "", "a comment": ": z\n\n"} {
-		t.Run(name, func(t *testing.T) {
+	for _, c := range []struct {
+		name, begun string
+		relayed     bool
+	}{{"nothing", "", false}, {"a comment", ": z\n\n", false}, {"nothing, relayed", "", true}, {"a comment, relayed", ": z\n\n", true}} {
+		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
 			var requests atomic.Int32
@@ -180,11 +183,11 @@
 				if err != nil {
 					return
 				}
-				_, _ = buffered.WriteString(head + begun)
+				_, _ = buffered.WriteString(head + c.begun)
 				_ = buffered.Flush()
 				_ = conn.Close()
 			}
-			got := newTestInstance(t, answer, answer).send(http.MethodPost, "stream", "/", "body")
+			got := newRestInstance(t, c.relayed, answer).send(http.MethodPost, "stream", "/", "body")
 			is.NoErr(got.err)
 			is.Equal(got.body, wholeStream(3))
 		})
