--- a/internal/server/rest_test.go
+++ b/internal/server/rest_test.go
@@ -222,14 +222,7 @@
 					eventStream(3, 0)(w, r)
 					return
 				}
-				_, _ = io.Copy(io.Discard, r.Body)
-				conn, buffered, err := http.NewResponseController(w).Hijack()
-				if err != nil {
-					return
-				}
-				_, _ = buffered.WriteString(head + c.begun)
-				_ = buffered.Flush()
-				_ = conn.Close()
+				answerBytes(head+c.begun, false)(w, r)
 			}
 			got := newRestInstance(t, c.relayed, answer).send(http.MethodPost, "stream", "/", "body")
 			is.NoErr(got.err)
