The end of a connection shows the end of an answer only while its replica runs

What callers saw: a stream without length or chunks whose replica was killed between two events ended as complete, as did a plain answer without a length of which only a part had been sent.

Cause: such an answer is whole once its connection is closed. The kernel closes the connections of a killed process in the same way, so the end of a connection was taken for what its replica had said. Every reader of an answer took it so: streams, whole answers, the remainder of large ones, and attempts relayed for peers.

Evidence: of the cases of TestAnAnswerOfATerminatedReplicaIsNotWhole 14 of 28 failed before, all of those in which the replica terminates, direct and relayed.

Why this works: service.Client, through which all attempts go, confirms the end: it connects to the replica's address once more before it reports the end of such an answer. Events are passed on before; only the end waits. upstream.EndsWithConnection decides for entry and relay alike.

Limits: a replica that closes early and lives on cannot be told from one that has said all; a whole answer of a replica that terminates right behind it is taken for a part.

--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -424,12 +424,12 @@
 // connection.
 func framing(resp *http.Response) string {
 	switch {
-	case resp.ContentLength >= 0:
-		return framedByLength
+	case upstream.EndsWithConnection(resp):
+		return framedByConnection
 	case slices.Contains(resp.TransferEncoding, "chunked"):
 		return framedByChunks
 	default:
-		return framedByConnection
+		return framedByLength
 	}
 }
 
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -146,7 +146,7 @@
 		w.Header()[name] = values
 	}
 	w.Header().Set(headerRelayed, "true")
-	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+	if upstream.EndsWithConnection(resp) {
 		w.Header().Set(headerUnframed, "true")
 	}
 	w.WriteHeader(resp.StatusCode)
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -78,7 +78,9 @@
 
 // RoundTrip makes one attempt and returns the answer, whatever it is. The caller must
 // interpret it and close its body. Up to the answer, progress records the phase. Both RoundTrip
-// and reads of the body return an upstream.LimitError if the upstream exceeds a limit.
+// and reads of the body return an upstream.LimitError if the upstream exceeds a limit. An answer that ends
+// with its connection is whole only if the upstream still runs; otherwise reads return an
+// upstream.TerminatedError.
 func (c *Client) RoundTrip(ctx context.Context, call Call, progress *upstream.Progress) (*http.Response, error) {
 	req, err := http.NewRequestWithContext(progress.TraceContext(ctx), call.Method, "http://"+call.Address+"/", call.body())
 	if err != nil {
@@ -99,6 +101,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
+	upstream.ConfirmEnd(ctx, resp, call.Address)
 	return resp, nil
 }
 
