A message of a peer with uses but without their mark ends no process

A message that lists calls at replicas and lacks has_uses, as one does that breaks off behind the lists, was decoded into a nil map: the process of the instance that had asked ended. TestAMessageWithoutTheMarkOfItsUsesIsDecoded panicked before. Uses that are there are decoded now, marked or not.

--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -358,7 +358,7 @@
 			},
 		})
 	}
-	if m.GetHasUses() {
+	if m.GetHasUses() || len(m.GetUses()) > 0 {
 		out.Uses = map[string]pool.Usage{}
 	}
 	for _, u := range m.GetUses() {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -161,3 +161,12 @@
 	_, err = NewClient(http.DefaultClient, "key").RequestStreams(context.Background(), earlier.Listener.Addr().String(), request)
 	is.True(err != nil) // an instance of an earlier build does not know the request
 }
+
+// Guards against a message of a peer that ends the process because it has calls at replicas but lacks the
+// mark that it reports them.
+func TestAMessageWithoutTheMarkOfItsUsesIsDecoded(t *testing.T) {
+	is := is.New(t)
+	message := encode(fullMessage())
+	message.HasUses = false
+	is.Equal(decode(message), fullMessage())
+}
