An answer of a peer that ends with its connection is not believed

Instances state the length of their answers, so none of this build sends such an answer; something else at a peer's address may. The client refuses them now.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -8,8 +8,10 @@
 package peer
 
 import (
+	"cmp"
 	"context"
 	"crypto/subtle"
+	"errors"
 	"net/http"
 	"sync"
 
@@ -22,6 +24,7 @@
 	"github.com/birchdrift/birchdrift/core/permits"
 	"github.com/birchdrift/birchdrift/core/streams"
 	"github.com/birchdrift/birchdrift/internal/peer/peerpb"
+	"github.com/birchdrift/birchdrift/internal/upstream"
 )
 
 // keyHeader is the request header that carries the instances' shared key.
@@ -38,7 +41,26 @@
 
 // NewClient returns a client that sends key to its peers.
 func NewClient(client *http.Client, key string) *Client {
-	return &Client{http: client, key: key, clients: map[string]peerpb.Peer{}}
+	framed := *client
+	framed.Transport = framedTransport{cmp.Or[http.RoundTripper](client.Transport, http.DefaultTransport)}
+	return &Client{http: &framed, key: key, clients: map[string]peerpb.Peer{}}
+}
+
+// errUnframed is the error of an answer that ends with its connection.
+var errUnframed = errors.New("the peer's answer has neither a length nor chunks")
+
+// A framedTransport fails for an answer that ends with its connection: a message whose last fields are
+// missing can be decoded, so nothing else would show that it broke off. Peers state the length.
+type framedTransport struct{ http.RoundTripper }
+
+// RoundTrip implements http.RoundTripper.
+func (t framedTransport) RoundTrip(req *http.Request) (*http.Response, error) {
+	resp, err := t.RoundTripper.RoundTrip(req)
+	if err == nil && upstream.EndsWithConnection(resp) {
+		_ = resp.Body.Close() // nothing of it is used
+		return nil, errUnframed
+	}
+	return resp, err
 }
 
 // Exchange sends msg to the peer at address (IP:port) and returns the peer's message.
