Engines that hold the first part of a prompt get equal shares

What callers saw: of two equal replicas one got more of the calls with a shared first part (at one instance 81 of 130) once both were so busy that calls waited for a smaller backlog; always the same one, at all instances.

Cause: the engine that rendezvous hashing selects for a prompt's first part counted as a tenth faster, so that instances agree where a new part is read first. It counted so for ever, also when both engines held the part, and the work of a call there was booked as a tenth less, so that its backlog looked smaller than it was.

TestEnginesThatHoldTheFirstPartAreEqual failed before.

Why this works: the preference counts only for an engine to which this instance has not sent the part, as docs/design/routing.md says for calls of the own interface, and not as work done.

--- a/core/route/forward.go
+++ b/core/route/forward.go
@@ -22,8 +22,8 @@
 	// perCallCost is the time that each call in flight at a replica adds to the time
 	// to the first event.
 	perCallCost = 300 * time.Microsecond
-	// firstPartDiscount is the share of the prefill work that the engine selected by
-	// rendezvous hashing of a prompt's first part is assumed to save.
+	// firstPartDiscount is the share of the prefill work by which the engine selected by rendezvous
+	// hashing of a prompt's first part is preferred while this instance has not sent that part there.
 	firstPartDiscount = 0.1
 	// queuedCallTokens is the number of prompt tokens still to be read that is
 	// assumed for a queued call of unknown prompt length.
@@ -305,8 +305,8 @@
 	e.Cached = min(rt.cache(r.Incarnation()).CachedTokens(q.Chain), q.Tokens)
 	perToken := rt.PrefillTokenTime(q.Model)
 	e.Prefill = time.Duration(q.Tokens-e.Cached) * perToken
-	if isFirstPartOwner {
-		e.Prefill -= time.Duration(firstPartDiscount * float64(e.Prefill))
+	if isFirstPartOwner && e.Cached == 0 {
+		e.Other -= time.Duration(firstPartDiscount * float64(e.Prefill))
 	}
 	e.Reading = load.Prefill.Sum() + e.Prefill
 	e.Other += q.streamDelayCost(e.Reading, e.Calls)
--- a/core/route/forward_test.go
+++ b/core/route/forward_test.go
@@ -198,3 +198,23 @@
 		})
 	}
 }
+
+// Guards against equal engines that get unequal shares of calls with one shared part, because the one that
+// rendezvous hashing selects for that part is taken for faster though both hold it.
+func TestEnginesThatHoldTheFirstPartAreEqual(t *testing.T) {
+	is := is.New(t)
+	p, a, b := twoReplicas(true, 4)
+	router := NewRouter()
+	q := Query{Model: ModelSize{Model: "m", MB: 70}, Tokens: 3000, Chain: NewHashChain("m", []PromptPart{{ID: 3, Tokens: 2000}, {ID: 2, Tokens: 1000}})}
+	owner := router.firstPartOwner(q, p.Serving("s"))
+	expected := func(r *pool.Replica) Estimate { return router.estimate(start, q, r, r == owner) }
+	is.True(expected(owner).Total() < max(expected(a).Total(), expected(b).Total())) // neither holds it
+	is.Equal(expected(a).Prefill, expected(b).Prefill)                               // the work is the same
+
+	held := NewHashChain("m", []PromptPart{{ID: 3, Tokens: 2000}, {ID: 1, Tokens: 1000}})
+	for _, r := range []*pool.Replica{a, b} {
+		router.RecordPrompt(r.Incarnation(), held, 100_000)
+	}
+	is.Equal(expected(a).Total(), expected(b).Total())
+	is.Equal(expected(a).Reading, expected(b).Reading)
+}
