--- a/internal/upstream/ending_test.go
+++ b/internal/upstream/ending_test.go
@@ -52,6 +52,9 @@
 // closeSoon closes a listener a moment later, as the kernel does for a process with an older connection.
 func closeSoon(l net.Listener) { time.AfterFunc(closeDelay/3, func() { _ = l.Close() }) }
 
+// closeLater closes a listener as an upstream does that terminates in order behind its last answer.
+func closeLater(l net.Listener) { time.AfterFunc(5*closeDelay, func() { _ = l.Close() }) }
+
 // acceptAndClose closes each further connection at once, as an upstream with too many does.
 func acceptAndClose(l net.Listener) {
 	go func() {
@@ -80,6 +83,7 @@
 		"it runs":                               {http.MethodGet, unframed, running, false, "body"},
 		"it has too many connections":           {http.MethodGet, unframed, acceptAndClose, false, "body"},
 		"its listener is closed before":         {http.MethodGet, unframed, closed, true, "body"},
+		"it terminates in order":                {http.MethodGet, unframed, closeLater, false, "body"},
 		"its listener is closed after":          {http.MethodGet, unframed, closeSoon, true, "body"},
 		"an answer with a length":               {http.MethodGet, status + "Content-Length: 4\r\n\r\n", closed, false, "body"},
 		"an answer of HTTP/1.0":                 {http.MethodGet, "HTTP/1.0 200 OK\r\n\r\n", closed, true, "body"},
