--- a/internal/upstream/ending.go
+++ b/internal/upstream/ending.go
@@ -96,7 +96,7 @@
 // connectBriefly connects to address and reports whether the other end closes the connection within
 // closeDelay.
 func connectBriefly(ctx context.Context, address string) (closed bool, err error) {
-	conn, err := newDialer().DialContext(ctx, "tcp", address)
+	conn, err := dialRepeatedly(ctx, address)
 	if err != nil {
 		return false, err
 	}
@@ -108,7 +108,18 @@
 	return err != nil && !isTimeout(err), nil
 }
 
-// isTimeout reports whether err means that nothing was received in time.
+// dialRepeatedly connects to address, again after each timeout until the context ends: the first packet
+// of a connection may be lost.
+func dialRepeatedly(ctx context.Context, address string) (net.Conn, error) {
+	for {
+		conn, err := newDialer().DialContext(ctx, "tcp", address)
+		if err == nil || !isTimeout(err) || ctx.Err() != nil {
+			return conn, err
+		}
+	}
+}
+
+// isTimeout reports whether err means that the other end did not answer in time.
 func isTimeout(err error) bool {
 	var failed net.Error
 	return errors.Is(err, os.ErrDeadlineExceeded) || errors.As(err, &failed) && failed.Timeout()
--- a/internal/upstream/ending_test.go
+++ b/internal/upstream/ending_test.go
@@ -112,3 +112,18 @@
 	is.True(errors.As(err, &terminated))
 	is.True(time.Since(start) < 2*confirmTimeout)
 }
+
+// Guards against a whole answer that is taken for a part because the first packet of the connection that
+// confirms its end was lost.
+func TestAnEndIsConfirmedOverALinkThatHangs(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	link := proxytest.NewLink(t, l.Addr().String())
+	link.SetFault(proxytest.LinkHangs)
+	time.AfterFunc(confirmTimeout/2, func() { link.SetFault(proxytest.LinkWorks) })
+	data, err := readConfirmed(t, http.MethodGet, "HTTP/1.1 200 OK\r\n\r\n", link.Address(), func(net.Listener) {})
+	is.NoErr(err)
+	is.Equal(string(data), "body")
+}
