--- a/internal/server/terminated_test.go
+++ b/internal/server/terminated_test.go
@@ -2,15 +2,13 @@
 
 import (
 	"fmt"
-	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
 	"testing"
 
 	"github.com/matryer/is"
-
-	"github.com/birchdrift/birchdrift/internal/upstream/proxytest"
 )
 
 // A dyingReplica is a replica whose first answer ends with its connection. The replica terminates then:
@@ -20,7 +18,8 @@
 	survives bool   // it goes on to run
 	later    http.HandlerFunc
 	requests atomic.Int32
-	listener func(r *http.Request) io.Closer
+	// listeners are those of all replicas, by address.
+	listeners map[string]net.Listener
 }
 
 // ServeHTTP implements http.Handler.
@@ -29,8 +28,8 @@
 		d.later(w, r)
 		return
 	}
-	if !d.survives {
-		_ = d.listener(r).Close() // a process closes its listener before its connections, if that is older
+	if !d.survives { // a process closes its listener before its connections, if that is older
+		_ = d.listeners[fmt.Sprint(r.Context().Value(http.LocalAddrContextKey))].Close()
 	}
 	answerBytes(d.answer, false)(w, r)
 }
@@ -38,21 +37,10 @@
 // newDyingInstance starts an instance in front of two replicas, the first of which to get a request is d.
 func newDyingInstance(t *testing.T, relayed bool, d *dyingReplica) *testInstance {
 	t.Helper()
-	var i *testInstance
-	d.listener = func(r *http.Request) io.Closer {
-		address := r.Context().Value(http.LocalAddrContextKey)
-		for _, replica := range i.replicas {
-			if replica.server.Listener.Addr().String() == fmt.Sprint(address) {
-				return replica.server.Listener
-			}
-		}
-		t.Errorf("no replica listens at %v", address)
-		return io.NopCloser(nil)
-	}
-	if relayed {
-		i = newRelayPair(t, proxytest.Refusing, nil, d.ServeHTTP, d.ServeHTTP).cut
-	} else {
-		i = newTestInstance(t, d.ServeHTTP, d.ServeHTTP)
+	i := newRestInstance(t, relayed, d.ServeHTTP)
+	d.listeners = map[string]net.Listener{}
+	for _, replica := range i.replicas {
+		d.listeners[replica.server.Listener.Addr().String()] = replica.server.Listener
 	}
 	return i
 }
@@ -68,7 +56,7 @@
 
 func dyingCases() []dyingCase {
 	plain := func(body string) string { return signedAnswer + "\r\n" + body }
-	large := strings.Repeat("z", maxBufferedForTest+1)
+	large := strings.Repeat("z", largeAnswer)
 	return []dyingCase{
 		{"three of six events, resumable", "stream", signedStream + wholeStream(3), wholeStream(6), wholeStream(3)},
 		{"three of six events, not resumable", "brief", signedStream + wholeStream(3), "", wholeStream(3)},
@@ -80,9 +68,6 @@
 	}
 }
 
-// maxBufferedForTest is the largest answer, in bytes, that is read whole before any of it is passed on.
-const maxBufferedForTest = 256 << 10
-
 // Guards against a part of an answer that looks whole to its caller because the answer ends with its
 // connection and the replica was killed, which closes its connections, direct or relayed by a peer; and
 // against whole ones that are taken for such a part.
