Test: replicas do not count calls of peers of earlier tests

Cause, seen with a line for each request: an instance of a test that had ended still exchanged with its peer, whose port a replica had by then (two such requests, two failures).

--- a/internal/server/forward_test.go
+++ b/internal/server/forward_test.go
@@ -45,8 +45,16 @@
 	answer http.HandlerFunc
 }
 
-// ServeHTTP implements http.Handler.
+// peerPath begins the paths of calls between instances.
+const peerPath = "/twirp/"
+
+// ServeHTTP implements http.Handler. A call of an instance to a peer is not a request of this test: the
+// instance belongs to a test that has ended, and the replica has the port of the peer now.
 func (r *replica) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	if strings.HasPrefix(req.URL.Path, peerPath) {
+		http.NotFound(w, req)
+		return
+	}
 	r.mu.Lock()
 	r.seen = append(r.seen, req)
 	r.mu.Unlock()
