A caller's expectation is met here and not passed on

What callers saw: a stream to a request with "Expect: 100-continue" was cut after its first event, without any disruption, where the replica began its answer before it had the body; the replica got no body.

Cause: the instance asks the caller for the body itself, and passed the header on. With it, net/http's transport waits for the upstream's word before it sends the body; the wait is zero here, but if the answer is there when the transport looks, one of both is picked, and an answer counts as a refusal of the body.

TestExpectationsOfCallersAreNotPassedOn failed before, direct and relayed.

Why this works: without the header the transport does not wait and sends the body, whatever the answer.

--- a/internal/server/duplex_test.go
+++ b/internal/server/duplex_test.go
@@ -408,3 +408,24 @@
 	at := int(n) * 37
 	return randomBytes()[at : at+size]
 }
+
+// Guards against a stream that is cut because its replica begins the answer before it has the body, and gets
+// no body: with the caller's Expect, the transport may take the early answer for a refusal of the body.
+func TestExpectationsOfCallersAreNotPassedOn(t *testing.T) {
+	for _, relayed := range []bool{false, true} {
+		t.Run(fmt.Sprintf("relayed %v", relayed), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			i := newRestInstance(t, relayed, answerOK("whole"))
+			got := i.sendWith(http.Header{"Expect": {"100-continue"}}, "once")
+			is.NoErr(got.err)
+			is.Equal(got.body, "whole")
+			is.Equal(i.requests(), 1)
+			for _, r := range i.replicas {
+				for _, request := range r.seen {
+					is.Equal(request.Header.Get("Expect"), "")
+				}
+			}
+		})
+	}
+}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -137,10 +137,12 @@
 	return http.NoBody
 }
 
-// hopByHopHeaders are the headers that apply to a single connection only (RFC 9110, 7.6.1).
+// hopByHopHeaders are the headers that apply to a single connection only (RFC 9110, 7.6.1), and Expect:
+// this instance meets the caller's expectation itself, and with that header net/http's transport may withhold
+// the body from an upstream whose answer begins before it.
 var hopByHopHeaders = []string{
 	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate",
-	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
 }
 
 // EndToEndHeaders returns a copy of h without the hop-by-hop headers, which include those
