An early answer outlives the connection that its request closes

What callers saw: a caller, or an instance that has an attempt relayed, that sent a large upload with "Connection: close" lost the answer that came before it had sent the whole body, and got a reset instead.

Cause: net/http's server waits 500 ms between an answer and the close of a connection of which it leaves part of the body unread, so that the data which still arrives resets nothing. It does not after a request that closes its connection. Attempts that may run only once carry that header, so a peer's early answer was lost as often as the sender's write met the reset before its read met the answer.

Evidence: TestAnEarlyAnswerIsNotLostWithTheConnectionThatItsRequestCloses fails without delayClose.

Why this works: duplex makes the server treat such a body as one over its limit, after which it always waits.

--- a/internal/duplex/duplex.go
+++ b/internal/duplex/duplex.go
@@ -14,6 +14,7 @@
 	"io"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -58,6 +59,9 @@
 		defer func() {
 			out.end()
 			b.end()
+			if r.Close && !b.ended.Load() {
+				delayClose(w)
+			}
 			if out.early {
 				report(r, EarlyAnswer{
 					Status: out.status, Length: r.ContentLength, AtHead: out.atHead, Read: b.read.Load(), Ended: b.ended.Load(), Err: b.lastError(),
@@ -68,6 +72,15 @@
 	})
 }
 
+// delayClose makes the server wait between the end of the answer and the close of the connection. Data that
+// arrives at a closed connection resets it, and a client whose write fails may give up an answer that it has not
+// read. The server waits by itself when it leaves part of a body unread, except after a request that closes the
+// connection; it always does after a body that exceeds its limit.
+func delayClose(w http.ResponseWriter) {
+	exceeded := http.MaxBytesReader(w, io.NopCloser(strings.NewReader("z")), 0)
+	_, _ = exceeded.Read(make([]byte, 1)) // always fails
+}
+
 // A body is the body of a request. Reads fail after the other end has sent nothing for the idle
 // time. The whole body may take any time, but an end that is silent would hold its connection and
 // a handler forever.
--- a/internal/duplex/duplex_test.go
+++ b/internal/duplex/duplex_test.go
@@ -190,3 +190,30 @@
 	is.NoErr(err)
 	is.True(TimedOut(<-failed))
 }
+
+// Guards against an answer that its client loses because the server resets the connection, which the request
+// closes, while the client writes the body.
+func TestAnEarlyAnswerIsNotLostWithTheConnectionThatItsRequestCloses(t *testing.T) {
+	const calls, bodySize = 200, 4 << 20
+	is := is.New(t)
+	address := serve(t, time.Minute, make(chan EarlyAnswer, calls), func(w http.ResponseWriter, r *http.Request) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_, _ = io.WriteString(w, "refused")
+	})
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	lost := 0
+	for range calls {
+		resp, err := client.Post("http://"+address+"/", "", strings.NewReader(strings.Repeat("z", bodySize)))
+		if err != nil {
+			t.Log(err)
+			lost++
+			continue
+		}
+		data, err := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		if err != nil || string(data) != "refused" {
+			lost++
+		}
+	}
+	is.Equal(lost, 0)
+}
