A failed connection is not the end of an answer

What callers saw: a replica answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was being written. The caller got that part as a whole answer.

Cause: the kernel returns the error of a connection once, to a read or to a write, whichever comes first. If the write of the upload gets it, the read behind the last byte returns the end, as after a FIN, and the replica runs on, so that ConfirmEnd agrees. A connection that times out (TCP_USER_TIMEOUT) does the same.

Evidence: TestAFailedConnectionIsNotTheEndOfAnAnswer forces the order through httptrace.WroteRequest: reset, closed with bytes unread and timed out each looked whole before, in every run; a FIN, also one that a reset follows, is still the end. TestAnEarlyAnswerThatIsResetIsNotWhole, 96 calls a row, four kinds of routes, direct and relayed: 5 and 1 parts of 3,072 looked whole before in two runs (all of "reset at once"), none now; 1,536 of 1,536 whole answers that end by a FIN during the upload stay whole.

Why this works: connections to upstreams remember an error of a write other than EPIPE, which is what the kernel reports of a connection that is reset behind a FIN. At its end a read waits for a write in progress if the connection is closed, so that the write cannot have the error without having recorded it; while the connection is open, only a FIN can have ended it. All readers of answers use these connections: attempts, relays, peers, the store, reports and orders.

--- a/internal/server/duplex_test.go
+++ b/internal/server/duplex_test.go
@@ -233,6 +233,11 @@
 		close(asked)
 		resp, err = http.ReadResponse(in, nil)
 	}
+	return readDuplex(resp, err)
+}
+
+// readDuplex reads an answer whose head, or the error of reading it, is given.
+func readDuplex(resp *http.Response, err error) duplexResult {
 	if err != nil {
 		return duplexResult{err: err}
 	}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -47,11 +47,11 @@
 // NewCountedTransports is like NewTransports and counts the bytes of all connections in traffic.
 func NewCountedTransports(traffic *load.Traffic) Transports {
 	dialer := newDialer()
-	dial := traffic.Dial(dialer.DialContext)
+	dial := traffic.Dial(detectResets(dialer.DialContext))
 	return Transports{
 		Reused: newTransport(dial, false),
 		Fresh:  newTransport(dial, true),
-		Abrupt: newTransport(traffic.Dial(dialAbrupt(dialer)), true),
+		Abrupt: newTransport(traffic.Dial(detectResets(dialAbrupt(dialer))), true),
 	}
 }
 
