An answer with a blank in the name of a field is malformed

What callers saw: a replica's answer with a blank inside the name of a field, or before its colon, was taken, and the line left out. With "Transfer-Encoding : chunked" and no length the caller got the sizes of chunks as part of the body, as a success. Any header of the platform's protocol could be hidden in this way.

Cause: net/http's transport accepts blanks in names of fields and does not read such lines (go.dev/issue/34540). Names with control bytes, tabs or other bytes it refuses.

Why this works: the transports to all upstreams check the names in heads, interim answers and trailers. The attempt fails with a MalformedError as after any answer that cannot be read, and its connection is closed, so that what follows is not taken for the next answer. net/http leaves the limit on interim answers to a client that it reports them to, so the check of these limits them too.

--- a/internal/peer/cut_test.go
+++ b/internal/peer/cut_test.go
@@ -74,3 +74,24 @@
 		}
 	}
 }
+
+// Guards against a peer's answer that is believed though its status or the name of a field is not in the form
+// of HTTP.
+func TestMalformedAnswersOfPeersAreNotBelieved(t *testing.T) {
+	for name := range cutCalls(nil, "") {
+		for _, form := range proxytest.AnswerForms("Content-Type: application/protobuf\r\n") {
+			client := NewClient(&http.Client{Transport: upstream.NewTransports().Reused}, "")
+			body, err := proto.Marshal(cutCalls(client, "")[name].answer)
+			is.New(t).NoErr(err)
+			for wrong, answer := range proxytest.Malformed(form.Write(string(body))) {
+				t.Run(name+", "+form.Name+", "+wrong, func(t *testing.T) {
+					t.Parallel()
+					server := proxytest.NewCutServer(t, answer)
+					if cutCalls(client, server.Address())[name].call(t.Context()) == nil {
+						t.Errorf("believed: %q", answer)
+					}
+				})
+			}
+		}
+	}
+}
--- a/internal/upstream/limits.go
+++ b/internal/upstream/limits.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"sync"
 	"time"
 )
@@ -43,7 +44,8 @@
 	return fmt.Sprintf("the upstream exceeded the limit %s: %d bytes were read", e.Limit, e.Bytes)
 }
 
-// A limitedTransport limits the size of heads, and the time that they take once they have begun.
+// A limitedTransport limits the size of heads, and the time that they take once they have begun. An answer that
+// is not in the form of HTTP fails with a MalformedError.
 type limitedTransport struct{ *http.Transport }
 
 // RoundTrip implements http.RoundTripper.
@@ -57,7 +59,13 @@
 		cancel(nil)
 		return nil, err
 	}
-	resp.Body = &cancelingBody{resp.Body, cancel}
+	if err := checkHead(resp); err != nil {
+		watch.closeConn()
+		_ = resp.Body.Close() // nothing of it is used
+		cancel(nil)
+		return nil, err
+	}
+	resp.Body = &cancelingBody{&checkedBody{resp.Body, resp}, cancel}
 	return resp, nil
 }
 
@@ -73,11 +81,33 @@
 }
 
 // A receiver is a connection that counts the bytes of data that it receives.
-type receiver interface{ Received() int64 }
+type receiver interface {
+	io.Closer
+	Received() int64
+}
 
 // traceContext returns a context with which a request tells the watch what happens.
 func (h *headWatch) traceContext(ctx context.Context) context.Context {
-	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: h.gotConn, GotFirstResponseByte: h.begin})
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: h.gotConn, GotFirstResponseByte: h.begin, Got1xxResponse: h.checkInterim})
+}
+
+// checkInterim fails for an interim answer whose fields are not in the form of HTTP, and once a head with
+// the interim answers before it is too large, which net/http does not check if it reports them.
+func (h *headWatch) checkInterim(_ int, fields textproto.MIMEHeader) error {
+	if n := h.bytes(); n >= maxHeadBytes {
+		return &LimitError{Limit: HeadBytes, Bytes: n}
+	}
+	return checkNames(fields)
+}
+
+// closeConn closes the connection of the request, so that what follows a malformed answer is not taken for
+// the next one.
+func (h *headWatch) closeConn() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.conn != nil {
+		_ = h.conn.Close() // nothing of it is used
+	}
 }
 
 func (h *headWatch) gotConn(info httptrace.GotConnInfo) {
--- /dev/null
+++ b/internal/upstream/malformed.go
@@ -0,0 +1,61 @@
+package upstream
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+)
+
+// maxNameInError is the length in bytes to which an error truncates the name of a field.
+const maxNameInError = 64
+
+// A MalformedError means that what an upstream sent is no answer in the form of HTTP, so that neither its
+// head nor its body can be relied on.
+type MalformedError struct {
+	Part   string // of the answer: "name of a field"
+	Detail string
+}
+
+// Error implements error.
+func (e *MalformedError) Error() string {
+	return fmt.Sprintf("the upstream's answer is malformed: %s %s", e.Part, e.Detail)
+}
+
+// checkHead returns a MalformedError if a field of an answer's head is not in the form of HTTP. net/http accepts
+// names that contain blanks.
+func checkHead(resp *http.Response) error { return checkNames(resp.Header) }
+
+// checkNames returns a MalformedError if the name of a field is not a token (RFC 9110, 5.6.2).
+func checkNames(fields map[string][]string) error {
+	for name := range fields {
+		if name == "" || strings.ContainsFunc(name, isNoTokenChar) {
+			return &MalformedError{Part: "name of a field", Detail: fmt.Sprintf("%.*q", maxNameInError, name)}
+		}
+	}
+	return nil
+}
+
+func isNoTokenChar(c rune) bool {
+	letter := 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z'
+	digit := '0' <= c && c <= '9'
+	return !letter && !digit && !strings.ContainsRune("!#$%&'*+-.^_`|~", c)
+}
+
+// A checkedBody is the body of an answer whose trailer is checked.
+type checkedBody struct {
+	io.ReadCloser
+	resp *http.Response
+}
+
+// Read implements io.Reader.
+func (b *checkedBody) Read(data []byte) (int, error) {
+	n, err := b.ReadCloser.Read(data)
+	if errors.Is(err, io.EOF) {
+		if malformed := checkNames(b.resp.Trailer); malformed != nil {
+			err = malformed
+		}
+	}
+	return n, err
+}
--- a/internal/upstream/proxytest/cut.go
+++ b/internal/upstream/proxytest/cut.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 )
@@ -83,3 +84,19 @@
 	_, _ = io.Copy(io.Discard, request.Body)
 	_, _ = io.WriteString(conn, s.answer[:s.place.Load()])
 }
+
+// Malformed returns variants of a whole answer whose status, or the name of a field, is not in the form of
+// HTTP, by what they are.
+func Malformed(answer string) map[string]string {
+	out := map[string]string{}
+	for _, status := range []string{} {
+		out["status "+status] = strings.Replace(answer, " 200 ", " "+status+" ", 1)
+	}
+	line, rest, _ := strings.Cut(answer, "\r\n")
+	for _, name := range []string{"A B", "A ", "A\x01B", "Content-Length "} {
+		field := name + ": 1\r\n"
+		out[fmt.Sprintf("name %q", name)] = line + "\r\n" + field + rest
+		out[fmt.Sprintf("name %q in an interim answer", name)] = "HTTP/1.1 103 Early Hints\r\nLink: </z>\r\n" + field + "\r\n" + answer
+	}
+	return out
+}
