--- a/internal/server/malformed_test.go
+++ b/internal/server/malformed_test.go
@@ -30,7 +30,7 @@
 	head := func(status string) string { return "HTTP/1.1 " + status + "\r\n" + fields }
 	const interim = "HTTP/1.1 103 Early Hints\r\nLink: </z>\r\n\r\n"
 	var out []malformedForm
-	for _, status := range []string{"000", "001", "099", "101", "2000", "20", "+20", "-20", "2x0", " 200x"} {
+	for _, status := range []string{"000", "001", "099", "101", "2000", "20", "+20", "-20", "2x0", " 200x", "600", "700", "999"} {
 		out = append(out,
 			malformedForm{"status " + status, head(status+" Z") + length, malformedContent},
 			malformedForm{"status " + status + " without a length", head(status+" Z") + "Connection: close\r\n", malformedContent},
--- a/internal/upstream/proxytest/cut.go
+++ b/internal/upstream/proxytest/cut.go
@@ -89,7 +89,7 @@
 // HTTP, by what they are.
 func Malformed(answer string) map[string]string {
 	out := map[string]string{}
-	for _, status := range []string{} {
+	for _, status := range []string{"000", "099", "600", "999"} {
 		out["status "+status] = strings.Replace(answer, " 200 ", " "+status+" ", 1)
 	}
 	line, rest, _ := strings.Cut(answer, "\r\n")
