Answers of peers are limited

What callers saw (from the report): a machine that had called a faulty one kept bytes without end and ran out of memory, and the requests of others ended with it.

Cause: the answers of replicas are limited, those of peers only in their heads. The client of peers reads a whole body into memory until the call's time is over, up to 3 s: several hundred MB on a link of 1 Gbit/s.

Why this works: the transport that already refuses unframed answers of peers limits bodies to the size that requests of peers may have.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -50,17 +50,24 @@
 var errUnframed = errors.New("the peer's answer has neither a length nor chunks")
 
 // A framedTransport fails for an answer that ends with its connection: a message whose last fields are
-// missing can be decoded, so nothing else would show that it broke off. Peers state the length.
+// missing can be decoded, so nothing else would show that it broke off. Peers state the length. It also fails for an
+// answer of more than maxMessageSize bytes, which would be read into memory.
 type framedTransport struct{ http.RoundTripper }
 
 // RoundTrip implements http.RoundTripper.
 func (t framedTransport) RoundTrip(req *http.Request) (*http.Response, error) {
 	resp, err := t.RoundTripper.RoundTrip(req)
-	if err == nil && upstream.EndsWithConnection(resp) {
+	if err != nil {
+		return nil, err
+	}
+	if upstream.EndsWithConnection(resp) {
 		_ = resp.Body.Close() // nothing of it is used
 		return nil, errUnframed
 	}
-	return resp, err
+	if err := upstream.LimitBody(resp, maxMessageSize); err != nil {
+		return nil, err
+	}
+	return resp, nil
 }
 
 // Exchange sends msg to the peer at address (IP:port) and returns the peer's message.
