--- a/internal/upstream/reset.go
+++ b/internal/upstream/reset.go
@@ -116,5 +116,5 @@
 	return closed || errors.Is(err, net.ErrClosed)
 }
 
-// tcpClose is the state TCP_CLOSE in Linux's tcp_info.
+// tcpClose is the number of the state TCP_CLOSE in Linux's tcp_info.
 const tcpClose = 7
