--- a/core/instance/announced_world_test.go
+++ b/core/instance/announced_world_test.go
@@ -118,6 +118,7 @@
 	deferred        []func()             // deliveries of events that arrived during the freeze
 	noStore         bool                 // it cannot reach the store
 	noUpdates       bool                 // its watches receive nothing and its exchanges fail
+	noPeers         bool                 // it and its peers cannot reach each other
 	links           map[string]linkFault // its broken links, by engine
 	watchPosition   era.Revision         // revision from which its watch continues; 0: a full read
 	pendingWatches  []*fleetWatch
@@ -584,7 +585,7 @@
 func (f *fleet) relay(n *fleetMember, d calls.Dispatch, reply func(time.Duration, step.Event)) {
 	f.relayed++
 	p := f.members[d.Relay.Name]
-	if p == nil || p.dead || p.frozen || f.partitioned(n.id.Zone, p.id.Zone) {
+	if p == nil || p.dead || p.frozen || f.separated(n, p) {
 		f.relayTimeouts++
 		reply(bounds.DialTimeout, calls.AttemptFailed{ID: d.ID, Attempt: d.Attempt, Relay: links.PeerUnreachable, Detail: "no connection to the peer"})
 		return
@@ -1214,7 +1215,7 @@
 	newReply := func(outcome owned.Outcome) step.Event {
 		return orderclient.Reply{Engine: a.Engine, Request: a.Request, Outcome: outcome}
 	}
-	if p == nil || p.dead || p.frozen || f.partitioned(n.id.Zone, p.id.Zone) {
+	if p == nil || p.dead || p.frozen || f.separated(n, p) {
 		reply(time.Second, newReply(owned.Failed))
 		return
 	}
@@ -1229,7 +1230,7 @@
 // requestPermit delivers a permit request to a peer and the reply back.
 func (f *fleet) requestPermit(n *fleetMember, a permits.SendRequest, reply func(time.Duration, step.Event)) {
 	p := f.members[a.Peer]
-	if p == nil || p.dead || p.frozen || p.noUpdates || n.noUpdates || f.partitioned(n.id.Zone, p.id.Zone) {
+	if p == nil || p.dead || p.frozen || p.noUpdates || n.noUpdates || f.separated(n, p) {
 		reply(300*time.Millisecond, permits.Reply{Token: a.Token, Err: errors.New("no answer")})
 		return
 	}
@@ -1254,7 +1255,7 @@
 // requestStreams delivers a request about streams to a peer and the reply back.
 func (f *fleet) requestStreams(n *fleetMember, a streams.SendRequest, reply func(time.Duration, step.Event)) {
 	p := f.members[a.Peer]
-	if p == nil || p.dead || f.partitioned(n.id.Zone, p.id.Zone) || p.legacy {
+	if p == nil || p.dead || f.separated(n, p) || p.legacy {
 		reply(fleetLatency, streams.Reply{Token: a.Token, Peer: a.Peer, Err: errors.New("refused")})
 		return
 	}
@@ -1278,7 +1279,7 @@
 // exchange delivers the message of an exchange to a peer and the reply back.
 func (f *fleet) exchange(n *fleetMember, a exchange.SendRequest, reply func(time.Duration, step.Event)) {
 	p := f.members[a.Address]
-	if p == nil || p.dead || p.frozen || p.noUpdates || n.noUpdates || f.partitioned(n.id.Zone, p.id.Zone) {
+	if p == nil || p.dead || p.frozen || p.noUpdates || n.noUpdates || f.separated(n, p) {
 		reply(time.Second, exchange.Reply{Peer: a.Peer, Address: a.Address, Err: errors.New("no answer")})
 		return
 	}
@@ -1292,6 +1293,11 @@
 	})
 }
 
+// separated reports whether two members cannot reach each other.
+func (f *fleet) separated(a, b *fleetMember) bool {
+	return a.noPeers || b.noPeers || f.partitioned(a.id.Zone, b.id.Zone)
+}
+
 // partitioned reports whether two zones cannot reach each other.
 func (f *fleet) partitioned(a, b string) bool { return a != b && (f.cutZones[a] || f.cutZones[b]) }
 
--- a/core/instance/streams_test.go
+++ b/core/instance/streams_test.go
@@ -263,6 +263,12 @@
 			}
 		})
 	}, 0, 0},
+	{"an instance without its peers while a version comes, and gets the streams that are taken up", oneVersion, func(h *streamHarness) {
+		h.outOfStep(func(n *fleetMember, out bool) { n.noPeers = out })
+	}, 0, 0},
+	{"an instance without the store and its peers while a version comes, and gets the streams that are taken up", oneVersion, func(h *streamHarness) {
+		h.outOfStep(func(n *fleetMember, out bool) { n.noPeers, n.noStore = out, out })
+	}, 0, 0},
 	{"an instance without the store while a version comes, and gets the streams that are taken up", oneVersion, func(h *streamHarness) {
 		h.outOfStep(func(n *fleetMember, out bool) { n.noStore = out })
 	}, 0, 0},
