--- a/internal/server/stop_test.go
+++ b/internal/server/stop_test.go
@@ -1,7 +1,6 @@
 package server
 
 import (
-	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -16,6 +15,7 @@
 	"github.com/matryer/is"
 
 	"github.com/birchdrift/birchdrift/internal/forward"
+	"github.com/birchdrift/birchdrift/internal/upstream"
 	"github.com/birchdrift/birchdrift/internal/upstream/proxytest"
 )
 
@@ -93,6 +93,20 @@
 	err        error
 }
 
+// check checks what the caller of a call got that reached replicas this often.
+func (o stopOutcome) check(t *testing.T, requests int) {
+	t.Helper()
+	if requests > 0 && o.status == 0 {
+		t.Errorf("%s: passed on, no answer: %v", o.host, o.err)
+	}
+	if o.status == http.StatusOK && o.err == nil && !o.whole {
+		t.Errorf("%s: a part that looks whole", o.host)
+	}
+	if (o.host == "once" || o.host == "brief") && requests > 1 {
+		t.Errorf("%s: sent %d times", o.host, requests)
+	}
+}
+
 // sendWhileStopping sends a random call over a kept connection.
 func sendWhileStopping(client *http.Client, address, call string, random *rand.Rand) stopOutcome {
 	hosts := []string{"again", "once", "stream", "brief"}
@@ -148,8 +162,7 @@
 				mu.Lock()
 				out = append(out, o)
 				mu.Unlock()
-				var dial interface{ Timeout() bool }
-				if o.status == 0 && errors.As(o.err, &dial) && strings.Contains(o.err.Error(), "connect") && strings.Contains(o.err.Error(), "refused") {
+				if upstream.ConnectionRefused(o.err) {
 					return
 				}
 				time.Sleep(time.Duration(random.Int64N(int64(20 * time.Millisecond))))
@@ -207,31 +220,18 @@
 					}
 				}()
 				outcomes := callUntilStopped(own.address, "call", seed)
-				passed, answered, whole, lost := 0, 0, 0, 0
+				passed, whole := 0, 0
 				for _, o := range outcomes {
-					n := r.requests(o.call)
-					if n > 0 {
+					requests := r.requests(o.call)
+					o.check(t, requests)
+					if requests > 0 {
 						passed++
 					}
-					if o.status != 0 {
-						answered++
-					}
 					if o.whole {
 						whole++
 					}
-					if n > 0 && o.status == 0 {
-						lost++
-						t.Logf("%s: passed on, no answer: %v", o.host, o.err)
-					}
-					if o.status == http.StatusOK && o.err == nil && !o.whole {
-						t.Errorf("%s: a part that looks whole", o.host)
-					}
-					if (o.host == "once" || o.host == "brief") && n > 1 {
-						t.Errorf("%s: sent %d times", o.host, n)
-					}
 				}
-				t.Logf("%d calls, %d passed on, %d answered, %d whole", len(outcomes), passed, answered, whole)
-				is.Equal(lost, 0)
+				t.Logf("%d calls, %d passed on, %d whole", len(outcomes), passed, whole)
 				is.True(whole > 0)
 			})
 		}
