--- a/core/instance/streams_test.go
+++ b/core/instance/streams_test.go
@@ -106,8 +106,7 @@
 
 // outOfStep lets replicas of another version join, again and again, while a member is out of step for some
 // seconds: set puts it out of step and back. From then on for some seconds, callers' connections break and they take
-// their streams up at that member. The replicas of the version before leave meanwhile, so that the next one is
-// the second again.
+// their streams up at that member.
 func (h *streamHarness) outOfStep(set func(n *fleetMember, out bool)) {
 	const interval, after = 7 * time.Second, 2500 * time.Millisecond
 	version := 1
