--- a/review/standin-2/case4_test.go
+++ b/review/standin-2/case4_test.go
@@ -12,14 +12,19 @@
 	"4": truncatedStreams,
 }
 
-// streamConfig is a configuration with a streaming route to a service that runs models.
-const streamConfig = `{"version":7,"routes":[
- {"name":"r-drafts","host":"depot.example","path_prefix":"/drafts/","kind":"streaming","timeout_ms":15000,"target_latency_ms":1500,"priority":0,"service":"writer","max_attempts":2,"sticky":true,"resumable":%v,"target_gap_ms":400}],
+// streamConfig returns a configuration with a streaming route to a service that runs models m1, m2 and so on.
+func streamConfig(models int) string {
+	var list []string
+	for n := range models {
+		list = append(list, fmt.Sprintf(`{"name":"m%d","weights_mb":65100.0,"load_s":2.0,"adapters":0,"adapter_mb":12.0,"warm_s":0.57,"disk_s":1.2}`, n+1))
+	}
+	return `{"version":7,"routes":[
+ {"name":"r-drafts","host":"depot.example","path_prefix":"/drafts/","kind":"streaming","timeout_ms":15000,"target_latency_ms":1500,"priority":0,"service":"writer","max_attempts":2,"sticky":true,"resumable":false,"target_gap_ms":400}],
  "services":[{"name":"writer","health_path":"/health","max_conns":370,"protocol":"h1","tls":false,
   "engine":{"slots":64,"kv_capacity_tokens":254071,"kv_token_bytes":163840,"weights_mb":220000.0,"adapter_slots":5,"loads_per_s":2.1,
-   "models":[{"name":"m1","weights_mb":65100.0,"load_s":2.0,"adapters":0,"adapter_mb":12.0,"warm_s":0.57,"disk_s":1.2},
-             {"name":"m2","weights_mb":65100.0,"load_s":2.0,"adapters":0,"adapter_mb":12.0,"warm_s":0.57,"disk_s":1.2}]}}],
+   "models":[` + strings.Join(list, ",") + `]}}],
  "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`
+}
 
 // The stream that is watched: 20 events, one each 300 ms.
 const (
@@ -35,7 +40,7 @@
 		down    = 2 * time.Second         // srv_crash for_s
 		crashAt = 400 * time.Millisecond  // after the instance has stopped
 	)
-	w.store.Put("op/config", fmt.Sprintf(streamConfig, false))
+	w.store.Put("op/config", streamConfig(2))
 	zones := []string{"hall-a", "hall-b", "hall-c"}
 	for n, zone := range append(zones, zones[0]) { // one of four crashes: a share of 0.25
 		w.startReplica(replicaConfig{ID: fmt.Sprintf("i-%08x", 0x5100a7c1+n*0x1000000), Address: freeAddress(), Service: "writer", Zone: zone, Slots: 64, Models: []string{"m1"}, LoadMS: 2000})
--- a/review/standin-2/store_test.go
+++ b/review/standin-2/store_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"net"
 	"net/http"
 	"sort"
@@ -348,9 +347,9 @@
 	}
 }
 
-// Status returns how many writing calls there were, and how many got no answer.
-func (s *store) Status() string {
+// Counts returns how many writing calls there were, and how many of them got no answer.
+func (s *store) Counts() (writes, lost int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return fmt.Sprintf("%d writing calls, %d of them without an answer", s.writes, s.lost)
+	return s.writes, s.lost
 }
