Review: a stream whose replica is silent for more than 10 s is cut

The stall time of 10 s applies to every attempt, also where the route's timeout is longer and the stream cannot go on elsewhere.

The script (review/7) sends six streams after a SIGHUP; their replicas put them back for 10.6 s.

--- a/review/standin-2/replica_test.go
+++ b/review/standin-2/replica_test.go
@@ -30,6 +30,7 @@
 	headerEvents   = "Test-Events"   // number of events
 	headerPauseMS  = "Test-Pause-Ms" // between two events
 	headerUnframed = "Test-Unframed" // the answer has no length and ends with its connection
+	headerPutBack  = "Test-Put-Back" // time in ms for which the request is put back after its third event
 )
 
 // A replica stands in for a replica of a service (PROTOCOL.md). It is a process of its own and writes
@@ -191,11 +192,18 @@
 	if req.Header.Get("Last-Event-Id") != "" {
 		first++
 	}
+	var putBack int
+	_, _ = fmt.Sscan(req.Header.Get(headerPutBack), &putBack)
 	for n := first; n <= events; n++ {
 		if n > first {
+			wait := pause
+			if n == 4 {
+				wait += putBack
+			}
 			select {
-			case <-time.After(time.Duration(pause) * time.Millisecond):
+			case <-time.After(time.Duration(wait) * time.Millisecond):
 			case <-req.Context().Done():
+				r.say("dropped", id, fmt.Sprintf("before event %d", n))
 				return
 			}
 		}
--- a/review/standin-2/world_test.go
+++ b/review/standin-2/world_test.go
@@ -287,6 +287,8 @@
 		case "models":
 			w.store.Put("servers/"+c.ID, r.entry(line.Models))
 			w.note("replica %s holds %v", c.ID, line.Models)
+		case "dropped":
+			w.note("replica %s drops request %s, whose connection has closed, %s", c.ID, line.Request, line.Detail)
 		case "order":
 			w.note("replica %s gets an order: %s", c.ID, line.Detail)
 		case "runs":
