Review: taking up a stream on a split route ends the process

Cause: a call that takes up a stream is routed first to a service with models and then moved to the service that began the stream, which has none; the model stays with the call, and modelETA dereferences an engine that is nil.

--- a/review/standin-2/replica_test.go
+++ b/review/standin-2/replica_test.go
@@ -22,6 +22,7 @@
 	Slots   int
 	Models  []string // that it holds; nil: it runs none
 	LoadMS  int      // time that a load takes
+	Version string   // of its program; "": v1
 }
 
 // Headers by which a client of these tests tells the replica how to answer. They travel to the replica
@@ -159,7 +160,7 @@
 	id := req.Header.Get("Request-Id")
 	w.Header().Set("Request-Id", id)
 	model, _, _ := strings.Cut(req.Header.Get("Model"), "/")
-	if want := req.Header.Get("Expect-Instance"); want != "" && want != r.ID || model != "" && !r.holds(model) {
+	if want := req.Header.Get("Expect-Instance"); want != "" && want != r.ID || r.Models != nil && model != "" && !r.holds(model) {
 		r.refuse(w)
 		return
 	}
--- a/review/standin-2/world_test.go
+++ b/review/standin-2/world_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -78,6 +79,7 @@
 	lastID    int
 	watched   string // the id of the request that is watched
 	waiting   sync.WaitGroup
+	ended     func(*exec.Cmd) // called when a process has ended before the play has
 }
 
 func newWorld() *world {
@@ -144,19 +146,27 @@
 		}
 		_ = cmd.Wait()
 		w.mu.Lock()
-		defer w.mu.Unlock()
 		delete(w.processes, cmd)
+		closed := w.closed
+		w.mu.Unlock()
+		if w.ended != nil && !closed {
+			w.ended(cmd)
+		}
 	}()
 }
 
-// freeAddress returns an unused loopback address.
+// freeAddress returns an unused loopback address. Its port is below those that systems usually give to outgoing
+// connections, so that none takes it while a process is down.
 func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
+	for range 1000 {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", 12000+rand.IntN(20000)))
+		if err != nil {
+			continue
+		}
+		defer l.Close()
+		return l.Addr().String()
 	}
-	defer l.Close()
-	return l.Addr().String()
+	panic("no free address")
 }
 
 // An instance is a process of the project, with the addresses of its listeners.
@@ -228,6 +238,7 @@
 	if err != nil {
 		panic(err)
 	}
+	i.cmd.Stderr = logs
 	w.start(i.cmd, func(line string) {
 		fmt.Fprintln(logs, line)
 		if os.Getenv("REVIEW2_LOGS") != "" {
@@ -248,14 +259,20 @@
 // A replicaProcess is a replica's process and its entry in the store.
 type replicaProcess struct {
 	replicaConfig
-	version string
-	cmd     *exec.Cmd
+	cmd *exec.Cmd
+}
+
+func (c replicaConfig) version() string {
+	if c.Version == "" {
+		return "v1"
+	}
+	return c.Version
 }
 
 // entry returns the replica's entry in the store. models is nil for one that runs none.
 func (r *replicaProcess) entry(models []string) string {
 	e := map[string]any{
-		"service": r.Service, "address": r.Address, "zone": r.Zone, "version": r.version, "slots": r.Slots, "state": "ready", "cold_left_ms": 0, "sequence": 1,
+		"service": r.Service, "address": r.Address, "zone": r.Zone, "version": r.version(), "slots": r.Slots, "state": "ready", "cold_left_ms": 0, "sequence": 1,
 	}
 	if r.Models != nil {
 		list := []map[string]any{}
@@ -270,7 +287,7 @@
 
 // startReplica starts a replica and writes its entry once it listens.
 func (w *world) startReplica(c replicaConfig) *replicaProcess {
-	r := &replicaProcess{replicaConfig: c, version: "v1"}
+	r := &replicaProcess{replicaConfig: c}
 	config, _ := json.Marshal(c)
 	r.cmd = exec.Command(os.Args[0])
 	r.cmd.Env = append(os.Environ(), modeVar+"=replica", replicaVar+"="+string(config))
