Of the replicas announced at one address, the one with the newest entry is used

Cause: an entry retired, finally, every other replica known at its address, whichever was announced first. An instance that starts reads the entries in the order of their keys, so the entry of the crashed replica retired the one that had started after it in one case of two. The same happens where peers relay entries in another order, where an old entry is written late, after a restore of the store, and where a report that is read at an address which another replica has taken is believed to be of the former one. Nothing was logged when it happened; upstream_superseded is new.

Why this works: an address is free only once the former process has ended, so the entry that was created last is that of the process there. The store states the revision of the creation; it is compared instead of the order of arrival, and peers get it too. What it excludes is computed anew with each change instead of being marked: if the newer entry vanishes, is moved or is shown to be wrong by a 421, the older replica counts again.

Ruled out: the revision of the last change (an old entry may change after the new one was created), and the order of ids, which have none.

--- a/core/listing/listing.go
+++ b/core/listing/listing.go
@@ -8,6 +8,8 @@
 package listing
 
 import (
+	"cmp"
+
 	"github.com/birchdrift/birchdrift/core/clock"
 	"github.com/birchdrift/birchdrift/core/era"
 	"github.com/birchdrift/birchdrift/core/gossip"
@@ -108,6 +110,7 @@
 func (l *List) add(now clock.Instant, from string, entry gossip.Listed) {
 	if l.Records.AddListed(from, entry) {
 		l.Apply(now, entry)
+		l.logSupersessions()
 		l.TellSoon(now)
 	}
 }
@@ -186,6 +189,7 @@
 	if a.Leaving && (former == nil || !former.Leaving()) {
 		l.Out.Log(logevent.UpstreamLeaving, "upstream", name, "source", "list", "version", version, "remaining", a.Remaining.String())
 	}
+	a.Created = createdAt(former, a, version)
 	l.Pool.Announce(now, name, a)
 	if r := l.Pool.Get(name); r != former {
 		l.handleNewIncarnation(now, former, r)
@@ -194,6 +198,20 @@
 	l.Announced(now, name, a.Models)
 }
 
+// createdAt returns the revision at which the entry of an announcement counts as created. An entry
+// that is overwritten by a later incarnation, or at another address, counts as created then. version
+// is the version of the entry, 0 if there is none; it stands in for an unknown creation.
+func createdAt(former *pool.Replica, a pool.Announcement, version era.Revision) era.Revision {
+	switch {
+	case former == nil:
+		return cmp.Or(a.Created, version)
+	case former.Address == a.Address && former.MayBeIncarnation(a.Born):
+		return cmp.Or(a.Created, former.Announcement().Created)
+	default:
+		return cmp.Or(version, former.Announcement().Created)
+	}
+}
+
 // HandleSelfReport applies a new incarnation that a replica reports itself before its entry
 // arrives. A report of a known incarnation is ignored here, since the ledger of the engine's
 // owner applies it.
@@ -225,7 +243,8 @@
 }
 
 // missing returns an entry marked as Gone for each announced replica that a complete list no
-// longer has and that is not leaving yet.
+// longer has and that is not leaving yet. A superseded replica is no longer superseded once the
+// newer entry has vanished, so it is included unless its own entry is known to have vanished.
 func (l *List) missing(e Reply) []gossip.Listed {
 	has := make(map[string]bool, len(e.Entries))
 	for _, entry := range e.Entries {
@@ -237,7 +256,8 @@
 	var gone []gossip.Listed
 	for _, r := range l.Pool.All() {
 		newer := l.Records.ListedVersion(r.Name) > e.Version // a concurrent watch brought a newer entry
-		if r.Announced && !r.Leaving() && !has[r.Name] && !newer {
+		left := r.Leaving() && !(r.Superseded() && !r.Vanished())
+		if r.Announced && !left && !has[r.Name] && !newer {
 			gone = append(gone, gossip.Listed{Name: r.Name, Kind: gossip.Upstream, Zone: r.Zone, Gone: true, Version: e.Version})
 		}
 	}
@@ -249,4 +269,13 @@
 	for _, name := range l.Pool.ExpireVanished(now, pool.VanishedGracePeriod) {
 		l.Out.Log(logevent.UpstreamLeaving, "upstream", name, "source", "its entry vanished")
 	}
+	l.logSupersessions()
+}
+
+// logSupersessions logs which replicas became superseded by a newer entry at their address, or
+// are no longer.
+func (l *List) logSupersessions() {
+	for _, x := range l.Pool.TakeSupersessions() {
+		l.Out.Log(logevent.UpstreamSuperseded, "upstream", x.Replica, "address", x.Address, "superseded", x.Superseded)
+	}
 }
--- a/core/logevent/logevent.go
+++ b/core/logevent/logevent.go
@@ -71,6 +71,7 @@
 	LinksBack          Number = 1510
 	RejectionLimit     Number = 1511
 	AnswerLimit        Number = 1512
+	UpstreamSuperseded Number = 1513
 	PeerFailed         Number = 1601
 	PolicyFailed       Number = 1701
 	CallFailed         Number = 1801
@@ -180,6 +181,7 @@
 	{LinksBack, "links_back", "This instance reaches most replicas of the service again, after `lasted_ms` and `failed` connection attempts.", "None."},
 	{RejectionLimit, "rejection_limit", "The replicas of a service stated, changed or withdrew (`named`) how many requests each can reject within a second without failing; `by` is the instance that received the answer.", "None; calls wait at the instances or are refused there, instead of being rejected by replicas."},
 	{AnswerLimit, "answer_limit", "An upstream exceeded a `limit` of what it may send as an answer, after `bytes`; the connection was closed: `head_bytes` of the head, `head_time` from the first byte of the head to its end, `answer_bytes` of the body, `event_bytes` of one event of a stream, `idle_bytes` of a stream without an event.", "Check the upstream: it is faulty and may send such bytes without end. If its answers are larger than `--max-answer`, raise that."},
+	{UpstreamSuperseded, "upstream_superseded", "Several entries of the platform's list name this `address`. The replica is no longer used because a newer entry names another one there, or it is used again (`superseded` is false) because that entry vanished or proved wrong.", "None while replicas restart at their addresses. If it persists, find out who wrote the newer entry."},
 	{PeerFailed, "peer_failed", "An exchange with a peer failed.", "Check the network between the instances if it persists."},
 	{PolicyFailed, "policy_failed", "A policy expression failed at run time; the policy's default was used.", "Correct the expression."},
 	{CallFailed, "call_failed", "A call received a final response that is not its upstream's.", "Look the code up in docs/codes.md."},
--- a/core/pool/announced.go
+++ b/core/pool/announced.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/birchdrift/birchdrift/core/clock"
+	"github.com/birchdrift/birchdrift/core/era"
 )
 
 // An Announcement is a replica's entry in the platform's list.
@@ -27,6 +28,8 @@
 	Models   []AnnouncedModel
 	InMemory []string // models whose weights are cached in its host memory
 	OnDisk   []string // models whose weights are cached on its disk
+	// Created is the revision of the store at which the entry was created; 0 if unknown.
+	Created era.Revision
 }
 
 // An AnnouncedModel is a model that an engine has loaded, with its loaded adapters.
@@ -98,9 +101,10 @@
 const vanishedRetention = 30 * time.Second
 
 // Announce records an announcement. A restarted replica has another name, or the same name and
-// another value of Born. A replica announced at the address of another one replaces it. State
-// of a previous incarnation is discarded, except for the rest that it requested: the platform
-// identifies the replica, not its incarnation, so the rest may apply to the new one as well.
+// another value of Born. Of the replicas announced at one address, those with older entries are
+// superseded, in whatever order the entries arrive. State of a previous incarnation is discarded,
+// except for the rest that it requested: the platform identifies the replica, not its
+// incarnation, so the rest may apply to the new one as well.
 func (p *Pool) Announce(now clock.Instant, name string, a Announcement) {
 	r := p.replicas[name]
 	kind := Plain
@@ -111,8 +115,11 @@
 		Name: name, Address: a.Address, Zone: a.Zone, Kind: kind,
 		Service: a.Service, Concurrent: max(1, a.Slots), Announced: true,
 	}
+	formerAddress := a.Address
+	if r != nil {
+		formerAddress = r.Address
+	}
 	if r == nil || r.Address != a.Address || !a.sameIncarnation(r.announced) {
-		p.retireAddress(now, name, a.Address)
 		next := newReplica(spec)
 		next.seenAt = now
 		if r != nil {
@@ -138,6 +145,10 @@
 	}
 	p.mergeItems(r)
 	p.reindex()
+	p.supersede(a.Address)
+	if formerAddress != a.Address {
+		p.supersede(formerAddress)
+	}
 }
 
 // maxPastIncarnations is the number of past incarnations of a replica whose Born is remembered.
@@ -176,20 +187,51 @@
 	return a.Born == "" || former.Born == "" || a.Born == former.Born
 }
 
-// retireAddress marks all other replicas known at an address as terminated.
-func (p *Pool) retireAddress(now clock.Instant, name, address string) {
-	for _, r := range p.replicas {
-		if r.Announced && r.Address == address && r.Name != name {
-			r.listedLeaving = true
-			r.reportedLeaving = true
-			r.terminated = true
-			if r.vanishedAt.IsZero() {
-				r.vanishedAt = now
-			}
+// supersede determines which replicas announced at an address are superseded: all but those with
+// the newest entry of a replica that may still run. An address is free for another process only
+// once the former one has ended, so an older entry at the address is that of a replica that has
+// ended, unless the newer one turns out to be wrong.
+func (p *Pool) supersede(address string) {
+	var newest era.Revision
+	for _, r := range p.sorted {
+		if r.Announced && r.Address == address && r.mayRun() {
+			newest = max(newest, r.announced.Created)
+		}
+	}
+	for _, r := range p.sorted {
+		if !r.Announced || r.Address != address {
+			continue
+		}
+		if older := r.announced.Created < newest; older != r.superseded {
+			r.superseded = older
+			p.supersessions = append(p.supersessions, Supersession{Replica: r.Name, Address: address, Superseded: older})
+			p.capacityChanges++
 		}
 	}
 }
 
+// mayRun reports whether nothing shows that the replica has ended.
+func (r *Replica) mayRun() bool { return !r.terminated && !(r.Vanished() && r.listedLeaving) }
+
+// A Supersession records that a replica became superseded by another one announced at its
+// address, or is no longer.
+type Supersession struct {
+	Replica    string
+	Address    string
+	Superseded bool
+}
+
+// TakeSupersessions returns the supersessions since the last call, in the order in which they
+// happened.
+func (p *Pool) TakeSupersessions() []Supersession {
+	taken := p.supersessions
+	p.supersessions = nil
+	return taken
+}
+
+// Superseded reports whether a newer entry announces another replica at the replica's address.
+func (r *Replica) Superseded() bool { return r.superseded }
+
 // MarkVanished records that the replica's entry is missing from the list. The replica counts as
 // leaving after the grace period passed to ExpireVanished, or at the deadline if that is
 // earlier; a zero deadline means none.
@@ -204,6 +246,7 @@
 	if r.vanishedAt.IsZero() {
 		r.vanishedAt = now
 		p.capacityChanges++
+		p.supersede(r.Address)
 	}
 }
 
@@ -211,7 +254,7 @@
 // passed, and returns their names in order. It removes replicas that vanished longer than
 // vanishedRetention ago and have no calls in flight.
 func (p *Pool) ExpireVanished(now clock.Instant, grace time.Duration) []string {
-	var expired []string
+	var expired, freed []string
 	removed := false
 	for name, r := range p.replicas {
 		if r.vanishedAt.IsZero() {
@@ -222,6 +265,7 @@
 		if due && !r.listedLeaving {
 			r.listedLeaving = true
 			expired = append(expired, name)
+			freed = append(freed, r.Address)
 			p.capacityChanges++
 		}
 		if age >= vanishedRetention && len(r.inFlight) == 0 {
@@ -232,6 +276,10 @@
 	if removed {
 		p.reindex()
 	}
+	slices.Sort(freed)
+	for _, address := range freed {
+		p.supersede(address)
+	}
 	sort.Strings(expired)
 	return expired
 }
@@ -262,6 +310,7 @@
 	r.reportedLeaving = true
 	r.terminated = true
 	p.capacityChanges++
+	p.supersede(r.Address)
 }
 
 // staleReportAge is how much newer than the owner's report an announcement must be to show that
--- a/core/pool/notice.go
+++ b/core/pool/notice.go
@@ -83,7 +83,7 @@
 // LastResort reports whether the replica may receive calls that no other replica can serve: it
 // leaves only according to its own recent response, not according to the list.
 func (r *Replica) LastResort(now clock.Instant) bool {
-	return !r.listedLeaving && !r.terminated && !r.leavingAt.IsZero() && now.Since(r.leavingAt) < lastResortPeriod
+	return !r.listedLeaving && !r.terminated && !r.superseded && !r.leavingAt.IsZero() && now.Since(r.leavingAt) < lastResortPeriod
 }
 
 // ObserveNotice records the leaving and rest parts of a notice from the response to a request
@@ -111,7 +111,7 @@
 // new.
 func (p *Pool) MarkLeaving(now clock.Instant, name string) bool {
 	r := p.replicas[name]
-	if r == nil || r.Leaving() {
+	if r == nil || r.knownLeaving() {
 		return false
 	}
 	r.reportedLeaving = true
@@ -125,7 +125,7 @@
 // leaving for a long time.
 func (p *Pool) ObservePeerLeaving(name string) bool {
 	r := p.replicas[name]
-	if r == nil || r.Leaving() {
+	if r == nil || r.knownLeaving() {
 		return false
 	}
 	r.reportedLeaving = true
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -27,6 +27,7 @@
 	ready           map[string][]*Replica // by item; each list is ordered by name
 	byService       map[string][]*Replica // plain or announced replicas by service
 	capacityChanges uint64                // rises with every change that could free capacity
+	supersessions   []Supersession        // not yet taken
 }
 
 // New returns an empty pool.
--- a/core/pool/replica.go
+++ b/core/pool/replica.go
@@ -109,9 +109,8 @@
 
 // leaving records which sources reported the replica as leaving.
 type leaving struct {
-	// listedLeaving means that the platform's list shows the replica as leaving, that its entry
-	// vanished and the grace period or the deadline has passed, or that another replica was
-	// announced at its address.
+	// listedLeaving means that the platform's list shows the replica as leaving, or that its entry
+	// vanished and the grace period or the deadline has passed.
 	listedLeaving bool
 	// announcedLeaving means that an entry of this incarnation showed it as leaving.
 	announcedLeaving bool
@@ -119,6 +118,7 @@
 	reportedLeaving  bool          // a source other than the list showed it as leaving or terminated
 	leavingAt        clock.Instant // when the replica itself first reported it; zero if it did not
 	terminated       bool          // its process has ended
+	superseded       bool          // a newer entry announces another replica at its address
 }
 
 // A pendingCall is an own call in flight without a first token.
@@ -191,10 +191,13 @@
 // InFlight returns the number of this instance's own calls in flight.
 func (r *Replica) InFlight() int { return len(r.inFlight) }
 
-// Leaving reports whether any source reported the replica as leaving. One source is enough, and
-// only a later boot or another incarnation revokes its report, because the list lags behind the
-// upstream's own report.
-func (r *Replica) Leaving() bool { return r.reportedLeaving || r.listedLeaving }
+// Leaving reports whether any source reported the replica as leaving, or a newer entry supersedes
+// it. One source is enough, and only a later boot or another incarnation revokes its report,
+// because the list lags behind the upstream's own report.
+func (r *Replica) Leaving() bool { return r.knownLeaving() || r.superseded }
+
+// knownLeaving reports whether any source reported the replica as leaving.
+func (r *Replica) knownLeaving() bool { return r.reportedLeaving || r.listedLeaving }
 
 // AnnouncedLeaving reports whether an entry of this incarnation showed it as leaving.
 func (r *Replica) AnnouncedLeaving() bool { return r.announcedLeaving }
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -282,7 +282,7 @@
 	out := &peerpb.Announced{
 		Service: a.Service, Address: a.Address, Zone: a.Zone, Slots: uint32(a.Slots),
 		Draining: a.Leaving, LeftMs: uint32(a.Remaining.Milliseconds()), Born: a.Born, Software: a.Software,
-		Engine: a.Engine, HostCopies: a.InMemory, DiskCopies: a.OnDisk,
+		Engine: a.Engine, HostCopies: a.InMemory, DiskCopies: a.OnDisk, Created: uint64(a.Created),
 	}
 	for _, m := range a.Models {
 		out.Models = append(out.Models, &peerpb.AnnouncedModel{Name: m.Name, Adapters: m.Adapters})
@@ -298,6 +298,7 @@
 		Service: a.GetService(), Address: a.GetAddress(), Zone: a.GetZone(), Slots: int(a.GetSlots()),
 		Leaving: a.GetDraining(), Remaining: time.Duration(a.GetLeftMs()) * time.Millisecond, Born: a.GetBorn(), Software: a.GetSoftware(),
 		Engine: a.GetEngine(), InMemory: a.GetHostCopies(), OnDisk: a.GetDiskCopies(),
+		Created: era.Revision(a.GetCreated()),
 	}
 	for _, m := range a.GetModels() {
 		out.Models = append(out.Models, pool.AnnouncedModel{Name: m.GetName(), Adapters: m.GetAdapters()})
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -37,7 +37,7 @@
 				{Name: "b", Kind: gossip.Entry, Zone: "z", Address: "x", Leaving: true, Gone: true, Version: 11},
 				{Name: "e", Kind: gossip.Upstream, Zone: "z", Version: 25, Announced: &pool.Announcement{
 					Service: "s", Address: "127.0.0.1:2", Zone: "z", Slots: 26, Leaving: true, Remaining: 27 * time.Millisecond, Born: "28", Software: "v1", Engine: true,
-					Models: []pool.AnnouncedModel{{Name: "m", Adapters: []string{"a"}}}, InMemory: []string{"m"}, OnDisk: []string{"n"},
+					Models: []pool.AnnouncedModel{{Name: "m", Adapters: []string{"a"}}}, InMemory: []string{"m"}, OnDisk: []string{"n"}, Created: 24,
 				}},
 			},
 			Holders: []gossip.LeaseHolder{{Zone: "z", Instance: "a", Fence: 12}},
