A call that takes up a stream has all of the service that began it, and nothing of another

Cause: the call was admitted at the service that its route drew: with that service's model, traits, retry budget and demand. When the service that began the stream was found, takeUpAt replaced the service and the traits and left the rest, so modelETA asked a service without engines for a model. In the other direction the call had no model: it was sent to any engine, whether the model was resident or not. The quarantine was checked before the call moved.

Without the change, TestTakenUpStreamsBelongToTheServiceThatBeganThem and TestTakenUpStreamsAreQuarantinedByTheirService end with the trace of the case, and TestTakenUpStreamsWithoutAReplica fails for a call that moves the other way. TestCallsOutliveTheEnginesOfTheirService (a configuration gives a service engines or takes them away while a call waits or is sent) passes on both, and is kept.

Why this works: such a call has no service until that is known, and one function fills in all that depends on a service, for new calls too; so nothing can be left of another one.

--- a/core/forwarding/forwarding.go
+++ b/core/forwarding/forwarding.go
@@ -77,9 +77,9 @@
 // A state is the state of a forwarded call in addition to that of every call.
 type state struct {
 	route          *config.Forward
-	service        config.Service
+	service        config.Service // the zero value until a call that takes up a stream knows it
 	request        modelRequest
-	traits         []crash.Trait // of its request
+	traits         []crash.Trait // of its request at its service
 	takeUp         takeUp
 	origin         streamOrigin // of the stream, once it has begun
 	progress       progress
@@ -175,10 +175,6 @@
 	if !ok || service.Announced == nil {
 		return calls.NotRunRefusal(code.NoReplica, fmt.Sprintf("no service %q", name), calls.MinRetryAfter), false
 	}
-	traits := c.Forward.Identity().Traits(name)
-	if left := f.Quarantine.Remaining(now, traits); left > 0 {
-		return quarantinedRefusal(left), false
-	}
 	limit := rule.Timeout
 	if d := c.Forward.Deadline; d > 0 && d < limit {
 		limit = d
@@ -188,17 +184,41 @@
 	c.Expires = now.Add(limit)
 	c.Priority = rankPriority(rule.Priority)
 	c.History = attempt.New(rule.MayRepeat() && c.Replayable)
-	s := &state{route: rule, service: service, traits: traits, progress: progress{lastEvent: c.Forward.LastEvent}}
+	s := &state{route: rule, progress: progress{lastEvent: c.Forward.LastEvent}, takeUp: newTakeUp(c, rule)}
 	c.State = s
-	s.takeUp = newTakeUp(c, rule)
+	if s.takeUp.wanted {
+		return code.Refusal{}, true // the service that began the stream serves it, see takeUpAt
+	}
+	f.assign(c, service)
+	if left := f.Quarantine.Remaining(now, s.traits); left > 0 {
+		return quarantinedRefusal(left), false
+	}
+	f.recordArrival(now, c)
+	return code.Refusal{}, true
+}
+
+// assign makes a service the one that serves the call, and fills in all state of the call that
+// depends on its service.
+func (f *Forwarder) assign(c *calls.Call, service config.Service) {
+	s := stateOf(c)
+	c.Service = service.Name
+	s.service = service
+	s.traits = c.Forward.Identity().Traits(service.Name)
+	c.Item = ""
+	s.request = modelRequest{}
 	if service.Announced.Engine != nil && c.Forward.Model != "" {
 		f.setModel(c, s)
 	}
-	f.Budget.RecordCall(now, name)
+}
+
+// recordArrival counts the call in the retry budget of its service and in the demand for its
+// model.
+func (f *Forwarder) recordArrival(now clock.Instant, c *calls.Call) {
+	f.Budget.RecordCall(now, c.Service)
 	if c.Item != "" {
+		s := stateOf(c)
 		f.Demand.RecordCall(now, s.request.model, f.estimateWork(c, s))
 	}
-	return code.Refusal{}, true
 }
 
 // setModel fills in the model request of the call.
--- a/core/forwarding/place.go
+++ b/core/forwarding/place.go
@@ -21,14 +21,14 @@
 // findReplica sends the call to the best replica, orders what must be loaded there
 // first, makes the call wait, or refuses it.
 func (f *Forwarder) findReplica(now clock.Instant, c *calls.Call) {
-	if left := f.Quarantine.Remaining(now, stateOf(c).traits); left > 0 {
-		f.Calls.Refuse(c, quarantinedRefusal(left))
-		return
-	}
 	if !f.resolveTakeUp(now, c) {
 		return
 	}
 	s := stateOf(c)
+	if left := f.Quarantine.Remaining(now, s.traits); left > 0 {
+		f.Calls.Refuse(c, quarantinedRefusal(left))
+		return
+	}
 	if f.mustDelay(now, c, s) {
 		f.Calls.Enqueue(c)
 		return
--- a/core/forwarding/streams.go
+++ b/core/forwarding/streams.go
@@ -158,9 +158,9 @@
 	a := f.Streams.Find(now, q)
 	switch {
 	case a.Known:
-		return f.takeUpAt(c, a.Origin, "here")
+		return f.takeUpAt(now, c, a.Origin, "here")
 	case a.Sole && !a.Ambiguous && len(s.route.Split) == 1:
-		return f.takeUpAt(c, a.Origin, "only_one")
+		return f.takeUpAt(now, c, a.Origin, "only_one")
 	case !a.Ambiguous && q.ID != 0 && !s.takeUp.asked && f.Streams.Ask(now, c.ID, q):
 		s.takeUp.asked = true
 		f.Calls.EnterPhase(c, calls.AwaitingOrigin)
@@ -178,17 +178,18 @@
 	}
 	c.Phase = calls.Waiting
 	switch {
-	case a.Known && !f.takeUpAt(c, a.Origin, "peer"):
+	case a.Known && !f.takeUpAt(now, c, a.Origin, "peer"):
 		return
-	case a.Sole && len(stateOf(c).route.Split) == 1 && !f.takeUpAt(c, a.Origin, "peer"):
+	case a.Sole && len(stateOf(c).route.Split) == 1 && !f.takeUpAt(now, c, a.Origin, "peer"):
 		return
 	}
 	f.findReplica(now, c)
 }
 
-// takeUpAt makes a call go on with a stream that a version of a service began, and reports whether
-// its route allows that. known says from where the version is known, for the log.
-func (f *Forwarder) takeUpAt(c *calls.Call, o streams.Origin, known string) bool {
+// takeUpAt assigns a call to the service that began its stream, to go on with it at the version that
+// began it, and reports whether its route allows that. known says from where the version is known,
+// for the log.
+func (f *Forwarder) takeUpAt(now clock.Instant, c *calls.Call, o streams.Origin, known string) bool {
 	s := stateOf(c)
 	f.logTakeUp(c, known, o.Software)
 	service, ok := f.Config.Service(o.Service)
@@ -196,11 +197,10 @@
 		f.Calls.Refuse(c, calls.NotRunRefusal(code.VersionGone, "its route does not lead to the service that began it", 0))
 		return false
 	}
-	c.Service = o.Service
-	s.service = service
-	s.traits = c.Forward.Identity().Traits(o.Service)
+	f.assign(c, service)
 	s.origin = streamOrigin{known: true, software: o.Software}
 	c.Priority = rankPriority(s.rank())
+	f.recordArrival(now, c)
 	return true
 }
 
--- a/core/forwarding/streams_test.go
+++ b/core/forwarding/streams_test.go
@@ -11,7 +11,9 @@
 	"github.com/birchdrift/birchdrift/core/calls"
 	"github.com/birchdrift/birchdrift/core/code"
 	"github.com/birchdrift/birchdrift/core/config"
+	"github.com/birchdrift/birchdrift/core/crash"
 	"github.com/birchdrift/birchdrift/core/pool"
+	"github.com/birchdrift/birchdrift/core/registry"
 	"github.com/birchdrift/birchdrift/core/route"
 	"github.com/birchdrift/birchdrift/core/streams"
 )
@@ -303,3 +305,205 @@
 		})
 	}
 }
+
+// splitServices returns a configuration with a route that is split between a service that runs models
+// (llm) and one that does not (desk). It sends nearly all calls to the service first.
+func splitServices(t *testing.T, first string) *config.Snapshot {
+	t.Helper()
+	return newSnapshot(t, splitDocument(first))
+}
+
+func newSnapshot(t *testing.T, d config.Document) *config.Snapshot {
+	t.Helper()
+	snapshot, err := config.NewSnapshot(d)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return snapshot
+}
+
+func splitDocument(first string) config.Document {
+	weights := map[string]int{"llm": 1, "desk": 1}
+	weights[first] = 1e6
+	engines := &config.EnginePool{
+		Sequences: 8, CacheTokens: 1000, MemoryMB: 100, MaxAdapters: 2, LoadsPerSecond: 1,
+		Models: []config.PooledModel{{Name: "m", MemoryMB: 70, LoadTime: 4 * time.Second, DiskLoadTime: 800 * time.Millisecond, AdapterCount: 1, AdapterMB: 1}},
+	}
+	return config.Document{
+		Revision: 1,
+		Services: []config.Service{
+			{Name: "llm", Announced: &config.Announced{MaxConnections: 9, Engine: engines}},
+			{Name: "desk", Announced: &config.Announced{MaxConnections: 9}},
+		},
+		Forwards: []config.Forward{{
+			Name: "r", Host: "h", Prefix: "/", Kind: config.Stream, Resumable: true, Timeout: 5 * time.Second, Target: 2 * time.Second, MaxAttempts: 2,
+			Split: []config.Share{{Service: "llm", Weight: weights["llm"]}, {Service: "desk", Weight: weights["desk"]}},
+		}},
+	}
+}
+
+// splitReplicas adds replicas of both services: of two engines of each version one holds model m.
+func (f *Forwarder) splitReplicas() {
+	held := []pool.AnnouncedModel{{Name: "m"}}
+	for name, a := range map[string]pool.Announcement{
+		"engine-empty": {Service: "llm", Software: "v1", Engine: true}, "engine-m": {Service: "llm", Software: "v1", Engine: true, Models: held},
+		"engine-v2": {Service: "llm", Software: "v2", Engine: true, Models: held}, "plain": {Service: "desk", Software: "v1"}, "plain-v2": {Service: "desk", Software: "v2"},
+	} {
+		a.Address, a.Zone, a.Slots = name, "z", 8
+		f.Pool.Announce(start, name, a)
+	}
+}
+
+// takeUpOfModel returns a request that takes up the stream "first" and names model m and a part of
+// its prompt.
+func takeUpOfModel() calls.Request {
+	return calls.Request{ID: 2, Path: "/x", Replayable: true, PromptTokens: 100, MaxTokens: 100, Forward: &calls.ForwardRequest{
+		Name: "again", Fingerprint: 7, Host: "h", Model: "m", Parts: []route.PromptPart{{ID: 5, Tokens: 50}, {ID: 6, Tokens: 50}}, Resumes: "first", LastEvent: 3,
+	}}
+}
+
+// TestTakenUpStreamsBelongToTheServiceThatBeganThem checks that a call which takes up a stream has nothing
+// of the service that its route drew for it, but all of the one that began the stream: model, quarantine, retry
+// budget and demand. It guards against calls that ask a service without models when it will have one,
+// which ended the process.
+func TestTakenUpStreamsBelongToTheServiceThatBeganThem(t *testing.T) {
+	for _, c := range []struct {
+		first, began, replica, item string
+		demand                      int // models for which a call was counted
+	}{
+		{"llm", "desk", "plain", "", 0},
+		{"desk", "desk", "plain", "", 0},
+		{"desk", "llm", "engine-m", "m", 1},
+		{"llm", "llm", "engine-m", "m", 1},
+	} {
+		for _, known := range []string{"here", "at a peer"} {
+			t.Run(fmt.Sprintf("drawn %s, began at %s, known %s", c.first, c.began, known), func(t *testing.T) {
+				is := is.New(t)
+				f := testForwarder(t)
+				f.Config.Snapshot = splitServices(t, c.first)
+				f.splitReplicas()
+				origin := streams.Origin{Service: c.began, Software: "v1"}
+				if known == "here" {
+					f.Streams.Begun(start, streams.NewID("h", "first"), origin, pool.Incarnation{})
+				} else {
+					f.Members.Upsert("p", "z", "p")
+				}
+				r := takeUpOfModel()
+				f.Arrive(start, r, false)
+				if known != "here" {
+					is.Equal(f.Calls.Get(r.ID).Phase, calls.AwaitingOrigin)
+					f.OriginFound(start, r.ID, streams.Answer{Known: true, Origin: origin})
+				}
+				call := f.Calls.Get(r.ID)
+				is.Equal(call.Phase, calls.Running)
+				is.Equal(call.Service, c.began)
+				is.Equal(call.Item, c.item)
+				d := f.dispatches()[r.ID]
+				is.Equal(d.Replica, c.replica)
+				is.Equal(d.Model, c.item)
+				is.Equal(d.Forward.Priority >= 0, c.item != "")
+				is.Equal(stateOf(call).traits, r.Forward.Identity().Traits(c.began))
+				is.Equal(len(f.Demand.Items(start)), c.demand)
+				for _, service := range []string{"llm", "desk"} {
+					counted := map[bool]int{true: 1}[service == c.began]
+					is.Equal(f.Budget.Usage(start, service).Calls, counted)
+				}
+			})
+		}
+	}
+}
+
+// TestTakenUpStreamsWithoutAReplica checks that a call which takes up a stream of a service without
+// replicas of its version is refused at once, whichever service its route drew, and that one whose model
+// no engine of the version holds waits for the model.
+func TestTakenUpStreamsWithoutAReplica(t *testing.T) {
+	for _, c := range []struct {
+		first, began string
+		waits        bool
+	}{{"llm", "desk", false}, {"desk", "desk", false}, {"desk", "llm", true}, {"llm", "llm", true}} {
+		t.Run(fmt.Sprintf("drawn %s, began at %s", c.first, c.began), func(t *testing.T) {
+			is := is.New(t)
+			f := testForwarder(t)
+			f.Config.Snapshot = splitServices(t, c.first)
+			f.splitReplicas()
+			f.Pool.Announce(start, "engine-empty", pool.Announcement{Service: "llm", Address: "engine-empty", Zone: "z", Slots: 8, Software: "v1", Engine: true, OnDisk: []string{"m"}})
+			f.Pool.MarkTerminated("engine-m")
+			f.Pool.MarkTerminated("plain")
+			f.Streams.Begun(start, streams.NewID("h", "first"), streams.Origin{Service: c.began, Software: "v1"}, pool.Incarnation{})
+			r := takeUpOfModel()
+			f.Arrive(start, r, false)
+			is.Equal(len(f.dispatches()), 0)
+			refused, _ := finalAnswers(f.Out)
+			if c.waits {
+				is.True(f.Calls.Queued(f.Calls.Get(r.ID)))
+				return
+			}
+			is.Equal(refused[r.ID].Code, code.VersionGone)
+			is.Equal(refused[r.ID].Run, code.NotRun)
+		})
+	}
+}
+
+// TestTakenUpStreamsAreQuarantinedByTheirService checks that a quarantined part of prompts keeps a call from
+// taking up a stream of the service at which replicas crashed under the part, and of no other.
+func TestTakenUpStreamsAreQuarantinedByTheirService(t *testing.T) {
+	for _, first := range []string{"llm", "desk"} {
+		for _, crashed := range []string{"llm", "desk"} {
+			for _, began := range []string{"llm", "desk"} {
+				t.Run(fmt.Sprintf("drawn %s, crashed at %s, began at %s", first, crashed, began), func(t *testing.T) {
+					is := is.New(t)
+					f := testForwarder(t)
+					f.Config.Snapshot = splitServices(t, first)
+					f.splitReplicas()
+					f.Streams.Begun(start, streams.NewID("h", "first"), streams.Origin{Service: began, Software: "v1"}, pool.Incarnation{})
+					r := takeUpOfModel()
+					part := crash.Cause{r.Forward.Identity().Traits(crashed)[1]}
+					f.Quarantine.Restored(start, registry.Quarantine{ID: part.ID(), Replicas: 3, Traits: part})
+					f.Arrive(start, r, false)
+					refused, _ := finalAnswers(f.Out)
+					is.Equal(refused[r.ID].Code == code.Quarantined, crashed == began)
+					is.Equal(len(f.dispatches()) == 1, crashed != began)
+				})
+			}
+		}
+	}
+}
+
+// TestCallsOutliveTheEnginesOfTheirService checks that a call goes on by the service that it was admitted to if a
+// configuration takes away the service's engines, or gives it some, while the call waits or is sent.
+func TestCallsOutliveTheEnginesOfTheirService(t *testing.T) {
+	with := splitServices(t, "llm")
+	document := splitDocument("llm")
+	document.Services[0].Announced = &config.Announced{MaxConnections: 9}
+	without := newSnapshot(t, document)
+	for _, c := range []struct {
+		name   string
+		before bool // the service has engines when the call arrives
+		loaded bool // its model is resident
+	}{{"taken away, waiting", true, false}, {"taken away, sent", true, true}, {"given, sent", false, true}} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := testForwarder(t)
+			f.Config.Snapshot = map[bool]*config.Snapshot{true: with, false: without}[c.before]
+			announcement := pool.Announcement{Service: "llm", Address: "e", Zone: "z", Slots: 8, Software: "v1", Engine: true, OnDisk: []string{"m"}}
+			if c.loaded {
+				announcement.Models = []pool.AnnouncedModel{{Name: "m"}}
+			}
+			f.Pool.Announce(start, "e", announcement)
+			r := takeUpOfModel()
+			r.Forward.Resumes, r.Forward.LastEvent = "", 0
+			f.Arrive(start, r, false)
+			call := f.Calls.Get(r.ID)
+			f.Config.Snapshot = map[bool]*config.Snapshot{true: without, false: with}[c.before]
+			if call.Phase == calls.Running {
+				f.attemptFailed(start.Add(time.Millisecond), call, calls.AttemptFailed{Attempt: 1, Phase: attempt.NotSent})
+			} else {
+				announcement.Models = []pool.AnnouncedModel{{Name: "m"}}
+				f.Pool.Announce(start, "e", announcement)
+				f.Calls.RetryQueued(start.Add(time.Millisecond))
+			}
+			is.Equal(f.dispatches()[r.ID].Replica, "e")
+			is.Equal(call.Item, map[bool]string{true: "m"}[c.before])
+		})
+	}
+}
