Tests: a superseded replica is no last resort, and an expired one supersedes none

Without the exclusion in LastResort the first fails; without the call in ExpireVanished the second does.

--- a/core/pool/replica_test.go
+++ b/core/pool/replica_test.go
@@ -108,3 +108,30 @@
 	p.Announce(now, "r", Announcement{Service: "s", Address: "r", Zone: "z", Slots: 4})
 	is.True(p.Get("r").Usable())
 }
+
+// TestASupersededReplicaIsNoLastResort checks that a replica which reported itself as leaving gets no
+// call of the last resort once another one was announced at its address.
+func TestASupersededReplicaIsNoLastResort(t *testing.T) {
+	is := is.New(t)
+	now := clocktest.At(time.Hour)
+	p := New()
+	p.Announce(now, "r", Announcement{Service: "s", Address: "a", Zone: "z", Slots: 4, Created: 1})
+	p.MarkLeaving(now, "r")
+	is.True(p.Get("r").LastResort(now))
+	p.Announce(now, "next", Announcement{Service: "s", Address: "a", Zone: "z", Slots: 4, Created: 2})
+	is.True(!p.Get("r").LastResort(now))
+}
+
+// TestAnExpiredReplicaSupersedesNone checks that a replica supersedes others at its address while its
+// entry may have vanished by mistake, and no longer.
+func TestAnExpiredReplicaSupersedesNone(t *testing.T) {
+	is := is.New(t)
+	now := clocktest.At(time.Hour)
+	p := New()
+	p.Announce(now, "r", Announcement{Service: "s", Address: "a", Zone: "z", Slots: 4, Created: 1})
+	p.Announce(now, "next", Announcement{Service: "s", Address: "a", Zone: "z", Slots: 4, Created: 2})
+	p.MarkVanished(now, "next", clock.Instant{})
+	is.True(p.Get("r").Superseded())
+	p.ExpireVanished(now.Add(VanishedGracePeriod), VanishedGracePeriod)
+	is.True(!p.Get("r").Superseded())
+}
