--- a/core/bounds/rejections.go
+++ b/core/bounds/rejections.go
@@ -16,6 +16,8 @@
 	// maxRejectionTokens bounds the tokens of one replica: more requests than any replica has
 	// without an answer.
 	maxRejectionTokens = 64
+	// maxRoom bounds the room that is counted, and so the work of assigning the tokens of a replica.
+	maxRoom = 1024
 	// roomReserve is the number of places of a replica that are left out of account, since a new
 	// connection may take one.
 	roomReserve = 1
@@ -43,7 +45,7 @@
 // reject nothing and whose room is unknown gets one request at a time, since it would serve
 // nothing otherwise.
 func NewRejections(limit, places int) Rejections {
-	room := max(0, places-roomReserve)
+	room := min(max(0, places-roomReserve), maxRoom)
 	usable := limit - int(rejectionReserve*float64(limit))
 	return Rejections{
 		Limit:  limit,
--- a/core/bounds/rejections_test.go
+++ b/core/bounds/rejections_test.go
@@ -1,6 +1,7 @@
 package bounds
 
 import (
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -31,6 +32,17 @@
 	is.Equal(small.RejectionSettle(true), small.Leave)
 }
 
+// TestTokensOfAnyRoomAreFew checks that a replica that states very many places has few enough tokens to
+// assign them one by one. It guards against an entry that keeps the instances from anything else.
+func TestTokensOfAnyRoomAreFew(t *testing.T) {
+	for _, places := range []int{1 << 16, 1 << 32, math.MaxInt} {
+		is := is.New(t)
+		r := NewRejections(4, places)
+		is.True(r.Tokens <= maxRoom+maxRejectionTokens)
+		is.True(maxWithinWindow(r) <= 4)
+	}
+}
+
 // TestTokensBoundRejections sends requests by tokens to a replica that takes no more than its
 // places, as fast as the tokens allow, and counts the rejections within each window.
 func TestTokensBoundRejections(t *testing.T) {
--- a/core/route/forward.go
+++ b/core/route/forward.go
@@ -381,7 +381,7 @@
 		e.Ahead = time.Duration(e.Calls-slots+1) * serviceTime / time.Duration(slots)
 	}
 	// Replicas become slower as they fill up.
-	e.Other += time.Duration(e.Calls) * serviceTime / time.Duration(fullSlowdownDivisor*slots)
+	e.Other += time.Duration(e.Calls) * serviceTime / fullSlowdownDivisor / time.Duration(slots)
 }
 
 // maxPlainServiceTime caps a plain replica's service time in estimates, so that a
--- a/core/route/forward_test.go
+++ b/core/route/forward_test.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -199,6 +200,21 @@
 	}
 }
 
+// TestSlotsOfAnyNumberAreCompared guards against an entry with so many slots that a multiple of them
+// overflows, which ended the process with a division by zero.
+func TestSlotsOfAnyNumberAreCompared(t *testing.T) {
+	for _, slots := range []int{1 << 60, 1 << 61, 1 << 62, math.MaxInt} {
+		is := is.New(t)
+		p := pool.New()
+		p.Announce(start, "odd", pool.Announcement{Service: "s", Address: "odd", Zone: "z", Slots: slots})
+		p.Announce(start, "r", pool.Announcement{Service: "s", Address: "r", Zone: "z", Slots: 4})
+		p.Get("odd").Start(start, 1)
+		best, ok := NewRouter().Choose(start, Query{Zone: "z"}, p.Serving("s"))
+		is.True(ok)
+		is.True(best.Other >= 0 && best.Ahead >= 0)
+	}
+}
+
 // Guards against equal engines that get unequal shares of calls with one shared part, because the one that
 // rendezvous hashing selects for that part is taken for faster though both hold it.
 func TestEnginesThatHoldTheFirstPartAreEqual(t *testing.T) {
