A newer entry at the address of a running replica supersedes it for five seconds at most

What callers would see: another writer leaves an entry that names the address of a sound replica, for a service that gets no calls. The sound replica was out of use for as long as the entry lasted (before: for good), because only a call to the wrong one shows that it is wrong.

Cause: found by reading, while odd entries were looked at. A newer entry was believed without limit.

Evidence: TestAWrongNewerEntryIsRevoked, "both entries last", fails without the change.

Why this works: the entry of a replica that has ended vanishes after three heartbeats, so if both entries last longer, either may be wrong. The older replica is then used if there is no better one. If it has ended, the answer of the other one (421) shows it, and the call goes elsewhere; if it runs, its answer proves it.

--- a/core/listing/address_test.go
+++ b/core/listing/address_test.go
@@ -136,6 +136,25 @@
 		}, true},
 		{"the entry is moved", func(l *List) { l.HandleReply(now, Reply{Entries: []gossip.Listed{moved}, Version: 30}) }, true},
 		{"a call is answered by the other replica", func(l *List) { l.Pool.MarkTerminated("wrong") }, true},
+		{"both entries last", func(l *List) {
+			l.Tick(now)
+			l.Tick(now.Add(pool.MaxSupersession))
+			l.HandleReply(now, Reply{Entries: []gossip.Listed{entryAt("wrong", "", 20, 40)}, Version: 40}) // it is written again
+		}, true},
+		{"both entries last for a moment", func(l *List) {
+			l.Tick(now)
+			l.Tick(now.Add(pool.MaxSupersession - time.Millisecond))
+		}, false},
+		{"both entries last, and a third one comes", func(l *List) {
+			l.Tick(now)
+			l.Tick(now.Add(pool.MaxSupersession))
+			l.HandleReply(now, Reply{Entries: []gossip.Listed{entryAt("next", "", 40, 40)}, Version: 40})
+		}, false},
+		{"both entries last, and a call is answered by the replica of the newer", func(l *List) {
+			l.Tick(now)
+			l.Tick(now.Add(pool.MaxSupersession))
+			l.Pool.MarkTerminated("sound")
+		}, false},
 		{"both are missing from a full read", func(l *List) {
 			l.HandleReply(now, Reply{Version: 30, Whole: true})
 			l.Tick(now.Add(pool.VanishedGracePeriod))
--- a/core/pool/announced.go
+++ b/core/pool/announced.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"sort"
 	"strings"
 	"time"
 
@@ -187,6 +186,11 @@
 	return a.Born == "" || former.Born == "" || a.Born == former.Born
 }
 
+// MaxSupersession is how long a newer entry supersedes a replica whose own entry lasts: longer than
+// the entry of a replica that has ended lasts while the store works. After that either entry may be
+// wrong.
+const MaxSupersession = 5 * time.Second
+
 // supersede determines which replicas announced at an address are superseded: all but those with
 // the newest entry of a replica that may still run. An address is free for another process only
 // once the former one has ended, so an older entry at the address is that of a replica that has
@@ -199,20 +203,44 @@
 		}
 	}
 	for _, r := range p.sorted {
-		if !r.Announced || r.Address != address {
-			continue
-		}
-		if older := r.announced.Created < newest; older != r.superseded {
-			r.superseded = older
-			p.supersessions = append(p.supersessions, Supersession{Replica: r.Name, Address: address, Superseded: older})
-			p.capacityChanges++
+		if r.Announced && r.Address == address {
+			r.supersededBy = newest
+			p.setSuperseded(r, max(r.announced.Created, r.disputed) < newest)
 		}
 	}
 }
 
+// setSuperseded changes whether the replica is superseded.
+func (p *Pool) setSuperseded(r *Replica, superseded bool) {
+	if superseded == r.superseded {
+		return
+	}
+	r.superseded = superseded
+	r.supersededAt = clock.Instant{}
+	p.supersessions = append(p.supersessions, Supersession{Replica: r.Name, Address: r.Address, Superseded: superseded})
+	p.capacityChanges++
+}
+
+// expireSupersession ends the supersession of a replica after MaxSupersession.
+func (p *Pool) expireSupersession(now clock.Instant, r *Replica) {
+	switch {
+	case !r.superseded:
+	case r.supersededAt.IsZero():
+		r.supersededAt = now
+	case now.Since(r.supersededAt) >= MaxSupersession:
+		r.disputed = r.supersededBy
+		r.proven = false
+		p.setSuperseded(r, false)
+	}
+}
+
 // mayRun reports whether nothing shows that the replica has ended.
 func (r *Replica) mayRun() bool { return !r.terminated && !(r.Vanished() && r.listedLeaving) }
 
+// Disputed reports whether the address of the replica is in dispute: a newer entry has named it for
+// another replica for MaxSupersession, and this one has answered no call since.
+func (r *Replica) Disputed() bool { return r.disputed > r.announced.Created && !r.proven }
+
 // A Supersession records that a replica became superseded by another one announced at its
 // address, or is no longer.
 type Supersession struct {
@@ -252,14 +280,17 @@
 
 // ExpireVanished marks vanished replicas as leaving once the grace period or their deadline has
 // passed, and returns their names in order. It removes replicas that vanished longer than
-// vanishedRetention ago and have no calls in flight.
+// vanishedRetention ago and have no calls in flight. It also ends supersessions that have lasted
+// for MaxSupersession.
 func (p *Pool) ExpireVanished(now clock.Instant, grace time.Duration) []string {
 	var expired, freed []string
 	removed := false
-	for name, r := range p.replicas {
+	for _, r := range p.sorted {
+		p.expireSupersession(now, r)
 		if r.vanishedAt.IsZero() {
 			continue
 		}
+		name := r.Name
 		age := now.Since(r.vanishedAt)
 		due := age >= grace || !r.leavingDeadline.IsZero() && !now.Before(r.leavingDeadline)
 		if due && !r.listedLeaving {
@@ -276,11 +307,9 @@
 	if removed {
 		p.reindex()
 	}
-	slices.Sort(freed)
 	for _, address := range freed {
 		p.supersede(address)
 	}
-	sort.Strings(expired)
 	return expired
 }
 
--- a/core/pool/notice.go
+++ b/core/pool/notice.go
@@ -140,5 +140,6 @@
 		p.capacityChanges++
 	}
 	r.rest.peersUntil = clock.Instant{} // it serves calls, even if it rejected peers
+	r.proven = true
 	r.FirstTokenReceived(now, call, false)
 }
--- a/core/pool/replica.go
+++ b/core/pool/replica.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/birchdrift/birchdrift/core/clock"
+	"github.com/birchdrift/birchdrift/core/era"
 	"github.com/birchdrift/birchdrift/core/limit"
 )
 
@@ -118,7 +119,18 @@
 	reportedLeaving  bool          // a source other than the list showed it as leaving or terminated
 	leavingAt        clock.Instant // when the replica itself first reported it; zero if it did not
 	terminated       bool          // its process has ended
-	superseded       bool          // a newer entry announces another replica at its address
+	supersession
+}
+
+// supersession is the state of a replica at whose address a newer entry announces another one.
+type supersession struct {
+	superseded   bool
+	supersededBy era.Revision  // creation of the newer entry
+	supersededAt clock.Instant // when it was first seen to be superseded; zero: not yet
+	// disputed is the creation of the newest entry that superseded the replica for
+	// MaxSupersession; 0 if none did.
+	disputed era.Revision
+	proven   bool // it has answered a call since
 }
 
 // A pendingCall is an own call in flight without a first token.
--- a/core/pool/replica_test.go
+++ b/core/pool/replica_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/birchdrift/birchdrift/core/clock"
 	"github.com/birchdrift/birchdrift/core/clock/clocktest"
+	"github.com/birchdrift/birchdrift/core/era"
 )
 
 // TestEjection checks that consecutive failures eject a replica, for longer each time, and that
@@ -135,3 +136,29 @@
 	p.ExpireVanished(now.Add(VanishedGracePeriod), VanishedGracePeriod)
 	is.True(!p.Get("r").Superseded())
 }
+
+// TestADisputedReplicaIsProvenByAnAnswer checks that a replica at whose address a newer entry has named another
+// one for a while counts as disputed until it answers a call, and again if a still newer entry does.
+func TestADisputedReplicaIsProvenByAnAnswer(t *testing.T) {
+	is := is.New(t)
+	now := clocktest.At(time.Hour)
+	p := New()
+	dispute := func(other string, created era.Revision) {
+		p.Announce(now, other, Announcement{Service: "s", Address: "a", Zone: "z", Slots: 4, Created: created})
+		is.True(p.Get("r").Superseded())
+		p.ExpireVanished(now, VanishedGracePeriod)
+		now = now.Add(MaxSupersession)
+		p.ExpireVanished(now, VanishedGracePeriod)
+		is.True(p.Get("r").Usable() && p.Get("r").Disputed())
+	}
+	p.Announce(now, "r", Announcement{Service: "s", Address: "a", Zone: "z", Slots: 4, Created: 1})
+	is.True(!p.Get("r").Disputed())
+	dispute("other", 2)
+	p.Get("r").Start(now, 1)
+	p.AnswerBegan(now, p.Get("r"), 1)
+	is.True(!p.Get("r").Disputed())
+	dispute("another", 3)
+	p.Announce(now, "r", Announcement{Service: "s", Address: "a", Zone: "z", Slots: 4, Created: 4}) // its entry was lost and written again
+	is.True(!p.Get("r").Disputed())
+	is.True(p.Get("another").Superseded())
+}
--- a/core/route/forward.go
+++ b/core/route/forward.go
@@ -282,7 +282,7 @@
 	} else {
 		e.Other += linkCost(now, r)
 	}
-	if r.Vanished() {
+	if r.Vanished() || r.Disputed() {
 		e.Other += vanishedCost
 	}
 	if q.LoadCost != nil {
@@ -363,8 +363,8 @@
 // peer's call, so that calls go to other replicas.
 const suspectedCost = 200 * time.Millisecond
 
-// vanishedCost is added for a replica whose entry has vanished from the platform's list,
-// so that calls go to other replicas if there are any.
+// vanishedCost is added for a replica whose entry has vanished from the platform's list, or
+// whose address is in dispute, so that calls go to other replicas if there are any.
 const vanishedCost = 500 * time.Millisecond
 
 // fullSlowdownDivisor defines how much slower a plain replica is when it is full: by its
--- a/core/route/forward_test.go
+++ b/core/route/forward_test.go
@@ -164,6 +164,20 @@
 		{"the entry of a has vanished", true, func(_ *Router, p *pool.Pool, _, _ *pool.Replica, _ *Query) {
 			p.MarkVanished(start, "a", clock.Instant{})
 		}, "b"},
+		{"a newer entry names another replica at the address of a", true, func(_ *Router, p *pool.Pool, _, _ *pool.Replica, _ *Query) {
+			p.Announce(start, "other", pool.Announcement{Service: "t", Address: "a", Zone: "z", Slots: 4, Created: 2})
+		}, "b"},
+		{"a newer entry has named another replica at the address of a for long", true, func(_ *Router, p *pool.Pool, _, _ *pool.Replica, _ *Query) {
+			p.Announce(start, "other", pool.Announcement{Service: "t", Address: "a", Zone: "z", Slots: 4, Created: 2})
+			p.ExpireVanished(start.Add(-pool.MaxSupersession), pool.VanishedGracePeriod)
+			p.ExpireVanished(start, pool.VanishedGracePeriod)
+		}, "b"},
+		{"the same, and there is no other", true, func(_ *Router, p *pool.Pool, _, _ *pool.Replica, _ *Query) {
+			p.Announce(start, "other", pool.Announcement{Service: "t", Address: "a", Zone: "z", Slots: 4, Created: 2})
+			p.ExpireVanished(start.Add(-pool.MaxSupersession), pool.VanishedGracePeriod)
+			p.ExpireVanished(start, pool.VanishedGracePeriod)
+			p.MarkTerminated("b")
+		}, "a"},
 		{"a must load the item first", true, func(_ *Router, _ *pool.Pool, _, _ *pool.Replica, q *Query) {
 			q.LoadCost = func(r *pool.Replica) (time.Duration, bool) {
 				if r.Name == "a" {
