Peers are told of the streams of split routes, also while each service has one version

Cause: while a service has one version, that version is known to have begun any stream of the service, so nobody was told of its streams. On a split route that leaves open which service began the stream, and the record went with the instance.

Evidence: without the change TestStreamsOfSplitRoutesAreTold and TestPeersHearOfStreamsOfSplitRoutes fail.

Why this works: the keepers hear of each stream of such a route, as they do while several versions serve. A service is never guessed.

--- a/core/forwarding/streams.go
+++ b/core/forwarding/streams.go
@@ -125,8 +125,9 @@
 		s.origin.at = now
 	}
 	o := streams.Origin{Service: c.Service, Software: s.origin.software}
-	f.Streams.Begun(now, streams.NewID(c.Forward.Host, c.Forward.Name), o, s.origin.replica)
-	f.Streams.Begun(now, s.takeUp.stream, o, s.origin.replica)
+	split := len(s.route.Split) > 1
+	f.Streams.Begun(now, streams.NewID(c.Forward.Host, c.Forward.Name), o, s.origin.replica, split)
+	f.Streams.Begun(now, s.takeUp.stream, o, s.origin.replica, split)
 }
 
 // doubtOrigin marks the stream of a call as one that is not continued, if the replica that began it
--- a/core/forwarding/streams_test.go
+++ b/core/forwarding/streams_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/birchdrift/birchdrift/core/attempt"
 	"github.com/birchdrift/birchdrift/core/calls"
+	"github.com/birchdrift/birchdrift/core/clock"
 	"github.com/birchdrift/birchdrift/core/code"
 	"github.com/birchdrift/birchdrift/core/config"
 	"github.com/birchdrift/birchdrift/core/crash"
@@ -112,17 +113,17 @@
 		code      code.Code // with which it ends
 	}{
 		{"known here", "first", 3, func(f *Forwarder) {
-			f.Streams.Begun(start, streams.NewID("h", "first"), streams.Origin{Service: "s", Software: "v2"}, pool.Incarnation{})
+			f.Streams.Begun(start, streams.NewID("h", "first"), streams.Origin{Service: "s", Software: "v2"}, pool.Incarnation{}, false)
 		}, "b", 0},
 		{"its version is gone", "first", 3, func(f *Forwarder) {
-			f.Streams.Begun(start, streams.NewID("h", "first"), streams.Origin{Service: "s", Software: "v0"}, pool.Incarnation{})
+			f.Streams.Begun(start, streams.NewID("h", "first"), streams.Origin{Service: "s", Software: "v0"}, pool.Incarnation{}, false)
 		}, "", code.VersionGone},
 		{"its service is not one of the route", "first", 3, func(f *Forwarder) {
-			f.Streams.Begun(start, streams.NewID("h", "first"), streams.Origin{Service: "other", Software: "v2"}, pool.Incarnation{})
+			f.Streams.Begun(start, streams.NewID("h", "first"), streams.Origin{Service: "other", Software: "v2"}, pool.Incarnation{}, false)
 		}, "", code.VersionGone},
 		{"two streams have its ID", "first", 3, func(f *Forwarder) {
 			for _, software := range []string{"v1", "v2"} {
-				f.Streams.Begun(start, streams.NewID("h", "first"), streams.Origin{Service: "s", Software: software}, pool.Incarnation{})
+				f.Streams.Begun(start, streams.NewID("h", "first"), streams.Origin{Service: "s", Software: software}, pool.Incarnation{}, false)
 			}
 		}, "", code.StreamUnknown},
 		{"not known, and nobody to ask", "first", 3, nil, "", code.StreamUnknown},
@@ -384,7 +385,7 @@
 				f.splitReplicas()
 				origin := streams.Origin{Service: c.began, Software: "v1"}
 				if known == "here" {
-					f.Streams.Begun(start, streams.NewID("h", "first"), origin, pool.Incarnation{})
+					f.Streams.Begun(start, streams.NewID("h", "first"), origin, pool.Incarnation{}, false)
 				} else {
 					f.Members.Upsert("p", "z", "p")
 				}
@@ -413,6 +414,48 @@
 	}
 }
 
+// TestPeersHearOfStreamsOfSplitRoutes checks that peers are told which service began a stream when its
+// first event arrives, if its route is split.
+func TestPeersHearOfStreamsOfSplitRoutes(t *testing.T) {
+	for _, split := range []bool{true, false} {
+		t.Run(fmt.Sprint("split: ", split), func(t *testing.T) {
+			is := is.New(t)
+			f := testForwarder(t)
+			document := splitDocument("llm")
+			if !split {
+				document.Forwards[0].Split = document.Forwards[0].Split[:1]
+			}
+			f.Config.Snapshot = newSnapshot(t, document)
+			f.Pool.Announce(start, "e", pool.Announcement{Service: "llm", Address: "e", Zone: "z", Slots: 8, Software: "v1", Engine: true, Models: []pool.AnnouncedModel{{Name: "m"}}})
+			f.Members.Upsert("p", "z", "p")
+			f.Options.FirstStart = true
+			f.Streams = streams.New(streams.Deps{
+				State: f.State, Instances: func() map[string]registry.Instance {
+					return map[string]registry.Instance{"self": {HoldsVersions: true}}
+				},
+				FullMesh: func() bool { return true }, ListKnownUntil: func() clock.Instant { return start },
+			})
+			f.Streams.FirstOfFleet()
+			f.Streams.Tick(start)
+			software, sole := f.Streams.Sole(start, "llm")
+			is.True(sole && software == "v1")
+			r := takeUpOfModel()
+			r.Forward.Resumes, r.Forward.LastEvent = "", 0
+			f.Arrive(start, r, false)
+			f.Out.Reset()
+			f.answerBegan(start, f.Calls.Get(r.ID))
+			var told []streams.Group
+			for _, a := range f.Out.Actions() {
+				if request, ok := a.(streams.SendRequest); ok {
+					told = append(told, request.Request.Began...)
+				}
+			}
+			want := []streams.Group{{Origin: streams.Origin{Service: "llm", Software: "v1"}, IDs: []streams.ID{streams.NewID("h", "again")}}}
+			is.Equal(told, map[bool][]streams.Group{true: want}[split])
+		})
+	}
+}
+
 // TestTakenUpStreamsWithoutAReplica checks that a call which takes up a stream of a service without
 // replicas of its version is refused at once, whichever service its route drew, and that one whose model
 // no engine of the version holds waits for the model.
@@ -429,7 +472,7 @@
 			f.Pool.Announce(start, "engine-empty", pool.Announcement{Service: "llm", Address: "engine-empty", Zone: "z", Slots: 8, Software: "v1", Engine: true, OnDisk: []string{"m"}})
 			f.Pool.MarkTerminated("engine-m")
 			f.Pool.MarkTerminated("plain")
-			f.Streams.Begun(start, streams.NewID("h", "first"), streams.Origin{Service: c.began, Software: "v1"}, pool.Incarnation{})
+			f.Streams.Begun(start, streams.NewID("h", "first"), streams.Origin{Service: c.began, Software: "v1"}, pool.Incarnation{}, false)
 			r := takeUpOfModel()
 			f.Arrive(start, r, false)
 			is.Equal(len(f.dispatches()), 0)
@@ -455,7 +498,7 @@
 					f := testForwarder(t)
 					f.Config.Snapshot = splitServices(t, first)
 					f.splitReplicas()
-					f.Streams.Begun(start, streams.NewID("h", "first"), streams.Origin{Service: began, Software: "v1"}, pool.Incarnation{})
+					f.Streams.Begun(start, streams.NewID("h", "first"), streams.Origin{Service: began, Software: "v1"}, pool.Incarnation{}, false)
 					r := takeUpOfModel()
 					part := crash.Cause{r.Forward.Identity().Traits(crashed)[1]}
 					f.Quarantine.Restored(start, registry.Quarantine{ID: part.ID(), Replicas: 3, Traits: part})
--- a/core/streams/bench_test.go
+++ b/core/streams/bench_test.go
@@ -28,7 +28,7 @@
 			sent := 0
 			b.ReportAllocs()
 			for id := range b.N {
-				f.Begun(start.Add(time.Millisecond), ID(id+1), v1, pool.Incarnation{})
+				f.Begun(start.Add(time.Millisecond), ID(id+1), v1, pool.Incarnation{}, false)
 				sent += len(f.requests())
 				delete(f.records, ID(id+1))
 			}
--- a/core/streams/streams.go
+++ b/core/streams/streams.go
@@ -5,8 +5,8 @@
 // reach any instance, also after the one that it was read from has ended. The request names the
 // call that brought the stream's first event.
 //
-// While only one version can have begun any stream, nothing is recorded for others and nobody is
-// asked (history.go). Otherwise an instance tells a few others, its keepers, which streams begin
+// While only one version can have begun any stream of a route, nothing is recorded for others and
+// nobody is asked (history.go). Otherwise an instance tells a few others, its keepers, which streams begin
 // there (keepers.go), and one that does not know a stream asks them (lookup.go). A version is
 // never guessed: a stream that none of them knows is not continued.
 //
@@ -111,15 +111,16 @@
 }
 
 // Begun records that a stream began at this instance, or was taken up here. replica is the one that
-// began it, the zero value if another call did.
-func (t *Tracker) Begun(now clock.Instant, id ID, o Origin, replica pool.Incarnation) {
+// began it, the zero value if another call did. split means that its route is split between
+// services, so that the only version of a service does not tell what began it.
+func (t *Tracker) Begun(now clock.Instant, id ID, o Origin, replica pool.Incarnation, split bool) {
 	if id == 0 {
 		return
 	}
 	r := t.add(now, id, o)
 	r.own = true
 	r.replica = replica
-	if !t.isRecording(now, o.Service) {
+	if !split && !t.isRecording(now, o.Service) {
 		return
 	}
 	if t.Saturation.Saturated(now) {
--- a/core/streams/streams_test.go
+++ b/core/streams/streams_test.go
@@ -255,8 +255,8 @@
 	f.list(start, "v1")
 	f.readList(start)
 	v1 := Origin{Service: "s", Software: "v1"}
-	f.Begun(start, 1, v1, pool.Incarnation{})
-	f.Begun(start, 2, v1, pool.Incarnation{})
+	f.Begun(start, 1, v1, pool.Incarnation{}, false)
+	f.Begun(start, 2, v1, pool.Incarnation{}, false)
 	f.Ended(2)
 	is.Equal(len(f.requests()), 0)
 	f.list(start.Add(time.Second), "v2")
@@ -267,10 +267,35 @@
 	sent := f.requests()
 	is.Equal(len(sent), 1)
 	is.Equal(sent[0].Request.Began, []Group{{Origin: v1, IDs: []ID{1}}})
-	f.Begun(now, 3, Origin{Service: "s", Software: "v2"}, pool.Incarnation{})
+	f.Begun(now, 3, Origin{Service: "s", Software: "v2"}, pool.Incarnation{}, false)
 	is.Equal(f.requests()[0].Request.Began, []Group{{Origin: Origin{Service: "s", Software: "v2"}, IDs: []ID{3}}})
 }
 
+// TestStreamsOfSplitRoutesAreTold checks that keepers are told of a stream whose route is split between
+// services although its service has one version, and that a peer then knows which service began it. It guards
+// against streams that nobody can continue once their instance has ended.
+func TestStreamsOfSplitRoutesAreTold(t *testing.T) {
+	for _, split := range []bool{false, true} {
+		t.Run(fmt.Sprint("split: ", split), func(t *testing.T) {
+			is := is.New(t)
+			f, peer := newFixture("i", "z", true, true), newFixture("p", "z", true, true)
+			f.Members.Upsert("p", "z", "p")
+			f.instances["i"] = registry.Instance{HoldsVersions: true}
+			f.list(start, "v1")
+			f.readList(start)
+			origin := Origin{Service: "s", Software: "v1"}
+			f.Begun(start, 1, origin, pool.Incarnation{}, split)
+			sent := f.requests()
+			is.Equal(len(sent) == 1, split)
+			for _, r := range sent {
+				is.Equal(r.Request.Began, []Group{{Origin: origin, IDs: []ID{1}}})
+				peer.HandleRequest(start, RequestReceived{Request: r.Request})
+			}
+			is.Equal(peer.Find(start, Query{ID: 1, Service: "other"}), map[bool]Answer{true: {Known: true, Origin: origin}}[split])
+		})
+	}
+}
+
 // TestLookups checks what becomes of a question to two peers.
 func TestLookups(t *testing.T) {
 	known := Answer{Known: true, Origin: Origin{Service: "s", Software: "v2"}}
@@ -316,7 +341,7 @@
 func TestSameIDOfTwoStreams(t *testing.T) {
 	is := is.New(t)
 	f := newFixture("i", "z", true, false)
-	f.Begun(start, 1, Origin{Service: "s", Software: "v1"}, pool.Incarnation{})
+	f.Begun(start, 1, Origin{Service: "s", Software: "v1"}, pool.Incarnation{}, false)
 	is.True(f.Find(start, Query{ID: 1, Service: "s"}).Known)
 	f.HandleRequest(start, RequestReceived{Request: Request{Began: []Group{{Origin: Origin{Service: "s", Software: "v2"}, IDs: []ID{1}}}}})
 	is.Equal(f.Find(start, Query{ID: 1, Service: "s"}).Known, false)
@@ -328,7 +353,7 @@
 	is := is.New(t)
 	f := newFixture("i", "z", true, true)
 	for id := range ID(maxRecords + 10) {
-		f.Begun(start, id+1, Origin{Service: "s"}, pool.Incarnation{})
+		f.Begun(start, id+1, Origin{Service: "s"}, pool.Incarnation{}, false)
 	}
 	f.Tick(start)
 	is.Equal(len(f.records), maxRecords)
@@ -410,7 +435,7 @@
 			is := is.New(t)
 			f := newFixture("i", "z", true, false)
 			f.Members.Upsert("p", "z", "p")
-			f.Begun(start, 1, v1, former)
+			f.Begun(start, 1, v1, former, false)
 			f.requests()
 			f.ReplicaRestarted(start.Add(c.after), c.replica, c.software)
 			is.Equal(f.Find(start, Query{ID: 1, Service: "s"}).Known, c.known)
@@ -445,7 +470,7 @@
 	}
 	begin := func() {
 		for id := range ID(streams) {
-			f.Begun(start, id+1, Origin{Service: "s", Software: "v1"}, pool.Incarnation{})
+			f.Begun(start, id+1, Origin{Service: "s", Software: "v1"}, pool.Incarnation{}, false)
 		}
 	}
 	begin()
