A replica whose entry has vanished stays superseded

Cause: the limit of a supersession did not ask whether the older entry still lasted.

Evidence: TestSupersessionLastsOnceTheEntryVanished fails without the change.

--- a/core/listing/address_test.go
+++ b/core/listing/address_test.go
@@ -45,8 +45,8 @@
 	return gossip.Listed{Name: name, Kind: gossip.Upstream, Zone: "z", Gone: true, Version: version}
 }
 
-// TestNewestEntryHoldsAnAddress checks that of two replicas whose entries name one address, that of the
-// newer entry is used, however and in whatever order the entries arrive. It guards against the
+// TestNewestEntryHoldsAnAddress checks that of two replicas whose entries name one address, that of
+// the newer entry is used, however and in whatever order the entries arrive. It guards against the
 // entry of a replica that crashed retiring the one that started at its address after it.
 func TestNewestEntryHoldsAnAddress(t *testing.T) {
 	now := clocktest.At(time.Hour)
@@ -79,6 +79,9 @@
 		{"a watch", func(l *List) { watch(l, old, next) }},
 		{"a watch, the older entry changes later", func(l *List) { watch(l, old, next, oldLate) }},
 		{"a watch, the older entry was heard of last", func(l *List) { watch(l, next, oldLate) }},
+		{"a watch, both in one answer", func(l *List) {
+			l.HandleReply(now, Reply{Entries: []gossip.Listed{next, old}, Version: 25})
+		}},
 		{"a peer", func(l *List) { hear(l, old, next) }},
 		{"a peer, the newer entry first", func(l *List) { hear(l, next, old) }},
 		{"a peer that does not know creations", func(l *List) { hear(l, unstatedNext, unstatedOld) }},
--- a/core/pool/announced.go
+++ b/core/pool/announced.go
@@ -221,10 +221,11 @@
 	p.capacityChanges++
 }
 
-// expireSupersession ends the supersession of a replica after MaxSupersession.
+// expireSupersession ends the supersession of a replica whose own entry has lasted for
+// MaxSupersession.
 func (p *Pool) expireSupersession(now clock.Instant, r *Replica) {
 	switch {
-	case !r.superseded:
+	case !r.superseded, r.Vanished():
 	case r.supersededAt.IsZero():
 		r.supersededAt = now
 	case now.Since(r.supersededAt) >= MaxSupersession:
--- a/core/pool/replica_test.go
+++ b/core/pool/replica_test.go
@@ -137,6 +137,21 @@
 	is.True(!p.Get("r").Superseded())
 }
 
+// TestSupersessionLastsOnceTheEntryVanished checks that a replica whose entry has vanished stays
+// superseded.
+func TestSupersessionLastsOnceTheEntryVanished(t *testing.T) {
+	is := is.New(t)
+	now := clocktest.At(time.Hour)
+	p := New()
+	p.Announce(now, "r", Announcement{Service: "s", Address: "a", Zone: "z", Slots: 4, Created: 1})
+	p.Announce(now, "next", Announcement{Service: "s", Address: "a", Zone: "z", Slots: 4, Created: 2})
+	p.ExpireVanished(now, VanishedGracePeriod)
+	p.MarkVanished(now, "r", clock.Instant{})
+	p.ExpireVanished(now.Add(MaxSupersession), VanishedGracePeriod)
+	is.True(p.Get("r").Superseded())
+	is.Equal(p.TakeSupersessions(), []Supersession{{Replica: "r", Address: "a", Superseded: true}})
+}
+
 // TestADisputedReplicaIsProvenByAnAnswer checks that a replica at whose address a newer entry has named another
 // one for a while counts as disputed until it answers a call, and again if a still newer entry does.
 func TestADisputedReplicaIsProvenByAnAnswer(t *testing.T) {
--- a/core/streams/streams.go
+++ b/core/streams/streams.go
@@ -6,9 +6,9 @@
 // call that brought the stream's first event.
 //
 // While only one version can have begun any stream of a route, nothing is recorded for others and
-// nobody is asked (history.go). Otherwise an instance tells a few others, its keepers, which streams begin
-// there (keepers.go), and one that does not know a stream asks them (lookup.go). A version is
-// never guessed: a stream that none of them knows is not continued.
+// nobody is asked (history.go). Otherwise an instance tells a few others, its keepers, which
+// streams begin there (keepers.go), and one that does not know a stream asks them (lookup.go). A
+// version is never guessed: a stream that none of them knows is not continued.
 //
 // The records are soft state. They end some time after the stream began, and with their instance.
 package streams
